--- /dev/null
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -0,0 +1,114 @@
+package rushwood.adapter;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import rushwood.api.CustomerId;
+import rushwood.api.Product;
+import rushwood.api.Settings;
+import rushwood.api.ZoneId;
+
+/** Decodes the settings of a start. */
+final class Conf {
+    private final Line line;
+    private final Map<String, String> pairs;
+
+    Conf(Line line) {
+        this.line = line;
+        this.pairs = line.pairs();
+    }
+
+    Settings settings() {
+        Map<CustomerId, Double> shares = new LinkedHashMap<>();
+        for (int i = 0; i < count("orgs.count"); i++) {
+            shares.put(new CustomerId(text("orgs." + i + ".name")), number("orgs." + i + ".quota_per_s"));
+        }
+        boolean reports = !word("load_report.how", "off").equals("off");
+        return new Settings((int) number("n_instances"), products(), shares, new ZoneId(word("zone", "")),
+                one("discovery", "automatic", "subscribe") == 1, behind(),
+                flag("domain.tells_position"), reports && word("load_report.how", "").equals("inline"), reports,
+                !word("domain.role_listed", "off").equals("off"), word("domain.token_mode", "client").equals("router"),
+                pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0,
+                flag("limits.probes"), flag("limits.may_cancel"), flag("limits.retry_after"),
+                time("limits.max_retry_after"), (int) number("limits.most_tries"), flag("limits.parallel_tries"),
+                time("resolution"), time("rules.drain_grace"), !flag("rules.removal_not_binding"),
+                number("rules.cold_from"), time("rules.cold"), number("rules.tip_multiple"), time("rules.fall"),
+                time("rules.ask_within"));
+    }
+
+    private Settings.Behind behind() {
+        return Settings.Behind.values()[pairs.containsKey("domain.behind") ? one("domain.behind", "off", "reject", "hold")
+                : 0];
+    }
+
+    private List<Product> products() {
+        String[] needs = word("domain.needs_by_class", "").split(",");
+        String[] bounds = word("domain.lag_allowed", "").split(",");
+        List<Product> products = new ArrayList<>();
+        for (int i = 0; i < count("classes.count"); i++) {
+            String at = "classes." + i + ".";
+            products.add(new Product(text(at + "name"), i, time(at + "aim"), time(at + "deadline"),
+                    number(at + "value"), number(at + "late_value"),
+                    Product.Effect.values()[one(at + "semantics", "repeatable", "by_key", "once")],
+                    scope(at), time(at + "window"), need(i < needs.length ? needs[i] : ""),
+                    i < bounds.length && !bounds[i].isEmpty()
+                            ? Decimal.nanos(bounds[i], () -> line.bad("domain.lag_allowed", "is not a list of times"))
+                            : 0));
+        }
+        return products;
+    }
+
+    private Product.Scope scope(String at) {
+        return Product.Scope.values()[one(at + "key_scope", "all", "zone", "cell")];
+    }
+
+    private Product.Need need(String word) {
+        return switch (word) {
+            case "update" -> Product.Need.WRITE;
+            case "latest" -> Product.Need.CURRENT;
+            case "own_writes" -> Product.Need.SESSION;
+            case "recent" -> Product.Need.BOUNDED;
+            case "loose", "" -> Product.Need.ANY;
+            default -> throw line.bad("domain.needs_by_class", "has the unknown word " + word);
+        };
+    }
+
+    private String word(String key, String absent) {
+        return pairs.getOrDefault(key, absent);
+    }
+
+    private String text(String key) {
+        String value = pairs.get(key);
+        if (value == null || value.isEmpty()) {
+            throw line.bad(key, "is missing");
+        }
+        return value;
+    }
+
+    private int one(String key, String... words) {
+        String value = text(key);
+        for (int i = 0; i < words.length; i++) {
+            if (words[i].equals(value)) {
+                return i;
+            }
+        }
+        throw line.bad(key, "has the unknown word " + value);
+    }
+
+    private boolean flag(String key) {
+        return pairs.containsKey(key) && one(key, "false", "true") == 1;
+    }
+
+    private int count(String key) {
+        return pairs.containsKey(key) ? (int) number(key) : 0;
+    }
+
+    private double number(String key) {
+        return Decimal.number(text(key), () -> line.bad(key, "is not a number"));
+    }
+
+    private long time(String key) {
+        return Decimal.nanos(text(key), () -> line.bad(key, "is not a time"));
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/api/Outlet.java
@@ -0,0 +1,22 @@
+package rushwood.api;
+
+/** What the decisions can have done. */
+public interface Outlet {
+    void send(AccessId access, HostId host, long timeOut);
+
+    void withdraw(AccessId access, int shot);
+
+    /** Final: trying again is harmless, after {@code advice} if positive. */
+    void turnBack(AccessId access, long advice);
+
+    /** Final: no promise. */
+    void giveUp(AccessId access);
+
+    void probe(HostId host);
+
+    void wake(long at);
+
+    void subscribe();
+
+    void log(String line);
+}
