--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -48,7 +48,10 @@
     private final Settings settings;
     private final RandomGenerator chance;
     private final Outlet outlet;
-    private final List<Stage> chain = List.of(new Limits(), new Effects(), new Freshness(), new Placing(), new Sending());
+    private final Stage limits = new Limits();
+    private final Stage freshness = new Freshness();
+    private final Stage sending = new Sending();
+    private final List<Stage> chain = List.of(limits, new Effects(), freshness, new Placing(), sending);
     private final Map<HostId, HostState> hosts = new LinkedHashMap<>();
     private final Map<GroupId, GroupState> groups = new TreeMap<>((a, b) -> Integer.compare(a.value(), b.value()));
     private final Map<AccessId, Held> taken = new HashMap<>();
@@ -69,7 +72,7 @@
         usual = settings.products().stream().mapToDouble(p -> p.quotedTime() * USUAL_SHARE).toArray();
         bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound()).min()
                 .orElse(AGE_BOUND);
-        slotFloor = 1 + FLEET_SLOTS / Math.max(1, settings.routers());
+        slotFloor = Math.max(1, FLEET_SLOTS / Math.max(1, settings.routers()));
     }
 
     /** A product's usual time before any answer has told it; a guess, soon forgotten. */
@@ -129,7 +132,7 @@
                 group.primary = host;
             }
         }
-        groups.values().forEach(group -> serve(group, now));
+        groups.values().forEach(group -> group.members.forEach(host -> serve(host, now)));
     }
 
     private void join(HostState host, GroupState group) {
@@ -200,7 +203,7 @@
             run(held, now);
         }
         forget(held);
-        serve(held.group, now);
+        serve(shot.host, now);
         wake(dues.earliest());
     }
 
@@ -456,14 +459,18 @@
                 && free(held, pair[0], now) && free(held, pair[1], now)) {
             return pair[0].load() <= pair[1].load() ? pair[0] : pair[1];
         }
+        int best = bestFit(held, now);
+        return best == 3 ? null : least(members, host -> fit(held, host, now) == best && usable(host, now) && free(held, host, now));
+    }
+
+    private int bestFit(Held held, long now) {
         int best = 3;
-        for (HostState host : members) {
-            if (usable(host, now)) {
+        for (HostState host : held.group.members) {
+            if (best > 0 && usable(host, now)) {
                 best = Math.min(best, fit(held, host, now));
             }
         }
-        int rank = best;
-        return best == 3 ? null : least(members, host -> fit(held, host, now) == rank && free(held, host, now));
+        return best;
     }
 
     /** Two different replicas drawn by weight; null unless there are three or more. */
@@ -560,17 +567,20 @@
         if (host.group.primary == host && held.access.product().need() != Need.WRITE) {
             cap *= READS_ON_PRIMARY;
         }
-        return host.out.size() < Math.max(1, cap) && mayRepeat(held, host, now) && withinBudget(held, host, now);
+        return host.out.size() < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
     }
 
     /** The share of the primary's slots that reads may take: writes can go nowhere else. */
     private static final double READS_ON_PRIMARY = 0.5;
 
     private double cap(HostState host, long now) {
+        if (now < host.pausedUntil) {
+            return 0;
+        }
         if (host.health != HostState.Health.WELL) {
             return 1;
         }
-        return host.cap * warmth(host, now);
+        return Math.max(1, host.cap * warmth(host, now));
     }
 
     /** The share of its capacity that a host that started lately has at the least. */
@@ -637,12 +647,14 @@
                     int product = held.access.product().index();
                     usual[product] += (answer.took() - usual[product]) * SMOOTH;
                     host.doneNow += usual[product];
+                    host.fullRow = 0;
                     adapt(host, (double) answer.took() / held.access.product().quotedTime(), now);
                     heardFrom(host, now);
                 }
                 case ERROR, BEHIND -> heardFrom(host, now);
                 case OVERFULL -> {
                     host.cap = Math.max(slotFloor, host.cap * CUT);
+                    host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.fullRow));
                     heardFrom(host, now);
                 }
                 case UNREACHED, BROKEN -> trouble(host, HostState.Health.DOWN, now);
@@ -658,6 +670,9 @@
     /** Cut of a cap on a sign of too much; the usual halving would starve a host on one burst. */
     private static final double CUT = 0.8;
 
+    /** Refusals in a row before a host rests a whole recheck: a host that drains before the list says so refuses all. */
+    private static final int FULL_STEPS = 4;
+
     /** The share of the quoted time that an answer may take before the cap shrinks: half is left for parking. */
     private static final double GOAL = 0.45;
 
@@ -747,37 +762,51 @@
             well(host, now);
         }
         learnReport(host, report, now);
-        serve(host.group, now);
+        serve(host, now);
     }
 
     // ---- the parked
 
-    /** Hands free slots to the parked, first shots before further ones. */
-    private void serve(GroupState group, long now) {
-        handOut(group, group.first, now);
-        handOut(group, group.further, now);
-    }
-
-    private void handOut(GroupState group, List<Held> line, long now) {
-        if (line.isEmpty()) {
+    /** Hands the free slots of a host directly to the parked that it may serve, first shots before further ones. */
+    private void serve(HostState host, long now) {
+        if (host.group == null) {
             return;
         }
-        List<Held> order = new ArrayList<>(line);
-        order.sort((a, b) -> Long.compare(rank(a, now), rank(b, now)));
-        for (Held held : order) {
-            if (!held.over && held.parked && anyFree(group, now)) {
-                run(held, now);
+        for (List<Held> line : List.of(host.group.first, host.group.further)) {
+            for (Held held = next(line, host, now); held != null; held = next(line, host, now)) {
+                held.chosen = host;
+                sending.in(held, now);
             }
         }
     }
 
-    private boolean anyFree(GroupState group, long now) {
-        for (HostState host : group.members) {
-            if (host.out.size() < cap(host, now) || onTrial(host, now)) {
-                return true;
+    private Held next(List<Held> line, HostState host, long now) {
+        Held best = null;
+        long bestRank = Long.MAX_VALUE;
+        if (line.isEmpty() || !anyFree(host, now)) {
+            return null;
+        }
+        for (Held held : line) {
+            long rank = rank(held, now);
+            if (rank < bestRank && mayServe(held, host, now)) {
+                best = held;
+                bestRank = rank;
             }
         }
-        return false;
+        return best;
+    }
+
+    private boolean anyFree(HostState host, long now) {
+        return host.out.size() < cap(host, now) || onTrial(host, now);
+    }
+
+    private boolean mayServe(Held held, HostState host, long now) {
+        freshness.in(held, now);
+        if (held.access.product().need() == Need.WRITE) {
+            return host.group.primary == host && usable(host, now) && free(held, host, now);
+        }
+        int fit = usable(host, now) ? fit(held, host, now) : 3;
+        return fit < 3 && free(held, host, now) && (fit == 0 || fit == bestFit(held, now));
     }
 
     /** The order of the parked: those still in time by their quoted time, then the late by theirs. */
@@ -827,14 +856,17 @@
                 host.doneNow = 0;
                 watch(host, now);
             }
-            for (Held held : List.copyOf(group.first)) {
+            List<Held> parked = new ArrayList<>(group.first);
+            parked.addAll(group.further);
+            for (Held held : parked) {
                 held.missed.clear();
-                run(held, now);
-            }
-            for (Held held : List.copyOf(group.further)) {
-                held.missed.clear();
-                run(held, now);
+                if (limits.in(held, now) == Step.END) {
+                    finish(held, now);
+                } else if (held.access.product().need() == Need.WRITE && group.primary == null) {
+                    run(held, now);
+                }
             }
+            group.members.forEach(host -> serve(host, now));
         }
     }
 
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -33,6 +33,8 @@
     double doneRate;
     double doneNow;
     double queue;
+    long pausedUntil = Long.MIN_VALUE;
+    int fullRow;
 
     HostState(HostId id) {
         this.id = id;
