--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -452,8 +452,37 @@
         return settings.behind() == Settings.Behind.ANSWERS || refused || need == Need.CURRENT ? 3 : 1;
     }
 
+    /** A read that any member may answer and that lasts longer than the lag that others are allowed. */
+    private boolean isLong(Held held) {
+        return held.access.product().need() == Need.ANY && usual[held.access.product().index()] > bound;
+    }
+
+    /**
+     * Long reads may keep a replica from applying its log. All routers give them to the same few replicas, the first
+     * in id order, so that the others stay fresh; harm: those few do little else.
+     */
+    private boolean takesLong(HostState host, long now) {
+        int before = 0;
+        int replicas = 0;
+        for (HostState member : host.group.members) {
+            if (member != host.group.primary && usable(member, now)) {
+                replicas++;
+                before += member.id.value().compareTo(host.id.value()) < 0 ? 1 : 0;
+            }
+        }
+        return host != host.group.primary && before < Math.max(1, replicas / 2);
+    }
+
     private HostState placeRead(Held held, long now) {
         List<HostState> members = held.group.members;
+        if (isLong(held)) {
+            for (HostState host : members) {
+                if (takesLong(host, now) && usable(host, now) && free(held, host, now)) {
+                    return host;
+                }
+            }
+            return null;
+        }
         HostState[] pair = draw(members, now);
         if (pair != null && fit(held, pair[0], now) == 0 && fit(held, pair[1], now) == 0
                 && free(held, pair[0], now) && free(held, pair[1], now)) {
@@ -805,6 +834,9 @@
         if (held.access.product().need() == Need.WRITE) {
             return host.group.primary == host && usable(host, now) && free(held, host, now);
         }
+        if (isLong(held)) {
+            return takesLong(host, now) && usable(host, now) && free(held, host, now);
+        }
         int fit = usable(host, now) ? fit(held, host, now) : 3;
         return fit < 3 && free(held, host, now) && (fit == 0 || fit == bestFit(held, now));
     }
