Count a shot without an answer as late in the cap, against this try's own time

Cause: lateness was learned only from answers, so a host whose shots all ran out kept a wide cap. Also guards any host that answers a few and loses the rest. Harm: a host that hangs comes back with a small cap and must grow again.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -677,7 +677,7 @@
                     usual[product] += (answer.took() - usual[product]) * SMOOTH;
                     host.doneNow += usual[product];
                     host.fullRow = 0;
-                    adapt(host, (double) answer.took() / held.access.product().quotedTime(), now);
+                    adapt(host, lateness(held, answer.took()));
                     heardFrom(host, now);
                 }
                 case ERROR, BEHIND -> heardFrom(host, now);
@@ -687,7 +687,8 @@
                     heardFrom(host, now);
                 }
                 case UNREACHED, BROKEN -> trouble(host, HostState.Health.DOWN, now);
-                case EXPIRED, WITHDRAWN, UNSENT -> {
+                case EXPIRED -> adapt(host, Math.max(1, lateness(held, answer.took())));
+                case WITHDRAWN, UNSENT -> {
                 }
             }
         }
@@ -705,8 +706,13 @@
     /** The share of the quoted time that an answer may take before the cap shrinks: half is left for parking. */
     private static final double GOAL = 0.45;
 
+    /** How much of the time that an answer is of use for went by: the quoted time, or this try if that is shorter. */
+    private static double lateness(Held held, long took) {
+        return (double) took / Math.min(held.access.product().quotedTime(), held.access.due() - held.arrivedAt);
+    }
+
     /** The cap creeps up while answers are quick and slots are short, and down while they are slow. */
-    private void adapt(HostState host, double lateness, long now) {
+    private void adapt(HostState host, double lateness) {
         host.lateness += (lateness - host.lateness) * LATENESS_SMOOTH;
         if (host.lateness > GOAL) {
             host.cap = Math.max(slotFloor, host.cap - 1 / host.cap);
