Keep the slot of a shot that ran out taken for a while; do not believe a primary that turns writes away

Told from plain overload by time-outs from the first seconds on at half load. While a primary hands over it still calls itself primary: writes went round in circles.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -353,6 +353,7 @@
             if (answer.end() == ShotEnd.BEHIND) {
                 held.missed.add(host);
                 if (write) {
+                    host.deniedAt = now;
                     learnRole(host, false, now);
                 } else {
                     host.refusedAt = now;
@@ -386,7 +387,11 @@
         }
     }
 
+    /** A host that turns writes away while it calls itself primary is handing over: not believed for a recheck. */
     private void learnRole(HostState host, boolean primary, long as) {
+        if (primary && as < host.deniedAt + RECHECK) {
+            return;
+        }
         host.primary = primary;
         host.roleAt = Math.max(host.roleAt, as);
         GroupState group = host.group;
@@ -486,10 +491,10 @@
         HostState[] pair = draw(members, now);
         if (pair != null && fit(held, pair[0], now) == 0 && fit(held, pair[1], now) == 0
                 && free(held, pair[0], now) && free(held, pair[1], now)) {
-            return pair[0].load() <= pair[1].load() ? pair[0] : pair[1];
+            return pair[0].load(now) <= pair[1].load(now) ? pair[0] : pair[1];
         }
         int best = bestFit(held, now);
-        return best == 3 ? null : least(members, host -> fit(held, host, now) == best && usable(host, now) && free(held, host, now));
+        return best == 3 ? null : least(members, now, host -> fit(held, host, now) == best && usable(host, now) && free(held, host, now));
     }
 
     private int bestFit(Held held, long now) {
@@ -535,10 +540,10 @@
         return last;
     }
 
-    private static HostState least(List<HostState> members, Predicate<HostState> fits) {
+    private static HostState least(List<HostState> members, long now, Predicate<HostState> fits) {
         HostState least = null;
         for (HostState host : members) {
-            if (fits.test(host) && (least == null || host.load() < least.load())) {
+            if (fits.test(host) && (least == null || host.load(now) < least.load(now))) {
                 least = host;
             }
         }
@@ -596,7 +601,7 @@
         if (host.group.primary == host && held.access.product().need() != Need.WRITE) {
             cap *= READS_ON_PRIMARY;
         }
-        return host.out.size() < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
+        return host.taken(now) < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
     }
 
     /** The share of the primary's slots that reads may take: writes can go nowhere else. */
@@ -691,9 +696,16 @@
                 case WITHDRAWN, UNSENT -> {
                 }
             }
+            if (answer.end() == ShotEnd.EXPIRED || answer.end() == ShotEnd.WITHDRAWN) {
+                host.linger(now, now + (long) usual[held.access.product().index()]);
+            }
         }
     }
 
+    // A shot that ran out or was called off may still be at work in its host: its slot stays taken for one more usual
+    // time, or hosts that do not stop such work would be given far more than their cap. Harm where they do stop it:
+    // a few slots idle for that long.
+
     /** Weight of a new answer in the usual time: some fifty answers back. */
     private static final double SMOOTH = 0.02;
 
@@ -716,11 +728,14 @@
         host.lateness += (lateness - host.lateness) * LATENESS_SMOOTH;
         if (host.lateness > GOAL) {
             host.cap = Math.max(slotFloor, host.cap - 1 / host.cap);
-        } else if (host.out.size() + 1 >= host.cap * 0.8) {
+        } else if (host.out.size() + 1 >= host.cap * NEARLY_FULL) {
             host.cap += 1 / host.cap;
         }
     }
 
+    /** A cap grows only while it binds: at four slots of five or more. */
+    private static final double NEARLY_FULL = 0.8;
+
     /** Weight of one answer in a host's lateness: some ten answers back. */
     private static final double LATENESS_SMOOTH = 0.1;
 
@@ -832,7 +847,7 @@
     }
 
     private boolean anyFree(HostState host, long now) {
-        return host.out.size() < cap(host, now) || onTrial(host, now);
+        return host.taken(now) < cap(host, now) || onTrial(host, now);
     }
 
     private boolean mayServe(Held held, HostState host, long now) {
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -13,6 +13,7 @@
     ListedHost listed;
     GroupState group;
     final List<Shot> out = new ArrayList<>();
+    private final List<Long> lingering = new ArrayList<>();
     double cap;
     Health health = Health.WELL;
     long troubledAt;
@@ -35,12 +36,24 @@
     double queue;
     long pausedUntil = Long.MIN_VALUE;
     int fullRow;
+    long deniedAt = -(1L << 62);
 
     HostState(HostId id) {
         this.id = id;
     }
 
-    double load() {
-        return out.size() / listed.weight();
+    void linger(long now, long until) {
+        lingering.add(until);
+        taken(now);
+    }
+
+    /** Slots taken: by shots that are out and by those that linger. */
+    int taken(long now) {
+        lingering.removeIf(until -> until <= now);
+        return out.size() + lingering.size();
+    }
+
+    double load(long now) {
+        return taken(now) / listed.weight();
     }
 }
