Order the parked by whether they can still be answered in time, the late newest first

Cause: under overload the earliest-due order gave slots to accesses about to run out. Harm: a late access with late earnings waits behind all that are in time.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -862,18 +862,21 @@
         return fit < 3 && free(held, host, now) && (fit == 0 || fit == bestFit(held, now));
     }
 
-    /** The order of the parked: those still in time by their quoted time, then the late by theirs. */
+    /**
+     * The order of the parked: those that can still be answered in time, the most pressing first; then the late, the
+     * newest first, so that when not all can be fulfilled slots do not go to those about to run out.
+     */
     private long rank(Held held, long now) {
-        long quoted = held.arrivedAt + held.access.product().quotedTime();
+        long quoted = Math.min(held.arrivedAt + held.access.product().quotedTime(), held.access.due());
         boolean late = now + usual[held.access.product().index()] * IN_TIME > quoted;
-        return late ? quoted + LATE : quoted;
+        return late ? LATE - quoted : quoted;
     }
 
-    /** The share of the usual time that must be left for an access to count as still in time. */
-    private static final double IN_TIME = 0.8;
+    /** Usual times that must be left for an access to count as still in time: four in five are answered within. */
+    private static final double IN_TIME = 1.6;
 
-    /** Puts the late behind all that are in time: longer than any quoted time. */
-    private static final long LATE = 1_000_000 * MS;
+    /** Puts the late behind all that are in time, whatever the clock shows. */
+    private static final long LATE = Long.MAX_VALUE - 1;
 
     // ---- time
 
