--- a/src/main/java/rushwood/decision/GroupState.java
+++ b/src/main/java/rushwood/decision/GroupState.java
@@ -3,11 +3,33 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What a router remembers of a group: members in id order, the last known primary, and the parked. */
+/** What a router remembers of a group: members in id order, the last known primary, and the parked in their lines. */
 final class GroupState {
     final List<HostState> members = new ArrayList<>();
     final List<Held> first = new ArrayList<>();
     final List<Held> further = new ArrayList<>();
     HostState primary;
     Held scout;
+
+    void join(HostState host) {
+        if (host.group != this) {
+            host.leave();
+            host.group = this;
+            members.add(host);
+            members.sort((a, b) -> a.id.value().compareTo(b.id.value()));
+        }
+    }
+
+    void drop(HostState host) {
+        members.remove(host);
+        if (primary == host) {
+            primary = null;
+        }
+    }
+
+    List<HostState> replicas() {
+        List<HostState> replicas = new ArrayList<>(members);
+        replicas.remove(primary);
+        return replicas;
+    }
 }
--- a/src/main/java/rushwood/decision/Held.java
+++ b/src/main/java/rushwood/decision/Held.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import rushwood.api.Access;
+import rushwood.api.Product;
 
 /** An access that this router has taken, with its shots. */
 final class Held {
     final Access access;
+    final Product product;
     final GroupState group;
     final long arrivedAt;
     final List<Shot> shots = new ArrayList<>();
@@ -18,21 +20,55 @@
 
     Held(Access access, GroupState group, long arrivedAt) {
         this.access = access;
+        this.product = access.product();
         this.group = group;
         this.arrivedAt = arrivedAt;
     }
 
-    boolean out() {
-        return !shots.isEmpty() && shots.get(shots.size() - 1).end == null;
+    boolean is(Product.Need need) {
+        return product.need() == need;
+    }
+
+    /** The shot that is out, or null. */
+    Shot out() {
+        Shot last = shots.isEmpty() ? null : shots.get(shots.size() - 1);
+        return last != null && last.end == null ? last : null;
     }
 
     /** The first shot that may have run, or null. */
     Shot mayHaveRun() {
         for (Shot shot : shots) {
-            if (shot.mayHaveRun()) {
+            if (shot.end == null || !shot.end.neverRan()) {
                 return shot;
             }
         }
         return null;
     }
+
+    void park() {
+        if (!parked) {
+            parked = true;
+            line().add(this);
+        }
+    }
+
+    void unpark() {
+        if (parked) {
+            parked = false;
+            line().remove(this);
+        }
+    }
+
+    /** Further shots wait in a line of their own; an access changes line only while it is in none. */
+    private List<Held> line() {
+        return shots.isEmpty() ? group.first : group.further;
+    }
+
+    void close() {
+        over = true;
+        unpark();
+        if (group.scout == this) {
+            group.scout = null;
+        }
+    }
 }
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -9,42 +9,55 @@
 final class HostState {
     enum Health { WELL, DOWN, STUCK }
 
+    /** Earlier than any clock time, and far enough from the end that sums with it do not overflow. */
+    static final long NEVER = Long.MIN_VALUE / 2;
+
     final HostId id;
     ListedHost listed;
     GroupState group;
+
     final List<Shot> out = new ArrayList<>();
     private final List<Long> lingering = new ArrayList<>();
     double cap;
+    double lateness;
+    long pausedUntil = NEVER;
+    int refusals;
+
     Health health = Health.WELL;
     long troubledAt;
     long nextTrial;
     long trialGap;
+    long lastAnswer = NEVER;
     boolean probing;
-    boolean everProbed;
-    long lastAnswer;
+    boolean heard;
+
     long warmFrom;
     double allowance;
     long allowanceAt;
-    long position = Long.MIN_VALUE;
-    long positionAt = Long.MIN_VALUE;
-    boolean primary;
-    long roleAt = Long.MIN_VALUE;
-    long refusedAt = Long.MIN_VALUE;
-    double lateness;
     double doneRate;
     double doneNow;
-    double queue;
-    long pausedUntil = Long.MIN_VALUE;
-    int fullRow;
-    long deniedAt = -(1L << 62);
+
+    long position = NEVER;
+    long positionAt = NEVER;
+    long refusedAt = NEVER;
+    boolean primary;
+    long roleAt = NEVER;
+    long deniedAt = NEVER;
 
     HostState(HostId id) {
         this.id = id;
     }
 
-    void linger(long now, long until) {
+    void leave() {
+        if (group != null) {
+            group.drop(this);
+            group = null;
+        }
+        primary = false;
+    }
+
+    void linger(long until) {
         lingering.add(until);
-        taken(now);
     }
 
     /** Slots taken: by shots that are out and by those that linger. */
--- a/src/main/java/rushwood/decision/Shot.java
+++ b/src/main/java/rushwood/decision/Shot.java
@@ -11,14 +11,10 @@
     ShotEnd end;
     boolean withdrawn;
 
-    Shot(Held held, int number, HostState host, long sentAt) {
+    Shot(Held held, HostState host, long sentAt) {
         this.held = held;
-        this.number = number;
+        this.number = held.shots.size();
         this.host = host;
         this.sentAt = sentAt;
     }
-
-    boolean mayHaveRun() {
-        return end == null || !end.neverRan();
-    }
 }
