--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -171,11 +171,11 @@
         for (int i = chain.size() - 1; i >= 0; i--) {
             chain.get(i).back(shot, answer, now);
         }
+        serve(shot.host, now);
         if (!held.over && !held.parked && held.out() == null) {
             run(held, now);
         }
         forget(held);
-        serve(shot.host, now);
     }
 
     @Override
@@ -599,7 +599,7 @@
         host.lateness += (lateness - host.lateness) * LATENESS_SMOOTH;
         if (host.lateness > GOAL) {
             host.cap = Math.max(slotFloor, host.cap - 1 / host.cap);
-        } else if (host.out.size() + 1 >= host.cap * NEARLY_FULL) {
+        } else if (lateness <= GOAL && host.out.size() + 1 >= host.cap * NEARLY_FULL) {
             host.cap += 1 / host.cap;
         }
     }
@@ -678,11 +678,11 @@
             throw new IllegalArgumentException("unknown host: " + id);
         }
         host.probing = false;
+        host.heard = true;
         if (!answered) {
             trouble(host, Health.DOWN, now);
             return;
         }
-        host.heard = true;
         if (host.health == Health.DOWN) {
             well(host, now);
         }
