--- a/src/test/java/rushwood/ScenarioTest.java
+++ b/src/test/java/rushwood/ScenarioTest.java
@@ -138,11 +138,11 @@
                     Product.Need.valueOf(w[3]), ms(after(w, "bound", "500"))));
         }
 
-        /** host NAME [primary yes] [state STATE] [started MS] [group N] */
+        /** host NAME [primary yes] [state STATE] [started MS] [group N] [zone Z] */
         private void host(String[] w) {
             String started = after(w, "started", null);
             hosts.put(w[1], new ListedHost(new HostId(w[1]), new GroupId(Integer.parseInt(after(w, "group", "1"))),
-                    new ZoneId("z"), "k", 1, started == null ? 0 : START + ms(started),
+                    new ZoneId(after(w, "zone", "z")), "k", 1, started == null ? 0 : START + ms(started),
                     after(w, "primary", "no").equals("yes"),
                     ListedHost.State.valueOf(after(w, "state", "IN_SERVICE"))));
         }
