--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -67,7 +67,7 @@
 
     private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess, soon forgotten
     private static final long AGE_BOUND = 500 * MS; // of a known position before a probe, if no product bounds it
-    private static final int FLEET_SLOTS = 12; // all routers' least slots at a host: keeps a handful of cores at work
+    private static final int FLEET_SLOTS = 6; // all routers' least slots at a host: keeps a handful of cores at work
 
     public Choice(Settings settings, RandomGenerator chance, Outlet outlet) {
         this.settings = settings;
