--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -605,7 +605,7 @@
     }
 
     private static final double LATENESS_SMOOTH = 0.1; // weight of one answer in a host's lateness: ten answers back
-    private static final double GOAL = 0.45; // of the time of use may pass in the host: half is left for parking
+    private static final double GOAL = 0.35; // of the time of use may pass in the host: half is left for parking
     private static final double NEARLY_FULL = 0.8; // a cap grows only while it binds: four slots of five are taken
 
     // ---- the health of hosts
