Give long reads a third of the replicas at the most

Cause: on the lagos incident all hosts slowed, caps shrank and the long reads spilled over the second replica of each group, which then was stale too. Told from a slow log by which hosts stood still: those with long reads. Harm: long reads wait or are turned back sooner.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -411,7 +411,7 @@
         List<HostState> replicas = host.group.replicas();
         replicas.removeIf(replica -> !usable(replica, now));
         int place = replicas.indexOf(host);
-        return place == 0 || place > 0 && place < replicas.size() / 2;
+        return place == 0 || place > 0 && place < replicas.size() / 3;
     }
 
     /** Two draws by weight decide if both are free and fresh; else all are compared, and the busy are waited for. */
