Let a read that waited a quarter of its quoted time take a slot of the primary

Cause: with all fresh replicas busy, reads parked past their quoted time while half the primary stood idle; seen as a short median and many late or turned-back reads on hosts that answered well. Harm: a primary with more writes than it shows.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -765,9 +765,16 @@
         }
         freshness.in(held, now);
         int fit = fit(held, host, now);
-        return fit < NOT && free(held, host, now) && (fit == FRESH || fit == bestFit(held, now));
+        boolean waitedLong = now - held.arrivedAt > held.product.quotedTime() * PATIENCE;
+        return fit < NOT && free(held, host, now)
+                && (fit == FRESH || fit == LAST && waitedLong || fit == bestFit(held, now));
     }
 
+    // An exception to parking for busy replicas: a read that has waited this share of its quoted time may take a slot
+    // of the primary that reads may have. Guards against waste of the primary when replicas are few or slow; harm: a
+    // primary with more writes than it shows.
+    private static final double PATIENCE = 0.25;
+
     /**
      * The order of the parked: those that can still be answered in time, the most pressing first; then the late, the
      * newest first, so that when not all can be fulfilled slots do not go to those about to run out.
