--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -193,7 +193,9 @@
         withdraw(held);
         held.close();
         if (held.product.effect() == Effect.REDOABLE || held.mayHaveRun() == null) {
-            outlet.turnBack(held.access.id(), 0);
+            // While others wait here a quick retry only lengthens the line: it is asked to stay away for a while.
+            boolean crowded = settings.mayAdvise() && !held.group.first.isEmpty();
+            outlet.turnBack(held.access.id(), crowded ? settings.longestAdvice() : 0);
         } else {
             outlet.giveUp(held.access.id());
         }
--- a/src/test/java/rushwood/ScenarioTest.java
+++ b/src/test/java/rushwood/ScenarioTest.java
@@ -221,7 +221,7 @@
 
         @Override
         public void turnBack(AccessId access, long advice) {
-            done.add("turn-back " + access);
+            done.add("turn-back " + access + " " + advice / MS);
         }
 
         @Override
