--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -501,7 +501,7 @@
         if (now < host.pausedUntil) {
             return 0;
         }
-        return host.health != Health.WELL ? 1 : Math.max(1, host.cap * warmth(host, now));
+        return host.health != Health.WELL ? 1 : Math.max(1, host.cap * coldShare(host, now));
     }
 
     /** The share of its capacity that a host that started lately has at the least. */
@@ -510,13 +510,19 @@
         return host.warmFrom == 0 || age >= 1 ? 1 : settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, age);
     }
 
+    /** The share of a warm host's work that a host may get: some of the multiple of its warmth that would tip it. */
+    private double coldShare(HostState host, long now) {
+        return Math.min(1, warmth(host, now) * settings.fallMultiple() * MULTIPLE_USED);
+    }
+
+    private static final double MULTIPLE_USED = 0.5; // half is left for chance and for routers that know less
+
     /**
-     * A cold host gets, from each router, no more than its warmth times what that router's warm hosts get through: all
-     * routers together then stay under its capacity, whatever each of them carries.
+     * A cold host gets, from each router, no more than its share of what that router's warm hosts get through: all
+     * routers together then stay well under what would tip it, whatever each of them carries.
      */
     private boolean withinBudget(Held held, HostState host, long now) {
-        double warmth = warmth(host, now);
-        if (warmth == 1) {
+        if (warmth(host, now) == 1) {
             return true;
         }
         double sum = 0;
@@ -529,7 +535,7 @@
                 }
             }
         }
-        double rate = weight > 0 ? warmth * host.listed.weight() * sum / weight : 0;
+        double rate = weight > 0 ? coldShare(host, now) * host.listed.weight() * sum / weight : 0;
         double most = Math.max(usual(held), rate * settings.fallWindow() * BURST);
         host.allowance = Math.min(most, host.allowance + rate * (now - host.allowanceAt));
         host.allowanceAt = now;
