--- a/src/main/java/rushwood/adapter/Adapter.java
+++ b/src/main/java/rushwood/adapter/Adapter.java
@@ -14,7 +14,6 @@
 import rushwood.api.Access;
 import rushwood.api.AccessId;
 import rushwood.api.Answer;
-import rushwood.api.CustomerId;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.ListedHost;
@@ -103,7 +102,7 @@
         return line;
     }
 
-    /** Ends the day in plain words where an instance with an event can be named; else the caller ends the process. */
+    /** Ends the day in plain words where an instance can be named; else the caller ends the process. */
     private String fault(String message, BadLine cause) throws IOException {
         if (target == null) {
             throw cause;
@@ -165,10 +164,11 @@
             String group = row.find("group");
             String weight = row.find("nominal");
             String leads = row.find("leads");
-            hosts.add(new ListedHost(new HostId(row.need("host")), new GroupId(group == null ? -1 : row.whole("group")),
+            hosts.add(new ListedHost(new HostId(row.need("host")),
+                    new GroupId(group == null ? -1 : row.whole("group")),
                     new ZoneId(row.find("hall") == null ? "" : row.find("hall")),
-                    row.find("type") == null ? "" : row.find("type"), weight == null ? 1 : row.number("nominal"),
-                    started == null ? 0 : row.time("up_since"), leads != null && row.number("leads") == 1, state(row)));
+                    weight == null ? 1 : row.number("nominal"), started == null ? 0 : row.time("up_since"),
+                    leads != null && row.number("leads") == 1, state(row)));
         }
         return hosts;
     }
@@ -212,10 +212,8 @@
         if (product == null) {
             throw line.bad("kind", "is unknown: " + kind);
         }
-        String customer = line.find("customer");
         String session = line.find("sess");
         return new Access(new AccessId(line.need("id")), product,
-                customer == null || customer.equals("0") ? null : new CustomerId(customer),
                 session == null ? null : new SessionId(session),
                 new GroupId(line.find("cluster") == null ? -1 : line.whole("cluster")), line.time("due"),
                 line.find("token_ms") == null ? 0 : Math.round(line.number("token_ms") * 1e6));
@@ -231,8 +229,8 @@
                 position = instance(line).settings.positionZero() + stamp / 4 * 1_000_000L;
             }
         }
-        return new Answer(new AccessId(line.need("id")), line.whole("try"), new HostId(line.need("host")), end(line),
-                line.time("cost_time"), line.flag("ended"), primary, position, report(line));
+        return new Answer(new AccessId(line.need("id")), line.whole("try"), new HostId(line.need("host")),
+                end(line), line.time("cost_time"), line.flag("ended"), primary, position, report(line));
     }
 
     private static ShotEnd end(Line line) {
@@ -252,29 +250,26 @@
 
     /** Positions in reports are seconds after the zero of the settings; here they become clock times. */
     private LoadReport report(Line line) {
-        String text = line.find("pressure");
-        if (text == null || text.isEmpty()) {
+        String pairs = line.find("pressure");
+        if (pairs == null || pairs.isEmpty()) {
             return LoadReport.NONE;
         }
         double position = Double.NaN;
         Boolean primary = null;
-        double queue = Double.NaN;
-        double use = Double.NaN;
-        for (String pair : text.split(",")) {
+        for (String pair : pairs.split(",")) {
             int colon = pair.indexOf(':');
             if (colon < 0) {
                 throw line.bad("pressure", "is not a list of pairs");
             }
-            double value = Decimal.number(pair.substring(colon + 1), () -> line.bad("pressure", "has no number"));
+            String text = pair.substring(colon + 1);
+            double value = Decimal.number(text, () -> line.bad("pressure", "has no number"));
             switch (pair.substring(0, colon)) {
                 case "x0" -> position = value * SECOND + instance(line).settings.positionZero();
                 case "x1" -> primary = value == 1;
-                case "queue" -> queue = value;
-                case "util" -> use = value;
                 default -> {
                 }
             }
         }
-        return new LoadReport(position, primary, queue, use);
+        return new LoadReport(position, primary);
     }
 }
--- a/src/main/java/rushwood/adapter/Conf.java
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -1,13 +1,10 @@
 package rushwood.adapter;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import rushwood.api.CustomerId;
 import rushwood.api.Product;
 import rushwood.api.Settings;
-import rushwood.api.ZoneId;
 
 /** Decodes the settings of a start. */
 final class Conf {
@@ -20,45 +17,41 @@
     }
 
     Settings settings() {
-        Map<CustomerId, Double> shares = new LinkedHashMap<>();
-        for (int i = 0; i < count("orgs.count"); i++) {
-            shares.put(new CustomerId(text("orgs." + i + ".name")), number("orgs." + i + ".quota_per_s"));
-        }
-        boolean reports = !word("load_report.how", "off").equals("off");
-        return new Settings((int) number("n_instances"), products(), shares, new ZoneId(word("zone", "")),
-                one("discovery", "automatic", "subscribe") == 1, behind(),
-                flag("domain.tells_position"), reports && word("load_report.how", "").equals("inline"), reports,
-                !word("domain.role_listed", "off").equals("off"), word("domain.token_mode", "client").equals("router"),
-                pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0,
+        boolean reports = !pairs.getOrDefault("load_report.how", "off").equals("off");
+        boolean remembers = pairs.getOrDefault("domain.token_mode", "client").equals("router");
+        long zero = pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0;
+        return new Settings((int) number("n_instances"), products(),
+                one("discovery", "automatic", "subscribe") == 1, behind(), reports, remembers, zero,
                 flag("limits.probes"), flag("limits.may_cancel"), flag("limits.retry_after"),
-                time("limits.max_retry_after"), (int) number("limits.most_tries"), flag("limits.parallel_tries"),
-                time("resolution"), time("rules.drain_grace"), !flag("rules.removal_not_binding"),
-                number("rules.cold_from"), time("rules.cold"), number("rules.tip_multiple"), time("rules.fall"),
-                time("rules.ask_within"));
+                time("limits.max_retry_after"), (int) number("limits.most_tries"), time("resolution"),
+                !flag("rules.removal_not_binding"), number("rules.cold_from"), time("rules.cold"),
+                number("rules.tip_multiple"), time("rules.fall"), time("rules.ask_within"));
     }
 
     private Settings.Behind behind() {
-        return Settings.Behind.values()[pairs.containsKey("domain.behind") ? one("domain.behind", "off", "reject", "hold")
-                : 0];
+        boolean told = pairs.containsKey("domain.behind");
+        return Settings.Behind.values()[told ? one("domain.behind", "off", "reject", "hold") : 0];
     }
 
     private List<Product> products() {
-        String[] needs = word("domain.needs_by_class", "").split(",");
-        String[] bounds = word("domain.lag_allowed", "").split(",");
+        String[] needs = pairs.getOrDefault("domain.needs_by_class", "").split(",");
+        String[] bounds = pairs.getOrDefault("domain.lag_allowed", "").split(",");
         List<Product> products = new ArrayList<>();
         for (int i = 0; i < count("classes.count"); i++) {
             String at = "classes." + i + ".";
-            products.add(new Product(text(at + "name"), i, time(at + "aim"), time(at + "deadline"),
-                    number(at + "value"), number(at + "late_value"),
+            products.add(new Product(text(at + "name"), i, time(at + "aim"),
                     Product.Effect.values()[one(at + "semantics", "repeatable", "by_key", "once")],
                     scope(at), time(at + "window"), need(i < needs.length ? needs[i] : ""),
-                    i < bounds.length && !bounds[i].isEmpty()
-                            ? Decimal.nanos(bounds[i], () -> line.bad("domain.lag_allowed", "is not a list of times"))
-                            : 0));
+                    bound(i < bounds.length ? bounds[i] : "")));
         }
         return products;
     }
 
+    private long bound(String text) {
+        return text.isEmpty() ? 0
+                : Decimal.nanos(text, () -> line.bad("domain.lag_allowed", "is no list of times"));
+    }
+
     private Product.Scope scope(String at) {
         return Product.Scope.values()[one(at + "key_scope", "all", "zone", "cell")];
     }
@@ -74,10 +67,6 @@
         };
     }
 
-    private String word(String key, String absent) {
-        return pairs.getOrDefault(key, absent);
-    }
-
     private String text(String key) {
         String value = pairs.get(key);
         if (value == null || value.isEmpty()) {
--- a/src/main/java/rushwood/adapter/Instance.java
+++ b/src/main/java/rushwood/adapter/Instance.java
@@ -21,7 +21,8 @@
 
     @Override
     public void send(AccessId access, HostId host, long timeOut) {
-        lines.append("route\tid=").append(access.value()).append("\thost=").append(host.value()).append("\tcap=");
+        lines.append("route\tid=").append(access.value()).append("\thost=").append(host.value());
+        lines.append("\tcap=");
         Decimal.write(lines, timeOut);
         lines.append('\n');
     }
--- a/src/main/java/rushwood/adapter/package-info.java
+++ b/src/main/java/rushwood/adapter/package-info.java
@@ -1,2 +1,2 @@
-/** The bench's wire in front of the decisions: decodes lines into calls, encodes what they have done into lines. */
+/** The bench's wire before the decisions: decodes lines into calls, encodes what they do into lines. */
 package rushwood.adapter;
--- a/src/main/java/rushwood/api/Decisions.java
+++ b/src/main/java/rushwood/api/Decisions.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The decisions of one router. Calls come one at a time, with a clock that never goes back; everything decided leaves
- * through the {@link Outlet} handed over at start, before the call returns.
+ * The decisions of one router. Calls come one at a time, with a clock that never goes back; what is decided
+ * leaves through the {@link Outlet} handed over at start, before the call returns.
  */
 public interface Decisions {
     /** The whole list; {@code remembered} if it is only what this router last held before it started. */
--- a/src/main/java/rushwood/api/LoadReport.java
+++ b/src/main/java/rushwood/api/LoadReport.java
@@ -1,6 +1,6 @@
 package rushwood.api;
 
-/** What a host says of itself; a value it does not give is NaN, an unknown role null. */
-public record LoadReport(double position, Boolean primary, double queue, double use) {
-    public static final LoadReport NONE = new LoadReport(Double.NaN, null, Double.NaN, Double.NaN);
+/** What a host says of itself; a position it does not give is NaN, an unknown role null. */
+public record LoadReport(double position, Boolean primary) {
+    public static final LoadReport NONE = new LoadReport(Double.NaN, null);
 }
--- a/src/main/java/rushwood/api/Product.java
+++ b/src/main/java/rushwood/api/Product.java
@@ -1,8 +1,8 @@
 package rushwood.api;
 
 /** The kind an access belongs to. Times in nanoseconds; {@code bound} counts only for a BOUNDED need. */
-public record Product(String name, int index, long quotedTime, long outerLimit, double earnings, double lateShare,
-        Effect effect, Scope scope, long window, Need need, long bound) {
+public record Product(String name, int index, long quotedTime, Effect effect, Scope scope, long window,
+        Need need, long bound) {
 
     public enum Effect { REDOABLE, LABELLED, IRREVERSIBLE }
 
--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -1,8 +1,8 @@
 package rushwood.decision;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -26,14 +26,14 @@
 import rushwood.decision.HostState.Health;
 
 /**
- * Every decision of one router. A caller makes one with the settings, a source of chance and an Outlet, then calls the
- * methods of rushwood.api.Decisions, which defines the interface, in the order of events; what is decided is done
- * through the Outlet before the call returns. It keeps no clock and starts nothing by itself: it asks to be woken.
+ * Every decision of one router. A caller makes one with the settings, a source of chance and an Outlet, then
+ * calls the methods of rushwood.api.Decisions, which defines the interface, in the order of events; what is
+ * decided is done through the Outlet before the call returns. It has no clock: it asks to be woken.
  */
 public final class Choice implements Decisions {
     private static final long MS = 1_000_000L;
 
-    private static final long RECHECK = 100 * MS; // how often the parked are looked at again: the design's figure
+    private static final long RECHECK = 100 * MS; // between looks at the parked: the design's figure
 
     /** What a stage says of an access: on to the next, kept for later, or done with. */
     private enum Step { PASS, KEEP, END }
@@ -53,9 +53,9 @@
     private final Stage sending = new Sending();
     private final List<Stage> chain = List.of(limits, new Effects(), freshness, new Placing(), sending);
     private final Map<HostId, HostState> hosts = new HashMap<>();
-    private final Map<GroupId, GroupState> groups = new TreeMap<>((a, b) -> Integer.compare(a.value(), b.value()));
+    private final Map<GroupId, GroupState> groups = new TreeMap<>(Comparator.comparing(GroupId::value));
     private final Map<AccessId, Held> taken = new HashMap<>();
-    private final Map<SessionId, Long> written = new LinkedHashMap<>();
+    private final Writes written = new Writes(SESSIONS);
     private final DueTimes dues;
     private final double[] usual;
     private final long bound;
@@ -65,9 +65,10 @@
     private long askAgain = Long.MAX_VALUE;
     private long askGap;
 
-    private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess, soon forgotten
-    private static final long AGE_BOUND = 500 * MS; // of a known position before a probe, if no product bounds it
-    private static final int FLEET_SLOTS = 6; // all routers' least slots at a host: keeps a handful of cores at work
+    private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess
+    private static final long AGE_BOUND = 500 * MS; // of a position before a probe, if no product bounds it
+    private static final int SESSIONS = 50_000; // remembered: some megabytes, replicas are past older ones
+    private static final int FLEET_SLOTS = 6; // all routers' least at a host: keeps some cores at work
 
     public Choice(Settings settings, RandomGenerator chance, Outlet outlet) {
         this.settings = settings;
@@ -75,8 +76,8 @@
         this.outlet = outlet;
         dues = new DueTimes(outlet);
         usual = settings.products().stream().mapToDouble(p -> p.quotedTime() * USUAL_SHARE).toArray();
-        bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound()).min()
-                .orElse(AGE_BOUND);
+        bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound())
+                .min().orElse(AGE_BOUND);
         slotFloor = Math.max(1, FLEET_SLOTS / Math.max(1, settings.routers()));
         margin = 2 * settings.resolution();
     }
@@ -90,7 +91,9 @@
     @Override
     public void listed(long now, List<ListedHost> list, boolean remembered) {
         List<HostId> named = list.stream().map(ListedHost::id).toList();
-        hosts.values().stream().filter(host -> !named.contains(host.id)).forEach(HostState::leave);
+        if (settings.goneBinds()) {
+            hosts.values().stream().filter(host -> !named.contains(host.id)).forEach(HostState::leave);
+        }
         listChanged(now, list);
         if (remembered) {
             nextTick = now;
@@ -101,12 +104,15 @@
         }
     }
 
-    /** Nothing new goes to a host from the moment the list says that it drains or is gone, well inside any grace. */
+    /** Nothing new goes to a host from the moment that it is said to drain or be gone, inside any grace. */
     @Override
     public void listChanged(long now, List<ListedHost> changes) {
         askGap = 0;
         for (ListedHost listed : changes) {
             HostState host = hosts.computeIfAbsent(listed.id(), HostState::new);
+            if (listed.state() == ListedHost.State.GONE && !settings.goneBinds()) {
+                continue; // such a list does not prove what is up: health decides
+            }
             host.listed = listed;
             if (listed.state() != ListedHost.State.IN_SERVICE) {
                 host.leave();
@@ -120,7 +126,6 @@
             host.warmFrom = Math.max(host.warmFrom, listed.startedAt());
             // The list is seconds late: it only fills in where nothing better is known.
             if (listed.primary() && group.primary == null && host.roleAt == HostState.NEVER) {
-                host.primary = true;
                 group.primary = host;
             }
         }
@@ -131,7 +136,7 @@
         return groups.computeIfAbsent(id, each -> new GroupState());
     }
 
-    /** Asks again with growing, jittered waits, so that routers that failed together do not return together. */
+    /** Asks again with growing, jittered waits, so that routers that failed together part. */
     @Override
     public void listFailed(long now) {
         askGap = Math.min(Math.max(2 * askGap, 2 * RECHECK), settings.askWithin() / 4);
@@ -165,7 +170,7 @@
     public void answered(long now, Answer answer) {
         Held held = taken.get(answer.access());
         if (held == null || answer.shot() < 0 || answer.shot() >= held.shots.size()) {
-            throw new IllegalArgumentException("unknown access or shot: " + answer.access() + " " + answer.shot());
+            throw new IllegalArgumentException("unknown shot " + answer.shot() + " of " + answer.access());
         }
         Shot shot = held.shots.get(answer.shot());
         for (int i = chain.size() - 1; i >= 0; i--) {
@@ -193,7 +198,7 @@
         withdraw(held);
         held.close();
         if (held.product.effect() == Effect.REDOABLE || held.mayHaveRun() == null) {
-            // While others wait here a quick retry only lengthens the line: it is asked to stay away for a while.
+            // While others wait here a quick retry only lengthens the line: it is asked to stay away.
             boolean crowded = settings.mayAdvise() && !held.group.first.isEmpty();
             outlet.turnBack(held.access.id(), crowded ? settings.longestAdvice() : 0);
         } else {
@@ -234,7 +239,7 @@
         }
     }
 
-    private static final double QUICK = 0.6; // a quick answer as a share of the usual time: one in four is quicker
+    private static final double QUICK = 0.6; // a quick answer as a share of the usual time
 
     // ---- stage: what may happen twice
 
@@ -244,7 +249,8 @@
             if (held.out() != null) {
                 return Step.KEEP;
             }
-            return held.shots.size() < settings.mostShots() && mayRepeat(held, null, now) ? Step.PASS : Step.END;
+            boolean may = held.shots.size() < settings.mostShots() && mayRepeat(held, null, now);
+            return may ? Step.PASS : Step.END;
         }
 
         @Override
@@ -259,7 +265,8 @@
         if (ran == null || held.product.effect() == Effect.REDOABLE) {
             return true;
         }
-        if (held.product.effect() == Effect.IRREVERSIBLE || now >= ran.sentAt + held.product.window() * WINDOW_USED) {
+        boolean tooLate = now >= ran.sentAt + held.product.window() * WINDOW_USED;
+        if (held.product.effect() == Effect.IRREVERSIBLE || tooLate) {
             return false;
         }
         return to == null || held.product.scope() == Scope.EVERYWHERE
@@ -279,8 +286,9 @@
                 case CURRENT -> held.arrivedAt;
                 case BOUNDED -> now - held.product.bound();
                 case SESSION -> settings.routerRemembersWrites()
-                        ? written.getOrDefault(held.access.session(), HostState.NEVER)
-                        : held.access.sinceWrite() > 0 ? held.arrivedAt - held.access.sinceWrite() + MS : HostState.NEVER;
+                        ? written.last(held.access.session())
+                        : held.access.sinceWrite() == 0 ? HostState.NEVER
+                        : held.arrivedAt - held.access.sinceWrite() + MS;
             };
             return Step.PASS;
         }
@@ -292,7 +300,7 @@
             boolean write = shot.held.is(Need.WRITE);
             if (write && answer.end() == ShotEnd.FULFILLED) {
                 if (session != null && settings.routerRemembersWrites()) {
-                    written.put(session, answer.position() >= 0 ? answer.position() : now);
+                    written.add(session, answer.position() >= 0 ? answer.position() : now);
                 }
             } else if (answer.position() >= 0) {
                 learnPosition(host, answer.position(), now);
@@ -320,8 +328,8 @@
     }
 
     /**
-     * A primary stands at the present, so the position in its report is the report's own time: old reports that arrive
-     * late cannot bring back a primary that a later answer has unseated.
+     * A primary stands at the present, so the position in its report is the report's own time: reports that
+     * arrive late cannot bring back a primary that a later answer has unseated.
      */
     private void learnReport(HostState host, LoadReport report, long now) {
         long position = (long) report.position();
@@ -333,13 +341,12 @@
         }
     }
 
-    /** A host that turns writes away while it calls itself primary is handing over: not believed for a recheck. */
+    /** A host that turns writes away and calls itself primary hands over: not believed for a recheck. */
     private void learnRole(HostState host, boolean primary, long as) {
         GroupState group = host.group;
         if (group == null || primary && as < host.deniedAt + RECHECK) {
             return;
         }
-        host.primary = primary;
         host.roleAt = Math.max(host.roleAt, as);
         if (!primary && group.primary == host) {
             group.primary = null;
@@ -389,7 +396,8 @@
             return FRESH;
         }
         boolean refused = host.refusedAt > now - RECHECK || held.missed.contains(host);
-        return settings.behind() == Settings.Behind.ANSWERS || refused || held.is(Need.CURRENT) ? NOT : LAGGING;
+        boolean unsafe = settings.behind() == Settings.Behind.ANSWERS;
+        return unsafe || refused || held.is(Need.CURRENT) ? NOT : LAGGING;
     }
 
     private int bestFit(Held held, long now) {
@@ -406,8 +414,8 @@
     }
 
     /**
-     * Long reads may keep a replica from applying its log. All routers give them to the same few replicas, the first
-     * in id order, so that the others stay fresh; harm: those few do little else.
+     * Long reads may keep a replica from applying its log. All routers give them to the same few replicas,
+     * the first in id order, so that the others stay fresh; harm: those few do little else.
      */
     private boolean takesLong(HostState host, long now) {
         List<HostState> replicas = host.group.replicas();
@@ -416,7 +424,7 @@
         return place == 0 || place > 0 && place < replicas.size() / 3;
     }
 
-    /** Two draws by weight decide if both are free and fresh; else all are compared, and the busy are waited for. */
+    /** Two draws by weight decide if both are free and fresh; else all are compared, the busy waited for. */
     private HostState placeRead(Held held, long now) {
         List<HostState> replicas = held.group.replicas();
         if (replicas.size() > 2 && !isLong(held)) {
@@ -428,9 +436,9 @@
             }
         }
         int best = bestFit(held, now);
-        Predicate<HostState> fits = host -> best < NOT && fit(held, host, now) == best && free(held, host, now);
+        Predicate<HostState> fits = host -> fit(held, host, now) == best && free(held, host, now);
         HostState least = null;
-        for (HostState host : held.group.members) {
+        for (HostState host : best < NOT ? held.group.members : List.<HostState>of()) {
             if (fits.test(host) && (least == null || !isLong(held) && host.load(now) < least.load(now))) {
                 least = host;
             }
@@ -452,14 +460,15 @@
         return from.remove(at);
     }
 
-    /** To the last known primary; where none is known one write at a time asks the unheard members in id order. */
+    /** To the last known primary; where none is known, one write at a time asks the unheard in id order. */
     private HostState placeWrite(Held held, long now) {
         GroupState group = held.group;
         HostState primary = group.primary;
         if (primary != null && usable(primary, now)) {
             return free(held, primary, now) ? primary : null;
         }
-        if (group.scout != null || held.shots.size() >= Math.min(group.members.size(), settings.mostShots() / 2)) {
+        int round = Math.min(group.members.size(), settings.mostShots() / 2);
+        if (group.scout != null || held.shots.size() >= round) {
             return null;
         }
         for (HostState host : group.members) {
@@ -480,7 +489,7 @@
                 || host.group.members.stream().allMatch(member -> member.health != Health.WELL);
     }
 
-    /** A stuck host answers probes all the same, so only a shot can tell that it is well: one, now and then. */
+    /** A stuck host may answer probes, so only a shot can tell that it is well: one, now and then. */
     private boolean onTrial(HostState host, long now) {
         return host.health == Health.STUCK && now >= host.nextTrial;
     }
@@ -491,8 +500,8 @@
             return held.product.effect() == Effect.REDOABLE;
         }
         boolean readOnPrimary = host.group.primary == host && !held.is(Need.WRITE);
-        return host.taken(now) < cap(host, now) * (readOnPrimary ? READS_ON_PRIMARY : 1) && mayRepeat(held, host, now)
-                && withinBudget(held, host, now);
+        double cap = cap(host, now) * (readOnPrimary ? READS_ON_PRIMARY : 1);
+        return host.taken(now) < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
     }
 
     private static final double READS_ON_PRIMARY = 0.5; // of its slots: writes can go nowhere else
@@ -507,10 +516,11 @@
     /** The share of its capacity that a host that started lately has at the least. */
     private double warmth(HostState host, long now) {
         double age = (double) (now - host.warmFrom) / settings.coldFor();
-        return host.warmFrom == 0 || age >= 1 ? 1 : settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, age);
+        double from = settings.coldFrom();
+        return host.warmFrom == 0 || age >= 1 ? 1 : from + (1 - from) * Math.max(0, age);
     }
 
-    /** The share of a warm host's work that a host may get: some of the multiple of its warmth that would tip it. */
+    /** The share of a warm host's work that a host may get: part of the multiple that would tip it. */
     private double coldShare(HostState host, long now) {
         return Math.min(1, warmth(host, now) * settings.fallMultiple() * MULTIPLE_USED);
     }
@@ -518,8 +528,8 @@
     private static final double MULTIPLE_USED = 0.5; // half is left for chance and for routers that know less
 
     /**
-     * A cold host gets, from each router, no more than its share of what that router's warm hosts get through: all
-     * routers together then stay well under what would tip it, whatever each of them carries.
+     * A cold host gets, from each router, no more than its share of what that router's warm hosts get
+     * through: all routers together then stay well under what would tip it, whatever each of them carries.
      */
     private boolean withinBudget(Held held, HostState host, long now) {
         if (warmth(host, now) == 1) {
@@ -572,37 +582,39 @@
                     host.doneNow += usual(shot.held);
                     host.refusals = 0;
                     adapt(host, late);
+                    heardFrom(host, now);
                 }
                 case OVERFULL -> {
                     host.cap = Math.max(slotFloor, host.cap * CUT);
                     host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.refusals));
+                    heardFrom(host, now);
                 }
                 case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
-                case EXPIRED -> adapt(host, Math.max(1, late));
-                case ERROR, BEHIND, WITHDRAWN, UNSENT -> {
+                // Such a shot may still be at work: its slot stays taken for one more usual time, or hosts
+                // that do not stop work get far more than their cap. Harm where they do: idle slots.
+                case EXPIRED, WITHDRAWN -> {
+                    host.linger(now + (long) usual(shot.held));
+                    if (answer.end() == ShotEnd.EXPIRED) {
+                        adapt(host, Math.max(1, late));
+                    }
                 }
-            }
-            switch (answer.end()) {
-                case FULFILLED, ERROR, BEHIND, OVERFULL -> heardFrom(host, now);
-                // Such a shot may still be at work in its host: its slot stays taken for one more usual time, or hosts
-                // that do not stop such work get far more than their cap. Harm where they do: slots idle that long.
-                case EXPIRED, WITHDRAWN -> host.linger(now + (long) usual(shot.held));
-                case UNREACHED, BROKEN, UNSENT -> {
+                case ERROR, BEHIND -> heardFrom(host, now);
+                case UNSENT -> {
                 }
             }
         }
     }
 
-    private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: some fifty answers back
-    private static final double CUT = 0.8; // of a cap on a refusal: the usual halving starves a host on one burst
-    private static final int FULL_STEPS = 4; // refusals in a row till a whole recheck's rest: draining, unlisted hosts
+    private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: fifty back
+    private static final double CUT = 0.8; // of a cap on a refusal: halving starves a host on one burst
+    private static final int FULL_STEPS = 4; // refusals in a row till a whole recheck's rest: unlisted drains
 
-    /** How much of the time that an answer is of use for went by: the quoted time, or this try if that is shorter. */
+    /** How much of the time of use went by: the quoted time, or this try if that is shorter. */
     private static double lateness(Held held, long took) {
         return (double) took / Math.min(held.product.quotedTime(), held.access.due() - held.arrivedAt);
     }
 
-    /** The cap creeps up while answers are quick and slots are short, and down while they are slow or do not come. */
+    /** The cap creeps up while answers are quick and slots short, down while they are slow or do not come. */
     private void adapt(HostState host, double lateness) {
         host.lateness += (lateness - host.lateness) * LATENESS_SMOOTH;
         if (host.lateness > GOAL) {
@@ -612,9 +624,9 @@
         }
     }
 
-    private static final double LATENESS_SMOOTH = 0.1; // weight of one answer in a host's lateness: ten answers back
-    private static final double GOAL = 0.35; // of the time of use may pass in the host: half is left for parking
-    private static final double NEARLY_FULL = 0.8; // a cap grows only while it binds: four slots of five are taken
+    private static final double LATENESS_SMOOTH = 0.1; // weight of one answer in a host's lateness: ten back
+    private static final double GOAL = 0.35; // of the time of use may pass in the host, the rest parked
+    private static final double NEARLY_FULL = 0.8; // a cap grows only while it binds: four slots in five
 
     // ---- the health of hosts
 
@@ -646,7 +658,6 @@
         host.troubledAt = now;
         nextTrial(host, now);
         probe(host);
-        host.primary = false;
         if (host.group.primary == host) {
             host.group.primary = null;
         }
@@ -660,7 +671,7 @@
         host.nextTrial = now + host.trialGap;
     }
 
-    private static final long LONGEST_GAP = 1000 * MS; // between trials: a host back in service soon gets work again
+    private static final long LONGEST_GAP = 1000 * MS; // between trials: a host that is back soon gets work
 
     /** Calls off what waits for a stuck host and may go elsewhere. */
     private void withdrawLate(HostState host, long now) {
@@ -718,9 +729,9 @@
     private static final double DONE_SMOOTH = 0.05; // weight of one tick in the work done: two seconds back
 
     /**
-     * How many answers a host should have given since its last one, by the usual times of what it holds: a guard
-     * against hosts that take shots and answer none, whatever the cause. A host that answers anything is not stuck,
-     * and when all grow slower together the usual times grow too.
+     * How many answers a host should have given since its last one, by the usual times of what it holds: a
+     * guard against hosts that take shots and answer none, whatever the cause. A host that answers anything
+     * is not stuck, and when all grow slower together the usual times grow too.
      */
     private double missedAnswers(HostState host, long now) {
         double missed = 0;
@@ -733,12 +744,12 @@
         return longAgo ? missed : 0;
     }
 
-    private static final double SURELY_STUCK = 12; // missed: one chance in a hundred thousand at exponential times
-    private static final double LONG_AGO = 3; // usual times one shot must wait: a short standstill is no verdict
+    private static final double SURELY_STUCK = 12; // missed: a chance of one in 100,000 at exponential times
+    private static final double LONG_AGO = 3; // usual times one shot must wait: a short pause is no verdict
 
     // ---- the parked
 
-    /** Hands the free slots of a host directly to the parked that it may serve, first shots before further ones. */
+    /** Hands a host's free slots to the parked that it may serve, first shots before further ones. */
     private void serve(HostState host, long now) {
         if (host.group == null) {
             return;
@@ -778,22 +789,22 @@
                 && (fit == FRESH || fit == LAST && waitedLong || fit == bestFit(held, now));
     }
 
-    // An exception to parking for busy replicas: a read that has waited this share of its quoted time may take a slot
-    // of the primary that reads may have. Guards against waste of the primary when replicas are few or slow; harm: a
-    // primary with more writes than it shows.
+    // An exception to parking for busy replicas: a read that has waited this share of its quoted time may
+    // take a slot of the primary that reads may have. Guards against waste of the primary when replicas are
+    // few or slow; harm: a primary with more writes than it shows.
     private static final double PATIENCE = 0.25;
 
     /**
-     * The order of the parked: those that can still be answered in time, the most pressing first; then the late, the
-     * newest first, so that when not all can be fulfilled slots do not go to those about to run out.
+     * The order of the parked: those that can still be answered in time, the most pressing first; then the
+     * late, the newest first, so that slots do not go to those about to run out when they are short.
      */
     private long rank(Held held, long now) {
         long quoted = Math.min(held.arrivedAt + held.product.quotedTime(), held.access.due());
         return now + usual(held) * IN_TIME > quoted ? LATE - quoted : quoted;
     }
 
-    private static final double IN_TIME = 3; // usual times left of one still in time: nineteen in twenty answers come
-    private static final long LATE = Long.MAX_VALUE - 1; // puts the late behind all in time, whatever the clock shows
+    private static final double IN_TIME = 3; // usual times left of one still in time: 19 in 20 answers come
+    private static final long LATE = Long.MAX_VALUE - 1; // puts the late behind all in time
 
     // ---- time
 
--- a/src/main/java/rushwood/decision/DueTimes.java
+++ b/src/main/java/rushwood/decision/DueTimes.java
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue;
 import rushwood.api.Outlet;
 
-/** The due times of one router in order, equal times in the order of their coming, and the one wake asked for. */
+/** The due times of one router in order, equal times as they came, and the one wake asked for. */
 final class DueTimes {
     private record Due(long at, long order, Held held) implements Comparable<Due> {
         @Override
@@ -45,7 +45,7 @@
         }
     }
 
-    /** Asks for the next wake, at that time or at the earliest due time; called once the last one has come. */
+    /** Asks for the next wake, at that time or the earliest due; called once the last one has come. */
     void again(long at) {
         asked = Long.MAX_VALUE;
         wake(Math.min(at, earliest()));
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -40,7 +40,6 @@
     long position = NEVER;
     long positionAt = NEVER;
     long refusedAt = NEVER;
-    boolean primary;
     long roleAt = NEVER;
     long deniedAt = NEVER;
 
@@ -53,7 +52,6 @@
             group.drop(this);
             group = null;
         }
-        primary = false;
     }
 
     void linger(long until) {
--- a/src/test/java/rushwood/ScenarioTest.java
+++ b/src/test/java/rushwood/ScenarioTest.java
@@ -32,9 +32,9 @@
 import rushwood.decision.Choice;
 
 /**
- * Plays every scenario. A line is a word and its operands, times in milliseconds. What the decisions do is a list of
- * lines; "expect" takes the next that matches, passing over others, "never" fails if one matches since the last expect,
- * "count N" fails unless N match since the last "mark". A * matches any word.
+ * Plays every scenario. A line is a word and its operands, times in milliseconds. What the decisions do is a
+ * list of lines; "expect" takes the next that matches, passing over others, "never" fails if one matches
+ * since the last expect, "count N" fails unless N match since the last "mark". A * matches any word.
  */
 class ScenarioTest {
     private static final Path FOLDER = Path.of("src/test/resources/scenarios");
@@ -62,8 +62,10 @@
         private static final long START = 1_000_000 * MS;
 
         private final Map<String, String> set = new HashMap<>(Map.of("routers", "1", "behind", "TURNS_AWAY",
-                "most-shots", "10", "cold-for", "10000", "cold-from", "0.2", "remembers", "false", "ask", "false"));
+                "most-shots", "10", "cold-for", "10000", "cold-from", "0.2", "remembers", "false",
+                "ask", "false", "gone-binds", "true"));
         private final Map<String, Product> products = new LinkedHashMap<>();
+        private final Map<String, String> outer = new HashMap<>();
         private final Map<String, ListedHost> hosts = new LinkedHashMap<>();
         private final Map<String, Access> accesses = new HashMap<>();
         private final Map<String, List<String>> shots = new HashMap<>();
@@ -95,7 +97,7 @@
                     }
                 }
                 case "count" -> {
-                    long found = done.subList(mark, done.size()).stream().filter(line -> matches(w, 2, line)).count();
+                    long found = done.stream().skip(mark).filter(line -> matches(w, 2, line)).count();
                     if (found != Long.parseLong(w[1])) {
                         fail(place + ": " + found + " of " + String.join(" ", w) + " in " + done);
                     }
@@ -119,21 +121,22 @@
 
         private Decisions decisions() {
             if (decisions == null) {
-                decisions = new Choice(new Settings(Integer.parseInt(set.get("routers")), List.copyOf(products.values()),
-                        Map.of(), new ZoneId("z"), Boolean.parseBoolean(set.get("ask")),
-                        Settings.Behind.valueOf(set.get("behind")), false, true, true, true,
+                decisions = new Choice(new Settings(Integer.parseInt(set.get("routers")),
+                        List.copyOf(products.values()), Boolean.parseBoolean(set.get("ask")),
+                        Settings.Behind.valueOf(set.get("behind")), true,
                         Boolean.parseBoolean(set.get("remembers")), 0, true, true, true, 500 * MS,
-                        Integer.parseInt(set.get("most-shots")), false, 5 * MS, 2000 * MS, true,
-                        Double.parseDouble(set.get("cold-from")), ms(set.get("cold-for")), 2, 1000 * MS, 10_000 * MS),
-                        new SplittableRandom(1), this);
+                        Integer.parseInt(set.get("most-shots")), 5 * MS,
+                        Boolean.parseBoolean(set.get("gone-binds")), Double.parseDouble(set.get("cold-from")),
+                        ms(set.get("cold-for")), 2, 1000 * MS, 10_000 * MS), new SplittableRandom(1), this);
             }
             return decisions;
         }
 
         /** product NAME EFFECT NEED [bound MS] [quoted MS] [outer MS] [window MS] [scope SCOPE] */
         private void product(String[] w) {
+            outer.put(w[1], after(w, "outer", "1500"));
             products.put(w[1], new Product(w[1], products.size(), ms(after(w, "quoted", "400")),
-                    ms(after(w, "outer", "1500")), 1, 0, Product.Effect.valueOf(w[2]),
+                    Product.Effect.valueOf(w[2]),
                     Product.Scope.valueOf(after(w, "scope", "GROUP")), ms(after(w, "window", "3000")),
                     Product.Need.valueOf(w[3]), ms(after(w, "bound", "500"))));
         }
@@ -141,8 +144,9 @@
         /** host NAME [primary yes] [state STATE] [started MS] [group N] [zone Z] */
         private void host(String[] w) {
             String started = after(w, "started", null);
-            hosts.put(w[1], new ListedHost(new HostId(w[1]), new GroupId(Integer.parseInt(after(w, "group", "1"))),
-                    new ZoneId(after(w, "zone", "z")), "k", 1, started == null ? 0 : START + ms(started),
+            hosts.put(w[1], new ListedHost(new HostId(w[1]),
+                    new GroupId(Integer.parseInt(after(w, "group", "1"))),
+                    new ZoneId(after(w, "zone", "z")), 1, started == null ? 0 : START + ms(started),
                     after(w, "primary", "no").equals("yes"),
                     ListedHost.State.valueOf(after(w, "state", "IN_SERVICE"))));
         }
@@ -155,29 +159,30 @@
         private void access(String[] w) {
             Product product = products.get(w[2]);
             String session = after(w, "session", null);
-            Access access = new Access(new AccessId(w[1]), product, null, session == null ? null : new SessionId(session),
+            Access access = new Access(new AccessId(w[1]), product,
+                    session == null ? null : new SessionId(session),
                     new GroupId(Integer.parseInt(after(w, "group", "1"))),
-                    now + ms(after(w, "due", String.valueOf(product.outerLimit() / MS))), 0);
+                    now + ms(after(w, "due", outer.get(w[2]))), 0);
             accesses.put(w[1], access);
             decisions().arrived(now, access);
         }
 
-        /** answer NAME END [role primary|replica] [took MS] [position MS]: for the last shot of that access. */
+        /** answer NAME END [role primary|replica] [took MS] [position MS], for the last shot. */
         private void answer(String[] w) {
             List<String> sent = shots.get(w[1]);
             ShotEnd end = ShotEnd.valueOf(w[2]);
             String role = after(w, "role", null);
             String host = after(w, "from", sent.get(sent.size() - 1));
-            decisions().answered(now, new Answer(new AccessId(w[1]), sent.lastIndexOf(host), new HostId(host), end,
-                    ms(after(w, "took", "50")), end == ShotEnd.FULFILLED, role == null ? null : role.equals("primary"),
-                    -1, report(w, 3)));
+            decisions().answered(now, new Answer(new AccessId(w[1]), sent.lastIndexOf(host), new HostId(host),
+                    end, ms(after(w, "took", "50")), end == ShotEnd.FULFILLED,
+                    role == null ? null : role.equals("primary"), -1, report(w, 3)));
         }
 
         private LoadReport report(String[] w, int from) {
             String position = after(w, "position", null);
             String role = after(w, "reports", null);
             return position == null ? LoadReport.NONE
-                    : new LoadReport(START + ms(position), role == null ? null : role.equals("primary"), 0, 0);
+                    : new LoadReport(START + ms(position), role == null ? null : role.equals("primary"));
         }
 
         private void advance(long to) {
