Clean-up: one place unseats a primary and one ends a scout; the position's zero stays at the adapter

Also a needless copy in each tick, a predicate over a conditional list and the second whole-number parser are gone.

--- a/src/main/java/rushwood/adapter/Adapter.java
+++ b/src/main/java/rushwood/adapter/Adapter.java
@@ -148,7 +148,7 @@
         if (target == null) {
             throw line.bad("router", "is not named");
         }
-        Instance instance = new Instance(new Conf(line).settings(), line.big("entropy"));
+        Instance instance = new Instance(new Conf(line), line.big("entropy"));
         instances.put(target, instance);
         touched.put(target, instance);
     }
@@ -226,7 +226,7 @@
             long stamp = line.big("stamp");
             primary = stamp % 4 == 1 ? Boolean.TRUE : stamp % 4 == 2 ? Boolean.FALSE : null;
             if (stamp / 4 > 0) {
-                position = instance(line).settings.positionZero() + stamp / 4 * 1_000_000L;
+                position = instance(line).positionZero + stamp / 4 * 1_000_000L;
             }
         }
         return new Answer(new AccessId(line.need("id")), line.whole("try"), new HostId(line.need("host")),
@@ -264,7 +264,7 @@
             String text = pair.substring(colon + 1);
             double value = Decimal.number(text, () -> line.bad("pressure", "has no number"));
             switch (pair.substring(0, colon)) {
-                case "x0" -> position = value * SECOND + instance(line).settings.positionZero();
+                case "x0" -> position = value * SECOND + instance(line).positionZero;
                 case "x1" -> primary = value == 1;
                 default -> {
                 }
--- a/src/main/java/rushwood/adapter/Conf.java
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -19,15 +19,19 @@
     Settings settings() {
         boolean reports = !pairs.getOrDefault("load_report.how", "off").equals("off");
         boolean remembers = pairs.getOrDefault("domain.token_mode", "client").equals("router");
-        long zero = pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0;
         return new Settings((int) number("n_instances"), products(),
-                one("discovery", "automatic", "subscribe") == 1, behind(), reports, remembers, zero,
+                one("discovery", "automatic", "subscribe") == 1, behind(), reports, remembers,
                 flag("limits.probes"), flag("limits.may_cancel"), flag("limits.retry_after"),
                 time("limits.max_retry_after"), (int) number("limits.most_tries"), time("resolution"),
                 !flag("rules.removal_not_binding"), number("rules.cold_from"), time("rules.cold"),
                 number("rules.tip_multiple"), time("rules.fall"), time("rules.ask_within"));
     }
 
+    /** The clock time from which the wire counts positions; the decisions see clock times only. */
+    long positionZero() {
+        return pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0;
+    }
+
     private Settings.Behind behind() {
         boolean told = pairs.containsKey("domain.behind");
         return Settings.Behind.values()[told ? one("domain.behind", "off", "reject", "hold") : 0];
--- a/src/main/java/rushwood/adapter/Instance.java
+++ b/src/main/java/rushwood/adapter/Instance.java
@@ -12,10 +12,12 @@
 final class Instance implements Outlet {
     final StringBuilder lines = new StringBuilder();
     final Settings settings;
+    final long positionZero;
     final Decisions decisions;
 
-    Instance(Settings settings, long seed) {
-        this.settings = settings;
+    Instance(Conf conf, long seed) {
+        settings = conf.settings();
+        positionZero = conf.positionZero();
         decisions = new Choice(settings, new SplittableRandom(seed), this);
     }
 
--- a/src/main/java/rushwood/adapter/Line.java
+++ b/src/main/java/rushwood/adapter/Line.java
@@ -76,11 +76,11 @@
     }
 
     int whole(String name) {
-        try {
-            return Integer.parseInt(need(name));
-        } catch (NumberFormatException e) {
-            throw bad(name, "is not a whole number");
+        long value = big(name);
+        if (value != (int) value) {
+            throw bad(name, "is out of range");
         }
+        return (int) value;
     }
 
     long big(String name) {
--- a/src/main/java/rushwood/api/Settings.java
+++ b/src/main/java/rushwood/api/Settings.java
@@ -4,7 +4,7 @@
 
 /** The settings that the decisions read, decoded once at start. Times in nanoseconds. */
 public record Settings(int routers, List<Product> products, boolean askForList, Behind behind,
-        boolean reports, boolean routerRemembersWrites, long positionZero, boolean mayProbe,
+        boolean reports, boolean routerRemembersWrites, boolean mayProbe,
         boolean mayCancel, boolean mayAdvise, long longestAdvice, int mostShots, long resolution,
         boolean goneBinds, double coldFrom, long coldFor, double fallMultiple, long fallWindow,
         long askWithin) {
--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import rushwood.api.Access;
 import rushwood.api.AccessId;
@@ -311,10 +310,11 @@
             learnReport(host, answer.report(), now);
             if (answer.end() == ShotEnd.BEHIND) {
                 shot.held.missed.add(host);
-                host.refusedAt = write ? host.refusedAt : now;
                 if (write) {
                     host.deniedAt = now;
                     learnRole(host, false, now);
+                } else {
+                    host.refusedAt = now;
                 }
             }
         }
@@ -348,9 +348,9 @@
             return;
         }
         host.roleAt = Math.max(host.roleAt, as);
-        if (!primary && group.primary == host) {
-            group.primary = null;
-        } else if (primary && group.primary != host && (group.primary == null || as > group.primary.roleAt)) {
+        if (!primary) {
+            group.unseat(host);
+        } else if (group.primary != host && (group.primary == null || as > group.primary.roleAt)) {
             outlet.log("primary is " + host.id);
             group.primary = host;
         }
@@ -371,9 +371,7 @@
         @Override
         public void back(Shot shot, Answer answer, long now) {
             shot.host.out.remove(shot);
-            if (shot.held.group.scout == shot.held) {
-                shot.held.group.scout = null;
-            }
+            shot.held.group.scoutBack(shot.held);
         }
     }
 
@@ -436,10 +434,13 @@
             }
         }
         int best = bestFit(held, now);
-        Predicate<HostState> fits = host -> fit(held, host, now) == best && free(held, host, now);
+        if (best == NOT) {
+            return null;
+        }
         HostState least = null;
-        for (HostState host : best < NOT ? held.group.members : List.<HostState>of()) {
-            if (fits.test(host) && (least == null || !isLong(held) && host.load(now) < least.load(now))) {
+        for (HostState host : held.group.members) {
+            boolean fits = fit(held, host, now) == best && free(held, host, now);
+            if (fits && (least == null || !isLong(held) && host.load(now) < least.load(now))) {
                 least = host;
             }
         }
@@ -658,9 +659,7 @@
         host.troubledAt = now;
         nextTrial(host, now);
         probe(host);
-        if (host.group.primary == host) {
-            host.group.primary = null;
-        }
+        host.group.unseat(host);
         if (health == Health.STUCK) {
             withdrawLate(host, now);
         }
@@ -826,7 +825,7 @@
 
     /** The periodic work: the health of the hosts, probes, and the parked. */
     private void tick(GroupState group, long now) {
-        List.copyOf(group.members).forEach(host -> watch(host, now));
+        group.members.forEach(host -> watch(host, now));
         List<Held> parked = new ArrayList<>(group.first);
         parked.addAll(group.further);
         for (Held held : parked) {
--- a/src/main/java/rushwood/decision/GroupState.java
+++ b/src/main/java/rushwood/decision/GroupState.java
@@ -22,11 +22,22 @@
 
     void drop(HostState host) {
         members.remove(host);
+        unseat(host);
+    }
+
+    void unseat(HostState host) {
         if (primary == host) {
             primary = null;
         }
     }
 
+    /** The write that asks who is primary has its answer, or is over. */
+    void scoutBack(Held held) {
+        if (scout == held) {
+            scout = null;
+        }
+    }
+
     List<HostState> replicas() {
         List<HostState> replicas = new ArrayList<>(members);
         replicas.remove(primary);
--- a/src/main/java/rushwood/decision/Held.java
+++ b/src/main/java/rushwood/decision/Held.java
@@ -67,8 +67,6 @@
     void close() {
         over = true;
         unpark();
-        if (group.scout == this) {
-            group.scout = null;
-        }
+        group.scoutBack(this);
     }
 }
--- a/src/test/java/rushwood/ScenarioTest.java
+++ b/src/test/java/rushwood/ScenarioTest.java
@@ -124,7 +124,7 @@
                 decisions = new Choice(new Settings(Integer.parseInt(set.get("routers")),
                         List.copyOf(products.values()), Boolean.parseBoolean(set.get("ask")),
                         Settings.Behind.valueOf(set.get("behind")), true,
-                        Boolean.parseBoolean(set.get("remembers")), 0, true, true, true, 500 * MS,
+                        Boolean.parseBoolean(set.get("remembers")), true, true, true, 500 * MS,
                         Integer.parseInt(set.get("most-shots")), 5 * MS,
                         Boolean.parseBoolean(set.get("gone-binds")), Double.parseDouble(set.get("cold-from")),
                         ms(set.get("cold-for")), 2, 1000 * MS, 10_000 * MS), new SplittableRandom(1), this);
