Probes and trials on a budget, two errors end an access, ties are drawn, cold starts apart

Change: probes only for reads that find no fresh replica, for lost primaries and hosts that are down, a tenth of the router's accesses at most; a read falls back to lagging replicas likely fresh by their last lag first; a host whose error another host does not repeat rests. It also guards against a host that answers all with quick errors; harm: a host that errs on two products alone is shot twice.

--- a/src/main/java/rushwood/api/Product.java
+++ b/src/main/java/rushwood/api/Product.java
@@ -7,7 +7,15 @@
     public enum Effect { REDOABLE, LABELLED, IRREVERSIBLE }
 
     /** Within which hosts the label of a labelled access is known. */
-    public enum Scope { EVERYWHERE, ZONE, GROUP }
+    public enum Scope {
+        EVERYWHERE, ZONE, GROUP;
+
+        /** Whether a label that one host has seen is known to the other. */
+        public boolean joins(ListedHost one, ListedHost other) {
+            return this == EVERYWHERE || this == GROUP && one.group().equals(other.group())
+                    || this == ZONE && one.zone().equals(other.zone());
+        }
+    }
 
     /** How fresh the data must be that answers it. */
     public enum Need { WRITE, CURRENT, SESSION, BOUNDED, ANY }
--- a/src/main/java/rushwood/api/ShotEnd.java
+++ b/src/main/java/rushwood/api/ShotEnd.java
@@ -1,16 +1,23 @@
 package rushwood.api;
 
-/** How a shot ended, and whether that end proves that it never ran. */
+/** How a shot ended: whether the host itself said so, and whether that end proves that it never ran. */
 public enum ShotEnd {
-    FULFILLED(false), ERROR(false), OVERFULL(true), EXPIRED(false), UNREACHED(true), BROKEN(false),
-    WITHDRAWN(false), UNSENT(true), BEHIND(true);
+    FULFILLED(true, false), ERROR(true, false), OVERFULL(true, true), BEHIND(true, true),
+    EXPIRED(false, false), BROKEN(false, false), WITHDRAWN(false, false),
+    UNREACHED(false, true), UNSENT(false, true);
 
+    private final boolean hostAnswered;
     private final boolean neverRan;
 
-    ShotEnd(boolean neverRan) {
+    ShotEnd(boolean hostAnswered, boolean neverRan) {
+        this.hostAnswered = hostAnswered;
         this.neverRan = neverRan;
     }
 
+    public boolean hostAnswered() {
+        return hostAnswered;
+    }
+
     public boolean neverRan() {
         return neverRan;
     }
--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -1,12 +1,12 @@
 package rushwood.decision;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import rushwood.api.Access;
 import rushwood.api.AccessId;
 import rushwood.api.Answer;
@@ -18,7 +18,6 @@
 import rushwood.api.Outlet;
 import rushwood.api.Product.Effect;
 import rushwood.api.Product.Need;
-import rushwood.api.Product.Scope;
 import rushwood.api.SessionId;
 import rushwood.api.Settings;
 import rushwood.api.ShotEnd;
@@ -63,6 +62,7 @@
     private long nextTick;
     private long askAgain = Long.MAX_VALUE;
     private long askGap;
+    private double curiosity;
 
     private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess
     private static final long AGE_BOUND = 500 * MS; // of a position before a probe, if no product bounds it
@@ -108,7 +108,7 @@
     public void listChanged(long now, List<ListedHost> changes) {
         askGap = 0;
         for (ListedHost listed : changes) {
-            HostState host = hosts.computeIfAbsent(listed.id(), HostState::new);
+            HostState host = hosts.computeIfAbsent(listed.id(), id -> new HostState(id, 2 * slotFloor));
             if (listed.state() == ListedHost.State.GONE && !settings.goneBinds()) {
                 continue; // such a list does not prove what is up: health decides
             }
@@ -117,9 +117,6 @@
                 host.leave();
                 continue;
             }
-            if (host.group == null) {
-                host.cap = 2 * slotFloor;
-            }
             GroupState group = group(listed.group());
             group.join(host);
             host.warmFrom = Math.max(host.warmFrom, listed.startedAt());
@@ -149,6 +146,7 @@
     public void arrived(long now, Access access) {
         Held held = new Held(access, group(access.group()), now);
         taken.put(access.id(), held);
+        curiosity = Math.min(MOST_CURIOSITY, curiosity + CURIOSITY);
         dues.add(access.due() - margin, held);
         run(held, now);
     }
@@ -248,8 +246,8 @@
             if (held.out() != null) {
                 return Step.KEEP;
             }
-            boolean may = held.shots.size() < settings.mostShots() && mayRepeat(held, null, now);
-            return may ? Step.PASS : Step.END;
+            boolean may = held.shots.size() < settings.mostShots() && held.errors() < MOST_ERRORS;
+            return may && mayRepeat(held, null, now) ? Step.PASS : Step.END;
         }
 
         @Override
@@ -258,6 +256,8 @@
         }
     }
 
+    private static final int MOST_ERRORS = 2; // by two hosts: then it is the access that is bad, not a host
+
     /** Whether a further shot breaks no promise; with a host, whether it may go there. */
     private boolean mayRepeat(Held held, HostState to, long now) {
         Shot ran = held.mayHaveRun();
@@ -268,9 +268,7 @@
         if (held.product.effect() == Effect.IRREVERSIBLE || tooLate) {
             return false;
         }
-        return to == null || held.product.scope() == Scope.EVERYWHERE
-                || held.product.scope() == Scope.GROUP && to.listed.group().equals(ran.host.listed.group())
-                || held.product.scope() == Scope.ZONE && to.listed.zone().equals(ran.host.listed.zone());
+        return to == null || held.product.scope().joins(ran.host.listed, to.listed);
     }
 
     private static final double WINDOW_USED = 0.9; // of a label's window: the rest is for the way to the host
@@ -302,28 +300,22 @@
                     written.add(session, answer.position() >= 0 ? answer.position() : now);
                 }
             } else if (answer.position() >= 0) {
-                learnPosition(host, answer.position(), now);
+                host.stoodAt(answer.position(), now);
             }
             if (answer.primary() != null) {
                 learnRole(host, answer.primary(), now);
             }
             learnReport(host, answer.report(), now);
-            if (answer.end() == ShotEnd.BEHIND) {
+            boolean behind = answer.end() == ShotEnd.BEHIND;
+            if (behind || answer.end() == ShotEnd.ERROR) {
                 shot.held.missed.add(host);
-                if (write) {
-                    host.deniedAt = now;
-                    learnRole(host, false, now);
-                } else {
-                    host.refusedAt = now;
-                }
             }
-        }
-    }
-
-    private void learnPosition(HostState host, long position, long now) {
-        if (position <= now) {
-            host.position = Math.max(host.position, position);
-            host.positionAt = now;
+            if (behind && write) {
+                host.deniedAt = now;
+                learnRole(host, false, now);
+            } else if (behind) {
+                host.refusedAt = now;
+            }
         }
     }
 
@@ -334,7 +326,7 @@
     private void learnReport(HostState host, LoadReport report, long now) {
         long position = (long) report.position();
         if (!Double.isNaN(report.position()) && position <= now) {
-            learnPosition(host, position, now);
+            host.stoodAt(position, now);
             if (report.primary() != null && position > host.roleAt) {
                 learnRole(host, report.primary(), position);
             }
@@ -376,12 +368,13 @@
     }
 
     private static final int FRESH = 0; // how well a host fits a read: known to meet the target
-    private static final int LAGGING = 1; // it may be too far behind, and says so itself
-    private static final int LAST = 2; // the primary, for reads that a replica could answer
-    private static final int NOT = 3;
+    private static final int LIKELY = 1; // it met the target if it is no further behind than when last heard
+    private static final int LAGGING = 2; // it may be too far behind, and says so itself
+    private static final int LAST = 3; // the primary, for reads that a replica could answer
+    private static final int NOT = 4;
 
     private int fit(Held held, HostState host, long now) {
-        if (!usable(host, now) || !host.heard && settings.mayProbe() && settings.reports()) {
+        if (!usable(host, now) || held.missed.contains(host)) {
             return NOT;
         }
         if (isLong(held)) {
@@ -393,9 +386,12 @@
         if (host.position >= held.target) {
             return FRESH;
         }
-        boolean refused = host.refusedAt > now - RECHECK || held.missed.contains(host);
+        boolean refused = host.refusedAt > now - RECHECK;
         boolean unsafe = settings.behind() == Settings.Behind.ANSWERS;
-        return unsafe || refused || held.is(Need.CURRENT) ? NOT : LAGGING;
+        if (unsafe || refused || held.is(Need.CURRENT)) {
+            return NOT;
+        }
+        return host.position + (now - host.positionAt) >= held.target ? LIKELY : LAGGING;
     }
 
     private int bestFit(Held held, long now) {
@@ -426,19 +422,25 @@
     private HostState placeRead(Held held, long now) {
         List<HostState> replicas = held.group.replicas();
         if (replicas.size() > 2 && !isLong(held)) {
-            HostState one = draw(replicas);
-            HostState two = draw(replicas);
+            HostState one = GroupState.draw(replicas, chance);
+            HostState two = GroupState.draw(replicas, chance);
             if (fit(held, one, now) == FRESH && fit(held, two, now) == FRESH && free(held, one, now)
                     && free(held, two, now)) {
                 return one.load(now) <= two.load(now) ? one : two;
             }
         }
         int best = bestFit(held, now);
+        if (best != FRESH && settings.reports()) {
+            probeOldest(held.group, now);
+        }
         if (best == NOT) {
             return null;
         }
         HostState least = null;
-        for (HostState host : held.group.members) {
+        List<HostState> members = held.group.members;
+        int from = isLong(held) ? 0 : chance.nextInt(members.size());
+        for (int i = 0; i < members.size(); i++) {
+            HostState host = members.get((from + i) % members.size());
             boolean fits = fit(held, host, now) == best && free(held, host, now);
             if (fits && (least == null || !isLong(held) && host.load(now) < least.load(now))) {
                 least = host;
@@ -447,18 +449,11 @@
         return least;
     }
 
-    /** Draws one by weight and takes it out. */
-    private HostState draw(List<HostState> from) {
-        double point = 0;
-        for (HostState host : from) {
-            point += host.listed.weight();
-        }
-        point *= chance.nextDouble();
-        int at = 0;
-        while (at < from.size() - 1 && point >= from.get(at).listed.weight()) {
-            point -= from.get(at++).listed.weight();
-        }
-        return from.remove(at);
+    /** A read found no replica known to be fresh: the one unheard for longest is asked, if past the bound. */
+    private void probeOldest(GroupState group, long now) {
+        group.replicas().stream().filter(host -> host.health != Health.DOWN && !host.probing)
+                .min(Comparator.comparingLong(host -> host.positionAt))
+                .filter(host -> host.positionAt < now - bound).ifPresent(this::probe);
     }
 
     /** To the last known primary; where none is known, one write at a time asks the unheard in id order. */
@@ -492,7 +487,7 @@
 
     /** A stuck host may answer probes, so only a shot can tell that it is well: one, now and then. */
     private boolean onTrial(HostState host, long now) {
-        return host.health == Health.STUCK && now >= host.nextTrial;
+        return host.health == Health.STUCK && now >= host.nextTrial && curiosity >= 1;
     }
 
     /** Whether a slot is free for that access, within the cap, the cold budget and the promises made. */
@@ -548,6 +543,10 @@
         }
         double rate = weight > 0 ? coldShare(host, now) * host.listed.weight() * sum / weight : 0;
         double most = Math.max(usual(held), rate * settings.fallWindow() * BURST);
+        if (host.allowanceAt < host.warmFrom) { // each router starts somewhere else: no wave of first shots
+            host.allowance = chance.nextDouble() * most;
+            host.allowanceAt = now;
+        }
         host.allowance = Math.min(most, host.allowance + rate * (now - host.allowanceAt));
         host.allowanceAt = now;
         return host.allowance >= usual(held);
@@ -563,6 +562,7 @@
             held.unpark();
             HostState host = held.chosen;
             if (onTrial(host, now)) {
+                curiosity--;
                 nextTrial(host, now);
             }
             Shot shot = new Shot(held, host, now);
@@ -577,18 +577,22 @@
         public void back(Shot shot, Answer answer, long now) {
             HostState host = shot.host;
             double late = lateness(shot.held, answer.took());
+            if (answer.end().hostAnswered()) {
+                heardFrom(host, now);
+            }
             switch (answer.end()) {
                 case FULFILLED -> {
                     usual[shot.held.product.index()] += (answer.took() - usual(shot.held)) * SMOOTH;
                     host.doneNow += usual(shot.held);
                     host.refusals = 0;
                     adapt(host, late);
-                    heardFrom(host, now);
+                    // What one host answers with an error and the next fulfils was the first host's fault.
+                    shot.held.shots.stream().filter(each -> each.end == ShotEnd.ERROR)
+                            .forEach(each -> rest(each.host, now));
                 }
                 case OVERFULL -> {
                     host.cap = Math.max(slotFloor, host.cap * CUT);
-                    host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.refusals));
-                    heardFrom(host, now);
+                    rest(host, now);
                 }
                 case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
                 // Such a shot may still be at work: its slot stays taken for one more usual time, or hosts
@@ -599,13 +603,15 @@
                         adapt(host, Math.max(1, late));
                     }
                 }
-                case ERROR, BEHIND -> heardFrom(host, now);
-                case UNSENT -> {
-                }
+                case ERROR, BEHIND, UNSENT -> { }
             }
         }
     }
 
+    private void rest(HostState host, long now) {
+        host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.refusals));
+    }
+
     private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: fifty back
     private static final double CUT = 0.8; // of a cap on a refusal: halving starves a host on one burst
     private static final int FULL_STEPS = 4; // refusals in a row till a whole recheck's rest: unlisted drains
@@ -633,7 +639,6 @@
 
     private void heardFrom(HostState host, long now) {
         host.lastAnswer = now;
-        host.heard = true;
         if (host.health == Health.STUCK) {
             well(host, now);
         }
@@ -682,13 +687,23 @@
         }
     }
 
-    private void probe(HostState host) {
-        if (settings.mayProbe() && !host.probing) {
-            host.probing = true;
-            outlet.probe(host.id);
+    /**
+     * Probes and trials together stay a share of this router's accesses: hundreds of routers that each probe
+     * all hosts cost more than they learn, and are turned away by the dozen. Whether it was sent.
+     */
+    private boolean probe(HostState host) {
+        if (!settings.mayProbe() || host.probing || curiosity < 1) {
+            return false;
         }
+        curiosity--;
+        host.probing = true;
+        outlet.probe(host.id);
+        return true;
     }
 
+    private static final double CURIOSITY = 0.1; // probes and trials an access: a small share of any price
+    private static final int MOST_CURIOSITY = 10; // saved up: about a group and its hosts' first trials
+
     @Override
     public void probed(long now, HostId id, boolean answered, LoadReport report) {
         HostState host = hosts.get(id);
@@ -696,10 +711,8 @@
             throw new IllegalArgumentException("unknown host: " + id);
         }
         host.probing = false;
-        host.heard = true;
         if (!answered) {
-            trouble(host, Health.DOWN, now);
-            return;
+            return; // hosts turn away probes when many routers ask: that proves nothing
         }
         if (host.health == Health.DOWN) {
             well(host, now);
@@ -715,12 +728,10 @@
             trouble(host, Health.STUCK, now);
         } else if (host.health == Health.STUCK) {
             withdrawLate(host, now);
-        } else if (host.health == Health.DOWN && now >= host.nextTrial) {
+        } else if (host.health == Health.DOWN && now >= host.nextTrial && probe(host)) {
             nextTrial(host, now);
-            probe(host);
         }
-        boolean unsure = !host.heard || host.positionAt < now - bound || host.group.primary == null;
-        if (unsure && settings.reports() && host.health != Health.DOWN) {
+        if (host.group.primary == null && !host.group.first.isEmpty() && host.health != Health.DOWN) {
             probe(host);
         }
     }
@@ -826,9 +837,7 @@
     /** The periodic work: the health of the hosts, probes, and the parked. */
     private void tick(GroupState group, long now) {
         group.members.forEach(host -> watch(host, now));
-        List<Held> parked = new ArrayList<>(group.first);
-        parked.addAll(group.further);
-        for (Held held : parked) {
+        for (Held held : Stream.concat(group.first.stream(), group.further.stream()).toList()) {
             if (!held.is(Need.WRITE)) {
                 held.missed.clear();
             }
--- a/src/main/java/rushwood/decision/GroupState.java
+++ b/src/main/java/rushwood/decision/GroupState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.random.RandomGenerator;
 
 /** What a router remembers of a group: members in id order, the last known primary, the parked lines. */
 final class GroupState {
@@ -38,6 +39,20 @@
         }
     }
 
+    /** Draws one by weight and takes it out. */
+    static HostState draw(List<HostState> from, RandomGenerator chance) {
+        double point = 0;
+        for (HostState host : from) {
+            point += host.listed.weight();
+        }
+        point *= chance.nextDouble();
+        int at = 0;
+        while (at < from.size() - 1 && point >= from.get(at).listed.weight()) {
+            point -= from.get(at++).listed.weight();
+        }
+        return from.remove(at);
+    }
+
     List<HostState> replicas() {
         List<HostState> replicas = new ArrayList<>(members);
         replicas.remove(primary);
--- a/src/main/java/rushwood/decision/Held.java
+++ b/src/main/java/rushwood/decision/Held.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import rushwood.api.Access;
 import rushwood.api.Product;
+import rushwood.api.ShotEnd;
 
 /** An access that this router has taken, with its shots. */
 final class Held {
@@ -45,6 +46,11 @@
         return null;
     }
 
+    /** Shots that were answered with an error. */
+    long errors() {
+        return shots.stream().filter(shot -> shot.end == ShotEnd.ERROR).count();
+    }
+
     void park() {
         if (!parked) {
             parked = true;
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -29,7 +29,6 @@
     long trialGap;
     long lastAnswer = NEVER;
     boolean probing;
-    boolean heard;
 
     long warmFrom;
     double allowance;
@@ -43,8 +42,9 @@
     long roleAt = NEVER;
     long deniedAt = NEVER;
 
-    HostState(HostId id) {
+    HostState(HostId id, double cap) {
         this.id = id;
+        this.cap = cap;
     }
 
     void leave() {
@@ -54,6 +54,14 @@
         }
     }
 
+    /** A position never goes back; one past the clock cannot be true. */
+    void stoodAt(long at, long now) {
+        if (at <= now) {
+            position = Math.max(position, at);
+            positionAt = now;
+        }
+    }
+
     void linger(long until) {
         lingering.add(until);
     }
