Caps below one slot: many routers share a host's slots, each resting between shots

Told from slow hosts: p50 at 5 s intervals followed arrivals, hosts without a trouble were as slow as the rest. Change: the least cap is the router's part of the fleet's slots, below one it rests between shots; caps below two move by a quarter; an answer after a long gap counts in full in a host's lateness. Guards against any shortage that shows as slowness; harm: a router with one burst and little else parks at first.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -1,7 +1,7 @@
 package rushwood.decision;
 
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -50,14 +50,14 @@
     private final Stage freshness = new Freshness();
     private final Stage sending = new Sending();
     private final List<Stage> chain = List.of(limits, new Effects(), freshness, new Placing(), sending);
-    private final Map<HostId, HostState> hosts = new HashMap<>();
+    private final Map<HostId, HostState> hosts = new LinkedHashMap<>();
     private final Map<GroupId, GroupState> groups = new TreeMap<>(Comparator.comparing(GroupId::value));
-    private final Map<AccessId, Held> taken = new HashMap<>();
+    private final Map<AccessId, Held> taken = new LinkedHashMap<>();
     private final Writes written = new Writes(SESSIONS);
     private final DueTimes dues;
     private final double[] usual;
     private final long bound;
-    private final int slotFloor;
+    private final double slotFloor;
     private final long margin;
     private long nextTick;
     private long askAgain = Long.MAX_VALUE;
@@ -67,7 +67,7 @@
     private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess
     private static final long AGE_BOUND = 500 * MS; // of a position before a probe, if no product bounds it
     private static final int SESSIONS = 50_000; // remembered: some megabytes, replicas are past older ones
-    private static final int FLEET_SLOTS = 6; // all routers' least at a host: keeps some cores at work
+    private static final double FLEET_SLOTS = 6; // all routers' least at a host: keeps some cores at work
 
     public Choice(Settings settings, RandomGenerator chance, Outlet outlet) {
         this.settings = settings;
@@ -77,7 +77,8 @@
         usual = settings.products().stream().mapToDouble(p -> p.quotedTime() * USUAL_SHARE).toArray();
         bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound())
                 .min().orElse(AGE_BOUND);
-        slotFloor = Math.max(1, FLEET_SLOTS / Math.max(1, settings.routers()));
+        double share = FLEET_SLOTS / Math.max(1, settings.routers());
+        slotFloor = share < 1 ? share : Math.floor(share);
         margin = 2 * settings.resolution();
     }
 
@@ -395,11 +396,7 @@
     }
 
     private int bestFit(Held held, long now) {
-        int best = NOT;
-        for (HostState host : held.group.members) {
-            best = Math.min(best, fit(held, host, now));
-        }
-        return best;
+        return held.group.members.stream().mapToInt(host -> fit(held, host, now)).min().orElse(NOT);
     }
 
     /** A read that any member may answer and that lasts longer than the lag that other reads are allowed. */
@@ -506,7 +503,7 @@
         if (now < host.pausedUntil) {
             return 0;
         }
-        return host.health != Health.WELL ? 1 : Math.max(1, host.cap * coldShare(host, now));
+        return host.health != Health.WELL ? 1 : Math.max(Math.min(1, host.cap), host.cap * coldShare(host, now));
     }
 
     /** The share of its capacity that a host that started lately has at the least. */
@@ -533,12 +530,10 @@
         }
         double sum = 0;
         double weight = 0;
-        for (GroupState group : groups.values()) {
-            for (HostState other : group.members) {
-                if (warmth(other, now) == 1) {
-                    sum += other.doneRate;
-                    weight += other.listed.weight();
-                }
+        for (HostState other : hosts.values()) {
+            if (other.group != null && warmth(other, now) == 1) {
+                sum += other.doneRate;
+                weight += other.listed.weight();
             }
         }
         double rate = weight > 0 ? coldShare(host, now) * host.listed.weight() * sum / weight : 0;
@@ -576,16 +571,12 @@
         @Override
         public void back(Shot shot, Answer answer, long now) {
             HostState host = shot.host;
-            double late = lateness(shot.held, answer.took());
-            if (answer.end().hostAnswered()) {
-                heardFrom(host, now);
-            }
             switch (answer.end()) {
                 case FULFILLED -> {
                     usual[shot.held.product.index()] += (answer.took() - usual(shot.held)) * SMOOTH;
                     host.doneNow += usual(shot.held);
                     host.refusals = 0;
-                    adapt(host, late);
+                    adapt(host, lateness(shot.held, answer.took()), now);
                     // What one host answers with an error and the next fulfils was the first host's fault.
                     shot.held.shots.stream().filter(each -> each.end == ShotEnd.ERROR)
                             .forEach(each -> rest(each.host, now));
@@ -600,11 +591,16 @@
                 case EXPIRED, WITHDRAWN -> {
                     host.linger(now + (long) usual(shot.held));
                     if (answer.end() == ShotEnd.EXPIRED) {
-                        adapt(host, Math.max(1, late));
+                        adapt(host, Math.max(1, lateness(shot.held, answer.took())), now);
                     }
                 }
                 case ERROR, BEHIND, UNSENT -> { }
             }
+            heardFrom(host, answer.end(), now);
+            if (host.cap < 1) { // less than a slot: one that rests between shots
+                double worked = Math.min(answer.took(), usual(shot.held));
+                host.pausedUntil = Math.max(host.pausedUntil, now + (long) (worked * (1 / host.cap - 1)));
+            }
         }
     }
 
@@ -622,24 +618,29 @@
     }
 
     /** The cap creeps up while answers are quick and slots short, down while they are slow or do not come. */
-    private void adapt(HostState host, double lateness) {
-        host.lateness += (lateness - host.lateness) * LATENESS_SMOOTH;
+    private void adapt(HostState host, double lateness, long now) {
+        double weight = Math.max(LATENESS_SMOOTH, Math.min(1, (now - host.lastAnswer) / LATENESS_SPAN));
+        double step = Math.min(1 / host.cap, host.cap * STEP);
+        host.lateness += (lateness - host.lateness) * weight;
         if (host.lateness > GOAL) {
-            host.cap = Math.max(slotFloor, host.cap - 1 / host.cap);
+            host.cap = Math.max(slotFloor, host.cap - step);
         } else if (lateness <= GOAL && host.out.size() + 1 >= host.cap * NEARLY_FULL) {
-            host.cap += 1 / host.cap;
+            host.cap += step;
         }
     }
 
+    private static final double STEP = 0.25; // of a cap below two, up or down: routers may share a slot
+    private static final double LATENESS_SPAN = 2000 * MS; // answers this far apart count in full
+
     private static final double LATENESS_SMOOTH = 0.1; // weight of one answer in a host's lateness: ten back
     private static final double GOAL = 0.35; // of the time of use may pass in the host, the rest parked
     private static final double NEARLY_FULL = 0.8; // a cap grows only while it binds: four slots in five
 
     // ---- the health of hosts
 
-    private void heardFrom(HostState host, long now) {
-        host.lastAnswer = now;
-        if (host.health == Health.STUCK) {
+    private void heardFrom(HostState host, ShotEnd end, long now) {
+        host.lastAnswer = end.hostAnswered() ? now : host.lastAnswer;
+        if (end.hostAnswered() && host.health == Health.STUCK) {
             well(host, now);
         }
     }
