Shots overtaken by later answers are held for lost; lingering slots and growing trial gaps go

Evidence that the hosts were not slow: shots sent later came back at the usual speed, probes answered, and only the run-outs rose. Change: a shot that waited three usual times and was overtaken by three times what is out at its host is lost: it frees its slot, moves no cap, and goes again while that can be in time. While that is seen to happen three overtaking answers are enough, but for one shot in four, which keeps the measure honest. It also guards against hosts that drop work; harm: products with some very long accesses.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -63,9 +63,9 @@
     private long askAgain = Long.MAX_VALUE;
     private long askGap;
     private double curiosity;
+    private double losses;
 
     private static final double USUAL_SHARE = 0.25; // of the quoted time, until answers tell: a guess
-    private static final long AGE_BOUND = 500 * MS; // of a position before a probe, if no product bounds it
     private static final int SESSIONS = 50_000; // remembered: some megabytes, replicas are past older ones
     private static final double FLEET_SLOTS = 6; // all routers' least at a host: keeps some cores at work
 
@@ -76,7 +76,7 @@
         dues = new DueTimes(outlet);
         usual = settings.products().stream().mapToDouble(p -> p.quotedTime() * USUAL_SHARE).toArray();
         bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound())
-                .min().orElse(AGE_BOUND);
+                .min().orElse(5 * RECHECK);
         double share = FLEET_SLOTS / Math.max(1, settings.routers());
         slotFloor = share < 1 ? share : Math.floor(share);
         margin = 2 * settings.resolution();
@@ -409,10 +409,8 @@
      * the first in id order, so that the others stay fresh; harm: those few do little else.
      */
     private boolean takesLong(HostState host, long now) {
-        List<HostState> replicas = host.group.replicas();
-        replicas.removeIf(replica -> !usable(replica, now));
-        int place = replicas.indexOf(host);
-        return place == 0 || place > 0 && place < replicas.size() / 3;
+        List<HostState> able = host.group.replicas().stream().filter(each -> usable(each, now)).toList();
+        return able.stream().limit(Math.max(1, able.size() / 3)).anyMatch(each -> each == host);
     }
 
     /** Two draws by weight decide if both are free and fresh; else all are compared, the busy waited for. */
@@ -423,7 +421,7 @@
             HostState two = GroupState.draw(replicas, chance);
             if (fit(held, one, now) == FRESH && fit(held, two, now) == FRESH && free(held, one, now)
                     && free(held, two, now)) {
-                return one.load(now) <= two.load(now) ? one : two;
+                return one.load() <= two.load() ? one : two;
             }
         }
         int best = bestFit(held, now);
@@ -439,7 +437,7 @@
         for (int i = 0; i < members.size(); i++) {
             HostState host = members.get((from + i) % members.size());
             boolean fits = fit(held, host, now) == best && free(held, host, now);
-            if (fits && (least == null || !isLong(held) && host.load(now) < least.load(now))) {
+            if (fits && (least == null || !isLong(held) && host.load() < least.load())) {
                 least = host;
             }
         }
@@ -494,7 +492,7 @@
         }
         boolean readOnPrimary = host.group.primary == host && !held.is(Need.WRITE);
         double cap = cap(host, now) * (readOnPrimary ? READS_ON_PRIMARY : 1);
-        return host.taken(now) < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
+        return host.taken() < cap && mayRepeat(held, host, now) && withinBudget(held, host, now);
     }
 
     private static final double READS_ON_PRIMARY = 0.5; // of its slots: writes can go nowhere else
@@ -503,7 +501,8 @@
         if (now < host.pausedUntil) {
             return 0;
         }
-        return host.health != Health.WELL ? 1 : Math.max(Math.min(1, host.cap), host.cap * coldShare(host, now));
+        double share = Math.max(Math.min(1, 1 / host.cap), coldShare(host, now));
+        return host.health != Health.WELL ? 1 : host.cap * share;
     }
 
     /** The share of its capacity that a host that started lately has at the least. */
@@ -558,9 +557,9 @@
             HostState host = held.chosen;
             if (onTrial(host, now)) {
                 curiosity--;
-                nextTrial(host, now);
+                host.nextTrial = now + TRIAL_GAP;
             }
-            Shot shot = new Shot(held, host, now);
+            Shot shot = new Shot(held, host, now, chance.nextInt(CONTROLS) == 0);
             held.shots.add(shot);
             host.out.add(shot);
             host.allowance -= usual(held);
@@ -571,12 +570,16 @@
         @Override
         public void back(Shot shot, Answer answer, long now) {
             HostState host = shot.host;
+            double share = answer.took() / shot.held.timeOfUse();
             switch (answer.end()) {
                 case FULFILLED -> {
                     usual[shot.held.product.index()] += (answer.took() - usual(shot.held)) * SMOOTH;
                     host.doneNow += usual(shot.held);
                     host.refusals = 0;
-                    adapt(host, lateness(shot.held, answer.took()), now);
+                    losses -= losses * LOSS_SMOOTH / 20; // a loss in twenty outweighs
+                    host.out.forEach(each -> each.overtaken += each.sentAt < shot.sentAt ? 1 : 0);
+                    callOff(host, now);
+                    adapt(host, share, now);
                     // What one host answers with an error and the next fulfils was the first host's fault.
                     shot.held.shots.stream().filter(each -> each.end == ShotEnd.ERROR)
                             .forEach(each -> rest(each.host, now));
@@ -586,24 +589,27 @@
                     rest(host, now);
                 }
                 case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
-                // Such a shot may still be at work: its slot stays taken for one more usual time, or hosts
-                // that do not stop work get far more than their cap. Harm where they do: idle slots.
-                case EXPIRED, WITHDRAWN -> {
-                    host.linger(now + (long) usual(shot.held));
-                    if (answer.end() == ShotEnd.EXPIRED) {
-                        adapt(host, Math.max(1, lateness(shot.held, answer.took())), now);
+                case EXPIRED -> {
+                    if (!shot.lost) {
+                        adapt(host, Math.max(1, share), now);
                     }
                 }
-                case ERROR, BEHIND, UNSENT -> { }
+                case WITHDRAWN, ERROR, BEHIND, UNSENT -> { }
             }
-            heardFrom(host, answer.end(), now);
-            if (host.cap < 1) { // less than a slot: one that rests between shots
-                double worked = Math.min(answer.took(), usual(shot.held));
-                host.pausedUntil = Math.max(host.pausedUntil, now + (long) (worked * (1 / host.cap - 1)));
+            if (answer.end().hostAnswered()) {
+                host.lastAnswer = now;
+                if (host.health == Health.STUCK) {
+                    well(host, now);
+                }
             }
+            // A cap below one is a slot that rests between shots.
+            double worked = Math.min(answer.took(), usual(shot.held));
+            host.pausedUntil = Math.max(host.pausedUntil, now + (long) (worked * (1 / host.cap - 1)));
         }
     }
 
+    private static final int CONTROLS = 4; // one shot in so many stays to be surely lost: its answer tells
+
     private void rest(HostState host, long now) {
         host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.refusals));
     }
@@ -612,11 +618,6 @@
     private static final double CUT = 0.8; // of a cap on a refusal: halving starves a host on one burst
     private static final int FULL_STEPS = 4; // refusals in a row till a whole recheck's rest: unlisted drains
 
-    /** How much of the time of use went by: the quoted time, or this try if that is shorter. */
-    private static double lateness(Held held, long took) {
-        return (double) took / Math.min(held.product.quotedTime(), held.access.due() - held.arrivedAt);
-    }
-
     /** The cap creeps up while answers are quick and slots short, down while they are slow or do not come. */
     private void adapt(HostState host, double lateness, long now) {
         double weight = Math.max(LATENESS_SMOOTH, Math.min(1, (now - host.lastAnswer) / LATENESS_SPAN));
@@ -638,13 +639,6 @@
 
     // ---- the health of hosts
 
-    private void heardFrom(HostState host, ShotEnd end, long now) {
-        host.lastAnswer = end.hostAnswered() ? now : host.lastAnswer;
-        if (end.hostAnswered() && host.health == Health.STUCK) {
-            well(host, now);
-        }
-    }
-
     /** A host that was down for more than a moment comes back cold, whatever the list says yet. */
     private void well(HostState host, long now) {
         outlet.log(host.id + " is well again");
@@ -652,7 +646,6 @@
             host.warmFrom = now;
         }
         host.health = Health.WELL;
-        host.trialGap = 0;
     }
 
     /** A host that is down or stuck loses its role and gets nothing but trials. */
@@ -663,31 +656,41 @@
         outlet.log(host.id + " is " + health);
         host.health = health;
         host.troubledAt = now;
-        nextTrial(host, now);
+        host.nextTrial = now + TRIAL_GAP;
         probe(host);
         host.group.unseat(host);
-        if (health == Health.STUCK) {
-            withdrawLate(host, now);
-        }
-    }
-
-    private void nextTrial(HostState host, long now) {
-        host.trialGap = Math.min(Math.max(RECHECK, 2 * host.trialGap), LONGEST_GAP);
-        host.nextTrial = now + host.trialGap;
+        callOff(host, now);
     }
 
-    private static final long LONGEST_GAP = 1000 * MS; // between trials: a host that is back soon gets work
+    private static final long TRIAL_GAP = 5 * RECHECK; // short, to have hosts back soon: the budget limits
 
-    /** Calls off what waits for a stuck host and may go elsewhere. */
-    private void withdrawLate(HostState host, long now) {
+    /**
+     * Calls off what waits long for a stuck host, and what answers to later shots there have overtaken. After
+     * three times what is out there its answer is lost: it holds no slot and does not count as a slow one;
+     * while that happens few are enough. Merely slow hosts overtake little; harm: long work among short.
+     */
+    private void callOff(HostState host, long now) {
+        int sure = SURELY_LOST * host.out.size();
+        int enough = losses > LOSSY ? OVERTAKEN : sure;
         for (Shot shot : List.copyOf(host.out)) {
             boolean late = now - shot.sentAt > LONG_AGO * usual(shot.held);
-            if (!shot.held.over && late && shot.held.product.effect() != Effect.IRREVERSIBLE) {
+            if (late && !shot.lost && shot.overtaken >= (shot.control ? sure : enough)) {
+                losses += shot.overtaken >= sure ? (1 - losses) * LOSS_SMOOTH : 0;
+                shot.lost = true;
+            }
+            boolean inTime = now + usual(shot.held) < shot.held.usefulTill;
+            boolean hopeless = shot.lost && inTime || late && host.health == Health.STUCK;
+            if (hopeless && !shot.held.over && shot.held.product.effect() != Effect.IRREVERSIBLE) {
                 withdraw(shot.held);
             }
         }
     }
 
+    private static final int SURELY_LOST = 3; // times what is out: three of its mean times went by meanwhile
+    private static final int OVERTAKEN = 3; // enough while answers are lost: one or two are chance
+    private static final double LOSS_SMOOTH = 0.05; // weight of a sure loss in the share of losses
+    private static final double LOSSY = 0.2; // that share from which few are enough: far above chance
+
     /**
      * Probes and trials together stay a share of this router's accesses: hundreds of routers that each probe
      * all hosts cost more than they learn, and are turned away by the dozen. Whether it was sent.
@@ -712,12 +715,10 @@
             throw new IllegalArgumentException("unknown host: " + id);
         }
         host.probing = false;
-        if (!answered) {
-            return; // hosts turn away probes when many routers ask: that proves nothing
-        }
-        if (host.health == Health.DOWN) {
+        if (answered && host.health == Health.DOWN) {
             well(host, now);
         }
+        // No answer proves nothing: hosts turn probes away when many routers ask.
         learnReport(host, report, now);
         serve(host, now);
     }
@@ -725,12 +726,11 @@
     private void watch(HostState host, long now) {
         host.doneRate += (host.doneNow / RECHECK - host.doneRate) * DONE_SMOOTH;
         host.doneNow = 0;
+        callOff(host, now);
         if (host.health == Health.WELL && missedAnswers(host, now) > SURELY_STUCK) {
             trouble(host, Health.STUCK, now);
-        } else if (host.health == Health.STUCK) {
-            withdrawLate(host, now);
         } else if (host.health == Health.DOWN && now >= host.nextTrial && probe(host)) {
-            nextTrial(host, now);
+            host.nextTrial = now + TRIAL_GAP;
         }
         if (host.group.primary == null && !host.group.first.isEmpty() && host.health != Health.DOWN) {
             probe(host);
@@ -748,7 +748,7 @@
         double missed = 0;
         boolean longAgo = false;
         for (Shot shot : host.out) {
-            double waited = (now - Math.max(host.lastAnswer, shot.sentAt)) / usual(shot.held);
+            double waited = shot.lost ? 0 : (now - Math.max(host.lastAnswer, shot.sentAt)) / usual(shot.held);
             missed += waited;
             longAgo |= waited > LONG_AGO;
         }
@@ -776,7 +776,7 @@
     private Held next(List<Held> line, HostState host, long now) {
         Held best = null;
         long bestRank = Long.MAX_VALUE;
-        if (line.isEmpty() || host.taken(now) >= cap(host, now) && !onTrial(host, now)) {
+        if (line.isEmpty() || host.taken() >= cap(host, now) && !onTrial(host, now)) {
             return null;
         }
         for (Held held : line) {
@@ -810,8 +810,7 @@
      * late, the newest first, so that slots do not go to those about to run out when they are short.
      */
     private long rank(Held held, long now) {
-        long quoted = Math.min(held.arrivedAt + held.product.quotedTime(), held.access.due());
-        return now + usual(held) * IN_TIME > quoted ? LATE - quoted : quoted;
+        return now + usual(held) * IN_TIME > held.usefulTill ? LATE - held.usefulTill : held.usefulTill;
     }
 
     private static final double IN_TIME = 3; // usual times left of one still in time: 19 in 20 answers come
--- a/src/main/java/rushwood/decision/Held.java
+++ b/src/main/java/rushwood/decision/Held.java
@@ -12,6 +12,7 @@
     final Product product;
     final GroupState group;
     final long arrivedAt;
+    final long usefulTill; // the end of the quoted time, or of this try if that is earlier
     final List<Shot> shots = new ArrayList<>();
     final List<HostState> missed = new ArrayList<>();
     boolean over;
@@ -24,6 +25,11 @@
         this.product = access.product();
         this.group = group;
         this.arrivedAt = arrivedAt;
+        usefulTill = Math.min(arrivedAt + product.quotedTime(), access.due());
+    }
+
+    double timeOfUse() {
+        return usefulTill - arrivedAt;
     }
 
     boolean is(Product.Need need) {
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -17,7 +17,6 @@
     GroupState group;
 
     final List<Shot> out = new ArrayList<>();
-    private final List<Long> lingering = new ArrayList<>();
     double cap;
     double lateness;
     long pausedUntil = NEVER;
@@ -26,7 +25,6 @@
     Health health = Health.WELL;
     long troubledAt;
     long nextTrial;
-    long trialGap;
     long lastAnswer = NEVER;
     boolean probing;
 
@@ -62,17 +60,12 @@
         }
     }
 
-    void linger(long until) {
-        lingering.add(until);
+    /** Slots taken: by shots that are out and not held for lost. */
+    int taken() {
+        return (int) out.stream().filter(shot -> !shot.lost).count();
     }
 
-    /** Slots taken: by shots that are out and by those that linger. */
-    int taken(long now) {
-        lingering.removeIf(until -> until <= now);
-        return out.size() + lingering.size();
-    }
-
-    double load(long now) {
-        return taken(now) / listed.weight();
+    double load() {
+        return taken() / listed.weight();
     }
 }
--- a/src/main/java/rushwood/decision/Shot.java
+++ b/src/main/java/rushwood/decision/Shot.java
@@ -10,11 +10,15 @@
     final long sentAt;
     ShotEnd end;
     boolean withdrawn;
+    int overtaken;
+    boolean lost;
+    final boolean control;
 
-    Shot(Held held, HostState host, long sentAt) {
+    Shot(Held held, HostState host, long sentAt, boolean control) {
         this.held = held;
         this.number = held.shots.size();
         this.host = host;
         this.sentAt = sentAt;
+        this.control = control;
     }
 }
