Where routers share slots, slow hosts get no late accesses; three small defences folded away

Change: a host over the cap's goal gets no parked access that is late, if routers share its slots. It also guards overload of any cause; harm: late earnings at hosts that one router finds slow.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -575,18 +575,17 @@
                 case FULFILLED -> {
                     usual[shot.held.product.index()] += (answer.took() - usual(shot.held)) * SMOOTH;
                     host.doneNow += usual(shot.held);
-                    host.refusals = 0;
                     losses -= losses * LOSS_SMOOTH / 20; // a loss in twenty outweighs
                     host.out.forEach(each -> each.overtaken += each.sentAt < shot.sentAt ? 1 : 0);
                     callOff(host, now);
                     adapt(host, share, now);
                     // What one host answers with an error and the next fulfils was the first host's fault.
                     shot.held.shots.stream().filter(each -> each.end == ShotEnd.ERROR)
-                            .forEach(each -> rest(each.host, now));
+                            .forEach(each -> each.host.pausedUntil = now + REST);
                 }
                 case OVERFULL -> {
                     host.cap = Math.max(slotFloor, host.cap * CUT);
-                    rest(host, now);
+                    host.pausedUntil = now + REST;
                 }
                 case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
                 case EXPIRED -> {
@@ -609,14 +608,9 @@
     }
 
     private static final int CONTROLS = 4; // one shot in so many stays to be surely lost: its answer tells
-
-    private void rest(HostState host, long now) {
-        host.pausedUntil = now + (RECHECK >> Math.max(0, FULL_STEPS - ++host.refusals));
-    }
-
+    private static final long REST = RECHECK / 2; // of a host that refuses or errs: an unlisted drain
     private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: fifty back
     private static final double CUT = 0.8; // of a cap on a refusal: halving starves a host on one burst
-    private static final int FULL_STEPS = 4; // refusals in a row till a whole recheck's rest: unlisted drains
 
     /** The cap creeps up while answers are quick and slots short, down while they are slow or do not come. */
     private void adapt(HostState host, double lateness, long now) {
@@ -625,7 +619,7 @@
         host.lateness += (lateness - host.lateness) * weight;
         if (host.lateness > GOAL) {
             host.cap = Math.max(slotFloor, host.cap - step);
-        } else if (lateness <= GOAL && host.out.size() + 1 >= host.cap * NEARLY_FULL) {
+        } else if (lateness <= GOAL && host.out.size() + 1 >= host.cap) {
             host.cap += step;
         }
     }
@@ -635,7 +629,6 @@
 
     private static final double LATENESS_SMOOTH = 0.1; // weight of one answer in a host's lateness: ten back
     private static final double GOAL = 0.35; // of the time of use may pass in the host, the rest parked
-    private static final double NEARLY_FULL = 0.8; // a cap grows only while it binds: four slots in five
 
     // ---- the health of hosts
 
@@ -746,13 +739,11 @@
      */
     private double missedAnswers(HostState host, long now) {
         double missed = 0;
-        boolean longAgo = false;
         for (Shot shot : host.out) {
             double waited = shot.lost ? 0 : (now - Math.max(host.lastAnswer, shot.sentAt)) / usual(shot.held);
             missed += waited;
-            longAgo |= waited > LONG_AGO;
         }
-        return longAgo ? missed : 0;
+        return missed;
     }
 
     private static final double SURELY_STUCK = 12; // missed: a chance of one in 100,000 at exponential times
@@ -790,6 +781,10 @@
     }
 
     private boolean mayServe(Held held, HostState host, long now) {
+        // Where routers share slots others, in time, wait unseen: no late ones at slow hosts. Harm: late earnings.
+        if (slotFloor < 1 && host.lateness > GOAL && late(held, now)) {
+            return false;
+        }
         if (held.is(Need.WRITE)) {
             return host.group.primary == host && usable(host, now) && free(held, host, now);
         }
@@ -810,7 +805,11 @@
      * late, the newest first, so that slots do not go to those about to run out when they are short.
      */
     private long rank(Held held, long now) {
-        return now + usual(held) * IN_TIME > held.usefulTill ? LATE - held.usefulTill : held.usefulTill;
+        return late(held, now) ? LATE - held.usefulTill : held.usefulTill;
+    }
+
+    private boolean late(Held held, long now) {
+        return now + usual(held) * IN_TIME > held.usefulTill;
     }
 
     private static final double IN_TIME = 3; // usual times left of one still in time: 19 in 20 answers come
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -20,7 +20,6 @@
     double cap;
     double lateness;
     long pausedUntil = NEVER;
-    int refusals;
 
     Health health = Health.WELL;
     long troubledAt;
