--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -431,12 +431,13 @@
         if (best == NOT) {
             return null;
         }
+        best = Math.max(best, LIKELY);
         HostState least = null;
         List<HostState> members = held.group.members;
         int from = isLong(held) ? 0 : chance.nextInt(members.size());
         for (int i = 0; i < members.size(); i++) {
             HostState host = members.get((from + i) % members.size());
-            boolean fits = fit(held, host, now) == best && free(held, host, now);
+            boolean fits = fit(held, host, now) <= best && free(held, host, now);
             if (fits && (least == null || !isLong(held) && host.load() < least.load())) {
                 least = host;
             }
@@ -792,7 +793,7 @@
         int fit = fit(held, host, now);
         boolean waitedLong = now - held.arrivedAt > held.product.quotedTime() * PATIENCE;
         return fit < NOT && free(held, host, now)
-                && (fit == FRESH || fit == LAST && waitedLong || fit == bestFit(held, now));
+                && (fit <= LIKELY || fit == LAST && waitedLong || fit == bestFit(held, now));
     }
 
     // An exception to parking for busy replicas: a read that has waited this share of its quoted time may
