--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -419,9 +419,10 @@
         if (replicas.size() > 2 && !isLong(held)) {
             HostState one = GroupState.draw(replicas, chance);
             HostState two = GroupState.draw(replicas, chance);
-            if (fit(held, one, now) == FRESH && fit(held, two, now) == FRESH && free(held, one, now)
-                    && free(held, two, now)) {
-                return one.load() <= two.load() ? one : two;
+            int fit = fit(held, one, now);
+            int less = fit - fit(held, two, now);
+            if (fit <= LIKELY && fit - less <= LIKELY && free(held, one, now) && free(held, two, now)) {
+                return less < 0 || less == 0 && one.load() <= two.load() ? one : two;
             }
         }
         int best = bestFit(held, now);
@@ -431,13 +432,12 @@
         if (best == NOT) {
             return null;
         }
-        best = Math.max(best, LIKELY);
         HostState least = null;
         List<HostState> members = held.group.members;
         int from = isLong(held) ? 0 : chance.nextInt(members.size());
         for (int i = 0; i < members.size(); i++) {
             HostState host = members.get((from + i) % members.size());
-            boolean fits = fit(held, host, now) <= best && free(held, host, now);
+            boolean fits = fit(held, host, now) <= Math.max(best, LIKELY) && free(held, host, now);
             if (fits && (least == null || !isLong(held) && host.load() < least.load())) {
                 least = host;
             }
