--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -404,10 +404,8 @@
         return held.is(Need.ANY) && usual(held) > bound;
     }
 
-    /**
-     * Long reads may keep a replica from applying its log. All routers give them to the same few replicas,
-     * the first in id order, so that the others stay fresh; harm: those few do little else.
-     */
+    // Long reads may keep a replica from applying its log. All routers give them to the same few replicas,
+    // the first in id order, so that the others stay fresh; harm: those few do little else.
     private boolean takesLong(HostState host, long now) {
         List<HostState> able = host.group.replicas().stream().filter(each -> usable(each, now)).toList();
         return able.stream().limit(Math.max(1, able.size() / 3)).anyMatch(each -> each == host);
@@ -515,10 +513,12 @@
 
     /** The share of a warm host's work that a host may get: part of the multiple that would tip it. */
     private double coldShare(HostState host, long now) {
-        return Math.min(1, warmth(host, now) * settings.fallMultiple() * MULTIPLE_USED);
+        double used = slotFloor < 1 ? MULTIPLE_SHARED : MULTIPLE_USED;
+        return Math.min(1, warmth(host, now) * settings.fallMultiple() * used);
     }
 
     private static final double MULTIPLE_USED = 0.5; // half is left for chance and for routers that know less
+    private static final double MULTIPLE_SHARED = 0.35; // dozens of routers shoot in no order: more chance
 
     /**
      * A cold host gets, from each router, no more than its share of what that router's warm hosts get
@@ -585,7 +585,7 @@
                             .forEach(each -> each.host.pausedUntil = now + REST);
                 }
                 case OVERFULL -> {
-                    host.cap = Math.max(slotFloor, host.cap * CUT);
+                    adapt(host, 1, now);
                     host.pausedUntil = now + REST;
                 }
                 case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
@@ -611,7 +611,6 @@
     private static final int CONTROLS = 4; // one shot in so many stays to be surely lost: its answer tells
     private static final long REST = RECHECK / 2; // of a host that refuses or errs: an unlisted drain
     private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: fifty back
-    private static final double CUT = 0.8; // of a cap on a refusal: halving starves a host on one burst
 
     /** The cap creeps up while answers are quick and slots short, down while they are slow or do not come. */
     private void adapt(HostState host, double lateness, long now) {
@@ -782,7 +781,7 @@
     }
 
     private boolean mayServe(Held held, HostState host, long now) {
-        // Where routers share slots others, in time, wait unseen: no late ones at slow hosts. Harm: late earnings.
+        // Others wait unseen where routers share slots: no late ones at slow hosts. Harm: late earnings.
         if (slotFloor < 1 && host.lateness > GOAL && late(held, now)) {
             return false;
         }
