--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -603,7 +603,7 @@
                 }
             }
             // A cap below one is a slot that rests between shots.
-            double worked = Math.min(answer.took(), usual(shot.held));
+            double worked = Math.min(answer.took(), 3 * usual(shot.held));
             host.pausedUntil = Math.max(host.pausedUntil, now + (long) (worked * (1 / host.cap - 1)));
         }
     }
