--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -395,8 +395,10 @@
         return host.position + (now - host.positionAt) >= held.target ? LIKELY : LAGGING;
     }
 
-    private int bestFit(Held held, long now) {
-        return held.group.members.stream().mapToInt(host -> fit(held, host, now)).min().orElse(NOT);
+    /** The worst fit that a read takes, if any: only for replicas known to be fresh does it wait. */
+    private int worstFit(Held held, long now) {
+        int best = held.group.members.stream().mapToInt(host -> fit(held, host, now)).min().orElse(NOT);
+        return best == NOT ? FRESH - 1 : best == FRESH ? LIKELY : Math.max(best, LAGGING);
     }
 
     /** A read that any member may answer and that lasts longer than the lag that other reads are allowed. */
@@ -411,38 +413,40 @@
         return able.stream().limit(Math.max(1, able.size() / 3)).anyMatch(each -> each == host);
     }
 
-    /** Two draws by weight decide if both are free and fresh; else all are compared, the busy waited for. */
+    /** Two draws by weight decide if both are free and known or likely to be fresh; else all are compared. */
     private HostState placeRead(Held held, long now) {
         List<HostState> replicas = held.group.replicas();
         if (replicas.size() > 2 && !isLong(held)) {
             HostState one = GroupState.draw(replicas, chance);
             HostState two = GroupState.draw(replicas, chance);
-            int fit = fit(held, one, now);
-            int less = fit - fit(held, two, now);
-            if (fit <= LIKELY && fit - less <= LIKELY && free(held, one, now) && free(held, two, now)) {
-                return less < 0 || less == 0 && one.load() <= two.load() ? one : two;
+            boolean fresh = Math.max(fit(held, one, now), fit(held, two, now)) <= LIKELY;
+            if (fresh && free(held, one, now) && free(held, two, now)) {
+                return better(held, two, one, now) ? two : one;
             }
         }
-        int best = bestFit(held, now);
-        if (best != FRESH && settings.reports()) {
+        int worst = worstFit(held, now);
+        if (worst != LIKELY && settings.reports()) {
             probeOldest(held.group, now);
         }
-        if (best == NOT) {
-            return null;
-        }
         HostState least = null;
         List<HostState> members = held.group.members;
-        int from = isLong(held) ? 0 : chance.nextInt(members.size());
+        int from = isLong(held) || members.isEmpty() ? 0 : chance.nextInt(members.size());
         for (int i = 0; i < members.size(); i++) {
             HostState host = members.get((from + i) % members.size());
-            boolean fits = fit(held, host, now) <= Math.max(best, LIKELY) && free(held, host, now);
-            if (fits && (least == null || !isLong(held) && host.load() < least.load())) {
+            boolean fits = fit(held, host, now) <= worst && free(held, host, now);
+            if (fits && (least == null || !isLong(held) && better(held, host, least, now))) {
                 least = host;
             }
         }
         return least;
     }
 
+    /** Replicas known to meet the target come first, then those with less in flight for their weight. */
+    private boolean better(Held held, HostState one, HostState two, long now) {
+        int less = fit(held, one, now) - fit(held, two, now);
+        return less < 0 || less == 0 && one.load() < two.load();
+    }
+
     /** A read found no replica known to be fresh: the one unheard for longest is asked, if past the bound. */
     private void probeOldest(GroupState group, long now) {
         group.replicas().stream().filter(host -> host.health != Health.DOWN && !host.probing)
@@ -782,7 +786,7 @@
 
     private boolean mayServe(Held held, HostState host, long now) {
         // Others wait unseen where routers share slots: no late ones at slow hosts. Harm: late earnings.
-        if (slotFloor < 1 && host.lateness > GOAL && late(held, now)) {
+        if (slotFloor < 1 && host.lateness > GOAL && rank(held, now) > LATE / 2) {
             return false;
         }
         if (held.is(Need.WRITE)) {
@@ -791,8 +795,7 @@
         freshness.in(held, now);
         int fit = fit(held, host, now);
         boolean waitedLong = now - held.arrivedAt > held.product.quotedTime() * PATIENCE;
-        return fit < NOT && free(held, host, now)
-                && (fit <= LIKELY || fit == LAST && waitedLong || fit == bestFit(held, now));
+        return (fit == LAST && waitedLong || fit <= worstFit(held, now)) && free(held, host, now);
     }
 
     // An exception to parking for busy replicas: a read that has waited this share of its quoted time may
@@ -805,11 +808,7 @@
      * late, the newest first, so that slots do not go to those about to run out when they are short.
      */
     private long rank(Held held, long now) {
-        return late(held, now) ? LATE - held.usefulTill : held.usefulTill;
-    }
-
-    private boolean late(Held held, long now) {
-        return now + usual(held) * IN_TIME > held.usefulTill;
+        return now + usual(held) * IN_TIME > held.usefulTill ? LATE - held.usefulTill : held.usefulTill;
     }
 
     private static final double IN_TIME = 3; // usual times left of one still in time: 19 in 20 answers come
