--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -387,7 +387,8 @@
         if (host.position >= held.target) {
             return FRESH;
         }
-        boolean refused = host.refusedAt > now - RECHECK;
+        long catchesUp = Math.max(RECHECK, Math.min(20 * RECHECK, (held.target - host.position) / 2));
+        boolean refused = host.refusedAt > now - catchesUp;
         boolean unsafe = settings.behind() == Settings.Behind.ANSWERS;
         if (unsafe || refused || held.is(Need.CURRENT)) {
             return NOT;
