--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -120,7 +120,9 @@
             }
             GroupState group = group(listed.group());
             group.join(host);
-            host.warmFrom = Math.max(host.warmFrom, listed.startedAt());
+            if (listed.startedAt() > host.warmFrom) { // what was learned of the process before is void
+                host.startAnew(listed.startedAt(), 2 * slotFloor);
+            }
             // The list is seconds late: it only fills in where nothing better is known.
             if (listed.primary() && group.primary == null && host.roleAt == HostState.NEVER) {
                 group.primary = host;
@@ -641,7 +643,7 @@
     private void well(HostState host, long now) {
         outlet.log(host.id + " is well again");
         if (host.health == Health.DOWN && now - host.troubledAt > RECHECK) {
-            host.warmFrom = now;
+            host.startAnew(now, 2 * slotFloor);
         }
         host.health = Health.WELL;
     }
@@ -743,12 +745,8 @@
      * is not stuck, and when all grow slower together the usual times grow too.
      */
     private double missedAnswers(HostState host, long now) {
-        double missed = 0;
-        for (Shot shot : host.out) {
-            double waited = shot.lost ? 0 : (now - Math.max(host.lastAnswer, shot.sentAt)) / usual(shot.held);
-            missed += waited;
-        }
-        return missed;
+        return host.out.stream().filter(shot -> !shot.lost)
+                .mapToDouble(shot -> (now - Math.max(host.lastAnswer, shot.sentAt)) / usual(shot.held)).sum();
     }
 
     private static final double SURELY_STUCK = 12; // missed: a chance of one in 100,000 at exponential times
@@ -796,7 +794,7 @@
         freshness.in(held, now);
         int fit = fit(held, host, now);
         boolean waitedLong = now - held.arrivedAt > held.product.quotedTime() * PATIENCE;
-        return (fit == LAST && waitedLong || fit <= worstFit(held, now)) && free(held, host, now);
+        return fit <= (waitedLong ? LAST : worstFit(held, now)) && free(held, host, now);
     }
 
     // An exception to parking for busy replicas: a read that has waited this share of its quoted time may
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -51,6 +51,15 @@
         }
     }
 
+    /** A new process: cold, well as far as is known, and nothing of the old one's slots holds. */
+    void startAnew(long at, double firstCap) {
+        warmFrom = at;
+        cap = firstCap;
+        lateness = 0;
+        pausedUntil = NEVER;
+        health = Health.WELL;
+    }
+
     /** A position never goes back; one past the clock cannot be true. */
     void stoodAt(long at, long now) {
         if (at <= now) {
