--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -381,7 +381,7 @@
             return NOT;
         }
         if (isLong(held)) {
-            return takesLong(host, now) ? FRESH : NOT;
+            return takesLong(host, now) ? FRESH : host.group.primary == host ? LAST : NOT;
         }
         if (host.group.primary == host) {
             return held.is(Need.CURRENT) ? FRESH : LAST;
@@ -410,7 +410,8 @@
     }
 
     // Long reads may keep a replica from applying its log. All routers give them to the same few replicas,
-    // the first in id order, so that the others stay fresh; harm: those few do little else.
+    // the first in id order, so that the others stay fresh; after patience the primary, which applies no log,
+    // takes some. Harm: those few replicas do little else.
     private boolean takesLong(HostState host, long now) {
         List<HostState> able = host.group.replicas().stream().filter(each -> usable(each, now)).toList();
         return able.stream().limit(Math.max(1, able.size() / 3)).anyMatch(each -> each == host);
