Idle time of a shared slot is saved, three seconds, at hosts that answer in good time

Change: what a shared slot was idle lately counts as its rest, unless the host is over the cap's goal. Harm: a burst from many routers at once at hosts just turned slow.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -604,19 +604,19 @@
                 }
                 case WITHDRAWN, ERROR, BEHIND, UNSENT -> { }
             }
-            if (answer.end().hostAnswered()) {
-                host.lastAnswer = now;
-                if (host.health == Health.STUCK) {
-                    well(host, now);
-                }
+            host.lastAnswer = answer.end().hostAnswered() ? now : host.lastAnswer;
+            if (host.lastAnswer == now && host.health == Health.STUCK) {
+                well(host, now);
             }
-            // A cap below one is a slot that rests between shots.
+            // A cap below one is a slot that rests between shots; in good time, idle time was rest.
             double worked = Math.min(answer.took(), 3 * usual(shot.held));
-            host.pausedUntil = Math.max(host.pausedUntil, now + (long) (worked * (1 / host.cap - 1)));
+            long from = Math.max(host.pausedUntil, now - (host.lateness > GOAL ? 0 : SAVED));
+            host.pausedUntil = from + (long) (worked * Math.max(0, 1 / host.cap - 1));
         }
     }
 
     private static final int CONTROLS = 4; // one shot in so many stays to be surely lost: its answer tells
+    private static final long SAVED = 3000 * MS; // idle time: sessions come in bursts
     private static final long REST = RECHECK / 2; // of a host that refuses or errs: an unlisted drain
     private static final double SMOOTH = 0.02; // weight of a new answer in the usual time: fifty back
 
