--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -584,7 +584,7 @@
                 case FULFILLED -> {
                     usual[shot.held.product.index()] += (answer.took() - usual(shot.held)) * SMOOTH;
                     host.doneNow += usual(shot.held);
-                    losses -= losses * LOSS_SMOOTH / 20; // a loss in twenty outweighs
+                    losses -= losses * LOSS_SMOOTH / 20; // a sure loss weighs twenty answers
                     host.out.forEach(each -> each.overtaken += each.sentAt < shot.sentAt ? 1 : 0);
                     callOff(host, now);
                     adapt(host, share, now);
@@ -609,7 +609,7 @@
                 well(host, now);
             }
             // A cap below one is a slot that rests between shots; in good time, idle time was rest.
-            double worked = Math.min(answer.took(), 3 * usual(shot.held));
+            double worked = Math.min(answer.took(), LONG_AGO * usual(shot.held));
             long from = Math.max(host.pausedUntil, now - (host.lateness > GOAL ? 0 : SAVED));
             host.pausedUntil = from + (long) (worked * Math.max(0, 1 / host.cap - 1));
         }
