--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -76,7 +76,7 @@
         dues = new DueTimes(outlet);
         usual = settings.products().stream().mapToDouble(p -> p.quotedTime() * USUAL_SHARE).toArray();
         bound = settings.products().stream().filter(p -> p.need() == Need.BOUNDED).mapToLong(p -> p.bound())
-                .min().orElse(5 * RECHECK);
+                .min().orElse(5 * RECHECK); // a guess, where no product bounds it
         double share = FLEET_SLOTS / Math.max(1, settings.routers());
         slotFloor = share < 1 ? share : Math.floor(share);
         margin = 2 * settings.resolution();
@@ -121,7 +121,7 @@
             GroupState group = group(listed.group());
             group.join(host);
             if (listed.startedAt() > host.warmFrom) { // what was learned of the process before is void
-                host.startAnew(listed.startedAt(), 2 * slotFloor);
+                host.startAnew(listed.startedAt());
             }
             // The list is seconds late: it only fills in where nothing better is known.
             if (listed.primary() && group.primary == null && host.roleAt == HostState.NEVER) {
@@ -389,6 +389,7 @@
         if (host.position >= held.target) {
             return FRESH;
         }
+        // Half of what it is behind, two seconds at the most: a guess; it catches up as fast as it applies.
         long catchesUp = Math.max(RECHECK, Math.min(20 * RECHECK, (held.target - host.position) / 2));
         boolean refused = host.refusedAt > now - catchesUp;
         boolean unsafe = settings.behind() == Settings.Behind.ANSWERS;
@@ -644,7 +645,7 @@
     private void well(HostState host, long now) {
         outlet.log(host.id + " is well again");
         if (host.health == Health.DOWN && now - host.troubledAt > RECHECK) {
-            host.startAnew(now, 2 * slotFloor);
+            host.startAnew(now);
         }
         host.health = Health.WELL;
     }
@@ -673,7 +674,7 @@
     private void callOff(HostState host, long now) {
         int sure = SURELY_LOST * host.out.size();
         int enough = losses > LOSSY ? OVERTAKEN : sure;
-        for (Shot shot : List.copyOf(host.out)) {
+        for (Shot shot : host.out) {
             boolean late = now - shot.sentAt > LONG_AGO * usual(shot.held);
             if (late && !shot.lost && shot.overtaken >= (shot.control ? sure : enough)) {
                 losses += shot.overtaken >= sure ? (1 - losses) * LOSS_SMOOTH : 0;
@@ -798,9 +799,9 @@
         return fit <= (waitedLong ? LAST : worstFit(held, now)) && free(held, host, now);
     }
 
-    // An exception to parking for busy replicas: a read that has waited this share of its quoted time may
-    // take a slot of the primary that reads may have. Guards against waste of the primary when replicas are
-    // few or slow; harm: a primary with more writes than it shows.
+    // An exception to parking for busy replicas: a read that has waited this share of its quoted time takes
+    // any replica, or a slot of the primary that reads may have. Guards against waste of the primary when
+    // replicas are few or slow; harm: a primary with more writes than it shows.
     private static final double PATIENCE = 0.25;
 
     /**
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -17,6 +17,7 @@
     GroupState group;
 
     final List<Shot> out = new ArrayList<>();
+    private final double firstCap;
     double cap;
     double lateness;
     long pausedUntil = NEVER;
@@ -39,9 +40,10 @@
     long roleAt = NEVER;
     long deniedAt = NEVER;
 
-    HostState(HostId id, double cap) {
+    HostState(HostId id, double firstCap) {
         this.id = id;
-        this.cap = cap;
+        this.firstCap = firstCap;
+        cap = firstCap;
     }
 
     void leave() {
@@ -52,7 +54,7 @@
     }
 
     /** A new process: cold, well as far as is known, and nothing of the old one's slots holds. */
-    void startAnew(long at, double firstCap) {
+    void startAnew(long at) {
         warmFrom = at;
         cap = firstCap;
         lateness = 0;
