--- a/src/main/java/rushwood/Main.java
+++ b/src/main/java/rushwood/Main.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import rushwood.adapter.Adapter;
+import rushwood.lifecycle.BadConfig;
+import rushwood.lifecycle.Config;
+import rushwood.lifecycle.Service;
 
 /** The command line: one subcommand a job. */
 public final class Main {
@@ -9,10 +12,29 @@
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("adapter")) {
-            System.exit(Adapter.run(System.in, System.out, System.err));
+        String job = args.length == 1 ? args[0] : "";
+        switch (job) {
+            case "adapter" -> System.exit(Adapter.run(System.in, System.out, System.err));
+            case "serve" -> serve();
+            default -> {
+                System.err.println("usage: rushwood adapter | serve");
+                System.exit(2);
+            }
+        }
+    }
+
+    /** Returns once it serves; the event loop goes on until SIGTERM. */
+    private static void serve() {
+        try {
+            Service service = new Service(Config.read(System.getenv()));
+            service.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
+        } catch (BadConfig e) {
+            System.err.println("rushwood: " + e.getMessage());
+            System.exit(2);
+        } catch (Exception e) {
+            System.err.println("rushwood: cannot start: " + e.getMessage());
+            System.exit(1);
         }
-        System.err.println("usage: rushwood adapter");
-        System.exit(2);
     }
 }
--- a/src/main/java/rushwood/adapter/Adapter.java
+++ b/src/main/java/rushwood/adapter/Adapter.java
@@ -148,7 +148,7 @@
         if (target == null) {
             throw line.bad("router", "is not named");
         }
-        Instance instance = new Instance(new Conf(line), line.big("entropy"));
+        Instance instance = new Instance(new Conf(line.pairs(), line::bad), line.big("entropy"));
         instances.put(target, instance);
         touched.put(target, instance);
     }
--- a/src/main/java/rushwood/adapter/BadLine.java
+++ b/src/main/java/rushwood/adapter/BadLine.java
@@ -1,10 +1,10 @@
 package rushwood.adapter;
 
 /** A line that cannot be read; the message names the line and the field. */
-final class BadLine extends RuntimeException {
+public final class BadLine extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    BadLine(String message) {
+    public BadLine(String message) {
         super(message);
     }
 }
--- a/src/main/java/rushwood/adapter/Conf.java
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -3,20 +3,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import rushwood.api.Product;
 import rushwood.api.Settings;
 
-/** Decodes the settings of a start. */
-final class Conf {
-    private final Line line;
+/** Decodes the settings of a start, given as pairs of path and value. */
+public final class Conf {
+    private final BiFunction<String, String, BadLine> bad;
     private final Map<String, String> pairs;
 
-    Conf(Line line) {
-        this.line = line;
-        this.pairs = line.pairs();
+    /** With what makes the fault of a field and its reason. */
+    public Conf(Map<String, String> pairs, BiFunction<String, String, BadLine> bad) {
+        this.pairs = pairs;
+        this.bad = bad;
     }
 
-    Settings settings() {
+    public Settings settings() {
         boolean reports = !pairs.getOrDefault("load_report.how", "off").equals("off");
         boolean remembers = pairs.getOrDefault("domain.token_mode", "client").equals("router");
         return new Settings((int) number("n_instances"), products(),
@@ -53,7 +55,7 @@
 
     private long bound(String text) {
         return text.isEmpty() ? 0
-                : Decimal.nanos(text, () -> line.bad("domain.lag_allowed", "is no list of times"));
+                : Decimal.nanos(text, () -> bad.apply("domain.lag_allowed", "is no list of times"));
     }
 
     private Product.Scope scope(String at) {
@@ -67,14 +69,14 @@
             case "own_writes" -> Product.Need.SESSION;
             case "recent" -> Product.Need.BOUNDED;
             case "loose", "" -> Product.Need.ANY;
-            default -> throw line.bad("domain.needs_by_class", "has the unknown word " + word);
+            default -> throw bad.apply("domain.needs_by_class", "has the unknown word " + word);
         };
     }
 
     private String text(String key) {
         String value = pairs.get(key);
         if (value == null || value.isEmpty()) {
-            throw line.bad(key, "is missing");
+            throw bad.apply(key, "is missing");
         }
         return value;
     }
@@ -86,7 +88,7 @@
                 return i;
             }
         }
-        throw line.bad(key, "has the unknown word " + value);
+        throw bad.apply(key, "has the unknown word " + value);
     }
 
     private boolean flag(String key) {
@@ -98,10 +100,10 @@
     }
 
     private double number(String key) {
-        return Decimal.number(text(key), () -> line.bad(key, "is not a number"));
+        return Decimal.number(text(key), () -> bad.apply(key, "is not a number"));
     }
 
-    private long time(String key) {
-        return Decimal.nanos(text(key), () -> line.bad(key, "is not a time"));
+    public long time(String key) {
+        return Decimal.nanos(text(key), () -> bad.apply(key, "is not a time"));
     }
 }
--- /dev/null
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -0,0 +1,148 @@
+package rushwood.lifecycle;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+import rushwood.decision.Choice;
+import rushwood.state.Agenda;
+import rushwood.state.Clock;
+import rushwood.state.Counters;
+import rushwood.state.Router;
+import rushwood.wire.Clients;
+import rushwood.wire.Discovery;
+import rushwood.wire.HostLinks;
+import rushwood.wire.ListReader;
+
+/** One running router: puts its parts together on one event loop, and ends them in order. */
+public final class Service {
+    private static final int OWN_SOCKETS = 64; // the program's files, the loop, the listener, discovery
+    private static final int CLIENT_PARTS = 3; // of five: clients hold idle connections, hosts busy ones
+    private static final int PARTS = 5;
+    private static final long SECOND = 1_000_000_000L;
+    private static final long STILL_COMING = SECOND / 2; // new connections come 0.4 s long after a SIGTERM
+    private static final long LOOK = SECOND / 20; // between looks at whether all is answered
+    private static final int BACKLOG = 512; // connections that come while the process stands still
+
+    private final Config config;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+    private final Counters counters = new Counters();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Clock clock;
+    private Agenda agenda;
+    private Lines lines;
+    private Router router;
+    private Clients clients;
+    private Discovery discovery;
+    private Channel listener;
+    private Future<?> timer;
+
+    public Service(Config config) {
+        this.config = config;
+    }
+
+    /** Starts it; returns once clients are listened to. */
+    public void start() throws Exception {
+        loop.submit(this::assemble).get();
+        ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, allocator()).childHandler(clients);
+        listener = server.bind(config.listen()).sync().channel();
+        Logger.info("{} serves at {}", config.name(), config.listen());
+    }
+
+    /** Blocks are small: a router holds hundreds of statements, not megabytes. */
+    private static ByteBufAllocator allocator() {
+        return ByteBufAllocator.DEFAULT;
+    }
+
+    private void assemble() {
+        long zero = unixNanos() - System.nanoTime();
+        clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
+        agenda = new Agenda(clock, this::set);
+        lines = new Lines(clock);
+        HostLinks links = new HostLinks(loop, allocator(), counters);
+        discovery = new Discovery(loop, config.discovery(), clock, agenda, new ListEvents());
+        int sockets = Math.max(PARTS, config.sockets() - OWN_SOCKETS);
+        int forClients = sockets * CLIENT_PARTS / PARTS;
+        router = new Router(clock, agenda, counters,
+                new Router.Limits(sockets - forClients, config.openWithin(), config.idleFor()), links,
+                links::probe, discovery::follow, lines::say,
+                outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
+        clients = new Clients(router, counters, config.settings().products(), forClients);
+        router.listed(config.known() == null ? List.of() : config.known().places(), true);
+        discovery.follow();
+    }
+
+    private static long unixNanos() {
+        Instant now = Instant.now();
+        return now.getEpochSecond() * SECOND + now.getNano();
+    }
+
+    private void set(long delay, Runnable task) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timer = loop.schedule(task, delay, TimeUnit.NANOSECONDS);
+    }
+
+    private final class ListEvents implements Discovery.Events {
+        @Override
+        public void listing(ListReader.Listing listing) {
+            counters.add(listing.whole() ? Counters.Count.LISTS_WHOLE : Counters.Count.LISTS_CHANGED);
+            if (listing.whole()) {
+                router.listed(listing.places(), false);
+            } else {
+                router.listChanged(listing.places());
+            }
+        }
+
+        @Override
+        public void failed(String why) {
+            lines.say("discovery " + why);
+            router.listFailed();
+        }
+    }
+
+    /** Takes and answers while clients still come, then ends when nothing is open; blocks until then. */
+    public void stop() {
+        loop.execute(() -> {
+            Logger.info("stopping with {} accesses open", router.openAccesses());
+            agenda.add(clock.now() + STILL_COMING, this::finish);
+        });
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private void finish() {
+        clients.finish();
+        if (clients.open() > 0) {
+            agenda.add(clock.now() + LOOK, this::finish);
+            return;
+        }
+        listener.close();
+        discovery.close();
+        router.close();
+        Logger.info("counters {}", counters);
+        ended.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/state/Counters.java
@@ -0,0 +1,54 @@
+package rushwood.state;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Counts what is taken in, sent and answered. */
+public final class Counters {
+    public enum Count {
+        CLIENTS_ACCEPTED, CLIENTS_REFUSED, CLIENTS_CLOSED, STATEMENTS_REJECTED,
+        ACCESSES_TAKEN, ACCESSES_FULFILLED, ACCESSES_TURNED_BACK, ACCESSES_GIVEN_UP, ACCESSES_LEFT,
+        SHOTS_SENT, SHOTS_FULFILLED, SHOTS_ERROR, SHOTS_OVERFULL, SHOTS_BEHIND, SHOTS_EXPIRED, SHOTS_BROKEN,
+        SHOTS_WITHDRAWN, SHOTS_UNREACHED, SHOTS_UNSENT, PROBES_SENT, PROBES_ANSWERED,
+        CONNECTIONS_OPENED, CONNECTIONS_REUSED, CONNECTIONS_FAILED, CONNECTIONS_CLOSED, HOST_FAULTS,
+        LISTS_WHOLE, LISTS_CHANGED, LISTS_FAILED, LISTS_REJECTED, INVARIANTS_BROKEN
+    }
+
+    private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
+
+    public Counters() {
+        for (Count count : Count.values()) {
+            counts.put(count, new long[1]);
+        }
+    }
+
+    public void add(Count count) {
+        counts.get(count)[0]++;
+    }
+
+    public long get(Count count) {
+        return counts.get(count)[0];
+    }
+
+    /** What must hold: asserted in debug builds, counted in release. */
+    public boolean must(boolean holds, String what) {
+        assert holds : what;
+        if (!holds) {
+            add(Count.INVARIANTS_BROKEN);
+        }
+        return holds;
+    }
+
+    /** Every counter by its name in lower case, in order. */
+    public void each(BiConsumer<String, Long> reader) {
+        counts.forEach((count, value) -> reader.accept(count.name().toLowerCase(java.util.Locale.ROOT), value[0]));
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        each((name, value) -> text.append(text.length() == 0 ? "" : " ").append(name).append('=').append(value));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/state/Pool.java
@@ -0,0 +1,241 @@
+package rushwood.state;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import rushwood.api.HostId;
+import rushwood.api.ShotEnd;
+import rushwood.state.Counters.Count;
+
+/** The connections to each host: one errand at a time on each, idle ones reused, the freshest first. */
+final class Pool {
+    private static final long SWEEP = 1_000_000_000L; // between looks at idle connections
+    private static final int KEPT_SHARE = 2; // idle ones go at this part of the hosts' limit, far from a race
+
+    private final Map<HostId, Host> hosts = new LinkedHashMap<>();
+    private final Link.Opener opener;
+    private final Clock clock;
+    private final Agenda agenda;
+    private final Counters counters;
+    private final Router.Limits limits;
+    private int connections;
+
+    private static final class Host {
+        InetSocketAddress address;
+        final Deque<Connection> idle = new ArrayDeque<>();
+    }
+
+    Pool(Link.Opener opener, Clock clock, Agenda agenda, Counters counters, Router.Limits limits) {
+        this.opener = opener;
+        this.clock = clock;
+        this.agenda = agenda;
+        this.counters = counters;
+        this.limits = limits;
+        agenda.add(clock.now() + SWEEP, this::sweep);
+    }
+
+    /** Where a host is; connections that stand idle to another address are closed. */
+    void place(HostId id, InetSocketAddress address) {
+        Host host = hosts.computeIfAbsent(id, each -> new Host());
+        if (!address.equals(host.address)) {
+            closeIdle(host);
+            host.address = address;
+        }
+    }
+
+    /** Nothing new is wanted there. */
+    void rest(HostId id) {
+        Host host = hosts.get(id);
+        if (host != null) {
+            closeIdle(host);
+        }
+    }
+
+    private static void closeIdle(Host host) {
+        while (!host.idle.isEmpty()) {
+            host.idle.pop().close();
+        }
+    }
+
+    /** Runs an errand on an idle connection or a new one; false if no socket may be had. */
+    boolean run(Errand errand) {
+        Host host = hosts.get(errand.host);
+        while (!host.idle.isEmpty()) {
+            Connection connection = host.idle.pop();
+            if (connection.link.open()) {
+                counters.add(Count.CONNECTIONS_REUSED);
+                connection.take(errand);
+                connection.ask();
+                return true;
+            }
+            connection.close();
+        }
+        if (connections >= limits.connections() && !closeOldest()) {
+            return false;
+        }
+        counters.add(Count.CONNECTIONS_OPENED);
+        new Connection(host).start(errand);
+        return true;
+    }
+
+    /** The errand is no longer waited for: what it may have begun on a connection ends with it. */
+    void stop(Errand errand) {
+        Connection connection = errand.on;
+        if (connection != null) {
+            connection.errand = null;
+            errand.on = null;
+            if (connection.asked) {
+                connection.close();
+            }
+        }
+    }
+
+    private boolean closeOldest() {
+        Connection oldest = null;
+        for (Host host : hosts.values()) {
+            Connection last = host.idle.peekLast();
+            if (last != null && (oldest == null || last.idleSince < oldest.idleSince)) {
+                oldest = last;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.host.idle.removeLast();
+        oldest.close();
+        return true;
+    }
+
+    /** Closes what stands idle before the host does: a statement that meets such a close may have run. */
+    private void sweep() {
+        long since = clock.now() - limits.idleFor() / KEPT_SHARE;
+        for (Host host : hosts.values()) {
+            while (!host.idle.isEmpty() && host.idle.peekLast().idleSince <= since) {
+                host.idle.removeLast().close();
+            }
+        }
+        agenda.add(clock.now() + SWEEP, this::sweep);
+    }
+
+    void closeAll() {
+        hosts.values().forEach(Pool::closeIdle);
+    }
+
+    /** One connection and the errand that it is on. */
+    final class Connection implements Link.Events {
+        private final Host host;
+        private final InetSocketAddress address;
+        private Link link;
+        private Errand errand;
+        private Agenda.Entry opening;
+        private boolean asked;
+        private boolean closed;
+        private long idleSince;
+
+        private Connection(Host host) {
+            this.host = host;
+            address = host.address;
+            connections++;
+        }
+
+        boolean asked() {
+            return asked;
+        }
+
+        private void start(Errand first) {
+            take(first);
+            opening = agenda.add(clock.now() + limits.openWithin(), this::neverUp);
+            link = opener.open(address, this);
+        }
+
+        private void take(Errand next) {
+            errand = next;
+            next.on = this;
+        }
+
+        private void ask() {
+            asked = true;
+            link.ask(errand.statement(), errand.probe());
+        }
+
+        private void neverUp() {
+            counters.add(Count.CONNECTIONS_FAILED);
+            close();
+            end(HostAnswer.of(ShotEnd.UNREACHED));
+        }
+
+        @Override
+        public void opened() {
+            opening.callOff();
+            if (errand != null) {
+                ask();
+            } else {
+                rest();
+            }
+        }
+
+        @Override
+        public void answered(HostAnswer answer, boolean again) {
+            asked = false;
+            if (again) {
+                // Idle before the module hears: it may have the next shot for it at once.
+                Errand done = errand;
+                errand = null;
+                rest();
+                end(done, answer);
+            } else {
+                close();
+                end(answer);
+            }
+        }
+
+        @Override
+        public void broken() {
+            boolean mayHaveRun = asked && link.written();
+            if (!asked) {
+                counters.add(Count.CONNECTIONS_FAILED);
+            }
+            host.idle.remove(this);
+            close();
+            end(HostAnswer.of(mayHaveRun ? ShotEnd.BROKEN : ShotEnd.UNREACHED));
+        }
+
+        private void rest() {
+            if (address.equals(host.address)) {
+                idleSince = clock.now();
+                host.idle.push(this);
+            } else {
+                close();
+            }
+        }
+
+        private void end(HostAnswer answer) {
+            Errand done = errand;
+            errand = null;
+            end(done, answer);
+        }
+
+        private void end(Errand done, HostAnswer answer) {
+            if (done == null) {
+                answer.release();
+            } else {
+                done.on = null;
+                done.ended(answer);
+            }
+        }
+
+        private void close() {
+            if (!closed) {
+                closed = true;
+                connections--;
+                counters.add(Count.CONNECTIONS_CLOSED);
+                opening.callOff();
+                if (link != null) {
+                    link.close();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/state/Router.java
@@ -0,0 +1,373 @@
+package rushwood.state;
+
+import io.netty.buffer.ByteBuf;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import rushwood.api.Access;
+import rushwood.api.AccessId;
+import rushwood.api.Answer;
+import rushwood.api.Decisions;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.ListedHost;
+import rushwood.api.Outlet;
+import rushwood.api.ShotEnd;
+import rushwood.state.Counters.Count;
+
+/**
+ * Carries the calls of the network to the decisions and what they decide back to the network. Decides
+ * nothing: the ends of shots wait in a line until the decisions have returned from their last call.
+ */
+public final class Router {
+    /** A host of the list and where it listens. */
+    public record Place(ListedHost host, InetSocketAddress address) {
+    }
+
+    /** The most connections to hosts, how long one may take to come up, how long hosts leave one idle. */
+    public record Limits(int connections, long openWithin, long idleFor) {
+    }
+
+    private static final class Open {
+        final AccessId id;
+        final Statement statement;
+        final List<Shot> shots = new ArrayList<>();
+        Client client;
+        int out;
+
+        Open(AccessId id, Statement statement, Client client) {
+            this.id = id;
+            this.statement = statement;
+            this.client = client;
+        }
+    }
+
+    private final class Shot extends Errand {
+        final Open open;
+        final int number;
+        final long sentAt;
+        final long timeOut;
+        Agenda.Entry expiry;
+
+        Shot(Open open, HostId host, long sentAt, long timeOut) {
+            super(host);
+            this.open = open;
+            this.number = open.shots.size();
+            this.sentAt = sentAt;
+            this.timeOut = timeOut;
+        }
+
+        @Override
+        ByteBuf statement() {
+            return open.statement.message(Math.max(1, (sentAt + timeOut - clock.now()) / MS));
+        }
+
+        @Override
+        void ended(HostAnswer answer) {
+            end(this, answer);
+        }
+    }
+
+    private final class Probe extends Errand {
+        Probe(HostId host) {
+            super(host);
+        }
+
+        @Override
+        ByteBuf statement() {
+            return probe.get();
+        }
+
+        @Override
+        boolean probe() {
+            return true;
+        }
+
+        @Override
+        void ended(HostAnswer answer) {
+            over = true;
+            boolean answered = answer.end() == ShotEnd.FULFILLED;
+            if (answered) {
+                counters.add(Count.PROBES_ANSWERED);
+            }
+            answer.release();
+            ends.add(() -> decisions.probed(clock.now(), host, answered, answer.report()));
+            settle();
+        }
+    }
+
+    private static final long MS = 1_000_000L;
+
+    private final Map<AccessId, Open> opens = new HashMap<>();
+    private final Deque<Runnable> ends = new ArrayDeque<>();
+    private final Set<HostId> known = new HashSet<>();
+    private final Set<GroupId> groups = new HashSet<>();
+    private final Clock clock;
+    private final Agenda agenda;
+    private final Counters counters;
+    private final Pool pool;
+    private final Supplier<ByteBuf> probe;
+    private final Runnable subscribe;
+    private final Consumer<String> log;
+    private final Decisions decisions;
+    private final long probeWithin;
+    private boolean telling;
+    private Agenda.Entry wake;
+    private long open;
+
+    /** With the parts that a router works through, and what makes its decisions from their outlet. */
+    public Router(Clock clock, Agenda agenda, Counters counters, Limits limits, Link.Opener links,
+            Supplier<ByteBuf> probe, Runnable subscribe, Consumer<String> log,
+            Function<Outlet, Decisions> maker) {
+        this.clock = clock;
+        this.agenda = agenda;
+        this.counters = counters;
+        this.probe = probe;
+        this.subscribe = subscribe;
+        this.log = log;
+        probeWithin = limits.openWithin();
+        pool = new Pool(links, clock, agenda, counters, limits);
+        decisions = maker.apply(new Out());
+    }
+
+    // ---- what the network tells
+
+    public void listed(List<Place> places, boolean remembered) {
+        Set<HostId> named = new HashSet<>();
+        places.forEach(place -> named.add(place.host().id()));
+        known.stream().filter(id -> !named.contains(id)).forEach(pool::rest);
+        place(places);
+        tell(() -> decisions.listed(clock.now(), places.stream().map(Place::host).toList(), remembered));
+    }
+
+    /** Changes of hosts never heard of, gone already, say nothing. */
+    public void listChanged(List<Place> changes) {
+        List<Place> heard = changes.stream().filter(each -> known.contains(each.host().id())
+                || each.host().state() != ListedHost.State.GONE).toList();
+        place(heard);
+        tell(() -> decisions.listChanged(clock.now(), heard.stream().map(Place::host).toList()));
+    }
+
+    private void place(List<Place> places) {
+        for (Place place : places) {
+            ListedHost host = place.host();
+            known.add(host.id());
+            groups.add(host.group());
+            pool.place(host.id(), place.address());
+            if (host.state() != ListedHost.State.IN_SERVICE) {
+                pool.rest(host.id());
+            }
+        }
+    }
+
+    public void listFailed() {
+        counters.add(Count.LISTS_FAILED);
+        tell(() -> decisions.listFailed(clock.now()));
+    }
+
+    public boolean hasList() {
+        return !known.isEmpty();
+    }
+
+    public boolean knows(GroupId group) {
+        return groups.contains(group);
+    }
+
+    public boolean isOpen(AccessId id) {
+        return opens.containsKey(id);
+    }
+
+    /** Accesses that still wait for their answer. */
+    public long openAccesses() {
+        return open;
+    }
+
+    public void arrived(Statement statement, Client client) {
+        long now = clock.now();
+        Access access = statement.access(now);
+        counters.add(Count.ACCESSES_TAKEN);
+        open++;
+        opens.put(access.id(), new Open(access.id(), statement, client));
+        tell(() -> decisions.arrived(now, access));
+    }
+
+    public void left(AccessId id) {
+        Open access = opens.get(id);
+        if (access != null && access.client != null) {
+            counters.add(Count.ACCESSES_LEFT);
+            over(access);
+            tell(() -> decisions.left(clock.now(), id));
+            forget(access);
+        }
+    }
+
+    public void close() {
+        pool.closeAll();
+    }
+
+    // ---- the ends of shots
+
+    private void end(Shot shot, HostAnswer answer) {
+        if (shot.over) {
+            answer.release();
+            return;
+        }
+        shot.over = true;
+        shot.expiry.callOff();
+        counters.add(Count.valueOf("SHOTS_" + answer.end()));
+        Open access = shot.open;
+        access.out--;
+        if (answer.end() == ShotEnd.FULFILLED && access.client != null) {
+            counters.add(Count.ACCESSES_FULFILLED);
+            over(access).fulfilled(answer.row());
+        } else {
+            answer.release();
+        }
+        ends.add(() -> {
+            decisions.answered(clock.now(), new Answer(access.id, shot.number, shot.host, answer.end(),
+                    clock.now() - shot.sentAt, access.client == null, answer.primary(), answer.position(),
+                    answer.report()));
+            forget(access);
+        });
+        settle();
+    }
+
+    private Client over(Open access) {
+        Client client = access.client;
+        access.client = null;
+        open--;
+        return client;
+    }
+
+    private void forget(Open access) {
+        if (access.client == null && access.out == 0 && opens.remove(access.id, access)) {
+            access.statement.release();
+        }
+    }
+
+    /** Stops waiting for a shot; one that was never written is known not to have run. */
+    private void stop(Shot shot, ShotEnd end) {
+        boolean asked = shot.on != null && shot.on.asked();
+        pool.stop(shot);
+        end(shot, HostAnswer.of(asked ? end : ShotEnd.UNSENT));
+    }
+
+    private void tell(Runnable call) {
+        ends.add(call);
+        settle();
+    }
+
+    /** One call at a time, in the order of events: none begins while another has not returned. */
+    private void settle() {
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (Runnable next = ends.poll(); next != null; next = ends.poll()) {
+                next.run();
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    // ---- what the decisions do
+
+    private final class Out implements Outlet {
+        @Override
+        public void send(AccessId id, HostId host, long timeOut) {
+            Open access = opens.get(id);
+            if (!counters.must(access != null && access.client != null, "a shot for an open access")) {
+                return;
+            }
+            long now = clock.now();
+            Shot shot = new Shot(access, host, now, timeOut);
+            access.shots.add(shot);
+            access.out++;
+            counters.add(Count.SHOTS_SENT);
+            shot.expiry = agenda.add(now + timeOut, () -> stop(shot, ShotEnd.EXPIRED));
+            if (timeOut <= 0 || !pool.run(shot)) {
+                end(shot, HostAnswer.of(ShotEnd.UNSENT));
+            }
+        }
+
+        @Override
+        public void withdraw(AccessId id, int number) {
+            Open access = opens.get(id);
+            if (access != null && !access.shots.get(number).over) {
+                stop(access.shots.get(number), ShotEnd.WITHDRAWN);
+            }
+        }
+
+        @Override
+        public void turnBack(AccessId id, long advice) {
+            Client client = finish(id);
+            if (client != null) {
+                counters.add(Count.ACCESSES_TURNED_BACK);
+                client.turnedBack(advice);
+            }
+        }
+
+        @Override
+        public void giveUp(AccessId id) {
+            Client client = finish(id);
+            if (client != null) {
+                counters.add(Count.ACCESSES_GIVEN_UP);
+                client.givenUp();
+            }
+        }
+
+        private Client finish(AccessId id) {
+            Open access = opens.get(id);
+            if (access == null || access.client == null) {
+                return null; // it was fulfilled or left a moment ago
+            }
+            Client client = over(access);
+            forget(access);
+            return client;
+        }
+
+        @Override
+        public void probe(HostId host) {
+            counters.add(Count.PROBES_SENT);
+            Probe errand = new Probe(host);
+            agenda.add(clock.now() + probeWithin, () -> {
+                if (!errand.over) {
+                    pool.stop(errand);
+                    errand.ended(HostAnswer.of(ShotEnd.EXPIRED));
+                }
+            });
+            if (!pool.run(errand)) {
+                errand.ended(HostAnswer.of(ShotEnd.UNSENT));
+            }
+        }
+
+        @Override
+        public void wake(long at) {
+            if (wake != null) {
+                wake.callOff();
+            }
+            wake = agenda.add(at, () -> tell(() -> decisions.woken(clock.now())));
+        }
+
+        @Override
+        public void subscribe() {
+            subscribe.run();
+        }
+
+        @Override
+        public void log(String line) {
+            log.accept(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/state/Statement.java
@@ -0,0 +1,16 @@
+package rushwood.state;
+
+import io.netty.buffer.ByteBuf;
+import rushwood.api.Access;
+
+/** An access as a client wrote it. */
+public interface Statement {
+    /** What the module hears, with its due time counted from then. */
+    Access access(long now);
+
+    /** The statement for a shot that is waited for that many milliseconds; the caller releases it. */
+    ByteBuf message(long millis);
+
+    /** No shot will need it any more. */
+    void release();
+}
--- /dev/null
+++ b/src/main/java/rushwood/wire/ClientProtocol.java
@@ -0,0 +1,261 @@
+package rushwood.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import rushwood.state.Client;
+
+/**
+ * The client side of the protocol, fed what a client writes. One statement at a time: what follows waits
+ * unread until the answer is out, as it does at a database.
+ */
+final class ClientProtocol implements Client {
+    /** What the protocol needs of its connection and of the router. */
+    interface Session {
+        boolean ready();
+
+        /** An access; its answer comes through the methods of {@link Client}. */
+        void access(ByteBuf text) throws Fault;
+
+        /** Writes the counters as rows. */
+        int counters(ByteBuf out);
+
+        void rejected(Fault fault);
+
+        /** Takes the buffer over. */
+        void write(ByteBuf out);
+
+        /** Closes once all is written. */
+        void close();
+
+        /** Calls {@link ClientProtocol#resume} in a later turn. */
+        void later();
+    }
+
+    private enum State { START, IDLE, WAITING, SKIPPING, ENDED }
+
+    private static final int LONGEST = 256 << 10; // a value of 64 KiB is 128 KiB as hex, and as much again
+    private static final int ENCRYPTION = 80877103;
+    private static final int GSS = 80877104;
+    private static final int CANCEL = 80877102;
+    private static final String ADMIN = "SHOW COUNTERS";
+
+    private final ByteBufAllocator allocator;
+    private final Session session;
+    private final Frames frames;
+    private State state = State.START;
+    private ByteBuf asked;
+    private boolean ending;
+
+    ClientProtocol(ByteBufAllocator allocator, Session session) {
+        this.allocator = allocator;
+        this.session = session;
+        frames = new Frames(allocator, LONGEST);
+    }
+
+    /** Takes the buffer over. */
+    void feed(ByteBuf in) {
+        frames.feed(in);
+        resume();
+    }
+
+    /** Goes on with what was read, up to an access that has to wait for its answer. */
+    void resume() {
+        ByteBuf out = allocator.buffer(256);
+        try {
+            boolean more = true;
+            while (more && (state == State.START || state == State.IDLE || state == State.SKIPPING)) {
+                more = state == State.START ? start(out) : message(out);
+            }
+        } catch (Fault fault) {
+            session.rejected(fault);
+            Messages.error(out, true, fault.state, fault.getMessage(), null);
+            state = State.ENDED;
+        }
+        if (out.isReadable()) {
+            session.write(out);
+        } else {
+            out.release();
+        }
+        if (asked != null) {
+            take();
+        }
+        rest();
+    }
+
+    /** Hands an access over, after what was to be written before its answer. */
+    private void take() {
+        ByteBuf text = asked;
+        asked = null;
+        try {
+            session.access(text);
+        } catch (Fault fault) {
+            session.rejected(fault);
+            refuse(fault.state, fault.getMessage(), null);
+        }
+    }
+
+    private void rest() {
+        if (ending && isBetween()) {
+            state = State.ENDED;
+        }
+        if (state == State.ENDED) {
+            frames.close();
+            session.close();
+        } else {
+            frames.trim();
+        }
+    }
+
+    private boolean start(ByteBuf out) throws Fault {
+        ByteBuf message = frames.untyped();
+        if (message == null) {
+            return false;
+        }
+        if (message.readableBytes() < 4) {
+            throw Fault.lost("a startup message without a version");
+        }
+        int version = message.readInt();
+        if (version == ENCRYPTION || version == GSS) {
+            out.writeByte('N');
+        } else if (version == CANCEL) {
+            state = State.ENDED;
+        } else if (version >> 16 != Messages.VERSION >> 16) {
+            throw new Fault("0A000", "only version 3 of the protocol is spoken", true);
+        } else {
+            if (version != Messages.VERSION) {
+                Messages.negotiate(out);
+            }
+            Messages.welcome(out);
+            state = State.IDLE;
+        }
+        return true;
+    }
+
+    private boolean message(ByteBuf out) throws Fault {
+        ByteBuf message = frames.typed();
+        if (message == null) {
+            return false;
+        }
+        char type = frames.type();
+        if (type == 'X') {
+            state = State.ENDED;
+        } else if (type == 'S') {
+            state = State.IDLE;
+            Messages.ready(out);
+        } else if ("PBDECFHdcf".indexOf(type) >= 0) {
+            if (state != State.SKIPPING && type != 'H') {
+                state = State.SKIPPING; // up to the Sync that ends what we do not speak
+                Messages.error(out, false, "0A000", "only simple queries are taken", null);
+            }
+        } else if (type != 'Q') {
+            throw Fault.lost("a message of unknown type");
+        } else if (state != State.SKIPPING) {
+            query(message, out);
+        }
+        return true;
+    }
+
+    private void query(ByteBuf message, ByteBuf out) {
+        try {
+            int end = message.indexOf(message.readerIndex(), message.writerIndex(), (byte) 0);
+            if (end != message.writerIndex() - 1) {
+                throw new Fault("08P01", "the query does not end with its zero", false);
+            }
+            ByteBuf text = message.slice(message.readerIndex(), end - message.readerIndex());
+            if (text.readableBytes() <= ADMIN.length() + 2 && small(text, out)) {
+                return;
+            }
+            asked = text;
+            state = State.WAITING;
+        } catch (Fault fault) {
+            session.rejected(fault);
+            Messages.error(out, false, fault.state, fault.getMessage(), null);
+            Messages.ready(out);
+        }
+    }
+
+    /** Statements that need no host. */
+    private boolean small(ByteBuf text, ByteBuf out) throws Fault {
+        String words = text.toString(StandardCharsets.UTF_8).replace(';', ' ').strip().toUpperCase(Locale.ROOT);
+        if (!words.isEmpty() && !words.equals(ADMIN)) {
+            return false;
+        }
+        if (words.equals(ADMIN)) {
+            Messages.columns(out, "counter", "value");
+            Messages.complete(out, "SELECT " + session.counters(out));
+        } else if (session.ready()) {
+            Messages.bare(out, 'I');
+        } else {
+            throw new Fault("57P03", "not ready yet", false);
+        }
+        Messages.ready(out);
+        return true;
+    }
+
+    // ---- answers
+
+    @Override
+    public void fulfilled(ByteBuf row) {
+        ByteBuf ready = allocator.buffer(6);
+        Messages.ready(ready);
+        answer(Unpooled.wrappedBuffer(row, ready));
+    }
+
+    @Override
+    public void turnedBack(long advice) {
+        long millis = (advice + 999_999) / 1_000_000;
+        refuse("53300", "turned back: trying again is harmless", millis > 0 ? Long.toString(millis) : null);
+    }
+
+    @Override
+    public void givenUp() {
+        refuse("58000", "given up: it may have run", null);
+    }
+
+    private void refuse(String code, String message, String detail) {
+        ByteBuf out = allocator.buffer(128);
+        Messages.error(out, false, code, message, detail);
+        Messages.ready(out);
+        answer(out);
+    }
+
+    private void answer(ByteBuf out) {
+        if (state != State.WAITING) {
+            out.release();
+            return;
+        }
+        state = State.IDLE;
+        session.write(out);
+        if (frames.waiting() > 0 || ending) {
+            session.later();
+        }
+    }
+
+    // ---- the end
+
+    /** From now on the connection closes as soon as no access is in it, read or half read. */
+    void finish() {
+        ending = true;
+        if (isBetween()) {
+            resume();
+        }
+    }
+
+    private boolean isBetween() {
+        return (state == State.IDLE || state == State.START) && frames.waiting() == 0;
+    }
+
+    /** Bytes read that wait behind an access. */
+    int waiting() {
+        return frames.waiting();
+    }
+
+    /** The connection is gone. */
+    void closed() {
+        state = State.ENDED;
+        frames.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/wire/Frames.java
@@ -0,0 +1,80 @@
+package rushwood.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.ByteToMessageDecoder;
+
+/** Cuts what is read into messages: slices of the buffer that they came in, joined only where one is cut. */
+final class Frames {
+    private static final int LENGTH = 4;
+
+    private final ByteBufAllocator allocator;
+    private final int longest;
+    private ByteBuf read;
+    private int type;
+
+    Frames(ByteBufAllocator allocator, int longest) {
+        this.allocator = allocator;
+        this.longest = longest;
+    }
+
+    /** Takes the buffer over. */
+    void feed(ByteBuf in) {
+        if (read == null) {
+            read = in;
+        } else {
+            read = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(allocator, read, in);
+        }
+    }
+
+    /** The first message of a client, which has no type; null if it is not all here. */
+    ByteBuf untyped() throws Fault {
+        return next(0);
+    }
+
+    /** The next message with its type and length, of which {@link #type} tells; null if not all here. */
+    ByteBuf typed() throws Fault {
+        return next(1);
+    }
+
+    char type() {
+        return (char) type;
+    }
+
+    private ByteBuf next(int before) throws Fault {
+        int there = waiting();
+        if (there < before + LENGTH) {
+            return null;
+        }
+        int start = read.readerIndex();
+        int length = read.getInt(start + before);
+        if (length < LENGTH || length > longest) {
+            throw Fault.lost("a message of " + length + " bytes");
+        }
+        if (there < before + length) {
+            return null;
+        }
+        type = before == 0 ? 0 : read.getUnsignedByte(start);
+        ByteBuf message = read.readSlice(before + length);
+        return message.skipBytes(before + LENGTH);
+    }
+
+    /** Bytes that were read and not yet taken. */
+    int waiting() {
+        return read == null ? 0 : read.readableBytes();
+    }
+
+    /** Lets go of a buffer of which nothing is left, as before waiting for more. */
+    void trim() {
+        if (read != null && !read.isReadable()) {
+            close();
+        }
+    }
+
+    void close() {
+        if (read != null) {
+            read.release();
+            read = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/wire/HostLinks.java
@@ -0,0 +1,118 @@
+package rushwood.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import rushwood.state.Counters;
+import rushwood.state.Link;
+
+/** Opens connections to hosts; reads and writes for {@link HostProtocol}. */
+public final class HostLinks implements Link.Opener {
+    private static final String PROBE = "SHOW gauges";
+
+    private final EventLoop loop;
+    private final ByteBufAllocator allocator;
+    private final Counters counters;
+
+    public HostLinks(EventLoop loop, ByteBufAllocator allocator, Counters counters) {
+        this.loop = loop;
+        this.allocator = allocator;
+        this.counters = counters;
+    }
+
+    public ByteBuf probe() {
+        return Messages.query(allocator, PROBE);
+    }
+
+    @Override
+    public Link open(InetSocketAddress to, Link.Events events) {
+        Handler handler = new Handler(events);
+        // Who waits decides how long: the pool closes what does not come up.
+        handler.channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, allocator).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0).handler(handler)
+                .connect(to).addListener(connected -> {
+                    if (!connected.isSuccess()) {
+                        handler.end();
+                    }
+                }).channel();
+        return handler;
+    }
+
+    private final class Handler extends ChannelInboundHandlerAdapter implements Link {
+        private final HostProtocol protocol;
+        private Channel channel;
+        private boolean written;
+        private boolean over;
+
+        Handler(Link.Events events) {
+            protocol = new HostProtocol(allocator, events);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(Messages.startup(allocator));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (over) {
+                ((ByteBuf) message).release();
+            } else if (!protocol.feed((ByteBuf) message) && !over) {
+                counters.add(Counters.Count.HOST_FAULTS);
+                end();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            end();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            end();
+        }
+
+        private void end() {
+            if (!over) {
+                over = true;
+                protocol.ended();
+                channel.close();
+            }
+        }
+
+        @Override
+        public void ask(ByteBuf statement, boolean probe) {
+            written = false;
+            protocol.asked(probe);
+            channel.writeAndFlush(statement).addListener(done -> written |= done.isSuccess());
+        }
+
+        @Override
+        public boolean written() {
+            return written;
+        }
+
+        @Override
+        public boolean open() {
+            return !over && channel.isActive() && protocol.usable();
+        }
+
+        @Override
+        public void close() {
+            if (!over) {
+                over = true;
+                protocol.closed();
+                channel.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushwood/wire/package-info.java
@@ -0,0 +1,2 @@
+/** What is spoken: state machines fed bytes that know no socket, and thin handlers that read and write. */
+package rushwood.wire;
