--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -46,10 +46,9 @@
     private final Settings settings;
     private final RandomGenerator chance;
     private final Outlet outlet;
-    private final Stage limits = new Limits();
     private final Stage freshness = new Freshness();
     private final Stage sending = new Sending();
-    private final List<Stage> chain = List.of(limits, new Effects(), freshness, new Placing(), sending);
+    private final List<Stage> chain = List.of(new Limits(), new Effects(), freshness, new Placing(), sending);
     private final Map<HostId, HostState> hosts = new LinkedHashMap<>();
     private final Map<GroupId, GroupState> groups = new TreeMap<>(Comparator.comparing(GroupId::value));
     private final Map<AccessId, Held> taken = new LinkedHashMap<>();
@@ -150,7 +149,7 @@
         Held held = new Held(access, group(access.group()), now);
         taken.put(access.id(), held);
         curiosity = Math.min(MOST_CURIOSITY, curiosity + CURIOSITY);
-        dues.add(access.due() - margin, held);
+        dues.add(endsAt(held), held);
         run(held, now);
     }
 
@@ -224,11 +223,9 @@
     // ---- stage: the limits of time
 
     private final class Limits implements Stage {
-        /** Ends an access whose outer limit can no longer be met even by a quick answer. */
         @Override
         public Step in(Held held, long now) {
-            double least = held.shots.isEmpty() ? usual(held) * QUICK : settings.resolution();
-            return now + least > held.access.due() - margin ? Step.END : Step.PASS;
+            return now >= endsAt(held) ? Step.END : Step.PASS;
         }
 
         @Override
@@ -239,7 +236,12 @@
         }
     }
 
-    private static final double QUICK = 0.6; // a quick answer as a share of the usual time
+    // An access that no host has had goes back at half of its time: hope is small by then, and its client can
+    // still ask again. Harm: a slot might have come a moment later. All others end just before their limit.
+    private long endsAt(Held held) {
+        long time = held.access.due() - held.arrivedAt;
+        return held.arrivedAt + (held.shots.isEmpty() ? time / 2 : time) - margin;
+    }
 
     // ---- stage: what may happen twice
 
@@ -285,8 +287,7 @@
                 case WRITE, ANY -> HostState.NEVER;
                 case CURRENT -> held.arrivedAt;
                 case BOUNDED -> now - held.product.bound();
-                case SESSION -> settings.routerRemembersWrites()
-                        ? written.last(held.access.session())
+                case SESSION -> settings.routerRemembersWrites() ? written.last(held.access.session())
                         : held.access.sinceWrite() == 0 ? HostState.NEVER
                         : held.arrivedAt - held.access.sinceWrite() + MS;
             };
@@ -713,9 +714,6 @@
     @Override
     public void probed(long now, HostId id, boolean answered, LoadReport report) {
         HostState host = hosts.get(id);
-        if (host == null) {
-            throw new IllegalArgumentException("unknown host: " + id);
-        }
         host.probing = false;
         if (answered && host.health == Health.DOWN) {
             well(host, now);
@@ -820,7 +818,11 @@
     @Override
     public void woken(long now) {
         for (Held held = dues.next(now); held != null; held = dues.next(now)) {
-            finish(held);
+            if (now >= endsAt(held)) {
+                finish(held);
+            } else {
+                dues.add(endsAt(held), held);
+            }
         }
         if (now >= nextTick) {
             nextTick = now + RECHECK;
@@ -840,9 +842,7 @@
             if (!held.is(Need.WRITE)) {
                 held.missed.clear();
             }
-            if (limits.in(held, now) == Step.END) {
-                finish(held);
-            } else if (held.is(Need.WRITE) && group.primary == null) {
+            if (held.is(Need.WRITE) && group.primary == null) {
                 run(held, now);
             }
         }
