Tests of the router on sockets: protocols, list, due times, connections, the whole program

Both protocol machines are fed in one piece, byte by byte and cut at every place; each row of the outcome table, the statement comment, discovery, the configuration, the order of due times after a pause, the connections and the ends of shots; and the program in a process of its own with stand-in hosts and discovery on loopback.

Found by them and mended: a task that fails no longer stops all due times (Agenda.fire), an idle connection that a host closes no longer counts as one that failed to come up (Pool.broken).

--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -63,7 +63,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, allocator()).childHandler(clients);
         listener = server.bind(config.listen()).sync().channel();
-        Logger.info("{} serves at {}", config.name(), config.listen());
+        Logger.info("{} serves at {}", config.name(), listener.localAddress());
     }
 
     /** Blocks are small: a router holds hundreds of statements, not megabytes. */
--- a/src/main/java/rushwood/state/Agenda.java
+++ b/src/main/java/rushwood/state/Agenda.java
@@ -21,8 +21,11 @@
             this.task = task;
         }
 
-        public void callOff() {
+        /** Whether it was still to come. */
+        public boolean callOff() {
+            boolean was = task != null;
             task = null;
+            return was;
         }
 
         @Override
@@ -75,13 +78,18 @@
         }
         readFirst = false;
         set = Long.MIN_VALUE; // nothing is set anew until the due are through
-        while (!entries.isEmpty() && entries.peek().at <= now) {
-            Runnable task = entries.poll().task;
-            if (task != null) {
-                task.run();
+        try {
+            while (!entries.isEmpty() && entries.peek().at <= now) {
+                Entry next = entries.poll();
+                Runnable task = next.task;
+                next.task = null;
+                if (task != null) {
+                    task.run();
+                }
             }
+        } finally {
+            set = Long.MAX_VALUE;
+            arm();
         }
-        set = Long.MAX_VALUE;
-        arm();
     }
 }
--- a/src/main/java/rushwood/state/Pool.java
+++ b/src/main/java/rushwood/state/Pool.java
@@ -194,7 +194,7 @@
         @Override
         public void broken() {
             boolean mayHaveRun = asked && link.written();
-            if (!asked) {
+            if (opening.callOff()) {
                 counters.add(Count.CONNECTIONS_FAILED);
             }
             host.idle.remove(this);
--- /dev/null
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -0,0 +1,385 @@
+package rushwood.lifecycle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rushwood.wire.Bytes;
+
+/** The whole program in a process of its own, with stand-in hosts and discovery on loopback. */
+class ServiceTest {
+    private static final int PATIENCE = 20_000; // ms until a test that hangs fails
+    private static final String READ = Bytes.read("ID", ",d=900");
+
+    /** Accepts connections and serves each on a thread. */
+    private abstract static class Standin implements Closeable {
+        final ServerSocket socket;
+        private final List<Socket> open = new ArrayList<>();
+
+        Standin() throws IOException {
+            socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            thread(() -> {
+                while (true) {
+                    Socket next = socket.accept();
+                    synchronized (open) {
+                        open.add(next);
+                    }
+                    thread(() -> serve(next));
+                }
+            });
+        }
+
+        interface Job {
+            void run() throws IOException, InterruptedException;
+        }
+
+        static void thread(Job job) {
+            Thread thread = new Thread(() -> {
+                try {
+                    job.run();
+                } catch (IOException | InterruptedException e) {
+                    return; // the connection or the test is over
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        abstract void serve(Socket client) throws IOException, InterruptedException;
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            synchronized (open) {
+                for (Socket each : open) {
+                    each.close();
+                }
+            }
+        }
+    }
+
+    /** A host; what it answers can be changed, and an answer that does not end with ready is cut off. */
+    private static final class Host extends Standin {
+        final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        final String role;
+        volatile Function<String, byte[]> answer;
+
+        Host(String role) throws IOException {
+            this.role = role;
+            answer = statement -> Bytes.join(Bytes.row(role), Bytes.parameter("part", role), Bytes.ready());
+        }
+
+        @Override
+        void serve(Socket client) throws IOException {
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            in.readNBytes(in.readInt() - 4);
+            client.getOutputStream().write(Bytes.welcome());
+            while (true) {
+                in.readByte();
+                byte[] text = in.readNBytes(in.readInt() - 4);
+                String statement = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
+                seen.add(statement);
+                byte[] answered = answer.apply(statement);
+                client.getOutputStream().write(answered);
+                if (!Bytes.types(answered).endsWith("Z")) {
+                    client.close();
+                }
+            }
+        }
+    }
+
+    /** Discovery: the whole list, then a watch that tells what the test puts in. */
+    private static final class Registry extends Standin {
+        final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        volatile String list;
+
+        Registry() throws IOException {
+        }
+
+        @Override
+        void serve(Socket client) throws IOException, InterruptedException {
+            BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+            String path = in.readLine().split(" ")[1];
+            asked.add(path);
+            OutputStream out = client.getOutputStream();
+            if (!path.contains("follow")) {
+                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).getBytes());
+                return;
+            }
+            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+            while (true) {
+                String change = changes.take() + "\n";
+                out.write((Integer.toHexString(change.length()) + "\r\n" + change + "\r\n").getBytes());
+            }
+        }
+    }
+
+    /** A client connection that has said hello. */
+    private static final class Client implements Closeable {
+        final Socket socket;
+
+        Client(int port) throws IOException {
+            socket = new Socket("127.0.0.1", port);
+            socket.setSoTimeout(PATIENCE);
+            socket.getOutputStream().write(Bytes.startup());
+            assertEquals("R S S S S S K Z", read());
+        }
+
+        void ask(String statement) throws IOException {
+            socket.getOutputStream().write(Bytes.query(statement));
+        }
+
+        String answer(String statement) throws IOException {
+            ask(statement);
+            return read();
+        }
+
+        /** Messages up to ready. */
+        String read() throws IOException {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            byte type;
+            do {
+                type = in.readByte();
+                byte[] body = in.readNBytes(in.readInt() - 4);
+                all.writeBytes(Bytes.message((char) type, body));
+            } while (type != 'Z');
+            return Bytes.types(all.toByteArray());
+        }
+
+        boolean ended() throws IOException {
+            return socket.getInputStream().read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @TempDir
+    Path folder;
+    private Host primary;
+    private Host replica;
+    private Registry registry;
+    private Process process;
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    private int port;
+    private int version = 40;
+
+    @BeforeEach
+    void start() throws Exception {
+        primary = new Host("master");
+        replica = new Host("replica");
+        registry = new Registry();
+        registry.list = list(true, entry("a", primary, "Ready"), entry("b", replica, "Ready"));
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"seed\":\"7\","
+                + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + registry.socket.getLocalPort()
+                + "\",\"limits\":{\"sockets\":256},\"known\":" + registry.list + ",\"settings\":"
+                + ConfigTest.SETTINGS + "}");
+        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-ea",
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Dio.netty.leakDetection.level=paranoid", "-cp",
+                System.getProperty("java.class.path"), "rushwood.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("NODE_CONFIG", config.toString());
+        process = builder.start();
+        Standin.thread(() -> process.inputReader().lines().forEach(log::add));
+        String line = logged("serves at");
+        port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        process.toHandle().destroy(); // leaves its output open
+        assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
+        assertEquals(List.of(), log.stream().filter(line -> line.contains("LEAK")).toList());
+        registry.close();
+        primary.close();
+        replica.close();
+    }
+
+    private String list(boolean whole, String... entries) {
+        return "{\"version\":" + ++version + ",\"full\":" + whole + ",\"servers\":[" + String.join(",", entries)
+                + "]}";
+    }
+
+    private static String entry(String id, Host host, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + host.socket.getLocalPort() + "\",\"cell\":2,"
+                + "\"state\":\"" + state + "\",\"weight\":1.0,\"part\":\"" + host.role + "\"}";
+    }
+
+    private String logged(String part) throws InterruptedException {
+        for (String line = take(log); ; line = take(log)) {
+            if (line.contains(part)) {
+                return line;
+            }
+        }
+    }
+
+    private static String take(BlockingQueue<String> from) throws InterruptedException {
+        String next = from.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        assertTrue(next != null, "nothing came");
+        return next;
+    }
+
+    /** The next statement of a client that a host saw. */
+    private static String statement(Host host) throws InterruptedException {
+        String next = take(host.seen);
+        return next.startsWith("SHOW") ? statement(host) : next;
+    }
+
+    private static String id(String statement, String id) {
+        return statement.replace("ID", id);
+    }
+
+    @Test
+    void serves() throws Exception {
+        try (Client client = new Client(port)) {
+            assertEquals("I Z", client.answer(""));
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+            String seen = statement(replica);
+            assertEquals(id(READ, "r1").replaceAll("d=\\d+", ""), seen.replaceAll("d=\\d+", ""));
+            int waits = Integer.parseInt(seen.replaceAll(".*d=(\\d+).*", "$1"));
+            assertTrue(waits > 400 && waits < 900, seen);
+            assertEquals("T D C Z", client.answer(Bytes.write("w1", ",d=900")));
+            assertTrue(statement(primary).startsWith("INSERT"));
+            assertEquals("E(22023) Z", client.answer(id(READ, "r2").replace("cluster=2", "cluster=9")));
+            assertTrue(client.answer("SHOW counters").startsWith("T D D"));
+        }
+    }
+
+    @Test
+    void turnsBack() throws Exception {
+        byte[] full = Bytes.join(Bytes.error("53300"), Bytes.ready());
+        primary.answer = statement -> full;
+        try (Client client = new Client(port)) {
+            assertEquals("E(53300) Z", client.answer(Bytes.write("w1", ",d=300")));
+        }
+    }
+
+    /** An end in mid-row proves nothing: a write is given up, a read goes on to the other host. */
+    @Test
+    void hostDiesInMidRow() throws Exception {
+        byte[] row = Bytes.row("value");
+        primary.answer = statement -> Bytes.message('T', new byte[] {0, 1});
+        replica.answer = statement -> Bytes.message('T', new byte[] {0, 1});
+        try (Client client = new Client(port)) {
+            assertEquals("E(58000) Z", client.answer(Bytes.write("w1", ",d=900")));
+            primary.answer = statement -> Bytes.join(row, Bytes.parameter("part", "master"), Bytes.ready());
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+        }
+    }
+
+    @Test
+    void drainedHostsGetNothingNew() throws Exception {
+        try (Client client = new Client(port)) {
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+            registry.changes.add("");
+            registry.changes.add(list(false, entry("b", replica, "Terminating")));
+            String counters = "";
+            while (!counters.contains("lists_changed=1")) {
+                counters = counters(client);
+            }
+            replica.seen.clear();
+            assertEquals("T D C Z", client.answer(id(READ, "r2")));
+            assertEquals(List.of(), List.copyOf(replica.seen));
+        }
+    }
+
+    private static String counters(Client client) throws IOException {
+        client.ask("SHOW counters");
+        StringBuilder text = new StringBuilder();
+        DataInputStream in = new DataInputStream(client.socket.getInputStream());
+        byte type;
+        do {
+            type = in.readByte();
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            if (type == 'D') {
+                int name = body[5];
+                text.append(new String(body, 6, name)).append('=')
+                        .append(new String(body, 10 + name, body.length - 10 - name)).append(' ');
+            }
+        } while (type != 'Z');
+        return text.toString();
+    }
+
+    @Test
+    void discoveryThatBreaksIsAskedAgain() throws Exception {
+        assertEquals("/registry/instances", take(registry.asked));
+        assertEquals("/registry/instances?follow=1&since=41", take(registry.asked));
+        registry.changes.add("{\"version\":");
+        logged("discovery writes what cannot be read");
+        assertEquals("/registry/instances", take(registry.asked));
+        try (Client client = new Client(port)) {
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+        }
+    }
+
+    @Test
+    void finishesWhatItHasTaken() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Function<String, byte[]> at = replica.answer;
+        replica.answer = statement -> {
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return at.apply(statement);
+        };
+        try (Client idle = new Client(port); Client busy = new Client(port)) {
+            busy.ask(id(READ, "r1").replace("d=900", "d=9000"));
+            statement(replica);
+            process.toHandle().destroy(); // leaves its output open
+            logged("stopping");
+            try (Client late = new Client(port)) {
+                late.ask(Bytes.write("w1", ",d=900"));
+                assertEquals("T D C Z", late.read());
+                assertTrue(late.ended());
+            }
+            assertTrue(idle.ended());
+            release.countDown();
+            assertEquals("T D C Z", busy.read());
+            assertTrue(busy.ended());
+        }
+        assertTrue(logged("counters").contains("accesses_fulfilled=2"));
+        assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void garbageEndsNothing() throws Exception {
+        for (byte[] bytes : List.of("GET / HTTP/1.1\r\n\r\n".getBytes(), new byte[] {0, 0, 0, 8, 4, -46, 22, 46},
+                Bytes.join(Bytes.startup(), new byte[] {'Q', -1, -1, -1, -1}), Bytes.startup())) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.getOutputStream().write(bytes);
+            }
+        }
+        replica.answer = statement -> "garbage\n\n\n".getBytes();
+        try (Client client = new Client(port)) {
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushwood/state/RouterTest.java
@@ -0,0 +1,369 @@
+package rushwood.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.ByteBuf;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rushwood.api.Access;
+import rushwood.api.AccessId;
+import rushwood.api.Answer;
+import rushwood.api.Decisions;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.ListedHost;
+import rushwood.api.LoadReport;
+import rushwood.api.Outlet;
+import rushwood.api.ShotEnd;
+import rushwood.api.ZoneId;
+import rushwood.state.Counters.Count;
+import rushwood.wire.Bytes;
+
+/** The router with links, a clock and decisions that the test plays. */
+class RouterTest {
+    private static final long MS = 1_000_000L;
+    private static final HostId A = new HostId("a");
+    private static final AccessId X = new AccessId("x");
+
+    /** A connection as the test sees it. */
+    private final class FakeLink implements Link {
+        final Events events;
+        final List<String> asked = new ArrayList<>();
+        boolean open = true;
+        boolean written = true;
+
+        FakeLink(Events events) {
+            this.events = events;
+        }
+
+        @Override
+        public void ask(ByteBuf statement, boolean probe) {
+            asked.add(probe ? "probe" : "d=" + statement.readableBytes());
+            statement.release();
+        }
+
+        @Override
+        public boolean written() {
+            return written;
+        }
+
+        @Override
+        public boolean open() {
+            return open;
+        }
+
+        @Override
+        public void close() {
+            open = false;
+        }
+
+        void answer(ShotEnd end) {
+            ByteBuf row = end == ShotEnd.FULFILLED ? Bytes.buffer(new byte[] {1}) : null;
+            events.answered(new HostAnswer(end, row, null, -1, LoadReport.NONE), true);
+        }
+    }
+
+    /** Decisions that only note what they hear; a first shot at once if so told. */
+    private final class Heard implements Decisions {
+        @Override
+        public void listed(long now, List<ListedHost> hosts, boolean remembered) {
+        }
+
+        @Override
+        public void listChanged(long now, List<ListedHost> changes) {
+            heard.add("changed " + changes.size());
+        }
+
+        @Override
+        public void listFailed(long now) {
+        }
+
+        @Override
+        public void arrived(long now, Access access) {
+            outlet.send(access.id(), A, 100 * MS);
+        }
+
+        @Override
+        public void answered(long now, Answer answer) {
+            heard.add(answer.shot() + " " + answer.end() + (answer.over() ? " over" : "") + " after "
+                    + answer.took() / MS);
+            next.run();
+        }
+
+        @Override
+        public void left(long now, AccessId access) {
+            heard.add("left " + access);
+        }
+
+        @Override
+        public void probed(long now, HostId host, boolean answered, LoadReport report) {
+            heard.add("probed " + answered);
+        }
+
+        @Override
+        public void woken(long now) {
+            heard.add("woken " + now / MS);
+        }
+    }
+
+    /** A statement whose message is as long as the time in it. */
+    private final class FakeStatement implements Statement {
+        @Override
+        public Access access(long now) {
+            return new Access(X, Bytes.PRODUCTS.get(0), null, new GroupId(1), now + 400 * MS, 0);
+        }
+
+        @Override
+        public ByteBuf message(long millis) {
+            return Bytes.buffer(new byte[(int) millis]);
+        }
+
+        @Override
+        public void release() {
+            heard.add("released");
+        }
+    }
+
+    private final class FakeClient implements Client {
+        @Override
+        public void fulfilled(ByteBuf row) {
+            row.release();
+            heard.add("fulfilled");
+        }
+
+        @Override
+        public void turnedBack(long advice) {
+            heard.add("turned back " + advice / MS);
+        }
+
+        @Override
+        public void givenUp() {
+            heard.add("given up");
+        }
+    }
+
+    private long time;
+    private Runnable timer;
+    private long timerAt;
+    private final List<String> heard = new ArrayList<>();
+    private final List<FakeLink> links = new ArrayList<>();
+    private final List<Runnable> turnEnds = new ArrayList<>();
+    private final Counters counters = new Counters();
+    private final Clock clock = new Clock(() -> time, turnEnds::add);
+    private final Agenda agenda = new Agenda(clock, (delay, task) -> {
+        timer = task;
+        timerAt = time + delay;
+    });
+    private Runnable next = () -> { };
+    private Outlet outlet;
+    private Router router;
+
+    @BeforeEach
+    void start() {
+        router = new Router(clock, agenda, counters, new Router.Limits(2, 250 * MS, 30_000 * MS), (to, events) -> {
+            links.add(new FakeLink(events));
+            return links.get(links.size() - 1);
+        }, () -> Bytes.buffer(new byte[0]), () -> heard.add("subscribed"), heard::add, each -> {
+            outlet = each;
+            return new Heard();
+        });
+        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    }
+
+    @AfterEach
+    void released() {
+        Bytes.allReleased();
+        assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
+    }
+
+    private static Router.Place place(String id, int port, ListedHost.State state) {
+        return new Router.Place(new ListedHost(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
+                new InetSocketAddress("127.0.0.1", port));
+    }
+
+    private void to(long millis) {
+        for (turn(); timerAt <= millis * MS && timer != null; turn()) {
+            time = timerAt;
+            Runnable task = timer;
+            timer = null;
+            task.run();
+        }
+        time = millis * MS;
+    }
+
+    private void turn() {
+        turnEnds.forEach(Runnable::run);
+        turnEnds.clear();
+    }
+
+    private FakeLink arriveAndOpen() {
+        router.arrived(new FakeStatement(), new FakeClient());
+        FakeLink link = links.get(links.size() - 1);
+        if (link.asked.isEmpty()) {
+            link.events.opened();
+        }
+        return link;
+    }
+
+    private void expect(String... lines) {
+        assertEquals(List.of(lines), heard);
+        heard.clear();
+    }
+
+    @Test
+    void fulfilledThenTold() {
+        FakeLink link = arriveAndOpen();
+        assertEquals(List.of("d=100"), link.asked);
+        to(20);
+        link.answer(ShotEnd.FULFILLED);
+        expect("fulfilled", "0 FULFILLED over after 20", "released");
+        arriveAndOpen();
+        assertEquals(1, links.size(), "the connection is used again");
+        assertEquals(1, counters.get(Count.CONNECTIONS_REUSED));
+        link.answer(ShotEnd.FULFILLED);
+    }
+
+    /** Never written is told from written: only the first is sure not to have run. */
+    @Test
+    void breaks() {
+        next = () -> outlet.giveUp(X);
+        router.arrived(new FakeStatement(), new FakeClient());
+        links.get(0).events.broken();
+        expect("0 UNREACHED after 0", "released", "given up");
+        FakeLink half = arriveAndOpen();
+        half.written = false;
+        half.events.broken();
+        expect("0 UNREACHED after 0", "released", "given up");
+        arriveAndOpen().events.broken();
+        expect("0 BROKEN after 0", "released", "given up");
+    }
+
+    @Test
+    void neverComesUp() {
+        next = () -> outlet.turnBack(X, 7 * MS);
+        time = 0;
+        router.arrived(new FakeStatement(), new FakeClient());
+        to(99);
+        expect();
+        to(100);
+        expect("0 UNSENT after 100", "released", "turned back 7");
+        to(250);
+        assertEquals(false, links.get(0).open);
+        expect();
+    }
+
+    @Test
+    void timedOutClosesTheConnection() {
+        next = () -> outlet.giveUp(X);
+        FakeLink link = arriveAndOpen();
+        to(100);
+        assertEquals(false, link.open);
+        expect("0 EXPIRED after 100", "released", "given up");
+    }
+
+    /** The end of a withdrawn shot comes once the decisions are back; its late answer reaches nobody. */
+    @Test
+    void withdrawn() {
+        FakeLink link = arriveAndOpen();
+        outlet.withdraw(X, 0);
+        outlet.withdraw(X, 0);
+        assertEquals(false, link.open);
+        expect("0 WITHDRAWN after 0");
+        outlet.giveUp(X);
+        outlet.giveUp(X);
+        expect("released", "given up");
+    }
+
+    @Test
+    void leftWhileAShotIsOut() {
+        FakeLink link = arriveAndOpen();
+        router.left(X);
+        router.left(X);
+        expect("left x");
+        to(30);
+        link.answer(ShotEnd.FULFILLED);
+        expect("0 FULFILLED over after 30", "released");
+    }
+
+    @Test
+    void connectionsHaveALimit() {
+        next = () -> outlet.turnBack(X, 0);
+        outlet.probe(A);
+        outlet.probe(A);
+        router.arrived(new FakeStatement(), new FakeClient());
+        expect("0 UNSENT after 0", "released", "turned back 0");
+        assertEquals(2, links.size());
+        links.get(0).events.opened();
+        links.get(0).answer(ShotEnd.FULFILLED);
+        expect("probed true");
+        router.listChanged(List.of(place("b", 2, ListedHost.State.IN_SERVICE)));
+        heard.clear();
+        outlet.probe(new HostId("b"));
+        assertEquals(3, links.size(), "an idle connection makes room");
+        assertEquals(false, links.get(0).open);
+    }
+
+    @Test
+    void probesEndInTime() {
+        outlet.probe(A);
+        links.get(0).events.opened();
+        assertEquals(List.of("probe"), links.get(0).asked);
+        to(250);
+        expect("probed false");
+        assertEquals(false, links.get(0).open);
+    }
+
+    @Test
+    void idleConnectionsAreClosedWellBeforeTheirLimit() {
+        FakeLink link = arriveAndOpen();
+        link.answer(ShotEnd.FULFILLED);
+        to(14_000);
+        assertEquals(true, link.open);
+        to(17_000);
+        assertEquals(false, link.open);
+    }
+
+    @Test
+    void anOldAddressIsNotUsedAgain() {
+        FakeLink idle = arriveAndOpen();
+        idle.answer(ShotEnd.FULFILLED);
+        FakeLink busy = arriveAndOpen();
+        assertEquals(idle, busy);
+        router.listChanged(List.of(place("a", 9, ListedHost.State.IN_SERVICE)));
+        busy.answer(ShotEnd.FULFILLED);
+        assertEquals(false, busy.open);
+    }
+
+    @Test
+    void drainingHostsLoseTheirIdleConnections() {
+        FakeLink link = arriveAndOpen();
+        link.answer(ShotEnd.FULFILLED);
+        router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)));
+        assertEquals(false, link.open);
+    }
+
+    @Test
+    void goneHostsNeverHeardOfSayNothing() {
+        router.listChanged(List.of(place("z", 1, ListedHost.State.GONE)));
+        expect("changed 0");
+    }
+
+    @Test
+    void oneWakeATime() {
+        outlet.wake(50 * MS);
+        outlet.wake(20 * MS);
+        to(60);
+        expect("woken 20");
+    }
+
+    @Test
+    void whatMustHoldIsAsserted() {
+        assertThrows(AssertionError.class, () -> counters.must(false, "on purpose"));
+        counters.must(true, "");
+    }
+}
--- /dev/null
+++ b/src/test/java/rushwood/wire/HostProtocolTest.java
@@ -0,0 +1,189 @@
+package rushwood.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import rushwood.api.ShotEnd;
+import rushwood.state.HostAnswer;
+import rushwood.state.Link;
+
+class HostProtocolTest {
+    private static final byte[] TOLD = Bytes.join(Bytes.parameter("part", "replica"),
+            Bytes.parameter("caught_up_to", "1767225600123"),
+            Bytes.parameter("gauges", "x0=1767225600.5,x1=1,queue=3"), Bytes.ready());
+
+    /** A connection that has come up and been asked, unless told otherwise. */
+    private static final class Host implements Link.Events {
+        final HostProtocol protocol = new HostProtocol(Bytes.ALLOCATOR, this);
+        final List<String> events = new ArrayList<>();
+        HostAnswer answer;
+        byte[] row;
+        boolean usable = true;
+
+        @Override
+        public void opened() {
+            events.add("opened");
+        }
+
+        @Override
+        public void answered(HostAnswer told, boolean again) {
+            events.add(told.end() + (again ? " again" : ""));
+            answer = told;
+            row = told.row() == null ? null : Bytes.take(told.row());
+        }
+
+        @Override
+        public void broken() {
+            events.add("broken");
+        }
+
+        Host feed(byte[]... parts) {
+            return feed(List.of(Bytes.buffer(Bytes.join(parts))));
+        }
+
+        Host feed(List<ByteBuf> parts) {
+            for (ByteBuf part : parts) {
+                if (usable) {
+                    usable = protocol.feed(part);
+                } else {
+                    part.release();
+                }
+            }
+            if (!usable) {
+                protocol.ended();
+            }
+            return this;
+        }
+    }
+
+    private static Host asked(boolean probe) {
+        Host host = new Host().feed(Bytes.welcome());
+        assertEquals(List.of("opened"), host.events);
+        host.events.clear();
+        host.protocol.asked(probe);
+        return host;
+    }
+
+    @AfterEach
+    void released() {
+        Bytes.allReleased();
+    }
+
+    /** The outcome of what a host writes, however it is cut; a connection that ends after it if not usable. */
+    private static void check(String expected, byte[]... written) {
+        Bytes.everyWay(Bytes.join(written), pieces -> {
+            Host host = asked(false).feed(pieces);
+            assertEquals(List.of(expected), host.events);
+            host.protocol.closed();
+        });
+    }
+
+    @Test
+    void rowIsPassedOnToTheByte() {
+        byte[] row = Bytes.row("value");
+        Bytes.everyWay(Bytes.join(row, TOLD), pieces -> {
+            Host host = asked(false).feed(pieces);
+            assertEquals(List.of("FULFILLED again"), host.events);
+            assertArrayEquals(row, host.row);
+            assertEquals(Boolean.FALSE, host.answer.primary());
+            assertEquals(1767225600123_000_000L, host.answer.position());
+            assertEquals(1767225600.5e9, host.answer.report().position());
+            assertEquals(Boolean.TRUE, host.answer.report().primary());
+        });
+    }
+
+    @Test
+    void outcomeTable() {
+        check("BEHIND again", Bytes.error("25006"), TOLD);
+        check("BEHIND again", Bytes.error("72000"), TOLD);
+        check("ERROR again", Bytes.error("XX000"), TOLD);
+        check("ERROR again", Bytes.error("08P01"), Bytes.ready());
+        check("OVERFULL again", Bytes.error("53300"), Bytes.ready());
+    }
+
+    @Test
+    void whatIsNoAnswerBreaksTheConnection() {
+        check("broken", Bytes.ready());
+        check("FULFILLED", Bytes.row("v"), Bytes.row("v"));
+        check("broken", Bytes.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
+        check("broken", Bytes.message('T', new byte[] {0, 2}));
+        check("broken", Bytes.message('?', new byte[0]));
+        check("broken", Bytes.message('S', new byte[] {'a'}));
+        check("broken", new byte[] {'D', 127, 0, 0, 0, 0});
+        check("broken", Bytes.welcome());
+    }
+
+    @Test
+    void endsInMidRow() {
+        byte[] row = Bytes.row("value");
+        for (int cut = 0; cut < row.length; cut++) {
+            Host host = asked(false).feed(Arrays.copyOf(row, cut));
+            host.protocol.ended();
+            assertEquals(List.of("broken"), host.events);
+        }
+    }
+
+    @Test
+    void anEndAfterAWholeAnswerTakesNothingBack() {
+        Host whole = asked(false).feed(Bytes.row("v"));
+        whole.protocol.ended();
+        assertEquals(List.of("FULFILLED"), whole.events);
+        Host error = asked(false).feed(Bytes.error("53300"));
+        error.protocol.ended();
+        assertEquals(List.of("OVERFULL"), error.events);
+    }
+
+    @Test
+    void openingRefused() {
+        Host full = new Host().feed(Bytes.error("53300"));
+        assertEquals(List.of("OVERFULL"), full.events);
+        Host down = new Host().feed(Bytes.error("57P03"));
+        assertEquals(List.of("UNREACHED"), down.events);
+        Host password = new Host().feed(Bytes.message('R', new byte[] {0, 0, 0, 3}));
+        assertEquals(List.of("broken"), password.events);
+    }
+
+    @Test
+    void anAnswerNobodyAskedForBreaksTheConnection() {
+        Host host = asked(false).feed(Bytes.row("v"), Bytes.ready(), Bytes.row("w"));
+        assertEquals(List.of("FULFILLED again", "broken"), host.events);
+    }
+
+    @Test
+    void oneUseTellsNothingOfTheNext() {
+        Host host = asked(false).feed(Bytes.row("v"), TOLD);
+        host.protocol.asked(false);
+        host.feed(Bytes.row("w"), Bytes.ready());
+        assertNull(host.answer.primary());
+        assertEquals(-1, host.answer.position());
+        assertEquals(true, Double.isNaN(host.answer.report().position()));
+    }
+
+    @Test
+    void probeTellsTheReport() {
+        Host host = asked(true).feed(Bytes.row("x0=12.5,x1=0"), Bytes.ready());
+        assertEquals(List.of("FULFILLED again"), host.events);
+        assertEquals(12.5e9, host.answer.report().position());
+        assertEquals(Boolean.FALSE, host.answer.report().primary());
+        Host bad = asked(true).feed(Bytes.row("x0=,x1,=,;x0=1e999"), Bytes.ready());
+        assertEquals(true, Double.isNaN(bad.answer.report().position()));
+        Host cut = asked(true).feed(Bytes.message('T', new byte[] {0, 1}),
+                Bytes.message('D', new byte[] {0, 1, 0, 0, 1, 0}));
+        assertEquals(List.of("broken"), cut.events);
+    }
+
+    @Test
+    void closedByUsNothingIsTold() {
+        Host host = asked(false).feed(Bytes.row("v"));
+        host.protocol.closed();
+        host.protocol.ended();
+        assertEquals(List.of(), host.events);
+    }
+}
