--- /dev/null
+++ b/Makefile
@@ -0,0 +1,13 @@
+.PHONY: build test lint run
+
+build: # the jar and its libraries in target/
+	mvn -B -q -Dmaven.test.skip=true package
+
+test: # every test; no network but loopback
+	mvn -B verify
+
+lint: # every compiler warning is an error
+	mvn -B -q clean test-compile
+
+run: build # one router, told by NODE_CONFIG
+	$$(sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
