--- a/src/main/java/rushwood/state/Counters.java
+++ b/src/main/java/rushwood/state/Counters.java
@@ -1,6 +1,7 @@
 package rushwood.state;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
@@ -12,7 +13,7 @@
         SHOTS_SENT, SHOTS_FULFILLED, SHOTS_ERROR, SHOTS_OVERFULL, SHOTS_BEHIND, SHOTS_EXPIRED, SHOTS_BROKEN,
         SHOTS_WITHDRAWN, SHOTS_UNREACHED, SHOTS_UNSENT, PROBES_SENT, PROBES_ANSWERED,
         CONNECTIONS_OPENED, CONNECTIONS_REUSED, CONNECTIONS_FAILED, CONNECTIONS_CLOSED, HOST_FAULTS,
-        LISTS_WHOLE, LISTS_CHANGED, LISTS_FAILED, LISTS_REJECTED, INVARIANTS_BROKEN
+        LISTS_WHOLE, LISTS_CHANGED, LISTS_FAILED, INVARIANTS_BROKEN
     }
 
     private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
@@ -42,7 +43,7 @@
 
     /** Every counter by its name in lower case, in order. */
     public void each(BiConsumer<String, Long> reader) {
-        counts.forEach((count, value) -> reader.accept(count.name().toLowerCase(java.util.Locale.ROOT), value[0]));
+        counts.forEach((count, value) -> reader.accept(count.name().toLowerCase(Locale.ROOT), value[0]));
     }
 
     @Override
--- a/src/main/java/rushwood/state/Pool.java
+++ b/src/main/java/rushwood/state/Pool.java
@@ -156,6 +156,7 @@
         }
 
         private void ask() {
+            counters.must(!asked && !closed, "one errand at a time on a connection");
             asked = true;
             link.ask(errand.statement(), errand.probe());
         }
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -109,7 +110,7 @@
 
     private final Map<AccessId, Open> opens = new HashMap<>();
     private final Deque<Runnable> ends = new ArrayDeque<>();
-    private final Set<HostId> known = new HashSet<>();
+    private final Set<HostId> known = new LinkedHashSet<>();
     private final Set<GroupId> groups = new HashSet<>();
     private final Clock clock;
     private final Agenda agenda;
@@ -195,6 +196,7 @@
         long now = clock.now();
         Access access = statement.access(now);
         counters.add(Count.ACCESSES_TAKEN);
+        counters.must(!opens.containsKey(access.id()), "an id stands for one access");
         open++;
         opens.put(access.id(), new Open(access.id(), statement, client));
         tell(() -> decisions.arrived(now, access));
@@ -226,6 +228,7 @@
         counters.add(Count.valueOf("SHOTS_" + answer.end()));
         Open access = shot.open;
         access.out--;
+        counters.must(access.out >= 0, "a shot ends once");
         if (answer.end() == ShotEnd.FULFILLED && access.client != null) {
             counters.add(Count.ACCESSES_FULFILLED);
             over(access).fulfilled(answer.row());
