--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -57,6 +57,7 @@
 
     /** Starts it; returns once clients are listened to. */
     public void start() throws Exception {
+        loop.submit(() -> new Rehearsal(config, allocator()).play()).get();
         loop.submit(this::assemble).get();
         ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/rushwood/wire/Messages.java
+++ b/src/main/java/rushwood/wire/Messages.java
@@ -59,7 +59,7 @@
         ready(out);
     }
 
-    private static void parameter(ByteBuf out, String name, String value) {
+    static void parameter(ByteBuf out, String name, String value) {
         int at = begin(out, 'S');
         text(out, name);
         text(out, value);
--- a/src/test/java/rushwood/lifecycle/ConfigTest.java
+++ b/src/test/java/rushwood/lifecycle/ConfigTest.java
@@ -22,7 +22,7 @@
                        "probes":true,"retry_after":true},
              "load_report":{"how":"inline","names":["x0","x1"]},
              "rules":{"ask_within":10.0,"cold":14.0,"cold_from":0.15,"fall":1.0,"tip_multiple":4.0}}""";
-    private static final String GOOD = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\","
+    static final String GOOD = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\","
             + "\"seed\":\"fc1f30d27a5be964\",\"limits\":{\"sockets\":256},"
             + "\"known\":{\"version\":41,\"full\":true,\"servers\":[]},\"settings\":" + SETTINGS + "}";
 
