What came while the router stood still is dated to the pause's beginning

Clock.cameAt now says the turn before the pause; a beat of 20 ms keeps turns coming so that a rest is no pause.

--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -76,6 +76,7 @@
         long zero = unixNanos() - System.nanoTime();
         clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
         agenda = new Agenda(clock, this::set);
+        beat();
         lines = new Lines(clock);
         HostLinks links = new HostLinks(loop, allocator(), counters);
         discovery = new Discovery(loop, config.discovery(), clock, agenda, new ListEvents());
@@ -90,6 +91,11 @@
         discovery.follow();
     }
 
+    /** Turns come this often even while nothing happens, so that the clock can tell a pause from a rest. */
+    private void beat() {
+        agenda.add(clock.now() + Clock.BEAT, this::beat);
+    }
+
     private static long unixNanos() {
         Instant now = Instant.now();
         return now.getEpochSecond() * SECOND + now.getNano();
--- a/src/main/java/rushwood/state/Clock.java
+++ b/src/main/java/rushwood/state/Clock.java
@@ -5,9 +5,17 @@
 
 /** Unix time in nanoseconds that never goes back, read once a turn of the event loop. */
 public final class Clock {
+    /** The longest that a turn is to be away: who makes a clock sees to a turn this often. */
+    public static final long BEAT = 20_000_000;
+
+    private static final long PAUSE = 40_000_000; // between turns: twice the beat that keeps them coming
+    private static final long SETTLE = 20_000_000; // after a pause, until what came in it has been read
+
     private final LongSupplier source;
     private final Consumer<Runnable> atTurnEnd;
     private long now = Long.MIN_VALUE;
+    private long pausedFrom;
+    private long pausedTo = Long.MIN_VALUE;
     private boolean read;
 
     /** With a source of monotonic Unix time, and what runs a task when the turn ends. */
@@ -19,9 +27,25 @@
     public long now() {
         if (!read) {
             read = true;
-            now = Math.max(now, source.getAsLong());
+            turn(Math.max(now, source.getAsLong()));
             atTurnEnd.accept(() -> read = false);
         }
         return now;
     }
+
+    private void turn(long next) {
+        if (now != Long.MIN_VALUE && next - now > PAUSE) {
+            pausedFrom = now;
+            pausedTo = next;
+        }
+        now = next;
+    }
+
+    /**
+     * When what is read now may have come at the earliest: the time that a client waits counts from when it
+     * wrote, and what it wrote while this process stood still has waited unread.
+     */
+    public long cameAt() {
+        return now() <= pausedTo + SETTLE ? pausedFrom : now;
+    }
 }
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -194,7 +194,7 @@
 
     public void arrived(Statement statement, Client client) {
         long now = clock.now();
-        Access access = statement.access(now);
+        Access access = statement.access(now, clock.cameAt());
         counters.add(Count.ACCESSES_TAKEN);
         counters.must(!opens.containsKey(access.id()), "an id stands for one access");
         open++;
--- a/src/main/java/rushwood/wire/SqlStatement.java
+++ b/src/main/java/rushwood/wire/SqlStatement.java
@@ -167,10 +167,10 @@
     }
 
     @Override
-    public Access access(long now) {
+    public Access access(long now, long cameAt) {
         boolean session = write || product.need() == Product.Need.SESSION;
         long sinceWrite = after == 0 ? 0 : Math.max(1, now - after);
-        return new Access(id(), product, session ? key : null, group, now + waits, sinceWrite);
+        return new Access(id(), product, session ? key : null, group, cameAt + waits, sinceWrite);
     }
 
     @Override
