Long statements are read to their end; short memory refuses instead of failing

Found by a test: with more than 64 KiB of one statement read, reading stopped as if the client wrote ahead, so an INSERT with a value of 64 KiB hung until its client left. To blame: Clients.throttle; it now stops reading only behind an access. Statements held for all clients are weighed: beyond 16 MB a new access gets 53300 and a half-read one its connection closed. Tests of both, and of clients beyond their part of the sockets.

--- a/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/src/main/java/rushwood/wire/ClientProtocol.java
@@ -248,11 +248,25 @@
         return (state == State.IDLE || state == State.START) && frames.waiting() == 0;
     }
 
-    /** Bytes read that wait behind an access. */
+    /** Bytes read that wait behind an access, or for the rest of their message. */
     int waiting() {
         return frames.waiting();
     }
 
+    /** Whether an access waits for its answer. */
+    boolean isWaiting() {
+        return state == State.WAITING;
+    }
+
+    /** Ends a connection that there is no room for. */
+    void refuse(String why) {
+        ByteBuf out = allocator.buffer(128);
+        Messages.error(out, true, "53300", why, null);
+        session.write(out);
+        state = State.ENDED;
+        rest();
+    }
+
     /** The connection is gone. */
     void closed() {
         state = State.ENDED;
--- a/src/main/java/rushwood/wire/Clients.java
+++ b/src/main/java/rushwood/wire/Clients.java
@@ -20,11 +20,14 @@
 public final class Clients extends ChannelInitializer<Channel> {
     private static final int MOST_WAITING = 64 << 10; // bytes read behind an access, until no more are read
 
+    private static final long MOST_HELD = 16 << 20; // bytes of statements: a third of the memory for buffers
+
     private final Set<Handler> open = new LinkedHashSet<>();
     private final Router router;
     private final Counters counters;
     private final List<Product> products;
     private final int most;
+    private long held;
     private boolean ending;
 
     public Clients(Router router, Counters counters, List<Product> products, int most) {
@@ -61,6 +64,8 @@
         private final Channel channel;
         private final ClientProtocol protocol;
         private AccessId access;
+        private int asked;
+        private int holds;
         private boolean closing;
 
         Handler(Channel channel) {
@@ -77,11 +82,25 @@
             }
             protocol.feed((ByteBuf) message);
             throttle();
+            weigh();
+            if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && !closing) {
+                counters.add(Count.CLIENTS_REFUSED);
+                protocol.refuse("memory is short");
+            }
+        }
+
+        /** Keeps count of what is held for this client: what it wrote ahead, and the access that is open. */
+        private void weigh() {
+            int now = closing ? 0 : protocol.waiting() + (protocol.isWaiting() ? asked : 0);
+            held += now - holds;
+            holds = now;
         }
 
         /** Neither what it writes ahead nor what it does not read may fill our memory. */
         private void throttle() {
-            channel.config().setAutoRead(protocol.waiting() <= MOST_WAITING && channel.isWritable());
+            // Only behind an access: a long statement that is half read needs the rest of it.
+            boolean ahead = protocol.isWaiting() && protocol.waiting() > MOST_WAITING;
+            channel.config().setAutoRead(!ahead && channel.isWritable());
         }
 
         @Override
@@ -94,6 +113,7 @@
             if (open.remove(this)) {
                 counters.add(Count.CLIENTS_CLOSED);
                 closing = true;
+                weigh();
                 protocol.closed();
                 if (access != null) {
                     router.left(access);
@@ -114,12 +134,17 @@
         @Override
         public void access(ByteBuf text) throws Fault {
             SqlStatement statement = new SqlStatement(text, products);
+            if (held + text.readableBytes() > MOST_HELD) {
+                statement.release();
+                throw new Fault("53300", "memory is short: trying again is harmless", false);
+            }
             boolean twice = router.isOpen(statement.id());
             if (twice || !router.knows(statement.group())) {
                 statement.release();
                 throw new Fault("22023", twice ? "the id is in use" : "the cluster is unknown", false);
             }
             access = statement.id();
+            asked = text.readableBytes();
             router.arrived(statement, protocol);
         }
 
@@ -141,6 +166,7 @@
         @Override
         public void write(ByteBuf out) {
             channel.writeAndFlush(out);
+            weigh();
         }
 
         @Override
--- a/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -266,6 +266,9 @@
             assertTrue(waits > 400 && waits < 900, seen);
             assertEquals("T D C Z", client.answer(Bytes.write("w1", ",d=900")));
             assertTrue(statement(primary).startsWith("INSERT"));
+            String longest = Bytes.write("w2", ",d=900").replace("9f03", "9f".repeat(64 << 10));
+            assertEquals("T D C Z", client.answer(longest));
+            assertEquals(longest.length(), statement(primary).length(), 3);
             assertEquals("E(22023) Z", client.answer(id(READ, "r2").replace("cluster=2", "cluster=9")));
             assertTrue(client.answer("SHOW counters").startsWith("T D D"));
         }
@@ -369,6 +372,57 @@
         assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
     }
 
+    /** Beyond their part of the sockets clients are refused at the door, and those inside are served. */
+    @Test
+    void socketsRunOut() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        try (Client client = new Client(port)) {
+            for (int i = 0; i < 200; i++) {
+                sockets.add(new Socket("127.0.0.1", port));
+            }
+            DataInputStream last = new DataInputStream(sockets.get(199).getInputStream());
+            assertEquals('E', last.readByte());
+            assertTrue(new String(last.readNBytes(last.readInt() - 4)).contains("C53300"));
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+        } finally {
+            for (Socket each : sockets) {
+                each.close();
+            }
+        }
+    }
+
+    /** What is half written by many clients does not fill the memory. */
+    @Test
+    void memoryRunsShort() throws Exception {
+        byte[] half = new byte[250_000];
+        half[0] = 'Q';
+        half[2] = 3; // of a length of 262,143
+        half[3] = -1;
+        half[4] = -1;
+        List<Client> clients = new ArrayList<>();
+        try (Client client = new Client(port)) {
+            for (int i = 0; i < 100; i++) {
+                clients.add(new Client(port));
+                Socket socket = clients.get(i).socket;
+                Standin.thread(() -> socket.getOutputStream().write(half));
+            }
+            String counters = counters(client);
+            for (int look = 0; look < PATIENCE && counters.contains("clients_refused=0"); look += 10) {
+                Thread.sleep(10);
+                counters = counters(client);
+            }
+            assertTrue(!counters.contains("clients_refused=0"), counters);
+            for (int i = 0; i < 20; i++) {
+                String answer = client.answer(id(READ, "r" + i));
+                assertTrue(answer.equals("T D C Z") || answer.equals("E(53300) Z"), answer);
+            }
+        } finally {
+            for (Client each : clients) {
+                each.close();
+            }
+        }
+    }
+
     @Test
     void garbageEndsNothing() throws Exception {
         for (byte[] bytes : List.of("GET / HTTP/1.1\r\n\r\n".getBytes(), new byte[] {0, 0, 0, 8, 4, -46, 22, 46},
