--- a/src/main/java/rushwood/adapter/Conf.java
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -48,7 +48,8 @@
             products.add(new Product(text(at + "name"), i, time(at + "aim"),
                     Product.Effect.values()[one(at + "semantics", "repeatable", "by_key", "once")],
                     scope(at), time(at + "window"), need(i < needs.length ? needs[i] : ""),
-                    bound(i < bounds.length ? bounds[i] : "")));
+                    bound(i < bounds.length ? bounds[i] : ""),
+                    pairs.containsKey(at + "late_value") ? number(at + "late_value") : 0));
         }
         return products;
     }
--- a/src/main/java/rushwood/api/Product.java
+++ b/src/main/java/rushwood/api/Product.java
@@ -1,8 +1,11 @@
 package rushwood.api;
 
-/** The kind an access belongs to. Times in nanoseconds; {@code bound} counts only for a BOUNDED need. */
+/**
+ * The kind an access belongs to. Times in nanoseconds; {@code bound} counts only for a BOUNDED need.
+ * {@code lateEarnings} is the share of its earnings that an answer after the quoted time still has.
+ */
 public record Product(String name, int index, long quotedTime, Effect effect, Scope scope, long window,
-        Need need, long bound) {
+        Need need, long bound, double lateEarnings) {
 
     public enum Effect { REDOABLE, LABELLED, IRREVERSIBLE }
 
--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -236,11 +236,11 @@
         }
     }
 
-    // An access that no host has had goes back at half of its time: hope is small by then, and its client can
-    // still ask again. Harm: a slot might have come a moment later. All others end just before their limit.
+    // An access that no host has had and that earns nothing late goes back at half of its time: hope is small
+    // by then, and its client can still ask again. Harm: a slot a moment later. Others end at their limit.
     private long endsAt(Held held) {
-        long time = held.access.due() - held.arrivedAt;
-        return held.arrivedAt + (held.shots.isEmpty() ? time / 2 : time) - margin;
+        boolean half = held.shots.isEmpty() && held.product.lateEarnings() == 0;
+        return held.access.due() - (half ? (held.access.due() - held.arrivedAt) / 2 : 0) - margin;
     }
 
     // ---- stage: what may happen twice
--- a/src/test/java/rushwood/ScenarioTest.java
+++ b/src/test/java/rushwood/ScenarioTest.java
@@ -132,13 +132,14 @@
             return decisions;
         }
 
-        /** product NAME EFFECT NEED [bound MS] [quoted MS] [outer MS] [window MS] [scope SCOPE] */
+        /** product NAME EFFECT NEED [bound MS] [quoted MS] [outer MS] [window MS] [scope SCOPE] [late SHARE] */
         private void product(String[] w) {
             outer.put(w[1], after(w, "outer", "1500"));
             products.put(w[1], new Product(w[1], products.size(), ms(after(w, "quoted", "400")),
                     Product.Effect.valueOf(w[2]),
                     Product.Scope.valueOf(after(w, "scope", "GROUP")), ms(after(w, "window", "3000")),
-                    Product.Need.valueOf(w[3]), ms(after(w, "bound", "500"))));
+                    Product.Need.valueOf(w[3]), ms(after(w, "bound", "500")),
+                    Double.parseDouble(after(w, "late", "0"))));
         }
 
         /** host NAME [primary yes] [state STATE] [started MS] [group N] [zone Z] */
--- a/src/test/java/rushwood/wire/Bytes.java
+++ b/src/test/java/rushwood/wire/Bytes.java
@@ -17,11 +17,11 @@
     public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
     public static final List<Product> PRODUCTS = List.of(
             new Product("pass", 0, 400_000_000, Product.Effect.REDOABLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.BOUNDED, 500_000_000),
+                    Product.Need.BOUNDED, 500_000_000, 0),
             new Product("pay", 1, 750_000_000, Product.Effect.IRREVERSIBLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.WRITE, 0),
+                    Product.Need.WRITE, 0, 0),
             new Product("mine", 2, 400_000_000, Product.Effect.REDOABLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.SESSION, 0));
+                    Product.Need.SESSION, 0, 0));
 
     private static final List<ByteBuf> GIVEN = new ArrayList<>();
 
