One place for the start's flags, the build command and the product of a name

Left: both ends of the pool's Link have a stand-in of their own (rehearsal and test), which answer differently.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint run
 
 build: # the jar and its libraries in target/
-	mvn -B -q -Dmaven.test.skip=true package && sh deploy/archive.sh
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
 test: # every test; no network but loopback
 	mvn -B verify
--- a/src/main/java/rushwood/adapter/Adapter.java
+++ b/src/main/java/rushwood/adapter/Adapter.java
@@ -202,13 +202,8 @@
     }
 
     private Access access(Line line) {
-        Product product = null;
         String kind = line.need("kind");
-        for (Product each : instance(line).settings.products()) {
-            if (each.name().equals(kind)) {
-                product = each;
-            }
-        }
+        Product product = Product.named(instance(line).settings.products(), kind);
         if (product == null) {
             throw line.bad("kind", "is unknown: " + kind);
         }
--- a/src/main/java/rushwood/api/Product.java
+++ b/src/main/java/rushwood/api/Product.java
@@ -1,5 +1,7 @@
 package rushwood.api;
 
+import java.util.List;
+
 /**
  * The kind an access belongs to. Times in nanoseconds; {@code bound} counts only for a BOUNDED need.
  * {@code lateEarnings} is the share of its earnings that an answer after the quoted time still has.
@@ -7,6 +9,11 @@
 public record Product(String name, int index, long quotedTime, Effect effect, Scope scope, long window,
         Need need, long bound, double lateEarnings) {
 
+    /** The one of that name, or null. */
+    public static Product named(List<Product> products, String name) {
+        return products.stream().filter(each -> each.name().equals(name)).findFirst().orElse(null);
+    }
+
     public enum Effect { REDOABLE, LABELLED, IRREVERSIBLE }
 
     /** Within which hosts the label of a labelled access is known. */
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -57,28 +57,23 @@
 
     /** Starts it; returns once clients are listened to. */
     public void start() throws Exception {
-        loop.submit(() -> new Rehearsal(config, allocator()).play()).get();
+        loop.submit(() -> new Rehearsal(config, ByteBufAllocator.DEFAULT).play()).get();
         loop.submit(this::assemble).get();
         ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.ALLOCATOR, allocator()).childHandler(clients);
+                .childHandler(clients);
         listener = server.bind(config.listen()).sync().channel();
         Logger.info("{} serves at {}", config.name(), listener.localAddress());
     }
 
-    /** Blocks are small: a router holds hundreds of statements, not megabytes. */
-    private static ByteBufAllocator allocator() {
-        return ByteBufAllocator.DEFAULT;
-    }
-
     private void assemble() {
         long zero = unixNanos() - System.nanoTime();
         clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
         agenda = new Agenda(clock, this::set);
         beat();
         lines = new Lines(clock);
-        HostLinks links = new HostLinks(loop, allocator(), counters);
+        HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
         discovery = new Discovery(loop, config.discovery(), clock, agenda, new ListEvents());
         int sockets = Math.max(PARTS, config.sockets() - OWN_SOCKETS);
         int forClients = sockets * CLIENT_PARTS / PARTS;
--- a/src/main/java/rushwood/wire/SqlStatement.java
+++ b/src/main/java/rushwood/wire/SqlStatement.java
@@ -125,13 +125,11 @@
     }
 
     private Product product(List<Product> products) throws Fault {
-        String name = need("c");
-        for (Product each : products) {
-            if (each.name().equals(name)) {
-                return each;
-            }
+        Product product = Product.named(products, need("c"));
+        if (product == null) {
+            throw impossible("c", "names no product");
         }
-        throw impossible("c", "names no product");
+        return product;
     }
 
     private String need(String field) throws Fault {
--- a/src/test/java/rushwood/state/RouterTest.java
+++ b/src/test/java/rushwood/state/RouterTest.java
@@ -360,22 +360,18 @@
     void aPauseCountsAsWaiting() {
         to(1000);
         clock.now();
+        assertEquals(1430 * MS, dueOfOneAt(1030), "a rest is no pause");
+        assertEquals(1430 * MS, dueOfOneAt(1330));
+        assertEquals(1430 * MS, dueOfOneAt(1335), "a connection that was accepted only after the pause");
+        assertEquals(1760 * MS, dueOfOneAt(1360));
+    }
+
+    /** When the access is due that is read in a new turn at that time. */
+    private long dueOfOneAt(long millis) {
         turn();
-        time = 1030 * MS;
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(1430 * MS, due, "a rest is no pause");
-        turn();
-        time = 1330 * MS;
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(1430 * MS, due);
-        turn();
-        time = 1335 * MS;
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(1430 * MS, due, "a connection that was accepted only after the pause");
-        turn();
-        time = 1360 * MS;
+        time = millis * MS;
         arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(1760 * MS, due);
+        return due;
     }
 
     @Test
