Spoilt answers are told at their head, and surplus behind one never answers the next access

To blame: HostProtocol.ready gave the connection back while bytes stood behind the answer in the same read, and the module's next shot took them for its own; row parts were checked for the count of columns only, so lengths that do not fit went on to clients; a message of unknown type was told only when its length was full. Dismissed: that the router mixed up accesses on one connection (a connection has one errand at a time, asserted).

Now: types and lengths are checked at the head of each message, contents to the byte; an answer is told once all that came with it was read, and anything behind it ends the use of the connection, as does what comes on an idle one. A connection rests 2 ms before its next use. A spoilt answer is an end of its own (SPOILT: may have run), which says nothing of the host's health; it was BROKEN, which took the host for down and then for cold.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -311,7 +311,7 @@
             }
             learnReport(host, answer.report(), now);
             boolean behind = answer.end() == ShotEnd.BEHIND;
-            if (behind || answer.end() == ShotEnd.ERROR) {
+            if (behind || answer.end() == ShotEnd.ERROR || answer.end() == ShotEnd.SPOILT) {
                 shot.held.missed.add(host);
             }
             if (behind && write) {
@@ -604,7 +604,7 @@
                         adapt(host, Math.max(1, share), now);
                     }
                 }
-                case WITHDRAWN, ERROR, BEHIND, UNSENT -> { }
+                case WITHDRAWN, ERROR, SPOILT, BEHIND, UNSENT -> { } // spoilt: not one host's fault
             }
             host.lastAnswer = answer.end().hostAnswered() ? now : host.lastAnswer;
             if (host.lastAnswer == now && host.health == Health.STUCK) {
--- a/src/main/java/rushwood/state/Pool.java
+++ b/src/main/java/rushwood/state/Pool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import rushwood.api.HostId;
@@ -12,6 +13,10 @@
 /** The connections to each host: one errand at a time on each, idle ones reused, the freshest first. */
 final class Pool {
     private static final long SWEEP = 1_000_000_000L; // between looks at idle connections
+    // What a host writes behind its answer, unasked, would pass for the answer to the next statement: a connection
+    // rests until that is sure to be here and seen. Loopback and one data centre bring it within a millisecond.
+    // Harm: a connection more a host.
+    private static final long SETTLED = 2_000_000L;
     private static final int KEPT_SHARE = 2; // idle ones go at this part of the hosts' limit, far from a race
 
     private final Map<HostId, Host> hosts = new LinkedHashMap<>();
@@ -62,8 +67,12 @@
     /** Runs an errand on an idle connection or a new one; false if no socket may be had. */
     boolean run(Errand errand) {
         Host host = hosts.get(errand.host);
-        while (!host.idle.isEmpty()) {
-            Connection connection = host.idle.pop();
+        for (Iterator<Connection> idle = host.idle.iterator(); idle.hasNext();) {
+            Connection connection = idle.next();
+            if (connection.link.open() && connection.idleSince > clock.now() - SETTLED) {
+                continue;
+            }
+            idle.remove();
             if (connection.link.open()) {
                 counters.add(Count.CONNECTIONS_REUSED);
                 connection.take(errand);
--- a/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/src/main/java/rushwood/wire/ClientProtocol.java
@@ -37,6 +37,8 @@
     private enum State { START, IDLE, WAITING, SKIPPING, ENDED }
 
     private static final int LONGEST = 256 << 10; // a value of 64 KiB is 128 KiB as hex, and as much again
+    private static final int LONGEST_START = 10_000; // as at PostgreSQL
+    private static final String EXTENDED = "PBDECFHdcf"; // answered with an error, skipped up to their Sync
     private static final int ENCRYPTION = 80877103;
     private static final int GSS = 80877104;
     private static final int CANCEL = 80877102;
@@ -52,7 +54,16 @@
     ClientProtocol(ByteBufAllocator allocator, Session session) {
         this.allocator = allocator;
         this.session = session;
-        frames = new Frames(allocator, LONGEST);
+        frames = new Frames(allocator, ClientProtocol::longest);
+    }
+
+    private static int longest(int type) {
+        return switch (type) {
+            case 0 -> LONGEST_START;
+            case 'X', 'S' -> 4;
+            case 'Q' -> LONGEST;
+            default -> EXTENDED.indexOf(type) >= 0 ? LONGEST : 0;
+        };
     }
 
     /** Takes the buffer over. */
@@ -145,15 +156,13 @@
         } else if (type == 'S') {
             state = State.IDLE;
             Messages.ready(out);
-        } else if ("PBDECFHdcf".indexOf(type) >= 0) {
-            if (state != State.SKIPPING && type != 'H') {
-                state = State.SKIPPING; // up to the Sync that ends what we do not speak
-                Messages.error(out, false, "0A000", "only simple queries are taken", null);
+        } else if (type == 'Q') {
+            if (state != State.SKIPPING) {
+                query(message, out);
             }
-        } else if (type != 'Q') {
-            throw Fault.lost("a message of unknown type");
-        } else if (state != State.SKIPPING) {
-            query(message, out);
+        } else if (state != State.SKIPPING && type != 'H') {
+            state = State.SKIPPING; // up to the Sync that ends what we do not speak
+            Messages.error(out, false, "0A000", "only simple queries are taken", null);
         }
         return true;
     }
--- a/src/main/java/rushwood/wire/Frames.java
+++ b/src/main/java/rushwood/wire/Frames.java
@@ -3,17 +3,19 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.function.IntUnaryOperator;
 
 /** Cuts what is read into messages: slices of the buffer that they came in, joined only where one is cut. */
 final class Frames {
     private static final int LENGTH = 4;
 
     private final ByteBufAllocator allocator;
-    private final int longest;
+    private final IntUnaryOperator longest;
     private ByteBuf read;
     private int type;
 
-    Frames(ByteBufAllocator allocator, int longest) {
+    /** With the most that the length of a message of a type may say; 0 for types that are not spoken. */
+    Frames(ByteBufAllocator allocator, IntUnaryOperator longest) {
         this.allocator = allocator;
         this.longest = longest;
     }
@@ -43,18 +45,26 @@
 
     private ByteBuf next(int before) throws Fault {
         int there = waiting();
-        if (there < before + LENGTH) {
+        if (there == 0) {
             return null;
         }
         int start = read.readerIndex();
+        int next = before == 0 ? 0 : read.getUnsignedByte(start);
+        int most = longest.applyAsInt(next);
+        if (most < LENGTH) {
+            throw Fault.lost("a message of unknown type"); // told at once: its length may never be full
+        }
+        if (there < before + LENGTH) {
+            return null;
+        }
         int length = read.getInt(start + before);
-        if (length < LENGTH || length > longest) {
+        if (length < LENGTH || length > most) {
             throw Fault.lost("a message of " + length + " bytes");
         }
         if (there < before + length) {
             return null;
         }
-        type = before == 0 ? 0 : read.getUnsignedByte(start);
+        type = next;
         ByteBuf message = read.readSlice(before + length);
         return message.skipBytes(before + LENGTH);
     }
--- a/src/main/java/rushwood/wire/Gauges.java
+++ b/src/main/java/rushwood/wire/Gauges.java
@@ -20,17 +20,20 @@
         }
     }
 
+    /** All of it counts or nothing: where one field cannot be read the others may not be what they seem. */
     static LoadReport read(String text) {
         double position = Double.NaN;
         Boolean primary = null;
         for (String pair : text.split(",")) {
             int equals = pair.indexOf('=');
-            String name = equals < 0 ? "" : pair.substring(0, equals).strip();
-            if (name.equals("x0")) {
-                position = number(pair.substring(equals + 1)) * SECOND;
-            } else if (name.equals("x1")) {
-                double role = number(pair.substring(equals + 1));
-                primary = Double.isNaN(role) ? null : Boolean.valueOf(role == 1);
+            double value = equals < 0 ? Double.NaN : number(pair.substring(equals + 1));
+            if (Double.isNaN(value)) {
+                return LoadReport.NONE;
+            }
+            switch (pair.substring(0, equals).strip()) {
+                case "x0" -> position = value * SECOND;
+                case "x1" -> primary = value == 1;
+                default -> { }
             }
         }
         return new LoadReport(position, primary);
--- a/src/main/java/rushwood/wire/HostLinks.java
+++ b/src/main/java/rushwood/wire/HostLinks.java
@@ -71,6 +71,14 @@
             }
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (!over && !protocol.settle()) {
+                counters.add(Counters.Count.HOST_SURPLUS);
+                end();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             end();
--- a/src/main/java/rushwood/wire/HostProtocol.java
+++ b/src/main/java/rushwood/wire/HostProtocol.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 import rushwood.api.LoadReport;
 import rushwood.api.ShotEnd;
 import rushwood.state.HostAnswer;
@@ -11,9 +12,13 @@
 
 /** The host side of the protocol, fed what a host writes. */
 final class HostProtocol {
-    private enum State { OPENING, IDLE, ASKED, ENDED }
+    private enum State { OPENING, IDLE, ASKED, ANSWERED, ENDED }
 
-    private static final int LONGEST = 1 << 20; // far above a value of 64 KiB, well below what memory holds
+    private static final int LONGEST_ROW = (64 << 10) + 10; // a value of 64 KiB behind its counts and length
+    private static final int LONGEST_TEXT = 8 << 10; // of an error or a notice, far above what hosts write
+    private static final int COLUMN = 18; // bytes behind the name of a column
+
+    private static final Pattern CODE = Pattern.compile("[0-9A-Z]{5}");
 
     private final ByteBufAllocator allocator;
     private final Link.Events events;
@@ -24,6 +29,7 @@
     private char last;
     private String value;
     private ShotEnd end;
+    private boolean spoilt;
     private Boolean primary;
     private long position;
     private LoadReport report;
@@ -31,7 +37,19 @@
     HostProtocol(ByteBufAllocator allocator, Link.Events events) {
         this.allocator = allocator;
         this.events = events;
-        frames = new Frames(allocator, LONGEST);
+        frames = new Frames(allocator, HostProtocol::longest);
+    }
+
+    /** The most a message may claim: what is spoilt is to be told at its head, not when a shot runs out. */
+    private static int longest(int type) {
+        return switch (type) {
+            case 'Z' -> 5;
+            case 'R', 'K' -> 300;
+            case 'T', 'C' -> 1 << 10;
+            case 'S', 'E', 'N' -> LONGEST_TEXT;
+            case 'D' -> 4 + LONGEST_ROW;
+            default -> 0;
+        };
     }
 
     /** A statement is about to be written. */
@@ -52,25 +70,41 @@
     }
 
     boolean usable() {
-        return state == State.IDLE;
+        return state == State.IDLE && frames.waiting() == 0;
     }
 
     /** Takes the buffer over; false if the connection cannot be used any more and is to be closed. */
     boolean feed(ByteBuf in) {
         frames.feed(in);
         try {
-            for (ByteBuf message = frames.typed(); message != null; message = next()) {
+            for (ByteBuf message = next(); message != null; message = next()) {
                 take(message);
             }
             frames.trim();
             return state != State.ENDED;
         } catch (Fault fault) {
+            spoilt = true;
             return false;
         }
     }
 
     private ByteBuf next() throws Fault {
-        return state == State.ENDED ? null : frames.typed();
+        return state == State.ENDED || state == State.ANSWERED ? null : frames.typed();
+    }
+
+    /**
+     * All that had come was fed: an answer that is whole is told only now. What stands behind it belongs to
+     * no statement, and would pass for the answer of the next one: such a connection is not used again. False
+     * if it is to be closed.
+     */
+    boolean settle() {
+        if (state != State.ANSWERED) {
+            return true;
+        }
+        boolean surplus = frames.waiting() > 0;
+        state = surplus ? State.ENDED : State.IDLE;
+        events.answered(answer(), !surplus);
+        return !surplus;
     }
 
     private void take(ByteBuf message) throws Fault {
@@ -79,13 +113,13 @@
             case 'N', 'K' -> { }
             case 'S' -> parameter(message);
             case 'R' -> {
-                if (state != State.OPENING || message.readableBytes() < 4 || message.readInt() != 0) {
+                if (state != State.OPENING || message.readableBytes() != 4 || message.readInt() != 0) {
                     throw Fault.lost("an unexpected authentication message");
                 }
             }
             case 'E' -> error(message);
             case 'T', 'D', 'C' -> rowPart(type, message);
-            case 'Z' -> ready();
+            case 'Z' -> ready(message);
             default -> throw Fault.lost("a message of unexpected type");
         }
     }
@@ -96,12 +130,13 @@
         if (state != State.ASKED || !inOrder || end != null) {
             throw Fault.lost("a part of a row out of order");
         }
-        if (type != 'C' && (message.readableBytes() < 2 || message.getShort(message.readerIndex()) != 1)) {
-            throw Fault.lost("a row that has not one column");
-        }
+        int from = message.readerIndex();
+        check(type, message);
         last = type;
         if (probing) {
-            readValue(type, message);
+            if (type == 'D') {
+                value = message.toString(from + 6, message.writerIndex() - from - 6, StandardCharsets.UTF_8);
+            }
         } else {
             if (row == null) {
                 row = allocator.compositeBuffer(3);
@@ -115,19 +150,30 @@
         }
     }
 
-    private void readValue(char type, ByteBuf message) throws Fault {
-        if (type == 'D') {
-            int length = message.readableBytes() < 6 ? -1 : message.getInt(message.readerIndex() + 2);
-            if (length < 0 || length > message.readableBytes() - 6) {
-                throw Fault.lost("a value that is not whole");
-            }
-            value = message.toString(message.readerIndex() + 6, length, StandardCharsets.UTF_8);
+    /** Counts and lengths fit, to the byte: a client must be able to read what is passed on. */
+    private static void check(char type, ByteBuf message) throws Fault {
+        if (type != 'C' && (message.readableBytes() < 6 || message.readShort() != 1)) {
+            throw Fault.lost("a row that has not one column");
+        }
+        if (type != 'D') {
+            text(message);
+        }
+        int rest = switch (type) {
+            case 'T' -> COLUMN;
+            case 'D' -> message.readInt();
+            default -> 0;
+        };
+        if (message.readableBytes() != rest) {
+            throw Fault.lost("a part of a row whose lengths do not fit");
         }
     }
 
     private void parameter(ByteBuf message) throws Fault {
         String name = text(message);
         String is = text(message);
+        if (message.isReadable()) {
+            throw Fault.lost("a parameter that does not end");
+        }
         if (state == State.ASKED) {
             switch (name) {
                 case "part" -> primary = is.equals("master") ? Boolean.TRUE
@@ -151,10 +197,13 @@
 
     private void error(ByteBuf message) throws Fault {
         String code = "";
-        while (message.isReadable() && message.getByte(message.readerIndex()) != 0) {
-            boolean isCode = message.readByte() == 'C';
-            String field = text(message);
-            code = isCode ? field : code;
+        byte field = 1;
+        while (message.isReadable() && (field = message.readByte()) != 0) {
+            String is = text(message);
+            code = field == 'C' ? is : code;
+        }
+        if (field != 0 || message.isReadable() || !CODE.matcher(code).matches()) {
+            throw Fault.lost("an error that cannot be read"); // it must not prove that nothing ran
         }
         if (state == State.OPENING) {
             state = State.ENDED;
@@ -171,13 +220,15 @@
         }
     }
 
-    private void ready() throws Fault {
+    private void ready(ByteBuf message) throws Fault {
+        if (message.readableBytes() != 1 || message.readByte() != 'I') {
+            throw Fault.lost("ready in no state of ours");
+        }
         if (state == State.OPENING) {
             state = State.IDLE;
             events.opened();
         } else if (state == State.ASKED && end != null) {
-            state = State.IDLE;
-            events.answered(answer(), true);
+            state = State.ANSWERED;
         } else {
             throw Fault.lost("ready without an answer");
         }
@@ -192,13 +243,16 @@
         return new HostAnswer(end, whole, primary, position, report);
     }
 
-    /** The connection ended; an answer that is whole but for what follows it still counts. */
+    /** The connection ended or is of no use; an answer that is whole but for what follows it still counts. */
     void ended() {
         State was = state;
         state = State.ENDED;
         frames.close();
-        if (was == State.ASKED && end != null) {
+        if ((was == State.ASKED || was == State.ANSWERED) && end != null) {
             events.answered(answer(), false);
+        } else if (was == State.ASKED && spoilt) {
+            dropRow();
+            events.answered(HostAnswer.of(ShotEnd.SPOILT), false);
         } else if (was != State.ENDED) {
             dropRow();
             events.broken();
--- a/src/main/java/rushwood/wire/RehearsedLinks.java
+++ b/src/main/java/rushwood/wire/RehearsedLinks.java
@@ -52,6 +52,7 @@
                 due.add(() -> {
                     if (open) {
                         protocol.feed(row());
+                        protocol.settle();
                     }
                 });
             }
--- a/src/test/java/rushwood/state/RouterTest.java
+++ b/src/test/java/rushwood/state/RouterTest.java
@@ -224,6 +224,7 @@
         to(20);
         link.answer(ShotEnd.FULFILLED);
         expect("fulfilled", "0 FULFILLED over after 20", "released");
+        to(30);
         arriveAndOpen();
         assertEquals(1, links.size(), "the connection is used again");
         assertEquals(1, counters.get(Count.CONNECTIONS_REUSED));
@@ -330,10 +331,22 @@
         assertEquals(false, link.open);
     }
 
+    /** What a host writes unasked right behind an answer has to be seen before the connection is used again. */
+    @Test
+    void aConnectionRestsBeforeItsNextUse() {
+        arriveAndOpen().answer(ShotEnd.FULFILLED);
+        arriveAndOpen().answer(ShotEnd.FULFILLED);
+        assertEquals(2, links.size());
+        to(5);
+        arriveAndOpen().answer(ShotEnd.FULFILLED);
+        assertEquals(2, links.size());
+    }
+
     @Test
     void anOldAddressIsNotUsedAgain() {
         FakeLink idle = arriveAndOpen();
         idle.answer(ShotEnd.FULFILLED);
+        to(10);
         FakeLink busy = arriveAndOpen();
         assertEquals(idle, busy);
         router.listChanged(List.of(place("a", 9, ListedHost.State.IN_SERVICE)));
--- a/src/test/java/rushwood/wire/HostProtocolTest.java
+++ b/src/test/java/rushwood/wire/HostProtocolTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
@@ -51,7 +52,7 @@
         Host feed(List<ByteBuf> parts) {
             for (ByteBuf part : parts) {
                 if (usable) {
-                    usable = protocol.feed(part);
+                    usable = protocol.feed(part) && protocol.settle();
                 } else {
                     part.release();
                 }
@@ -110,14 +111,38 @@
 
     @Test
     void whatIsNoAnswerBreaksTheConnection() {
-        check("broken", Bytes.ready());
+        check("SPOILT", Bytes.ready());
         check("FULFILLED", Bytes.row("v"), Bytes.row("v"));
-        check("broken", Bytes.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
-        check("broken", Bytes.message('T', new byte[] {0, 2}));
-        check("broken", Bytes.message('?', new byte[0]));
-        check("broken", Bytes.message('S', new byte[] {'a'}));
-        check("broken", new byte[] {'D', 127, 0, 0, 0, 0});
-        check("broken", Bytes.welcome());
+        check("SPOILT", Bytes.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
+        check("SPOILT", Bytes.message('T', new byte[] {0, 2}));
+        check("SPOILT", Bytes.message('S', new byte[] {'a'}));
+        check("SPOILT", Bytes.message('E', "SERROR\0C53300\0".getBytes()));
+        check("SPOILT", Bytes.message('E', "SERROR\0C!\0\0".getBytes()));
+        check("SPOILT", Bytes.welcome());
+    }
+
+    /** Told at the head of a message: the rest of it may never come. */
+    @Test
+    void whatCannotBeReadIsToldAtOnce() {
+        check("SPOILT", new byte[] {'?'});
+        check("SPOILT", new byte[] {'D', (byte) 0xb2, -48, 94, 0});
+        check("SPOILT", new byte[] {'Z', 0, 0, 0, 6});
+        check("FULFILLED", Bytes.row("v"), new byte[] {'Z', 0, 0, 0, 4});
+    }
+
+    /** Lengths within a row that do not fit it, to the byte. */
+    @Test
+    void lengthsThatDoNotFit() {
+        byte[] row = Bytes.row("value");
+        for (int at : new int[] {4, 6, 33, 35, 39, 49}) {
+            for (int by : new int[] {1, 2, 127}) {
+                byte[] spoilt = row.clone();
+                spoilt[at] += by;
+                Host host = asked(false).feed(spoilt, Bytes.ready());
+                assertTrue(host.row == null, "passed on with byte " + at + " spoilt");
+                host.protocol.closed();
+            }
+        }
     }
 
     @Test
@@ -152,10 +177,25 @@
 
     @Test
     void anAnswerNobodyAskedForBreaksTheConnection() {
-        Host host = asked(false).feed(Bytes.row("v"), Bytes.ready(), Bytes.row("w"));
+        Host host = asked(false).feed(Bytes.row("v"), Bytes.ready());
+        host.feed(Bytes.row("w"));
         assertEquals(List.of("FULFILLED again", "broken"), host.events);
     }
 
+    /** A second copy or noise in the same read never becomes the answer to the next statement. */
+    @Test
+    void surplusEndsTheUseOfAConnection() {
+        for (byte[] surplus : List.of(Bytes.row("v"), new byte[] {0}, Bytes.ready())) {
+            Host host = asked(false).feed(Bytes.row("v"), TOLD, surplus);
+            assertEquals(List.of("FULFILLED"), host.events);
+            assertEquals(Boolean.FALSE, host.answer.primary());
+        }
+        Host half = asked(false).feed(Bytes.row("v"), TOLD);
+        half.feed(new byte[] {'S', 0});
+        assertEquals(false, half.protocol.usable());
+        half.protocol.closed();
+    }
+
     @Test
     void oneUseTellsNothingOfTheNext() {
         Host host = asked(false).feed(Bytes.row("v"), TOLD);
@@ -176,7 +216,7 @@
         assertEquals(true, Double.isNaN(bad.answer.report().position()));
         Host cut = asked(true).feed(Bytes.message('T', new byte[] {0, 1}),
                 Bytes.message('D', new byte[] {0, 1, 0, 0, 1, 0}));
-        assertEquals(List.of("broken"), cut.events);
+        assertEquals(List.of("SPOILT"), cut.events);
     }
 
     @Test
