SIGHUP reads the configuration again and follows discovery at its new address

SIGHUP had no handler: by default it ends the JVM; where it was inherited as ignored the router went on with the old address. Dismissed: that the module sent on against a list it had (the log shows no list after the first SIGHUP).

Now: the file is read again beside the loop, NODE_DISCOVERY of the start does not outrank it, the watch moves at once with fresh versions and fresh gaps, the old one's end is no failure. A bad file is logged once by field, counted and looked at again for ten seconds. What takes a restart is logged. A connect to the agent has one second.

--- a/src/main/java/rushwood/Main.java
+++ b/src/main/java/rushwood/Main.java
@@ -26,7 +26,7 @@
     /** Returns once it serves; the event loop goes on until SIGTERM. */
     private static void serve() {
         try {
-            Service service = new Service(Config.read(System.getenv()));
+            Service service = new Service(Config.read(System.getenv()), System.getenv());
             service.start();
             Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
         } catch (BadConfig e) {
--- a/src/main/java/rushwood/api/Decisions.java
+++ b/src/main/java/rushwood/api/Decisions.java
@@ -10,6 +10,7 @@
     /** The whole list; {@code remembered} if it is only what this router last held before it started. */
     void listed(long now, List<ListedHost> hosts, boolean remembered);
 
+    /** Changes; none where the list comes from another place from now on. */
     void listChanged(long now, List<ListedHost> changes);
 
     /** A call for the list failed, or the subscription ended. */
--- a/src/main/java/rushwood/lifecycle/Config.java
+++ b/src/main/java/rushwood/lifecycle/Config.java
@@ -8,7 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import rushwood.adapter.BadLine;
 import rushwood.adapter.Conf;
@@ -19,6 +22,30 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         ListReader.Listing known, Settings settings, long openWithin, long idleFor) {
 
+    /** A new file that replaces the one read at start: what the variables said then does not outrank it. */
+    public static Config reread(Map<String, String> environment) throws BadConfig {
+        Map<String, String> left = new HashMap<>(environment);
+        left.remove("NODE_DISCOVERY");
+        return read(left);
+    }
+
+    /** What differs in a new file but takes a restart, by its fields. The seed and the list are new with each. */
+    List<String> fixed(Config next) {
+        List<String> fields = new ArrayList<>();
+        note(fields, "name", name, next.name);
+        note(fields, "listen", listen, next.listen);
+        note(fields, "limits.sockets", sockets, next.sockets);
+        note(fields, "settings", List.of(settings, openWithin, idleFor),
+                List.of(next.settings, next.openWithin, next.idleFor));
+        return fields;
+    }
+
+    private static void note(List<String> fields, String field, Object is, Object next) {
+        if (!is.equals(next)) {
+            fields.add(field);
+        }
+    }
+
     /** Reads the file that NODE_CONFIG names; the other variables come before what it says. */
     public static Config read(Map<String, String> environment) throws BadConfig {
         String file = environment.get("NODE_CONFIG");
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -9,8 +9,10 @@
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
@@ -37,6 +39,7 @@
     private static final int BACKLOG = 512; // connections that come while the process stands still
 
     private final Config config;
+    private final Map<String, String> environment;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             NioIoHandler.newFactory());
     private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
@@ -48,11 +51,15 @@
     private Router router;
     private Clients clients;
     private Discovery discovery;
+    private InetSocketAddress followed;
+    private boolean stopping;
     private Channel listener;
     private Future<?> timer;
 
-    public Service(Config config) {
+    /** With the environment that names the configuration's file, which is read again on SIGHUP. */
+    public Service(Config config, Map<String, String> environment) {
         this.config = config;
+        this.environment = environment;
     }
 
     /** Starts it; returns once clients are listened to. */
@@ -67,14 +74,15 @@
         Logger.info("{} serves at {}", config.name(), listener.localAddress());
     }
 
-    private void assemble() {
+    private Void assemble() throws ReflectiveOperationException {
         long zero = unixNanos() - System.nanoTime();
         clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
         agenda = new Agenda(clock, this::set);
         beat();
         lines = new Lines(clock);
         HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
-        discovery = new Discovery(loop, config.discovery(), clock, agenda, new ListEvents());
+        followed = config.discovery();
+        discovery = new Discovery(loop, followed, clock, agenda, new ListEvents());
         int sockets = Math.max(PARTS, config.sockets() - OWN_SOCKETS);
         int forClients = sockets * CLIENT_PARTS / PARTS;
         router = new Router(clock, agenda, counters,
@@ -84,6 +92,22 @@
         clients = new Clients(router, counters, config.settings().products(), forClients);
         router.listed(config.known() == null ? List.of() : config.known().places(), true);
         discovery.follow();
+        new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded).listen();
+        return null;
+    }
+
+    /** Only where the list comes from can change while it runs; the same address again says nothing. */
+    private void reloaded(Config next) {
+        if (stopping) {
+            return;
+        }
+        config.fixed(next).forEach(field -> lines.say("the new configuration's " + field + " takes a restart"));
+        if (!next.discovery().equals(followed)) {
+            followed = next.discovery();
+            lines.say("discovery is at " + followed);
+            router.listMoved();
+            discovery.move(followed);
+        }
     }
 
     /** Turns come this often even while nothing happens, so that the clock can tell a pause from a rest. */
@@ -124,6 +148,7 @@
     /** Takes and answers while clients still come, then ends when nothing is open; blocks until then. */
     public void stop() {
         loop.execute(() -> {
+            stopping = true;
             Logger.info("stopping with {} accesses open", router.openAccesses());
             agenda.add(clock.now() + STILL_COMING, this::finish);
         });
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -158,6 +158,11 @@
         tell(() -> decisions.listChanged(clock.now(), heard.stream().map(Place::host).toList()));
     }
 
+    /** The list comes from another place from now on: what failed at the old one is no reason to wait. */
+    public void listMoved() {
+        tell(() -> decisions.listChanged(clock.now(), List.of()));
+    }
+
     private void place(List<Place> places) {
         for (Place place : places) {
             ListedHost host = place.host();
--- a/src/main/java/rushwood/wire/Discovery.java
+++ b/src/main/java/rushwood/wire/Discovery.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -33,13 +34,14 @@
     }
 
     private static final String PATH = "/registry/instances";
+    private static final int UP_WITHIN = 1000; // ms: it is on this machine, and what it tells is due in 4 s
     private static final long SILENCE = 6_000_000_000L; // three of the empty lines that come every 2 s
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Clock clock;
     private final Agenda agenda;
     private final Events events;
+    private InetSocketAddress address;
     private Call call;
     private long version;
 
@@ -58,6 +60,14 @@
         }
     }
 
+    /** Goes on at another address at once; that the old one ends is no failure, and its versions say nothing. */
+    public void move(InetSocketAddress to) {
+        close();
+        address = to;
+        version = 0;
+        open(false);
+    }
+
     public void close() {
         if (call != null) {
             call.end();
@@ -69,7 +79,7 @@
         call = next;
         next.heard();
         next.channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .handler(new ChannelInitializer<Channel>() {
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, UP_WITHIN).handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(), next);
--- a/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -197,20 +197,64 @@
         replica = new Host("replica");
         registry = new Registry();
         registry.list = list(true, entry("a", primary, "Ready"), entry("b", replica, "Ready"));
-        Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"seed\":\"7\","
-                + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + registry.socket.getLocalPort()
-                + "\",\"limits\":{\"sockets\":256},\"known\":" + registry.list + ",\"settings\":"
-                + ConfigTest.SETTINGS + "}");
+        Path config = configure(registry);
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-ea",
                 "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Dio.netty.leakDetection.level=paranoid", "-cp",
                 System.getProperty("java.class.path"), "rushwood.Main", "serve").redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", config.toString());
+        builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + registry.socket.getLocalPort());
         process = builder.start();
         Standin.thread(() -> process.inputReader().lines().forEach(log::add));
         String line = logged("serves at");
         port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
     }
 
+    private Path configure(Registry at) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"seed\":\"7\","
+                + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + at.socket.getLocalPort()
+                + "\",\"limits\":{\"sockets\":256},\"known\":" + at.list + ",\"settings\":"
+                + ConfigTest.SETTINGS + "}");
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    /** A new file moves the list to another agent under load; a bad one changes nothing and is looked at again. */
+    @Test
+    void followsAnotherDiscovery() throws Exception {
+        take(registry.asked);
+        take(registry.asked);
+        Registry other = new Registry();
+        try (Client client = new Client(port)) {
+            Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":");
+            hangUp();
+            logged("the new configuration is not taken: NODE_CONFIG names a file that is no JSON object");
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+            other.list = list(true, entry("a", primary, "Ready"), entry("b", replica, "Terminating"))
+                    .replaceFirst(":\\d+", ":1");
+            client.ask(id(READ, "r2"));
+            configure(other);
+            assertEquals("/registry/instances", take(other.asked));
+            assertEquals("/registry/instances?follow=1&since=1", take(other.asked));
+            assertEquals("T D C Z", client.read());
+            registry.close();
+            String counters = "";
+            while (!counters.contains("lists_whole=2")) {
+                counters = counters(client);
+            }
+            replica.seen.clear();
+            assertEquals("T D C Z", client.answer(id(READ, "r3")));
+            assertEquals(List.of(), List.copyOf(replica.seen), "it drains, as the new list says");
+            assertTrue(counters(client).contains("lists_failed=0 configs_taken=1 configs_refused=1"));
+            Files.writeString(config, Files.readString(config).replace("256", "300"));
+            hangUp();
+            logged("limits.sockets takes a restart");
+        } finally {
+            other.close();
+        }
+    }
+
     @AfterEach
     void stop() throws Exception {
         process.toHandle().destroy(); // leaves its output open
