After SIGTERM a router serves on until shortly before it is ended

Now: connections are served until 0.75 s before the earliest end that a planned restart has (longest outer limit, 3 s at most, and 0.7 s); what comes after SIGTERM is due 0.25 s before it.

--- a/src/main/java/rushwood/adapter/Conf.java
+++ b/src/main/java/rushwood/adapter/Conf.java
@@ -54,6 +54,15 @@
         return products;
     }
 
+    /** The longest that any client waits for an answer. */
+    public long longestOuterLimit() {
+        long longest = 0;
+        for (int i = 0; i < count("classes.count"); i++) {
+            longest = Math.max(longest, time("classes." + i + ".deadline"));
+        }
+        return longest;
+    }
+
     private long bound(String text) {
         return text.isEmpty() ? 0
                 : Decimal.nanos(text, () -> bad.apply("domain.lag_allowed", "is no list of times"));
--- a/src/main/java/rushwood/lifecycle/Config.java
+++ b/src/main/java/rushwood/lifecycle/Config.java
@@ -20,7 +20,7 @@
 
 /** What a router is told at start. Times in nanoseconds; {@code known} is null if no list was held. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        ListReader.Listing known, Settings settings, long openWithin, long idleFor) {
+        ListReader.Listing known, Settings settings, long openWithin, long idleFor, long longestOuterLimit) {
 
     /** A new file that replaces the one read at start: what the variables said then does not outrank it. */
     public static Config reread(Map<String, String> environment) throws BadConfig {
@@ -68,7 +68,7 @@
                     address(environment, json, "NODE_LISTEN", "listen"),
                     address(environment, json, "NODE_DISCOVERY", "discovery"), seed(json), sockets(json),
                     known(json), conf.settings(), conf.time("limits.dial_timeout"),
-                    conf.time("limits.conn_idle"));
+                    conf.time("limits.conn_idle"), conf.longestOuterLimit());
         } catch (BadLine e) {
             int space = e.getMessage().indexOf(' ');
             throw new BadConfig(e.getMessage().substring(0, space), e.getMessage().substring(space + 1));
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -34,7 +34,12 @@
     private static final int CLIENT_PARTS = 3; // of five: clients hold idle connections, hosts busy ones
     private static final int PARTS = 5;
     private static final long SECOND = 1_000_000_000L;
-    private static final long STILL_COMING = SECOND / 2; // new connections come 0.4 s long after a SIGTERM
+    // A planned restart ends us no earlier than the longest outer limit, 3 s of it at most, and 0.7 s more after
+    // SIGTERM, however soon we leave: until then clients are served on the connections they have.
+    private static final long STAYS = 3 * SECOND;
+    private static final long STAYS_MORE = 700 * SECOND / 1000;
+    private static final long LAST_ANSWER = SECOND / 4; // before that end: a stall, and the time to exit
+    private static final long LAST_ACCESS = SECOND / 2; // before the last answer: most are answered in less
     private static final long LOOK = SECOND / 20; // between looks at whether all is answered
     private static final int BACKLOG = 512; // connections that come while the process stands still
 
@@ -145,12 +150,14 @@
         }
     }
 
-    /** Takes and answers while clients still come, then ends when nothing is open; blocks until then. */
+    /** Serves on while it may, then closes what has no access open and ends with the last; blocks until then. */
     public void stop() {
         loop.execute(() -> {
             stopping = true;
             Logger.info("stopping with {} accesses open", router.openAccesses());
-            agenda.add(clock.now() + STILL_COMING, this::finish);
+            long last = clock.now() + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
+            router.closing(last);
+            agenda.add(last - LAST_ACCESS, this::finish);
         });
         try {
             ended.await();
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -121,6 +121,7 @@
     private final Consumer<String> log;
     private final Decisions decisions;
     private final long probeWithin;
+    private long closesAt = Long.MAX_VALUE;
     private boolean telling;
     private Agenda.Entry wake;
     private long open;
@@ -199,7 +200,7 @@
 
     public void arrived(Statement statement, Client client) {
         long now = clock.now();
-        Access access = statement.access(now, clock.cameAt());
+        Access access = statement.access(now, clock.cameAt(), closesAt);
         counters.add(Count.ACCESSES_TAKEN);
         counters.must(!opens.containsKey(access.id()), "an id stands for one access");
         open++;
@@ -217,6 +218,11 @@
         }
     }
 
+    /** No access that comes from now on has longer than until then: this router is not there any more. */
+    public void closing(long at) {
+        closesAt = at;
+    }
+
     public void close() {
         pool.closeAll();
     }
--- a/src/main/java/rushwood/wire/SqlStatement.java
+++ b/src/main/java/rushwood/wire/SqlStatement.java
@@ -165,10 +165,11 @@
     }
 
     @Override
-    public Access access(long now, long cameAt) {
+    public Access access(long now, long cameAt, long last) {
         boolean session = write || product.need() == Product.Need.SESSION;
         long sinceWrite = after == 0 ? 0 : Math.max(1, now - after);
-        return new Access(id(), product, session ? key : null, group, cameAt + waits, sinceWrite);
+        return new Access(id(), product, session ? key : null, group, Math.min(cameAt + waits, last),
+                sinceWrite);
     }
 
     @Override
--- a/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -257,7 +257,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        process.toHandle().destroy(); // leaves its output open
+        process.toHandle().destroyForcibly(); // leaves its output open
         assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
         assertEquals(List.of(), log.stream().filter(line -> line.contains("LEAK")).toList());
         registry.close();
@@ -405,6 +405,7 @@
             try (Client late = new Client(port)) {
                 late.ask(Bytes.write("w1", ",d=900"));
                 assertEquals("T D C Z", late.read());
+                assertEquals("T D C Z", idle.answer(Bytes.write("w2", ",d=900")), "it serves on");
                 assertTrue(late.ended());
             }
             assertTrue(idle.ended());
@@ -412,7 +413,7 @@
             assertEquals("T D C Z", busy.read());
             assertTrue(busy.ended());
         }
-        assertTrue(logged("counters").contains("accesses_fulfilled=2"));
+        assertTrue(logged("counters").contains("accesses_fulfilled=3"));
         assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
     }
 
--- a/src/test/java/rushwood/state/RouterTest.java
+++ b/src/test/java/rushwood/state/RouterTest.java
@@ -115,8 +115,8 @@
     /** A statement whose message is as long as the time in it. */
     private final class FakeStatement implements Statement {
         @Override
-        public Access access(long now, long cameAt) {
-            return new Access(X, Bytes.PRODUCTS.get(0), null, new GroupId(1), cameAt + 400 * MS, 0);
+        public Access access(long now, long cameAt, long last) {
+            return new Access(X, Bytes.PRODUCTS.get(0), null, new GroupId(1), Math.min(last, cameAt + 400 * MS), 0);
         }
 
         @Override
@@ -387,6 +387,12 @@
         return due;
     }
 
+    @Test
+    void whatComesBeforeAnEndIsDueByThen() {
+        router.closing(300 * MS);
+        assertEquals(300 * MS, dueOfOneAt(100));
+    }
+
     @Test
     void oneWakeATime() {
         outlet.wake(50 * MS);
