A full house closes the longest idle client, silent ones time out, statements are checked whole

Cause: 1262 clients asked once and stayed, so that each router's part for clients (115) was full for good and new connections were refused at the door with 53300 (Clients.initChannel). Dismissed: hosts short of slots (the same hosts served the same traffic in time once clients got in); CPU (16% of a core but for the first three seconds, by thread). Also, found by reading: nothing timed out a connection that is silent or half written; a close with bytes unread could reset the error away; 53300 was written for an access that the module held; statements were read by their first word, first quoted text and comment only; an id could be used again at once.

--- a/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -54,7 +54,7 @@
         router = new Router(clock, agenda, counters, new Router.Limits(CLIENTS, config.openWithin(),
                 config.idleFor()), links, () -> links.asked(false, "probe"), () -> { }, line -> { },
                 outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
-        Clients clients = new Clients(router, counters, products, CLIENTS);
+        Clients clients = new Clients(router, clock, agenda, counters, products, CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
             channels.add(new EmbeddedChannel(clients));
         }
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -30,7 +30,7 @@
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
 public final class Service {
-    private static final int OWN_SOCKETS = 64; // the program's files, the loop, the listener, discovery
+    private static final int OWN_SOCKETS = 32; // the program's files, the loop, the listener, discovery
     private static final int CLIENT_PARTS = 3; // of five: clients hold idle connections, hosts busy ones
     private static final int PARTS = 5;
     private static final long SECOND = 1_000_000_000L;
@@ -94,7 +94,7 @@
                 new Router.Limits(sockets - forClients, config.openWithin(), config.idleFor()), links,
                 links::probe, discovery::follow, lines::say,
                 outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
-        clients = new Clients(router, counters, config.settings().products(), forClients);
+        clients = new Clients(router, clock, agenda, counters, config.settings().products(), forClients);
         router.listed(config.known() == null ? List.of() : config.known().places(), true);
         discovery.follow();
         new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded).listen();
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -107,8 +107,10 @@
     }
 
     private static final long MS = 1_000_000L;
+    private static final int REMEMBERED = 2000; // ids of accesses that are over: some seconds of them
 
     private final Map<AccessId, Open> opens = new HashMap<>();
+    private final Set<AccessId> ended = new LinkedHashSet<>();
     private final Deque<Runnable> ends = new ArrayDeque<>();
     private final Set<HostId> known = new LinkedHashSet<>();
     private final Set<GroupId> groups = new HashSet<>();
@@ -189,8 +191,9 @@
         return groups.contains(group);
     }
 
-    public boolean isOpen(AccessId id) {
-        return opens.containsKey(id);
+    /** Whether an access of that id is open or was a moment ago: each has a new one, and must not run twice. */
+    public boolean isTaken(AccessId id) {
+        return opens.containsKey(id) || ended.contains(id);
     }
 
     /** Accesses that still wait for their answer. */
@@ -265,6 +268,10 @@
     private void forget(Open access) {
         if (access.client == null && access.out == 0 && opens.remove(access.id, access)) {
             access.statement.release();
+            ended.add(access.id);
+            if (ended.size() > REMEMBERED) {
+                ended.remove(ended.iterator().next());
+            }
         }
     }
 
--- a/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/src/main/java/rushwood/wire/ClientProtocol.java
@@ -27,8 +27,8 @@
         /** Takes the buffer over. */
         void write(ByteBuf out);
 
-        /** Closes once all is written. */
-        void close();
+        /** Closes once all is written; {@code told} if that ends with an error, which is to be read. */
+        void close(boolean told);
 
         /** Calls {@link ClientProtocol#resume} in a later turn. */
         void later();
@@ -50,6 +50,7 @@
     private State state = State.START;
     private ByteBuf asked;
     private boolean ending;
+    private boolean told;
 
     ClientProtocol(ByteBufAllocator allocator, Session session) {
         this.allocator = allocator;
@@ -83,6 +84,7 @@
         } catch (Fault fault) {
             session.rejected(fault);
             Messages.error(out, true, fault.state, fault.getMessage(), null);
+            told = true;
             state = State.ENDED;
         }
         if (out.isReadable()) {
@@ -114,7 +116,7 @@
         }
         if (state == State.ENDED) {
             frames.close();
-            session.close();
+            session.close(told);
         } else {
             frames.trim();
         }
@@ -253,10 +255,20 @@
         }
     }
 
-    private boolean isBetween() {
+    /** Whether no access is in it, open or half read. */
+    boolean isBetween() {
         return (state == State.IDLE || state == State.START) && frames.waiting() == 0;
     }
 
+    /** Whether it owes us something: its startup message, or the rest of a message. */
+    boolean isOwing() {
+        return state == State.START || frames.waiting() > 0 && (state == State.IDLE || state == State.SKIPPING);
+    }
+
+    boolean isStarting() {
+        return state == State.START;
+    }
+
     /** Bytes read that wait behind an access, or for the rest of their message. */
     int waiting() {
         return frames.waiting();
@@ -268,10 +280,11 @@
     }
 
     /** Ends a connection that there is no room for. */
-    void refuse(String why) {
+    void refuse(String code, String why) {
         ByteBuf out = allocator.buffer(128);
-        Messages.error(out, true, "53300", why, null);
+        Messages.error(out, true, code, why, null);
         session.write(out);
+        told = true;
         state = State.ENDED;
         rest();
     }
--- a/src/main/java/rushwood/wire/Clients.java
+++ b/src/main/java/rushwood/wire/Clients.java
@@ -7,11 +7,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.DuplexChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import rushwood.api.AccessId;
 import rushwood.api.Product;
+import rushwood.state.Agenda;
+import rushwood.state.Clock;
 import rushwood.state.Counters;
 import rushwood.state.Counters.Count;
 import rushwood.state.Router;
@@ -19,27 +22,65 @@
 /** The connections of clients; reads and writes for {@link ClientProtocol}. */
 public final class Clients extends ChannelInitializer<Channel> {
     private static final int MOST_WAITING = 64 << 10; // bytes read behind an access, until no more are read
-
     private static final long MOST_HELD = 16 << 20; // bytes of statements: a third of the memory for buffers
 
-    private final Set<Handler> open = new LinkedHashSet<>();
+    private static final long IDLE = 2_000_000_000L; // without an access: then it may go for one that comes
+    private static final long OWES = 2_400_000_000L; // the longest for a message: an end is owed within 3 s
+    private static final long LINGERS = 1_000_000_000L; // after an error that ends it, so that it can be read
+    private static final int LINGERS_FOR = 1 << 20; // bytes read on meanwhile: an end with some unread is a reset
+    private static final long LOOK = 200_000_000L; // between looks for those that owe or linger
+
+    // Statements that cannot be taken, one after the other: then the connection is heard less often, then closed.
+    // Guards against clients that write the same again as soon as it is turned away; harm: none to those that do not.
+    private static final int REJECTED = 3;
+    private static final int MOST_REJECTED = 12;
+    private static final long PAUSE = 50_000_000L;
+
+    private final Set<Handler> open = new LinkedHashSet<>(); // the one longest without a word first
     private final Router router;
+    private final Clock clock;
+    private final Agenda agenda;
     private final Counters counters;
     private final List<Product> products;
     private final int most;
     private long held;
     private boolean ending;
 
-    public Clients(Router router, Counters counters, List<Product> products, int most) {
+    public Clients(Router router, Clock clock, Agenda agenda, Counters counters, List<Product> products, int most) {
         this.router = router;
+        this.clock = clock;
+        this.agenda = agenda;
         this.counters = counters;
         this.products = products;
         this.most = most;
+        look();
+    }
+
+    /** Ends what is silent, half written or unread for long: such connections would fill the house. */
+    private void look() {
+        List.copyOf(open).forEach(Handler::look);
+        agenda.add(clock.now() + LOOK, this::look);
+    }
+
+    /** In a full house the connection longest without an access goes, if that is long; its client opens another. */
+    private boolean makeRoom() {
+        for (Handler each : open) {
+            if (each.lastWord > clock.now() - IDLE) {
+                return false;
+            }
+            if (each.protocol.isBetween()) {
+                counters.add(Count.CLIENTS_IDLED);
+                each.channel.close();
+                each.gone();
+                return true;
+            }
+        }
+        return false;
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        if (open.size() >= most) {
+        if (open.size() >= most && !makeRoom()) {
             counters.add(Count.CLIENTS_REFUSED);
             ByteBuf out = channel.alloc().buffer(128);
             Messages.error(out, true, "53300", "too many connections", null);
@@ -66,6 +107,11 @@
         private AccessId access;
         private int asked;
         private int holds;
+        private int rejected;
+        private int discarded;
+        private long lastWord = clock.now();
+        private long owesFrom = lastWord;
+        private boolean paused;
         private boolean closing;
 
         Handler(Channel channel) {
@@ -76,16 +122,44 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf in = (ByteBuf) message;
             if (closing) {
-                ((ByteBuf) message).release();
+                discarded += in.readableBytes();
+                in.release();
+                if (discarded > LINGERS_FOR) {
+                    channel.close();
+                }
                 return;
             }
-            protocol.feed((ByteBuf) message);
+            word();
+            if (!protocol.isOwing()) {
+                owesFrom = lastWord;
+            }
+            protocol.feed(in);
             throttle();
             weigh();
-            if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && !closing) {
+            // An access that is open keeps its place: only what is half written can be refused.
+            if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && protocol.isOwing() && !closing) {
                 counters.add(Count.CLIENTS_REFUSED);
-                protocol.refuse("memory is short");
+                protocol.refuse("53300", "memory is short");
+            }
+        }
+
+        /** Something was read or written: the last in the order of those that may go. */
+        private void word() {
+            lastWord = clock.now();
+            open.remove(this);
+            open.add(this);
+        }
+
+        private void look() {
+            long now = clock.now();
+            boolean unread = !channel.isWritable() && lastWord <= now - OWES;
+            if (closing ? lastWord <= now - LINGERS : unread) {
+                channel.close();
+            } else if (!closing && protocol.isOwing() && owesFrom <= now - OWES) {
+                counters.add(Count.CLIENTS_TIMED_OUT);
+                protocol.refuse("08P01", "the message did not come in time");
             }
         }
 
@@ -100,7 +174,7 @@
         private void throttle() {
             // Only behind an access: a long statement that is half read needs the rest of it.
             boolean ahead = protocol.isWaiting() && protocol.waiting() > MOST_WAITING;
-            channel.config().setAutoRead(!ahead && channel.isWritable());
+            channel.config().setAutoRead(!ahead && !paused && channel.isWritable());
         }
 
         @Override
@@ -110,6 +184,10 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            gone();
+        }
+
+        private void gone() {
             if (open.remove(this)) {
                 counters.add(Count.CLIENTS_CLOSED);
                 closing = true;
@@ -138,11 +216,12 @@
                 statement.release();
                 throw new Fault("53300", "memory is short: trying again is harmless", false);
             }
-            boolean twice = router.isOpen(statement.id());
+            boolean twice = router.isTaken(statement.id());
             if (twice || !router.knows(statement.group())) {
                 statement.release();
-                throw new Fault("22023", twice ? "the id is in use" : "the cluster is unknown", false);
+                throw new Fault("22023", twice ? "the id is not new" : "the cluster is unknown", false);
             }
+            rejected = 0;
             access = statement.id();
             asked = text.readableBytes();
             router.arrived(statement, protocol);
@@ -161,29 +240,55 @@
         @Override
         public void rejected(Fault fault) {
             counters.add(Count.STATEMENTS_REJECTED);
+            boolean ours = fault.state.equals("53300") || fault.state.equals("57P03");
+            if (!ours && ++rejected > REJECTED) {
+                paused = true;
+                agenda.add(clock.now() + PAUSE, () -> {
+                    paused = false;
+                    goOn();
+                });
+            }
         }
 
         @Override
         public void write(ByteBuf out) {
+            word();
+            if (!protocol.isStarting()) {
+                owesFrom = lastWord;
+            }
             channel.writeAndFlush(out);
             weigh();
         }
 
         @Override
-        public void close() {
+        public void close(boolean told) {
             closing = true;
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+            word();
+            weigh();
+            // Told why: our side ends first, and what still comes is read for a while.
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+                if (told && channel instanceof DuplexChannel both) {
+                    both.shutdownOutput();
+                } else {
+                    channel.close();
+                }
+            });
         }
 
         @Override
         public void later() {
-            channel.eventLoop().execute(() -> {
-                if (!closing) {
+            channel.eventLoop().execute(this::goOn);
+        }
+
+        private void goOn() {
+            if (!closing && !paused) {
+                if (rejected > MOST_REJECTED) {
+                    protocol.refuse("08P01", "too many statements that cannot be taken");
+                } else {
                     protocol.resume();
                     throttle();
                 }
-            });
+            }
         }
 
         @Override
--- a/src/main/java/rushwood/wire/SqlStatement.java
+++ b/src/main/java/rushwood/wire/SqlStatement.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -18,8 +19,25 @@
     private static final long MS = 1_000_000L;
     private static final int LONGEST_ID = 128; // bytes; longer than any id in use, short in memory
 
+    private static final int LONGEST_FIELD = 256;
+    private static final int LONGEST_KEY = 256; // bytes: no key in use is near, and sessions are remembered by it
+    private static final long LONGEST_WAIT = 3_600_000; // ms: hosts and clients give up long before an hour
+    private static final byte[] READ = bytes("SELECT val FROM state WHERE uid = '");
+    private static final byte[] READ_ON = bytes("' /* ");
+    private static final byte[] WRITE = bytes("INSERT INTO state (uid, val) VALUES ('");
+    private static final byte[] WRITE_VALUE = bytes("', '\\x");
+    private static final byte[] WRITE_ON = bytes("') RETURNING val /* ");
+    private static final byte[] END = bytes(" */");
+    private static final byte[] COMMA = bytes(",");
+    private static final byte[] EQUALS = bytes("=");
+    private static final ByteProcessor KEY = each -> each > ' ' && each < 127 && each != '\'' && each != '\\';
+    private static final ByteProcessor HEX = each -> each >= '0' && each <= '9' || each >= 'a' && each <= 'f'
+            || each >= 'A' && each <= 'F';
+    private static final ByteProcessor FIELD = each -> each > ' ' && each < 127 && "'\"*/=,;\\".indexOf(each) < 0;
+
     private final ByteBuf text;
     private final Map<String, String> fields = new HashMap<>();
+    private int at;
     private int timeFrom;
     private int timeTo;
     private final boolean write;
@@ -29,25 +47,44 @@
     private final long waits;
     private final long after;
 
-    /** Reads the text of a Query message without its closing zero, which it retains if all is well. */
+    /**
+     * Reads the text of a Query message without its closing zero, which it retains if all is well. The form is
+     * checked to the byte: a host closes on what it cannot read, and would pass for a sick one.
+     */
     SqlStatement(ByteBuf text, List<Product> products) throws Fault {
         this.text = text;
-        write = starts("INSERT ");
-        if (!write && !starts("SELECT ")) {
-            throw new Fault("42601", "neither SELECT nor INSERT", false);
+        at = text.readerIndex();
+        write = take(WRITE);
+        if (!write && !take(READ)) {
+            throw new Fault("42601", "neither of the statements that are served", false);
+        }
+        key = new SessionId(run(KEY, LONGEST_KEY, "the key"));
+        if (write) {
+            need(WRITE_VALUE);
+            int from = at;
+            int end = text.forEachByte(at, text.writerIndex() - at, HEX);
+            at = end < 0 ? text.writerIndex() : end;
+            if ((at - from) % 2 != 0) {
+                throw new Fault("42601", "half a byte in the value", false);
+            }
+        }
+        need(write ? WRITE_ON : READ_ON);
+        do {
+            readField();
+        } while (take(COMMA));
+        need(END);
+        if (at != text.writerIndex()) {
+            throw new Fault("42601", "the comment does not end the statement", false);
         }
-        readComment();
-        key = new SessionId(readKey());
         product = product(products);
         if (write != (product.need() == Product.Need.WRITE)) {
             throw impossible("c", "does not go with the statement");
         }
-        String id = need("id");
-        if (id.length() > LONGEST_ID) {
+        if (need("id").length() > LONGEST_ID) {
             throw impossible("id", "is too long");
         }
         group = new GroupId(fields.containsKey("cluster") ? (int) number("cluster", Integer.MAX_VALUE) : -1);
-        waits = number("d", Integer.MAX_VALUE) * MS;
+        waits = number("d", LONGEST_WAIT) * MS;
         if (waits == 0) {
             throw impossible("d", "leaves no time");
         }
@@ -55,73 +92,48 @@
         text.retain();
     }
 
-    private boolean starts(String word) {
-        boolean is = text.readableBytes() >= word.length();
-        for (int i = 0; is && i < word.length(); i++) {
-            is = (text.getByte(text.readerIndex() + i) & ~0x20) == (word.charAt(i) & ~0x20);
+    private static byte[] bytes(String of) {
+        return of.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Goes on behind these bytes, if they come next. */
+    private boolean take(byte[] next) {
+        boolean is = text.writerIndex() - at >= next.length;
+        for (int i = 0; is && i < next.length; i++) {
+            is = text.getByte(at + i) == next[i];
         }
+        at += is ? next.length : 0;
         return is;
     }
 
-    private int find(char c, int from, int to) {
-        return from >= to ? -1 : text.indexOf(from, to, (byte) c);
+    private void need(byte[] next) throws Fault {
+        if (!take(next)) {
+            throw new Fault("42601", "not in the form that is served, at byte " + (at - text.readerIndex()), false);
+        }
     }
 
-    /** The comment ends the statement: its fields, and where the digits of the time stand. */
-    private void readComment() throws Fault {
-        int end = text.writerIndex();
-        while (end > text.readerIndex() && (text.getByte(end - 1) <= ' ' || text.getByte(end - 1) == ';')) {
-            end--;
-        }
-        int at = end - 2;
-        if (at < text.readerIndex() || text.getByte(at) != '*' || text.getByte(at + 1) != '/') {
-            throw new Fault("42601", "no comment ends the statement", false);
-        }
-        int from = at - 1;
-        while (from > text.readerIndex() && !(text.getByte(from) == '*' && text.getByte(from - 1) == '/')) {
-            from--;
-        }
-        if (from <= text.readerIndex()) {
-            throw new Fault("42601", "the comment has no beginning", false);
-        }
-        for (int start = from + 1; start <= at;) {
-            int comma = find(',', start, at);
-            int to = comma < 0 ? at : comma;
-            readField(start, to);
-            start = to + 1;
+    /** What comes next of such bytes: some, and not too many. */
+    private String run(ByteProcessor of, int most, String what) throws Fault {
+        int end = text.forEachByte(at, text.writerIndex() - at, of);
+        int length = (end < 0 ? text.writerIndex() : end) - at;
+        if (length == 0 || length > most) {
+            throw new Fault("42601", what + " has " + length + " bytes", false);
         }
+        at += length;
+        return text.toString(at - length, length, StandardCharsets.US_ASCII);
     }
 
-    private void readField(int start, int end) throws Fault {
-        int from = start;
-        int to = end;
-        while (from < to && text.getByte(from) == ' ') {
-            from++;
-        }
-        while (to > from && text.getByte(to - 1) == ' ') {
-            to--;
-        }
-        int equals = find('=', from, to);
-        if (equals < 0) {
-            throw new Fault("42601", "a field without a value", false);
-        }
-        String name = text.toString(from, equals - from, StandardCharsets.UTF_8);
-        if (fields.put(name, text.toString(equals + 1, to - equals - 1, StandardCharsets.UTF_8)) != null) {
+    private void readField() throws Fault {
+        String name = run(FIELD, LONGEST_FIELD, "a field's name");
+        need(EQUALS);
+        int from = at;
+        if (fields.put(name, run(FIELD, LONGEST_FIELD, "the field " + name)) != null) {
             throw new Fault("42601", "the field " + name + " stands twice", false);
         }
         if (name.equals("d")) {
-            timeFrom = equals + 1;
-            timeTo = to;
-        }
-    }
-
-    private String readKey() throws Fault {
-        int from = find('\'', text.readerIndex(), text.writerIndex());
-        int to = from < 0 ? -1 : find('\'', from + 1, text.writerIndex());
-        if (to < 0) {
-            throw new Fault("42601", "no key in quotes", false);
+            timeFrom = from;
+            timeTo = at;
         }
-        return text.toString(from + 1, to - from - 1, StandardCharsets.UTF_8);
     }
 
     private Product product(List<Product> products) throws Fault {
@@ -134,7 +146,7 @@
 
     private String need(String field) throws Fault {
         String value = fields.get(field);
-        if (value == null || value.isEmpty()) {
+        if (value == null) {
             throw new Fault("42601", "the field " + field + " is missing", false);
         }
         return value;
--- a/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -429,6 +429,10 @@
             assertEquals('E', last.readByte());
             assertTrue(new String(last.readNBytes(last.readInt() - 4)).contains("C53300"));
             assertEquals("T D C Z", client.answer(id(READ, "r1")));
+            DataInputStream first = new DataInputStream(sockets.get(0).getInputStream());
+            assertEquals('E', first.readByte());
+            assertTrue(new String(first.readNBytes(first.readInt() - 4)).contains("C08P01"), "silent for too long");
+            assertEquals(-1, first.read());
         } finally {
             for (Socket each : sockets) {
                 each.close();
@@ -436,6 +440,50 @@
         }
     }
 
+    /** Clients that asked once and stayed make room for those that come, the one longest without a word first. */
+    @Test
+    void idleClientsMakeRoom() throws Exception {
+        List<Client> idle = new ArrayList<>();
+        try (Client client = new Client(port)) {
+            for (int i = 0; i < 133; i++) {
+                idle.add(new Client(port));
+            }
+            Client late = null;
+            for (int look = 0; look < PATIENCE && late == null; look += 50) {
+                Thread.sleep(50);
+                assertEquals("I Z", client.answer(""));
+                try {
+                    late = new Client(port);
+                } catch (AssertionError | IOException full) {
+                    continue; // refused at the door
+                }
+            }
+            idle.add(late);
+            assertEquals("T D C Z", late.answer(id(READ, "r1")));
+            assertEquals("T D C Z", client.answer(id(READ, "r2")), "it was never idle for long");
+            assertTrue(idle.get(0).ended());
+        } finally {
+            for (Client each : idle) {
+                each.close();
+            }
+        }
+    }
+
+    /** The same again as soon as it is turned away: it is told so each time, and after some times no more. */
+    @Test
+    void rejectedAgainAndAgain() throws Exception {
+        try (Client client = new Client(port)) {
+            for (int i = 0; i < 13; i++) {
+                assertEquals("E(42601) Z", client.answer("SELECT 1"));
+            }
+            assertEquals('E', client.socket.getInputStream().read());
+        }
+        try (Client client = new Client(port)) {
+            assertEquals("T D C Z", client.answer(id(READ, "r1")));
+            assertEquals("E(22023) Z", client.answer(id(READ, "r1")), "an id that was used");
+        }
+    }
+
     /** What is half written by many clients does not fill the memory. */
     @Test
     void memoryRunsShort() throws Exception {
--- a/src/test/java/rushwood/wire/ClientProtocolTest.java
+++ b/src/test/java/rushwood/wire/ClientProtocolTest.java
@@ -56,7 +56,7 @@
         }
 
         @Override
-        public void close() {
+        public void close(boolean told) {
             closed = true;
         }
 
--- a/src/test/java/rushwood/wire/SqlStatementTest.java
+++ b/src/test/java/rushwood/wire/SqlStatementTest.java
@@ -77,6 +77,17 @@
         bad("42601", "SELECT val FROM state /* id=a,c=pass,d=1,cluster=2 */");
         bad("42601", "/* id=a,c=pass,d=1 */");
         bad("42601", "*/");
+        bad("42601", Bytes.read("a", ",d=1") + ";");
+        bad("42601", Bytes.read("a", ",d=1").replace("state", "other"));
+        bad("42601", Bytes.read("a", ",d=1").replace("k1", "k'1"));
+        bad("42601", Bytes.read("a", ",d=1").replace("k1", ""));
+        bad("42601", Bytes.read("a", ",d=1").replace("k1", "k\u00e9"));
+        bad("42601", Bytes.read("a", ",d=1,x=a\nb"));
+        bad("42601", Bytes.read("a", ",d=1").replace(" */", " */ -- */"));
+        bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9f0"));
+        bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9g03"));
+        bad("42601", Bytes.write("a", ",d=1").replace("RETURNING val ", ""));
+        bad("22023", Bytes.read("a", ",d=3600001"));
         bad("22023", Bytes.read("a", ",d=0"));
         bad("22023", Bytes.read("a", ",d=-1"));
         bad("22023", Bytes.read("a", ",d=99999999999"));
