One broken connection is no dead host; the longest idle is used first; gone hosts are forgotten

Dismissed: hosts that really went (the probe answered within 2 ms each time). Now: a break counts against the host only when nothing else of ours is left out there; one that was up and breaks unwritten is unsent, not unreached; the connection that rested longest is used first; a gone host is forgotten by module, router and pool once nothing is out there.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -248,9 +248,6 @@
     private final class Effects implements Stage {
         @Override
         public Step in(Held held, long now) {
-            if (held.out() != null) {
-                return Step.KEEP;
-            }
             boolean may = held.shots.size() < settings.mostShots() && held.errors() < MOST_ERRORS;
             return may && mayRepeat(held, null, now) ? Step.PASS : Step.END;
         }
@@ -261,6 +258,7 @@
         }
     }
 
+    private static final List<ShotEnd> FAULTS = List.of(ShotEnd.ERROR, ShotEnd.SPOILT, ShotEnd.BROKEN);
     private static final int MOST_ERRORS = 2; // by two hosts: then it is the access that is bad, not a host
 
     /** Whether a further shot breaks no promise; with a host, whether it may go there. */
@@ -311,7 +309,7 @@
             }
             learnReport(host, answer.report(), now);
             boolean behind = answer.end() == ShotEnd.BEHIND;
-            if (behind || answer.end() == ShotEnd.ERROR || answer.end() == ShotEnd.SPOILT) {
+            if (behind || FAULTS.contains(answer.end())) {
                 shot.held.missed.add(host);
             }
             if (behind && write) {
@@ -598,7 +596,9 @@
                     adapt(host, 1, now);
                     host.pausedUntil = now + REST;
                 }
-                case UNREACHED, BROKEN -> trouble(host, Health.DOWN, now);
+                case UNREACHED -> trouble(host, Health.DOWN, now);
+                // While others are out there one connection broke; a host that died breaks all of them.
+                case BROKEN -> trouble(host, host.out.size() > 1 ? host.health : Health.DOWN, now);
                 case EXPIRED -> {
                     if (!shot.lost) {
                         adapt(host, Math.max(1, share), now);
@@ -827,6 +827,7 @@
         if (now >= nextTick) {
             nextTick = now + RECHECK;
             groups.values().forEach(group -> tick(group, now));
+            hosts.values().removeIf(host -> host.group == null && host.out.isEmpty() && !host.probing);
         }
         if (now >= askAgain) {
             askAgain = Long.MAX_VALUE;
@@ -841,8 +842,7 @@
         for (Held held : Stream.concat(group.first.stream(), group.further.stream()).toList()) {
             if (!held.is(Need.WRITE)) {
                 held.missed.clear();
-            }
-            if (held.is(Need.WRITE) && group.primary == null) {
+            } else if (group.primary == null) {
                 run(held, now);
             }
         }
--- a/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -52,7 +52,7 @@
             timer = task;
         });
         router = new Router(clock, agenda, counters, new Router.Limits(CLIENTS, config.openWithin(),
-                config.idleFor()), links, () -> links.asked(false, "probe"), () -> { }, line -> { },
+                config.idleFor(), true), links, () -> links.asked(false, "probe"), () -> { }, line -> { },
                 outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
         Clients clients = new Clients(router, clock, agenda, counters, products, CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -91,7 +91,8 @@
         int sockets = Math.max(PARTS, config.sockets() - OWN_SOCKETS);
         int forClients = sockets * CLIENT_PARTS / PARTS;
         router = new Router(clock, agenda, counters,
-                new Router.Limits(sockets - forClients, config.openWithin(), config.idleFor()), links,
+                new Router.Limits(sockets - forClients, config.openWithin(), config.idleFor(),
+                        config.settings().goneBinds()), links,
                 links::probe, discovery::follow, lines::say,
                 outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
         clients = new Clients(router, clock, agenda, counters, config.settings().products(), forClients);
--- a/src/main/java/rushwood/state/Pool.java
+++ b/src/main/java/rushwood/state/Pool.java
@@ -3,19 +3,18 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import rushwood.api.HostId;
 import rushwood.api.ShotEnd;
 import rushwood.state.Counters.Count;
 
-/** The connections to each host: one errand at a time on each, idle ones reused, the freshest first. */
+/** The connections to each host: one errand at a time on each, idle ones reused, the longest idle first. */
 final class Pool {
     private static final long SWEEP = 1_000_000_000L; // between looks at idle connections
-    // What a host writes behind its answer, unasked, would pass for the answer to the next statement: a connection
-    // rests until that is sure to be here and seen. Loopback and one data centre bring it within a millisecond.
-    // Harm: a connection more a host.
+    // What a host does behind its answer, a close or bytes unasked, would hit the next statement: a connection rests
+    // until that is sure to be here and seen, and the one that rested longest is used first. Loopback and one data
+    // centre bring it within a millisecond. Harm: a few connections more a host.
     private static final long SETTLED = 2_000_000L;
     private static final int KEPT_SHARE = 2; // idle ones go at this part of the hosts' limit, far from a race
 
@@ -29,7 +28,8 @@
 
     private static final class Host {
         InetSocketAddress address;
-        final Deque<Connection> idle = new ArrayDeque<>();
+        final Deque<Connection> idle = new ArrayDeque<>(); // the one longest idle last
+        boolean forgotten;
     }
 
     Pool(Link.Opener opener, Clock clock, Agenda agenda, Counters counters, Router.Limits limits) {
@@ -50,6 +50,19 @@
         }
     }
 
+    /** It is gone for good: of what is still out there nothing comes back to be used again. */
+    void forget(HostId id) {
+        Host host = hosts.remove(id);
+        if (host != null) {
+            closeIdle(host);
+            host.forgotten = true;
+        }
+    }
+
+    int places() {
+        return hosts.size();
+    }
+
     /** Nothing new is wanted there. */
     void rest(HostId id) {
         Host host = hosts.get(id);
@@ -67,12 +80,11 @@
     /** Runs an errand on an idle connection or a new one; false if no socket may be had. */
     boolean run(Errand errand) {
         Host host = hosts.get(errand.host);
-        for (Iterator<Connection> idle = host.idle.iterator(); idle.hasNext();) {
-            Connection connection = idle.next();
-            if (connection.link.open() && connection.idleSince > clock.now() - SETTLED) {
-                continue;
-            }
-            idle.remove();
+        if (!counters.must(host != null, "a host of the list")) {
+            return false;
+        }
+        while (!host.idle.isEmpty() && host.idle.peekLast().idleSince <= clock.now() - SETTLED) {
+            Connection connection = host.idle.removeLast();
             if (connection.link.open()) {
                 counters.add(Count.CONNECTIONS_REUSED);
                 connection.take(errand);
@@ -203,17 +215,19 @@
 
         @Override
         public void broken() {
-            boolean mayHaveRun = asked && link.written();
-            if (opening.callOff()) {
+            boolean up = !opening.callOff();
+            if (!up) {
                 counters.add(Count.CONNECTIONS_FAILED);
             }
+            // One that was up and breaks unwritten proves that nothing ran, not that the host is down.
+            ShotEnd end = !up ? ShotEnd.UNREACHED : asked && link.written() ? ShotEnd.BROKEN : ShotEnd.UNSENT;
             host.idle.remove(this);
             close();
-            end(HostAnswer.of(mayHaveRun ? ShotEnd.BROKEN : ShotEnd.UNREACHED));
+            end(HostAnswer.of(end));
         }
 
         private void rest() {
-            if (address.equals(host.address)) {
+            if (address.equals(host.address) && !host.forgotten) {
                 idleSince = clock.now();
                 host.idle.push(this);
             } else {
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -34,8 +34,11 @@
     public record Place(ListedHost host, InetSocketAddress address) {
     }
 
-    /** The most connections to hosts, how long one may take to come up, how long hosts leave one idle. */
-    public record Limits(int connections, long openWithin, long idleFor) {
+    /**
+     * The most connections to hosts, how long one may take to come up, how long hosts leave one idle, and whether a
+     * host that the list does not have any more is never sent to.
+     */
+    public record Limits(int connections, long openWithin, long idleFor, boolean goneBinds) {
     }
 
     private static final class Open {
@@ -123,6 +126,7 @@
     private final Consumer<String> log;
     private final Decisions decisions;
     private final long probeWithin;
+    private final boolean goneBinds;
     private long closesAt = Long.MAX_VALUE;
     private boolean telling;
     private Agenda.Entry wake;
@@ -139,6 +143,7 @@
         this.subscribe = subscribe;
         this.log = log;
         probeWithin = limits.openWithin();
+        goneBinds = limits.goneBinds();
         pool = new Pool(links, clock, agenda, counters, limits);
         decisions = maker.apply(new Out());
     }
@@ -148,9 +153,11 @@
     public void listed(List<Place> places, boolean remembered) {
         Set<HostId> named = new HashSet<>();
         places.forEach(place -> named.add(place.host().id()));
-        known.stream().filter(id -> !named.contains(id)).forEach(pool::rest);
+        List<HostId> absent = known.stream().filter(id -> !named.contains(id)).toList();
+        absent.forEach(pool::rest);
         place(places);
         tell(() -> decisions.listed(clock.now(), places.stream().map(Place::host).toList(), remembered));
+        absent.forEach(this::gone);
     }
 
     /** Changes of hosts never heard of, gone already, say nothing. */
@@ -159,6 +166,21 @@
                 || each.host().state() != ListedHost.State.GONE).toList();
         place(heard);
         tell(() -> decisions.listChanged(clock.now(), heard.stream().map(Place::host).toList()));
+        heard.stream().map(Place::host).filter(host -> host.state() == ListedHost.State.GONE)
+                .forEach(host -> gone(host.id()));
+    }
+
+    /** Forgotten once the decisions have heard that it is gone; it may come back under its id. */
+    private void gone(HostId id) {
+        if (goneBinds) {
+            known.remove(id);
+            pool.forget(id);
+        }
+    }
+
+    /** How many hosts are kept. */
+    int hosts() {
+        return pool.places();
     }
 
     /** The list comes from another place from now on: what failed at the old one is no reason to wait. */
