A start rehearses over sockets in the file system, with connections opened anew all the time

By thread and by a trace each quarter of a second: the loop and the compiler use all of half a core, connections come up after 40 to 270 ms (0.7 ms later on), the loop stands still for 90 ms, tries end meanwhile and are repeated.

--- a/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -1,13 +1,28 @@
 package rushwood.lifecycle;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.ListedHost;
@@ -19,92 +34,134 @@
 import rushwood.state.Counters;
 import rushwood.state.Router;
 import rushwood.wire.Clients;
-import rushwood.wire.RehearsedLinks;
+import rushwood.wire.HostLinks;
+import rushwood.wire.RehearsedPeers;
 
 /**
- * Plays accesses through a router of its own, without sockets, before the real one is ready: cold code costs
- * most of a core in the first second, and on part of a core clients would wait past their time for it.
+ * Plays accesses through a router of its own before the real one is ready, from clients to hosts that it has
+ * itself, over sockets in the file system: cold code costs a whole core in the first second, and on part of a core
+ * clients would wait past their time for it.
  */
 final class Rehearsal {
-    private static final int CLIENTS = 8; // at once: some park, as in a busy second
-    private static final int ROUNDS = 100; // 800 accesses: the compiler takes a method after 200 calls
-    private static final long LONGEST = 400_000_000; // nanoseconds: a slow core is ready late, but is ready
+    private static final int CLIENTS = 12; // at once: some park, as in a busy second
     private static final int HOSTS = 4;
-    private static final long MS = 1_000_000L;
-    private static final long START = 1L << 60; // some Unix time
+    private static final int MOST = 6000; // accesses: the compiler takes a method after 200 calls, rare ones too
+    private static final long LONGEST = 900_000_000; // nanoseconds: more made restarts longer than it saved
+    private static final long LOOK = 10_000_000;
 
+    private final Config config;
+    private final EventLoopGroup group;
+    private final SingleThreadEventLoop loop;
+    private final ByteBufAllocator allocator;
     private final List<Product> products;
-    private final RehearsedLinks links;
-    private final Deque<Runnable> turnEnds = new ArrayDeque<>();
     private final Counters counters = new Counters();
-    private final Router router;
-    private final List<EmbeddedChannel> channels = new ArrayList<>();
-    private long time = START;
-    private long timerAt;
-    private Runnable timer;
+    private final List<Channel> channels = new ArrayList<>();
+    private final CompletableFuture<Counters> played = new CompletableFuture<>();
+    private Path folder;
+    private Router router;
+    private Future<?> timer;
+    private int asked;
+    private boolean over;
 
-    Rehearsal(Config config, ByteBufAllocator allocator) {
+    Rehearsal(Config config, EventLoopGroup group, EventLoop loop, ByteBufAllocator allocator) {
+        this.config = config;
+        this.group = group;
+        this.loop = (SingleThreadEventLoop) loop;
+        this.allocator = allocator;
         products = config.settings().products();
-        links = new RehearsedLinks(allocator);
-        Clock clock = new Clock(() -> time, turnEnds::add);
-        Agenda agenda = new Agenda(clock, (delay, task) -> {
-            timerAt = time + delay;
-            timer = task;
-        });
-        router = new Router(clock, agenda, counters, new Router.Limits(CLIENTS, config.openWithin(),
-                config.idleFor(), true), links, () -> links.asked(false, "probe"), () -> { }, line -> { },
+    }
+
+    /** What came of it, for whoever wants to know that it still does something. */
+    Counters play() throws Exception {
+        folder = Files.createTempDirectory("rehearsal");
+        try {
+            loop.submit(this::begin).get();
+            return played.get();
+        } finally {
+            Files.deleteIfExists(folder.resolve("c"));
+            Files.deleteIfExists(folder.resolve("h"));
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    private UnixDomainSocketAddress at(String name) {
+        return UnixDomainSocketAddress.of(folder.resolve(name));
+    }
+
+    private Void begin() throws IOException {
+        long end = System.nanoTime() + LONGEST;
+        long zero = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+        Clock clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
+        Agenda agenda = new Agenda(clock, this::set);
+        HostLinks links = new HostLinks(new Bootstrap().group(loop).channel(NioDomainSocketChannel.class),
+                address -> at("h"), allocator, counters);
+        router = new Router(clock, agenda, counters, new Router.Limits(CLIENTS * 2, config.openWithin(),
+                config.idleFor(), true), links, links::probe, () -> { }, line -> { },
                 outlet -> new Choice(config.settings(), new SplittableRandom(config.seed()), outlet));
         Clients clients = new Clients(router, clock, agenda, counters, products, CLIENTS);
-        for (int i = 0; i < CLIENTS; i++) {
-            channels.add(new EmbeddedChannel(clients));
+        router.listed(places(), true);
+        listen("h", new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new RehearsedPeers.Host(asked));
+            }
+        });
+        listen("c", clients);
+        look(end);
+        return null;
+    }
+
+    private void listen(String name, ChannelHandler handler) {
+        channels.add(new ServerBootstrap().group(group).channel(NioServerDomainSocketChannel.class)
+                .childHandler(handler).bind(at(name)).addListener(bound -> {
+                    for (int i = 0; i < CLIENTS && name.equals("c"); i++) {
+                        connect();
+                    }
+                }).channel());
+    }
+
+    private void connect() {
+        if (!over) {
+            new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
+                    .handler(new RehearsedPeers.Client(this::statement, this::connect)).connect(at("c"));
         }
     }
 
-    /** What came of it, for whoever wants to know that it still does something. */
-    Counters play() {
+    private List<Router.Place> places() {
         List<Router.Place> places = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
             places.add(new Router.Place(new ListedHost(new HostId("h" + i), new GroupId(0), new ZoneId(""), 1, 0,
                     i == 0, ListedHost.State.IN_SERVICE), new InetSocketAddress(0)));
         }
-        router.listed(places, true);
-        long end = System.nanoTime() + LONGEST;
-        for (int round = 0; round < ROUNDS && System.nanoTime() < end; round++) {
-            round(round);
-        }
-        channels.forEach(EmbeddedChannel::finishAndReleaseAll);
-        router.close();
-        return counters;
+        return places;
     }
 
-    private void round(int round) {
-        for (int i = 0; i < CLIENTS; i++) {
-            Product product = products.get((round + i) % products.size());
-            String comment = "/* id=" + round + "-" + i + ",c=" + product.name() + ",d=50,cluster=0 */";
-            String statement = product.need() == Product.Need.WRITE
-                    ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
-                    : "SELECT val FROM state WHERE uid = 'k' " + comment;
-            channels.get(i).writeInbound(links.asked(round == 0, statement));
-            step();
-        }
-        links.answer();
-        for (int i = 0; i < CLIENTS; i++) {
-            step();
-            links.answer();
-            channels.get(i).runPendingTasks();
-            channels.get(i).releaseOutbound();
+    private String statement() {
+        Product product = products.get(asked++ % products.size());
+        boolean tooLate = asked % 16 == 0;
+        String comment = "/* id=" + asked + ",c=" + product.name() + ",d=" + (tooLate ? 1 : 2000) + ",cluster=0 */";
+        return product.need() == Product.Need.WRITE
+                ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
+                : "SELECT val FROM state WHERE uid = 'k' " + comment;
+    }
+
+    private void set(long delay, Runnable task) {
+        if (timer != null) {
+            timer.cancel(false);
         }
+        timer = over ? null : loop.schedule(task, delay, TimeUnit.NANOSECONDS);
     }
 
-    /** A turn of the loop, some milliseconds on. */
-    private void step() {
-        turnEnds.forEach(Runnable::run);
-        turnEnds.clear();
-        time += 2 * MS;
-        if (timer != null && timerAt <= time) {
-            Runnable task = timer;
-            timer = null;
-            task.run();
+    private void look(long end) {
+        if (asked < MOST && System.nanoTime() < end) {
+            loop.schedule(() -> look(end), LOOK, TimeUnit.NANOSECONDS);
+            return;
         }
+        over = true;
+        timer.cancel(false);
+        channels.forEach(Channel::close);
+        router.close();
+        // What closing brings is over a turn or two later.
+        loop.schedule(() -> played.complete(counters), 2 * LOOK, TimeUnit.NANOSECONDS);
     }
 }
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -38,8 +38,8 @@
     // SIGTERM, however soon we leave: until then clients are served on the connections they have.
     private static final long STAYS = 3 * SECOND;
     private static final long STAYS_MORE = 700 * SECOND / 1000;
-    private static final long LAST_ANSWER = SECOND / 4; // before that end: a stall, and the time to exit
-    private static final long LAST_ACCESS = SECOND / 2; // before the last answer: most are answered in less
+    private static final long LAST_ANSWER = SECOND / 5; // before that end: a stall, and the time to exit
+    private static final long LAST_ACCESS = SECOND * 3 / 10; // before the last answer: most are answered in less
     private static final long LOOK = SECOND / 20; // between looks at whether all is answered
     private static final int BACKLOG = 512; // connections that come while the process stands still
 
@@ -69,7 +69,7 @@
 
     /** Starts it; returns once clients are listened to. */
     public void start() throws Exception {
-        loop.submit(() -> new Rehearsal(config, ByteBufAllocator.DEFAULT).play()).get();
+        new Rehearsal(config, group, loop, ByteBufAllocator.DEFAULT).play();
         loop.submit(this::assemble).get();
         ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/rushwood/wire/HostLinks.java
+++ b/src/main/java/rushwood/wire/HostLinks.java
@@ -10,6 +10,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.function.Function;
 import rushwood.state.Counters;
 import rushwood.state.Link;
 
@@ -17,12 +19,22 @@
 public final class HostLinks implements Link.Opener {
     private static final String PROBE = "SHOW gauges";
 
-    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Function<InetSocketAddress, SocketAddress> where;
     private final ByteBufAllocator allocator;
     private final Counters counters;
 
     public HostLinks(EventLoop loop, ByteBufAllocator allocator, Counters counters) {
-        this.loop = loop;
+        // Who waits decides how long: the pool closes what does not come up.
+        this(new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0), address -> address, allocator, counters);
+    }
+
+    /** With sockets of another kind, and where on those an address is. */
+    public HostLinks(Bootstrap bootstrap, Function<InetSocketAddress, SocketAddress> where,
+            ByteBufAllocator allocator, Counters counters) {
+        this.bootstrap = bootstrap.option(ChannelOption.ALLOCATOR, allocator);
+        this.where = where;
         this.allocator = allocator;
         this.counters = counters;
     }
@@ -34,11 +46,7 @@
     @Override
     public Link open(InetSocketAddress to, Link.Events events) {
         Handler handler = new Handler(events);
-        // Who waits decides how long: the pool closes what does not come up.
-        handler.channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, allocator).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0).handler(handler)
-                .connect(to).addListener(connected -> {
+        handler.channel = bootstrap.clone().handler(handler).connect(where.apply(to)).addListener(connected -> {
                     if (!connected.isSuccess()) {
                         handler.end();
                     }
--- a/src/test/java/rushwood/lifecycle/RehearsalTest.java
+++ b/src/test/java/rushwood/lifecycle/RehearsalTest.java
@@ -4,9 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushwood.state.Counters;
@@ -18,7 +22,10 @@
     void reachesWhatARealStartReaches(@TempDir Path folder) throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), ConfigTest.GOOD);
         UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
-        Counters counters = new Rehearsal(Config.read(Map.of("NODE_CONFIG", file.toString())), allocator).play();
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Counters counters = new Rehearsal(Config.read(Map.of("NODE_CONFIG", file.toString())), group, group.next(),
+                allocator).play();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         assertTrue(counters.get(Count.ACCESSES_FULFILLED) > 0);
         assertTrue(counters.get(Count.ACCESSES_TURNED_BACK) > 0);
         assertTrue(counters.get(Count.CONNECTIONS_REUSED) > 0);
