Only a refused connection takes a host down; with none warm a cold host's slots are its budget

The log has hosts DOWN and well again without end, then no line for 15 s. Cause: a connection that was accepted and reset before its welcome counted as a dead host (Pool.broken: UNREACHED); the storm of verdicts used up the probes, so that hosts stayed DOWN for half a second and came back as new, cold ones (Choice.well); once all were cold, the budget of each was a share of what no warm host got through: zero, for good (Choice.withinBudget). Now: a break says nothing of the host, only a refused connection or one that never comes up does; a host is taken for restarted after a second; DOWN hosts do not count as warm; with none warm the slots are the budget. An exception in a due task, a call or an answer ends that alone, is counted and told; an access that it leaves without a shot is given up.

--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -258,7 +258,8 @@
         }
     }
 
-    private static final List<ShotEnd> FAULTS = List.of(ShotEnd.ERROR, ShotEnd.SPOILT, ShotEnd.BROKEN);
+    private static final List<ShotEnd> FAULTS = List.of(ShotEnd.ERROR, ShotEnd.SPOILT, ShotEnd.BROKEN,
+            ShotEnd.UNSENT); // another host may do better
     private static final int MOST_ERRORS = 2; // by two hosts: then it is the access that is bad, not a host
 
     /** Whether a further shot breaks no promise; with a host, whether it may go there. */
@@ -530,7 +531,7 @@
 
     /**
      * A cold host gets, from each router, no more than its share of what that router's warm hosts get
-     * through: all routers together then stay well under what would tip it, whatever each of them carries.
+     * through (with none warm, of its slots): all routers together then stay well under what would tip it.
      */
     private boolean withinBudget(Held held, HostState host, long now) {
         if (warmth(host, now) == 1) {
@@ -539,12 +540,12 @@
         double sum = 0;
         double weight = 0;
         for (HostState other : hosts.values()) {
-            if (other.group != null && warmth(other, now) == 1) {
+            if (other.group != null && other.health == Health.WELL && warmth(other, now) == 1) {
                 sum += other.doneRate;
                 weight += other.listed.weight();
             }
         }
-        double rate = weight > 0 ? coldShare(host, now) * host.listed.weight() * sum / weight : 0;
+        double rate = coldShare(host, now) * (weight > 0 ? host.listed.weight() * sum / weight : host.cap);
         double most = Math.max(usual(held), rate * settings.fallWindow() * BURST);
         if (host.allowanceAt < host.warmFrom) { // each router starts somewhere else: no wave of first shots
             host.allowance = chance.nextDouble() * most;
@@ -597,14 +598,13 @@
                     host.pausedUntil = now + REST;
                 }
                 case UNREACHED -> trouble(host, Health.DOWN, now);
-                // While others are out there one connection broke; a host that died breaks all of them.
-                case BROKEN -> trouble(host, host.out.size() > 1 ? host.health : Health.DOWN, now);
                 case EXPIRED -> {
                     if (!shot.lost) {
                         adapt(host, Math.max(1, share), now);
                     }
                 }
-                case WITHDRAWN, ERROR, SPOILT, BEHIND, UNSENT -> { } // spoilt: not one host's fault
+                case WITHDRAWN, ERROR, BEHIND -> { }
+                case SPOILT, BROKEN, UNSENT -> { } // of one connection: a host that died refuses the next
             }
             host.lastAnswer = answer.end().hostAnswered() ? now : host.lastAnswer;
             if (host.lastAnswer == now && host.health == Health.STUCK) {
@@ -645,7 +645,7 @@
     /** A host that was down for more than a moment comes back cold, whatever the list says yet. */
     private void well(HostState host, long now) {
         outlet.log(host.id + " is well again");
-        if (host.health == Health.DOWN && now - host.troubledAt > RECHECK) {
+        if (host.health == Health.DOWN && now - host.troubledAt > 2 * TRIAL_GAP) {
             host.startAnew(now);
         }
         host.health = Health.WELL;
--- a/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -92,7 +92,7 @@
         long end = System.nanoTime() + LONGEST;
         long zero = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
         Clock clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
-        Agenda agenda = new Agenda(clock, this::set);
+        Agenda agenda = new Agenda(clock, this::set, counters);
         HostLinks links = new HostLinks(new Bootstrap().group(loop).channel(NioDomainSocketChannel.class),
                 address -> at("h"), allocator, counters);
         router = new Router(clock, agenda, counters, new Router.Limits(CLIENTS * 2, config.openWithin(),
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -82,9 +82,11 @@
     private Void assemble() throws ReflectiveOperationException {
         long zero = unixNanos() - System.nanoTime();
         clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
-        agenda = new Agenda(clock, this::set);
+        agenda = new Agenda(clock, this::set, counters);
         beat();
         lines = new Lines(clock);
+        counters.onCaught(thrown -> lines.say("caught " + thrown + " at " + List.of(thrown.getStackTrace()).stream()
+                .limit(3).toList()));
         HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
         followed = config.discovery();
         discovery = new Discovery(loop, followed, clock, agenda, new ListEvents());
--- a/src/main/java/rushwood/state/Agenda.java
+++ b/src/main/java/rushwood/state/Agenda.java
@@ -39,13 +39,15 @@
     private final PriorityQueue<Entry> entries = new PriorityQueue<>();
     private final Clock clock;
     private final Timer timer;
+    private final Counters counters;
     private long order;
     private long set = Long.MAX_VALUE;
     private boolean readFirst;
 
-    public Agenda(Clock clock, Timer timer) {
+    public Agenda(Clock clock, Timer timer, Counters counters) {
         this.clock = clock;
         this.timer = timer;
+        this.counters = counters;
     }
 
     public Entry add(long at, Runnable task) {
@@ -84,7 +86,7 @@
                 Runnable task = next.task;
                 next.task = null;
                 if (task != null) {
-                    task.run();
+                    counters.safely(task);
                 }
             }
         } finally {
--- a/src/main/java/rushwood/state/Counters.java
+++ b/src/main/java/rushwood/state/Counters.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Counts what is taken in, sent and answered. */
 public final class Counters {
@@ -13,11 +14,13 @@
         SHOTS_SENT, SHOTS_FULFILLED, SHOTS_ERROR, SHOTS_SPOILT, SHOTS_OVERFULL, SHOTS_BEHIND, SHOTS_EXPIRED, SHOTS_BROKEN,
         SHOTS_WITHDRAWN, SHOTS_UNREACHED, SHOTS_UNSENT, PROBES_SENT, PROBES_ANSWERED,
         CONNECTIONS_OPENED, CONNECTIONS_REUSED, CONNECTIONS_FAILED, CONNECTIONS_CLOSED, HOST_FAULTS, HOST_SURPLUS,
-        LISTS_WHOLE, LISTS_CHANGED, LISTS_FAILED, CONFIGS_TAKEN, CONFIGS_REFUSED, INVARIANTS_BROKEN
+        LISTS_WHOLE, LISTS_CHANGED, LISTS_FAILED, CONFIGS_TAKEN, CONFIGS_REFUSED, INVARIANTS_BROKEN, EXCEPTIONS_CAUGHT
     }
 
     private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
 
+    private Consumer<Throwable> caught = thrown -> { };
+
     public Counters() {
         for (Count count : Count.values()) {
             counts.put(count, new long[1]);
@@ -41,6 +44,23 @@
         return holds;
     }
 
+    /** Whoever is to hear of what {@link #safely} caught. */
+    public void onCaught(Consumer<Throwable> listener) {
+        caught = listener;
+    }
+
+    /** Runs what must not take others with it: what it throws ends it alone, is counted and told. */
+    public boolean safely(Runnable task) {
+        try {
+            task.run();
+            return true;
+        } catch (RuntimeException | OutOfMemoryError e) {
+            add(Count.EXCEPTIONS_CAUGHT);
+            caught.accept(e);
+            return false;
+        }
+    }
+
     /** Every counter by its name in lower case, in order. */
     public void each(BiConsumer<String, Long> reader) {
         counts.forEach((count, value) -> reader.accept(count.name().toLowerCase(Locale.ROOT), value[0]));
--- a/src/main/java/rushwood/state/Link.java
+++ b/src/main/java/rushwood/state/Link.java
@@ -28,6 +28,7 @@
         /** The end of what was asked, or a refusal while opening; whether the link can be used again. */
         void answered(HostAnswer answer, boolean again);
 
-        void broken();
+        /** It is over; {@code accepted} unless the host refused it or it never came up. */
+        void broken(boolean accepted);
     }
 }
--- a/src/main/java/rushwood/state/Pool.java
+++ b/src/main/java/rushwood/state/Pool.java
@@ -131,13 +131,13 @@
 
     /** Closes what stands idle before the host does: a statement that meets such a close may have run. */
     private void sweep() {
+        agenda.add(clock.now() + SWEEP, this::sweep);
         long since = clock.now() - limits.idleFor() / KEPT_SHARE;
         for (Host host : hosts.values()) {
             while (!host.idle.isEmpty() && host.idle.peekLast().idleSince <= since) {
                 host.idle.removeLast().close();
             }
         }
-        agenda.add(clock.now() + SWEEP, this::sweep);
     }
 
     void closeAll() {
@@ -214,13 +214,13 @@
         }
 
         @Override
-        public void broken() {
+        public void broken(boolean accepted) {
             boolean up = !opening.callOff();
             if (!up) {
                 counters.add(Count.CONNECTIONS_FAILED);
             }
-            // One that was up and breaks unwritten proves that nothing ran, not that the host is down.
-            ShotEnd end = !up ? ShotEnd.UNREACHED : asked && link.written() ? ShotEnd.BROKEN : ShotEnd.UNSENT;
+            // One that was accepted and breaks unwritten proves that nothing ran, not that the host is down.
+            ShotEnd end = !accepted ? ShotEnd.UNREACHED : asked && link.written() ? ShotEnd.BROKEN : ShotEnd.UNSENT;
             host.idle.remove(this);
             close();
             end(HostAnswer.of(end));
--- a/src/main/java/rushwood/state/Router.java
+++ b/src/main/java/rushwood/state/Router.java
@@ -229,8 +229,9 @@
         counters.add(Count.ACCESSES_TAKEN);
         counters.must(!opens.containsKey(access.id()), "an id stands for one access");
         open++;
-        opens.put(access.id(), new Open(access.id(), statement, client));
-        tell(() -> decisions.arrived(now, access));
+        Open taken = new Open(access.id(), statement, client);
+        opens.put(access.id(), taken);
+        tell(taken, () -> decisions.arrived(now, access));
     }
 
     public void left(AccessId id) {
@@ -271,13 +272,9 @@
         } else {
             answer.release();
         }
-        ends.add(() -> {
-            decisions.answered(clock.now(), new Answer(access.id, shot.number, shot.host, answer.end(),
-                    clock.now() - shot.sentAt, access.client == null, answer.primary(), answer.position(),
-                    answer.report()));
-            forget(access);
-        });
-        settle();
+        tell(access, () -> decisions.answered(clock.now(), new Answer(access.id, shot.number, shot.host,
+                answer.end(), clock.now() - shot.sentAt, access.client == null, answer.primary(),
+                answer.position(), answer.report())));
     }
 
     private Client over(Open access) {
@@ -304,6 +301,17 @@
         end(shot, HostAnswer.of(asked ? end : ShotEnd.UNSENT));
     }
 
+    /** Where the decisions fail over an access and leave it without a shot, it is given up: it has its answer. */
+    private void tell(Open access, Runnable call) {
+        tell(() -> {
+            if (!counters.safely(call) && access.client != null && access.out == 0) {
+                counters.add(Count.ACCESSES_GIVEN_UP);
+                over(access).givenUp();
+            }
+            forget(access);
+        });
+    }
+
     private void tell(Runnable call) {
         ends.add(call);
         settle();
@@ -317,7 +325,7 @@
         telling = true;
         try {
             for (Runnable next = ends.poll(); next != null; next = ends.poll()) {
-                next.run();
+                counters.safely(next);
             }
         } finally {
             telling = false;
--- a/src/main/java/rushwood/wire/Clients.java
+++ b/src/main/java/rushwood/wire/Clients.java
@@ -58,8 +58,8 @@
 
     /** Ends what is silent, half written or unread for long: such connections would fill the house. */
     private void look() {
-        List.copyOf(open).forEach(Handler::look);
         agenda.add(clock.now() + LOOK, this::look);
+        List.copyOf(open).forEach(Handler::look);
     }
 
     /** In a full house the connection longest without an access goes, if that is long; its client opens another. */
--- a/src/main/java/rushwood/wire/HostLinks.java
+++ b/src/main/java/rushwood/wire/HostLinks.java
@@ -57,6 +57,7 @@
     private final class Handler extends ChannelInboundHandlerAdapter implements Link {
         private final HostProtocol protocol;
         private Channel channel;
+        private boolean accepted;
         private boolean written;
         private boolean over;
 
@@ -66,6 +67,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            accepted = true;
             context.writeAndFlush(Messages.startup(allocator));
         }
 
@@ -100,7 +102,7 @@
         private void end() {
             if (!over) {
                 over = true;
-                protocol.ended();
+                protocol.ended(accepted);
                 channel.close();
             }
         }
--- a/src/main/java/rushwood/wire/HostProtocol.java
+++ b/src/main/java/rushwood/wire/HostProtocol.java
@@ -244,7 +244,7 @@
     }
 
     /** The connection ended or is of no use; an answer that is whole but for what follows it still counts. */
-    void ended() {
+    void ended(boolean accepted) {
         State was = state;
         state = State.ENDED;
         frames.close();
@@ -255,7 +255,7 @@
             events.answered(HostAnswer.of(ShotEnd.SPOILT), false);
         } else if (was != State.ENDED) {
             dropRow();
-            events.broken();
+            events.broken(accepted);
         }
     }
 
