A connection that is reset while it opens is no dead host

Cause: a reset that comes before the connect was seen to finish fails the connect, and HostLinks took every failed connect for a refusal. A host that is gone refuses, cannot be routed to, or says nothing. The test has hosts that reset what they accept; it fails without the commit before (the connect seldom fails on loopback).

--- a/src/main/java/rushwood/wire/HostLinks.java
+++ b/src/main/java/rushwood/wire/HostLinks.java
@@ -9,7 +9,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.SocketAddress;
 import java.util.function.Function;
 import rushwood.state.Counters;
@@ -48,6 +50,10 @@
         Handler handler = new Handler(events);
         handler.channel = bootstrap.clone().handler(handler).connect(where.apply(to)).addListener(connected -> {
                     if (!connected.isSuccess()) {
+                        // Reset at once it was accepted all the same: a host that is gone refuses, or says nothing.
+                        Throwable cause = connected.cause();
+                        handler.accepted = !(cause instanceof ConnectException
+                                || cause instanceof NoRouteToHostException);
                         handler.end();
                     }
                 }).channel();
--- a/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -86,6 +86,7 @@
         final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
         final String role;
         volatile Function<String, byte[]> answer;
+        volatile boolean resets;
 
         Host(String role) throws IOException {
             this.role = role;
@@ -94,6 +95,11 @@
 
         @Override
         void serve(Socket client) throws IOException {
+            if (resets) {
+                client.setSoLinger(true, 0);
+                client.close();
+                return;
+            }
             DataInputStream in = new DataInputStream(client.getInputStream());
             in.readNBytes(in.readInt() - 4);
             client.getOutputStream().write(Bytes.welcome());
@@ -340,6 +346,21 @@
         }
     }
 
+    /** A host that resets new connections lives: its accesses go elsewhere, and it is not taken for dead. */
+    @Test
+    void resetWhileOpening() throws Exception {
+        replica.resets = true;
+        try (Client client = new Client(port)) {
+            for (int i = 0; i < 20; i++) {
+                assertEquals("T D C Z", client.answer(id(READ, "r" + i)));
+            }
+            String counters = counters(client);
+            assertTrue(!counters.contains("shots_unsent=0 "), counters);
+            assertTrue(counters.contains("shots_unreached=0 "), counters);
+        }
+        assertEquals(List.of(), log.stream().filter(line -> line.contains("DOWN")).toList());
+    }
+
     @Test
     void drainedHostsGetNothingNew() throws Exception {
         try (Client client = new Client(port)) {
