--- a/src/main/java/rushwood/decision/Choice.java
+++ b/src/main/java/rushwood/decision/Choice.java
@@ -597,14 +597,14 @@
                     adapt(host, 1, now);
                     host.pausedUntil = now + REST;
                 }
-                case UNREACHED -> // one that answered others meanwhile is up
-                    trouble(host, host.lastAnswer > shot.sentAt ? host.health : Health.DOWN, now);
+                case UNREACHED -> trouble(host, host.answeredSince(shot) ? host.health : Health.DOWN, now);
                 case EXPIRED -> {
                     if (!shot.lost) {
                         adapt(host, Math.max(1, share), now);
                     }
                 }
-                case WITHDRAWN, ERROR, BEHIND, SPOILT, BROKEN, UNSENT -> { } // a dead host refuses the next
+                case BROKEN -> trouble(host, host.out.size() > 1 ? host.health : Health.DOWN, now); // last
+                case WITHDRAWN, ERROR, BEHIND, SPOILT, UNSENT -> { }
             }
             host.lastAnswer = answer.end().hostAnswered() ? now : host.lastAnswer;
             if (host.lastAnswer == now && host.health == Health.STUCK) {
@@ -659,7 +659,7 @@
         outlet.log(host.id + " is " + health);
         host.health = health;
         host.troubledAt = now;
-        host.nextTrial = now + TRIAL_GAP;
+        host.nextTrial = now + (health == Health.DOWN ? RECHECK : TRIAL_GAP); // a probe may be lost too
         probe(host);
         host.group.unseat(host);
         callOff(host, now);
--- a/src/main/java/rushwood/decision/HostState.java
+++ b/src/main/java/rushwood/decision/HostState.java
@@ -53,6 +53,11 @@
         }
     }
 
+    /** It is up: what happened to that shot was its connection's fault. */
+    boolean answeredSince(Shot shot) {
+        return lastAnswer > shot.sentAt;
+    }
+
     /** A new process: cold, well as far as is known, and nothing of the old one's slots holds. */
     void startAnew(long at) {
         warmFrom = at;
