--- a/src/main/java/rushwood/wire/Clients.java
+++ b/src/main/java/rushwood/wire/Clients.java
@@ -24,7 +24,9 @@
     private static final int MOST_WAITING = 64 << 10; // bytes read behind an access, until no more are read
     private static final long MOST_HELD = 16 << 20; // bytes of statements: a third of the memory for buffers
 
-    private static final long IDLE = 2_000_000_000L; // without an access: then it may go for one that comes
+    // Without a word: then it may go for one that comes. Longer let clients that ask once and stay shut others out, as
+    // three hundred a second did; harm: a client that comes back a moment later has to open another.
+    private static final long IDLE = 100_000_000L;
     private static final long OWES = 2_400_000_000L; // the longest for a message: an end is owed within 3 s
     private static final long LINGERS = 1_000_000_000L; // after an error that ends it, so that it can be read
     private static final int LINGERS_FOR = 1 << 20; // bytes read on meanwhile: an end with some unread is a reset
