A lingering close is not begun anew at each look of a stop; one place for the system's clock

Found by reading: Clients.finish closes every 50 ms, and each call set back the second that a connection lingers, so that a stop could wait for it until it was killed; it could also take a closed connection in again. The clock over system time was written twice; unused imports are gone.

--- a/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Files;
@@ -22,7 +21,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.ListedHost;
@@ -88,10 +86,9 @@
         return UnixDomainSocketAddress.of(folder.resolve(name));
     }
 
-    private Void begin() throws IOException {
+    private void begin() {
         long end = System.nanoTime() + LONGEST;
-        long zero = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
-        Clock clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
+        Clock clock = Clock.system(loop::executeAfterEventLoopIteration);
         Agenda agenda = new Agenda(clock, this::set, counters);
         HostLinks links = new HostLinks(new Bootstrap().group(loop).channel(NioDomainSocketChannel.class),
                 address -> at("h"), allocator, counters);
@@ -108,7 +105,6 @@
         });
         listen("c", clients);
         look(end);
-        return null;
     }
 
     private void listen(String name, ChannelHandler handler) {
--- a/src/main/java/rushwood/lifecycle/Service.java
+++ b/src/main/java/rushwood/lifecycle/Service.java
@@ -10,7 +10,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -80,8 +79,7 @@
     }
 
     private Void assemble() throws ReflectiveOperationException {
-        long zero = unixNanos() - System.nanoTime();
-        clock = new Clock(() -> zero + System.nanoTime(), loop::executeAfterEventLoopIteration);
+        clock = Clock.system(loop::executeAfterEventLoopIteration);
         agenda = new Agenda(clock, this::set, counters);
         beat();
         lines = new Lines(clock);
@@ -123,11 +121,6 @@
         agenda.add(clock.now() + Clock.BEAT, this::beat);
     }
 
-    private static long unixNanos() {
-        Instant now = Instant.now();
-        return now.getEpochSecond() * SECOND + now.getNano();
-    }
-
     private void set(long delay, Runnable task) {
         if (timer != null) {
             timer.cancel(false);
--- a/src/main/java/rushwood/state/Clock.java
+++ b/src/main/java/rushwood/state/Clock.java
@@ -1,5 +1,6 @@
 package rushwood.state;
 
+import java.time.Instant;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -24,6 +25,13 @@
         this.atTurnEnd = atTurnEnd;
     }
 
+    /** Unix time as of now, carried on by the monotonic clock. */
+    public static Clock system(Consumer<Runnable> atTurnEnd) {
+        Instant start = Instant.now();
+        long zero = start.getEpochSecond() * 1_000_000_000L + start.getNano() - System.nanoTime();
+        return new Clock(() -> zero + System.nanoTime(), atTurnEnd);
+    }
+
     public long now() {
         if (!read) {
             read = true;
--- a/src/main/java/rushwood/wire/Clients.java
+++ b/src/main/java/rushwood/wire/Clients.java
@@ -264,6 +264,9 @@
 
         @Override
         public void close(boolean told) {
+            if (closing) {
+                return; // asked again while it lingers: that must not begin anew
+            }
             closing = true;
             word();
             weigh();
