Fleet module: name the revival-probe counter, say a stranger's incarnation, note two guards

Change: counter renamed revivalProbes; incarnationOf answers -1 for a stranger (incarnations are start times, never -1), with a test; comments say what the guard in received() is for and when it could harm, and that figure() is Hearsay's remover. Nothing outside the package references it yet.

--- a/router/src/main/java/rushwood/fleet/Hearsay.java
+++ b/router/src/main/java/rushwood/fleet/Hearsay.java
@@ -62,7 +62,11 @@
         }
     }
 
-    /** How many members saw {@code seen} of the host within the bound, and the youngest word's age; none is 0. */
+    /**
+     * How many members saw {@code seen} of the host within the bound, and the youngest word's age; none is 0.
+     * Reading is also what forgets: words older than the bound are removed here, so a host asked about is never
+     * held with stale words, and one never asked about is held by {@link #MOST_WORDS} at most.
+     */
     public Figure figure(long now, String host, Seen seen) {
         Deque<Word> words = hosts.get(host);
         if (words == null) {
--- a/router/src/main/java/rushwood/fleet/Membership.java
+++ b/router/src/main/java/rushwood/fleet/Membership.java
@@ -28,7 +28,8 @@
         public long suspected;
         public long died;
         public long refuted;
-        public long revived;
+        /** Probes sent to a member held dead lately, to hear whether a split has healed: not members come back. */
+        public long revivalProbes;
         public long probesMissed;
     }
 
@@ -136,6 +137,8 @@
     /** A datagram from {@code from}, checked whole already; what is to be sent. */
     public List<Out> received(long now, MemberId from, Message message) {
         Member sender = members.get(from);
+        // The codec bounds the words already; this guards callers that build messages themselves (tests, a
+        // future transport) and could only harm a datagram the codec would have refused too.
         if (sender == null || message.news().size() > MOST_NEWS) {
             counts.strangers++;
             return drain();
@@ -171,8 +174,13 @@
         return held == null ? null : held.state;
     }
 
+    /** The incarnation held of a member, or -1 for one outside the list (incarnations are start times, never -1). */
     public long incarnationOf(MemberId member) {
-        return member.equals(self) ? incarnation : members.get(member).incarnation;
+        if (member.equals(self)) {
+            return incarnation;
+        }
+        Member held = members.get(member);
+        return held == null ? -1 : held.incarnation;
     }
 
     /** Members that are there, this one with them. */
@@ -230,7 +238,7 @@
             List<MemberId> dead = members.values().stream().filter(m -> m.state == MemberState.DEAD
                     && now - m.since < settings.deadKeep()).map(m -> m.id).toList();
             if (!dead.isEmpty()) {
-                counts.revived++;
+                counts.revivalProbes++;
                 return dead.get(chance.nextInt(dead.size()));
             }
         }
--- a/router/src/test/java/rushwood/fleet/MembershipTest.java
+++ b/router/src/test/java/rushwood/fleet/MembershipTest.java
@@ -96,6 +96,7 @@
         assertTrue(after > before, "new incarnation " + after + " over " + before);
         tier.nodes[1].received(tier.now, tier.ids.get(4), Datagrams.decode(old, old.length));
         assertEquals(MemberState.ALIVE, tier.nodes[1].stateOf(tier.ids.get(4)), "the late word of the old life");
+        assertEquals(-1, tier.nodes[1].incarnationOf(new MemberId(0x7f000009, 1)), "a stranger");
     }
 
     @Test
