Check the list within 4 s at any grace, also while the watch beats and brings nothing

Cause: rest, patience and the time an answer may take were parts of the grace without an upper end, and every word on a watch put the next ask off. Change: Following works with the grace or 4 s, whichever is shorter (the protocol counts all as told 6 s after discovery had it), and a beat puts nothing off.

--- a/router/src/main/java/rushwood/follow/Following.java
+++ b/router/src/main/java/rushwood/follow/Following.java
@@ -30,6 +30,9 @@
     private static final long BEAT = 2000 * MS; // the protocol's: an empty line this often from a watch that lives
     private static final long OVERDUE = BEAT + BEAT / 2; // half a beat late is a standstill; what is missed counts at 6 s
     private static final long LEAST = 25 * MS; // between asks whatever the grace: 40 a second are some ms of a core's
+    // The protocol's: what discovery has and could tell counts as told 6 s later, starts, weights and roles as well as
+    // drains. A rest and two patiences, an answer that needs both included, stay two seconds under that at any grace.
+    private static final long TOLD = 4000 * MS;
     private static final int LONGEST = 4; // patiences that an answer may take from its first byte to its last, at first
     private static final int BELIEVED = 3; // whole lists of an older version, one after the other: so it is now
 
@@ -73,8 +76,9 @@
         this.calls = calls;
         this.chance = chance;
         this.version = version;
-        quiet = Math.max(LEAST, grace / 2);
-        patience = Math.max(LEAST, grace / 4);
+        long within = Math.min(grace, TOLD);
+        quiet = Math.max(LEAST, within / 2);
+        patience = Math.max(LEAST, within / 4);
         longest = LONGEST * patience;
     }
 
@@ -111,11 +115,8 @@
         if (call == null || call.watch && !between) {
             return;
         }
+        // A word on a watch proves that the watch lives, not that it brings what there is: the next ask stands.
         call.heardAt = now;
-        if (call == watch && ask == null) {
-            checkAt = now + rest();
-            wake();
-        }
     }
 
     /** With what a call brought: {@code told} is its version, -1 if it has none, {@code sound} if all could be read. */
