Nothing begins for a client that left: read on, hear Terminate and CancelRequest

All is read now, up to 1 MiB a client; of one that writes more the rest is dropped and the connection ends, told why, behind the answer that is due. - X behind an open access lay unread; a CancelRequest was read and dropped. Both end the access; the key is given out in BackendKeyData, a wrong one does nothing. - Where hosts cannot be told to stop (may_cancel false) an attempt waiting for its connection was written after its client had left: Router.left now keeps back what is not begun. - After a pause a statement was taken before the end behind it was read: reads go on to where nothing more is here, statements are taken at the end of the turn, and attempts wait a turn after a pause over 50 ms (a quarter of the grace before, 500 ms at 2 s). - A further attempt of a labelled access was written whenever its connection came up: Outlet.send says until when it may begin (nine tenths of the window, as before, now also for the wait for its connection). Closes: whatever we end (idle, refused, error, shutdown) ends its sending first and is read on and dropped until the other side ends, 1 s or 1 MiB (wire.Lingering); eight at most linger while the router serves, as the own sockets allow. Shutdown: the hook and SIGHUP are heard before anything else; told to end before it listens it never does; its last moment is counted from the start of a pause in which it was told, and it exits then whatever lingers. Tests: RouterTest's clock beats as the program's does (a rest of 100 ms was a pause); ServiceTest's stand-ins moved to RunningRouter.

--- a/lab/src/main/java/rushwood/lab/load/StormCost.java
+++ b/lab/src/main/java/rushwood/lab/load/StormCost.java
@@ -60,7 +60,7 @@
     /** Hears everything and does nothing. */
     private static final class Nothing implements Outlet {
         @Override
-        public void send(AccessId access, HostId host, long timeOut) {
+        public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
         }
 
         @Override
--- a/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
+++ b/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
@@ -291,7 +291,7 @@
         }
 
         @Override
-        public void send(AccessId id, HostId to, long timeOut) {
+        public void send(AccessId id, HostId to, long timeOut, long beginWithin) {
             Open open = opens.get(id);
             Shot shot = new Shot(this, open, to);
             open.shots.add(shot);
--- a/router/src/main/java/rushwood/Main.java
+++ b/router/src/main/java/rushwood/Main.java
@@ -6,6 +6,7 @@
 import rushwood.lifecycle.BadConfig;
 import rushwood.lifecycle.Config;
 import rushwood.lifecycle.Operator;
+import rushwood.lifecycle.Reload;
 import rushwood.lifecycle.Service;
 
 /** The command line: one subcommand a job. */
@@ -28,6 +29,7 @@
     /** Returns once it serves; the event loop goes on until SIGTERM. */
     private static void serve() {
         try {
+            Reload.Signal hangUp = Reload.hear();
             Operator operator = Operator.read(System.getenv());
             if (operator.jsonLog() != null) {
                 Configuration.set("writer", "json");
@@ -37,9 +39,9 @@
                 Configuration.set("writer.field.level", "{level}");
                 Configuration.set("writer.field.message", "{message}");
             }
-            Service service = new Service(Config.read(System.getenv()), operator, System.getenv());
-            service.start();
+            Service service = new Service(Config.read(System.getenv()), operator, System.getenv(), hangUp);
             Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
+            service.start();
         } catch (BadConfig e) {
             System.err.println("rushwood: " + e.getMessage());
             System.exit(2);
--- a/router/src/main/java/rushwood/adapter/Instance.java
+++ b/router/src/main/java/rushwood/adapter/Instance.java
@@ -22,7 +22,7 @@
     }
 
     @Override
-    public void send(AccessId access, HostId host, long timeOut) {
+    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
         lines.append("route\tid=").append(access.value()).append("\thost=").append(host.value());
         lines.append("\tcap=");
         Decimal.write(lines, timeOut);
--- a/router/src/main/java/rushwood/api/Outlet.java
+++ b/router/src/main/java/rushwood/api/Outlet.java
@@ -2,7 +2,8 @@
 
 /** What the decisions can have done. */
 public interface Outlet {
-    void send(AccessId access, HostId host, long timeOut);
+    /** An attempt that ends after {@code timeOut}, and may not begin any more after {@code beginWithin} nanoseconds. */
+    void send(AccessId access, HostId host, long timeOut, long beginWithin);
 
     void withdraw(AccessId access, int shot);
 
--- a/router/src/main/java/rushwood/decision/Choice.java
+++ b/router/src/main/java/rushwood/decision/Choice.java
@@ -276,13 +276,18 @@
         if (ran == null || held.product.effect() == Effect.REDOABLE) {
             return true;
         }
-        boolean tooLate = now >= ran.sentAt + held.product.window() * WINDOW_USED;
-        if (held.product.effect() == Effect.IRREVERSIBLE || tooLate) {
+        if (held.product.effect() == Effect.IRREVERSIBLE || now >= repeatsTill(held)) {
             return false;
         }
         return to == null || held.product.scope().joins(ran.host.listed, to.listed);
     }
 
+    /** Until when a further shot may begin: a connection that comes up late must not carry it past its window. */
+    private long repeatsTill(Held held) {
+        Shot ran = held.product.effect() == Effect.LABELLED ? held.mayHaveRun() : null;
+        return ran == null ? Long.MAX_VALUE : ran.sentAt + (long) (held.product.window() * WINDOW_USED);
+    }
+
     private static final double WINDOW_USED = 0.9; // of a label's window: the rest is for the way to the host
 
     // ---- stage: how fresh the data must be
@@ -581,11 +586,13 @@
                 host.nextTrial = now + TRIAL_GAP;
             }
             crowd.sent(now, held.access.group(), held.costly());
+            long repeatsTill = repeatsTill(held);
             Shot shot = new Shot(held, host, now, chance.nextInt(CONTROLS) == 0);
             held.shots.add(shot);
             host.out.add(shot);
             host.allowance -= usual(held);
-            outlet.send(held.access.id(), host.id, held.access.due() - margin - now);
+            long timeOut = held.access.due() - margin - now;
+            outlet.send(held.access.id(), host.id, timeOut, Math.min(timeOut, repeatsTill - now));
             return Step.KEEP;
         }
 
--- a/router/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/router/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -108,7 +108,7 @@
                 out -> new Storm(config.settings(), StormSettings.DEFAULT, dials, out, (crowd, outlet) ->
                         new Choice(config.settings(), new SplittableRandom(config.seed()), outlet, crowd)));
         Clients clients = new Clients(router, clock, agenda, counters, products, new Door(CLIENTS, 0),
-                sockets, () -> 0);
+                sockets, () -> 0, new SplittableRandom(config.seed()));
         router.listed(places(), true);
         listen("h", new ChannelInitializer<Channel>() {
             @Override
--- a/router/src/main/java/rushwood/lifecycle/Reload.java
+++ b/router/src/main/java/rushwood/lifecycle/Reload.java
@@ -12,7 +12,7 @@
 import rushwood.state.Counters.Count;
 
 /** Reads the configuration again on SIGHUP, beside the event loop; what comes of it is told on the loop. */
-final class Reload {
+public final class Reload {
     private static final long AGAIN = 500_000_000L; // until a file that cannot be read is looked at again
     private static final int MOST = 20; // looks: a file that is bad for ten seconds is not being written
 
@@ -37,17 +37,48 @@
         this.taken = taken;
     }
 
-    /** From now on SIGHUP is heard; until then it ends the process. By name: the compiler warns of such classes. */
-    void listen() throws ReflectiveOperationException {
+    /**
+     * What hears SIGHUP from the first moment of the program on: until then it ends the process. What comes before there
+     * is a router is kept for it, as that has read its configuration then and may have read the old one.
+     */
+    public static final class Signal {
+        private Runnable heard;
+        private boolean waits;
+
+        private synchronized void came() {
+            if (heard == null) {
+                waits = true;
+            } else {
+                heard.run();
+            }
+        }
+
+        private synchronized void goesTo(Runnable listener) {
+            heard = listener;
+            if (waits) {
+                waits = false;
+                heard.run();
+            }
+        }
+    }
+
+    /** By name: the compiler warns of such classes. */
+    public static Signal hear() throws ReflectiveOperationException {
+        Signal into = new Signal();
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
         Object heard = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
                 (proxy, method, arguments) -> {
-                    loop.execute(this::asked);
+                    into.came();
                     return null;
                 });
         signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
                 .newInstance("HUP"), heard);
+        return into;
+    }
+
+    void listen(Signal hangUp) {
+        hangUp.goesTo(() -> loop.execute(this::asked));
     }
 
     private void asked() {
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -34,7 +34,7 @@
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
 public final class Service {
-    // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in or ends.
+    // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in or that linger.
     private static final int OWN_SOCKETS = 54;
     private static final long SECOND = 1_000_000_000L;
     // A planned restart ends us no earlier than the longest outer limit, 3 s of it at most, and 0.7 s more after
@@ -50,6 +50,7 @@
     private final Config config;
     private final Operator operator;
     private final Map<String, String> environment;
+    private final Reload.Signal hangUp;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             NioIoHandler.newFactory());
     private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
@@ -65,21 +66,32 @@
     private Discovery discovery;
     private InetSocketAddress followed;
     private boolean stopping;
+    private volatile boolean ends; // told to, at any moment of its life
     private Channel listener;
+    private long last;
     private Future<?> timer;
 
-    /** With the environment that names the configuration's file, which is read again on SIGHUP. */
-    public Service(Config config, Operator operator, Map<String, String> environment) {
+    /** With the environment that names the configuration's file, which is read again on SIGHUP, and what hears that. */
+    public Service(Config config, Operator operator, Map<String, String> environment, Reload.Signal hangUp) {
+        this.hangUp = hangUp;
         this.config = config;
         this.operator = operator;
         this.environment = environment;
     }
 
-    /** Starts it; returns once clients are listened to. */
+    /** Starts it; returns once clients are listened to, or never will be as it was told to end before. */
     public void start() throws Exception {
         new Rehearsal(config, group, loop, ByteBufAllocator.DEFAULT).play();
         loop.submit(this::assemble).get();
         awaitList();
+        listen();
+    }
+
+    /** Told to end before this it never listens; told while it binds it serves first, as clients may have come. */
+    private synchronized void listen() throws InterruptedException {
+        if (ends) {
+            return;
+        }
         ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -117,13 +129,13 @@
                 outlet -> storm(dials, outlet));
         clients = new Clients(router, clock, agenda, counters, config.settings().products(),
                 new Door(sockets.forClients(clock.now()), config.settings().longestAdvice()), sockets,
-                () -> storm.adviseAtDoor(clock.now()));
+                () -> storm.adviseAtDoor(clock.now()), new SplittableRandom(config.seed() + 2));
         if (known != null) {
             known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
         }
         router.listed(known == null ? List.of() : known.places(), true);
         discovery.follow();
-        new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded).listen();
+        new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded).listen(hangUp);
         return null;
     }
 
@@ -225,10 +237,18 @@
 
     /** Serves on while it may, then closes what has no access open and ends with the last; blocks until then. */
     public void stop() {
+        ends = true;
+        synchronized (this) {
+            if (listener == null) {
+                Logger.info("stopping before it serves");
+                return;
+            }
+        }
         loop.execute(() -> {
             stopping = true;
             Logger.info("stopping with {} accesses open", router.openAccesses());
-            long last = clock.now() + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
+            // Told while this process stood still it was told at any moment of that, and its end is counted from there.
+            last = clock.cameAt() + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
             router.closing(last);
             clients.closing();
             agenda.add(last - LAST_ACCESS, this::finish);
@@ -243,10 +263,11 @@
 
     private void finish() {
         clients.finish();
-        if (clients.open() > 0) {
+        if (clients.open() > 0 && clock.now() < last) {
             agenda.add(clock.now() + LOOK, this::finish);
             return;
         }
+        clients.close();
         listener.close();
         discovery.close();
         router.close();
--- a/router/src/main/java/rushwood/state/Errand.java
+++ b/router/src/main/java/rushwood/state/Errand.java
@@ -7,6 +7,7 @@
 abstract class Errand {
     final HostId host;
     Pool.Connection on;
+    long beginBy = Long.MAX_VALUE; // nothing of it is written any more from then on
     boolean over;
 
     Errand(HostId host) {
--- a/router/src/main/java/rushwood/state/Pool.java
+++ b/router/src/main/java/rushwood/state/Pool.java
@@ -26,6 +26,8 @@
     private static final long KEPT_LEAST = 100_000_000L;
     private static final int KEPT_MORE = 4;
 
+    // Nothing begins over 0.1 s after its client closed: half of that may pass without a look at the clients.
+    private static final long GONE_UNSEEN = 50_000_000L;
     // The part of the grace for leaving hosts that may pass between two turns, or in one, without a look at the list.
     private static final int STALE_SHARE = 4;
 
@@ -238,7 +240,7 @@
          * all sockets in no order. So it is written in the turn after that one, if its host is still there.
          */
         private void askSoon() {
-            if (clock.isStale(limits.grace() / STALE_SHARE)) {
+            if (clock.isStale(Math.min(limits.grace() / STALE_SHARE, GONE_UNSEEN))) {
                 counters.add(Count.SHOTS_DEFERRED);
                 agenda.add(clock.now() + 1, this::askLater);
             } else {
@@ -266,6 +268,14 @@
 
         private void ask() {
             host.chosen.remove(this);
+            if (clock.now() >= errand.beginBy) {
+                Errand late = errand;
+                errand = null;
+                counters.add(Count.SHOTS_KEPT_BACK);
+                rest();
+                end(late, HostAnswer.of(ShotEnd.UNSENT));
+                return;
+            }
             counters.must(!asked && !closed, "one errand at a time on a connection");
             asked = true;
             link.ask(errand.statement(), errand.probe());
--- a/router/src/main/java/rushwood/state/Router.java
+++ b/router/src/main/java/rushwood/state/Router.java
@@ -269,8 +269,20 @@
         if (access != null && access.client != null) {
             counters.add(Count.ACCESSES_LEFT);
             over(access);
-            tell(() -> decisions.left(clock.now(), id));
-            forget(access);
+            tell(access, () -> {
+                decisions.left(clock.now(), id);
+                keepBack(access);
+            });
+        }
+    }
+
+    /** What is chosen and not begun is for nobody any more, whether or not hosts can be told to stop. */
+    private void keepBack(Open access) {
+        for (Shot shot : List.copyOf(access.shots)) {
+            if (!shot.over && (shot.on == null || !shot.on.asked())) {
+                counters.add(Count.SHOTS_KEPT_BACK);
+                stop(shot, ShotEnd.WITHDRAWN);
+            }
         }
     }
 
@@ -366,13 +378,14 @@
 
     private final class Out implements Outlet {
         @Override
-        public void send(AccessId id, HostId host, long timeOut) {
+        public void send(AccessId id, HostId host, long timeOut, long beginWithin) {
             Open access = opens.get(id);
             if (!counters.must(access != null && access.client != null, "a shot for an open access")) {
                 return;
             }
             long now = clock.now();
             Shot shot = new Shot(access, host, now, timeOut);
+            shot.beginBy = now + Math.min(timeOut, beginWithin);
             access.shots.add(shot);
             access.out++;
             counters.add(Count.SHOTS_SENT);
--- a/router/src/main/java/rushwood/storm/Storm.java
+++ b/router/src/main/java/rushwood/storm/Storm.java
@@ -399,12 +399,12 @@
     /** What the decisions decide passes through; shots are kept in mind. */
     private final class Out implements Outlet {
         @Override
-        public void send(AccessId access, HostId host, long timeOut) {
+        public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
             Open open = opens.get(access);
             if (open != null) {
                 open.out++;
             }
-            outlet.send(access, host, timeOut);
+            outlet.send(access, host, timeOut, beginWithin);
         }
 
         @Override
--- a/router/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/router/src/main/java/rushwood/wire/ClientProtocol.java
@@ -30,8 +30,17 @@
         /** The answer that is written next tells when to come back. */
         void booked();
 
-        /** Closes once all is written; {@code told} if that ends with an error, which is to be read. */
-        void close(boolean told);
+        /** By what a request on another connection cancels what runs on this one. */
+        long key();
+
+        /** Such a request. */
+        void cancel(long key);
+
+        /** Its client ended the session while its access was open. */
+        void left();
+
+        /** Ends it once all is written. */
+        void close();
 
         /** Calls {@link ClientProtocol#resume} in a later turn. */
         void later();
@@ -45,6 +54,8 @@
     private static final int ENCRYPTION = 80877103;
     private static final int GSS = 80877104;
     private static final int CANCEL = 80877102;
+    private static final int KEY = 8;
+    private static final char TERMINATE = 'X';
     private static final String ADMIN = "SHOW COUNTERS";
 
     private final ByteBufAllocator allocator;
@@ -53,7 +64,6 @@
     private State state = State.START;
     private ByteBuf asked;
     private boolean ending;
-    private boolean told;
 
     ClientProtocol(ByteBufAllocator allocator, Session session) {
         this.allocator = allocator;
@@ -70,13 +80,18 @@
         };
     }
 
-    /** Takes the buffer over. */
-    void feed(ByteBuf in) {
+    /** Takes the buffer over, for {@link #resume} to go on with. */
+    void add(ByteBuf in) {
         frames.feed(in);
+    }
+
+    /** Takes the buffer over and goes on with it. */
+    void feed(ByteBuf in) {
+        add(in);
         resume();
     }
 
-    /** Goes on with what was read, up to an access that has to wait for its answer. */
+    /** Goes on with what was read, up to an access that has to wait for its answer; looks behind that for its end. */
     void resume() {
         ByteBuf out = allocator.buffer(256);
         try {
@@ -87,7 +102,6 @@
         } catch (Fault fault) {
             session.rejected(fault);
             Messages.error(out, true, fault.state, fault.getMessage(), null);
-            told = true;
             state = State.ENDED;
         }
         if (out.isReadable()) {
@@ -95,7 +109,15 @@
         } else {
             out.release();
         }
-        if (asked != null) {
+        // Whoever has terminated waits for nothing any more, however much it wrote before.
+        if ((asked != null || state == State.WAITING) && frames.isAhead(TERMINATE)) {
+            boolean open = asked == null;
+            asked = null;
+            state = State.ENDED;
+            if (open) {
+                session.left();
+            }
+        } else if (asked != null) {
             take();
         }
         rest();
@@ -119,7 +141,7 @@
         }
         if (state == State.ENDED) {
             frames.close();
-            session.close(told);
+            session.close();
         } else {
             frames.trim();
         }
@@ -137,14 +159,17 @@
         if (version == ENCRYPTION || version == GSS) {
             out.writeByte('N');
         } else if (version == CANCEL) {
-            state = State.ENDED;
+            state = State.ENDED; // with no answer, by the protocol: nobody learns whether the key was right
+            if (message.readableBytes() == KEY) {
+                session.cancel(message.readLong());
+            }
         } else if (version >> 16 != Messages.VERSION >> 16) {
             throw new Fault("0A000", "only version 3 of the protocol is spoken", true);
         } else {
             if (version != Messages.VERSION) {
                 Messages.negotiate(out);
             }
-            Messages.welcome(out);
+            Messages.welcome(out, session.key());
             state = State.IDLE;
         }
         return true;
@@ -156,7 +181,7 @@
             return false;
         }
         char type = frames.type();
-        if (type == 'X') {
+        if (type == TERMINATE) {
             state = State.ENDED;
         } else if (type == 'S') {
             state = State.IDLE;
@@ -236,6 +261,11 @@
         answerWith("58000", "given up: it may have run", null);
     }
 
+    /** Its client asked for that, and is owed an answer all the same. */
+    void cancelled() {
+        answerWith("57014", "canceling statement due to user request", null);
+    }
+
     private void answerWith(String code, String message, String detail) {
         ByteBuf out = allocator.buffer(128);
         Messages.error(out, false, code, message, detail);
@@ -294,7 +324,6 @@
         ByteBuf out = allocator.buffer(128);
         Messages.error(out, true, code, why, wait);
         session.write(out);
-        told = true;
         state = State.ENDED;
         rest();
     }
--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -1,16 +1,17 @@
 package rushwood.wire;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.RecvByteBufAllocator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import java.util.function.LongSupplier;
 import rushwood.api.AccessId;
 import rushwood.api.Product;
@@ -24,16 +25,19 @@
 
 /** The connections of clients; reads and writes for {@link ClientProtocol}. */
 public final class Clients extends ChannelInitializer<Channel> {
-    private static final int MOST_WAITING = 64 << 10; // bytes read behind an access, until no more are read
+    // Bytes that a client may write ahead of its answers: eight of the longest statements. They are read all the same, as
+    // a client's end stands behind them and has to be seen. Of one that writes more, what is too much is dropped, and the
+    // connection ends behind the answer that is due, told why. Harm: to clients that pipeline more than that.
+    private static final int MOST_AHEAD = 1 << 20;
+    private static final int MOST_WAITING = 64 << 10; // and while memory is short
     private static final long MOST_HELD = 16 << 20; // bytes of statements: a third of the memory for buffers
+    private static final long SHORT_HELD = MOST_HELD / 2; // from here on memory is short
 
     // In a full house what has come is read before anyone goes for one that comes: in so long a turn of the loop passes.
     private static final long READ_FIRST = 1_000_000L;
     private static final int MARGIN = 16; // let in meanwhile, from our own sockets: the accepts of a turn
-    private static final int LINGERING = 4; // refused ones that linger, from our own sockets too; others just end
+    private static final int LINGERING = 8; // ended ones that linger, from our own sockets too: more, the first go
     private static final long OWES = 2_400_000_000L; // the longest for a message: an end is owed within 3 s
-    private static final long LINGERS = 1_000_000_000L; // after an error that ends it, so that it can be read
-    private static final int LINGERS_FOR = 1 << 20; // bytes read on meanwhile: an end with some unread is a reset
     private static final long LOOK = 200_000_000L; // between looks for those that owe or linger
 
     // Statements that cannot be taken, one after the other: then the connection is heard less often, then closed.
@@ -42,7 +46,15 @@
     private static final int MOST_REJECTED = 12;
     private static final long PAUSE = 50_000_000L;
 
+    // Reads up to where nothing more is here: an end that stands behind a statement is seen before that is sent on.
+    private static final int READS = 16; // a turn, up to 64 KiB each: the library's own figure
+    private static final RecvByteBufAllocator READS_ALL = new AdaptiveRecvByteBufAllocator()
+            .respectMaybeMoreData(false).maxMessagesPerRead(READS);
+
     private final Set<Handler> open = new LinkedHashSet<>();
+    private final Set<Lingering> ended = new LinkedHashSet<>(); // ended by us, not yet closed; the first to end first
+    private final Map<Long, Handler> keys = new HashMap<>(); // looked up alone; each handler removes its own
+    private final RandomGenerator chance;
     private final Router router;
     private final Clock clock;
     private final Agenda agenda;
@@ -52,13 +64,16 @@
     private final Sockets sockets;
     private final LongSupplier comeBack;
     private boolean settling;
-    private int lingering;
+    private int accepted;
     private long held;
     private boolean ending;
 
-    /** With the house and its sockets, and the wait in nanoseconds that one without a place there is told. */
+    /**
+     * With the house and its sockets, the wait in nanoseconds that one without a place there is told, and the chance from
+     * which the keys of sessions are drawn.
+     */
     public Clients(Router router, Clock clock, Agenda agenda, Counters counters, List<Product> products, Door door,
-            Sockets sockets, LongSupplier comeBack) {
+            Sockets sockets, LongSupplier comeBack, RandomGenerator chance) {
         this.router = router;
         this.clock = clock;
         this.agenda = agenda;
@@ -67,6 +82,7 @@
         this.door = door;
         this.sockets = sockets;
         this.comeBack = comeBack;
+        this.chance = chance;
         look();
     }
 
@@ -74,17 +90,19 @@
     private void look() {
         agenda.add(clock.now() + LOOK, this::look);
         List.copyOf(open).forEach(Handler::look);
+        List.copyOf(ended).forEach(each -> each.lookAtEnd(clock.now()));
         sweep();
     }
 
     @Override
     protected void initChannel(Channel channel) {
+        channel.config().setRecvByteBufAllocator(READS_ALL);
         door.most(sockets.forClients(clock.now()));
-        if (door.open() >= door.most() + MARGIN && !makeRoom()) {
-            counters.add(Count.CLIENTS_REFUSED);
-            ByteBuf out = channel.alloc().buffer(128);
-            Messages.error(out, true, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
-            channel.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
+        if (ending) {
+            refuse(channel, "57P03", "this router ends", null);
+            return;
+        } else if (door.open() >= door.most() + MARGIN && !makeRoom()) {
+            refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
             return;
         }
         counters.add(Count.CLIENTS_ACCEPTED);
@@ -97,6 +115,27 @@
         }
     }
 
+    /** One that has no place: it can read why. */
+    private void refuse(Channel channel, String code, String why, String wait) {
+        counters.add(Count.CLIENTS_REFUSED);
+        ByteBuf out = channel.alloc().buffer(128);
+        Messages.error(out, true, code, why, wait);
+        Lingering refused = new Lingering(channel);
+        channel.pipeline().addLast(refused);
+        channel.write(out);
+        linger(refused);
+    }
+
+    /** Ended by us; where many are, the first has had the most time to end too. */
+    private void linger(Lingering connection) {
+        if (ended.size() >= LINGERING && !ending) {
+            ended.iterator().next().channel.close();
+        }
+        ended.add(connection);
+        connection.hangUp(clock.now());
+        connection.channel.closeFuture().addListener(closed -> ended.remove(connection));
+    }
+
     /** Those go that rest in vain, where clients ask once and stay. */
     private void sweep() {
         for (Door.Place goes = door.restsInVain(clock.now()); goes != null; goes = door.restsInVain(clock.now())) {
@@ -123,8 +162,15 @@
         }
     }
 
+    /** Connections, those included that end. */
     public int open() {
-        return open.size();
+        return open.size() + ended.size();
+    }
+
+    /** Closes what is left: its time is over. */
+    public void close() {
+        List.copyOf(open).forEach(handler -> handler.channel.close());
+        List.copyOf(ended).forEach(each -> each.channel.close());
     }
 
     /** The end is near: a connection that closes now cannot be opened anew here. */
@@ -138,28 +184,28 @@
         List.copyOf(open).forEach(handler -> handler.protocol.finish());
     }
 
-    private final class Handler extends ChannelInboundHandlerAdapter implements ClientProtocol.Session {
-        private final Channel channel;
+    private final class Handler extends Lingering implements ClientProtocol.Session {
         private final ClientProtocol protocol;
+        private final long key = (long) ++accepted << Integer.SIZE | chance.nextInt() & 0xffffffffL;
         private AccessId access;
         private int asked;
         private int holds;
         private int rejected;
-        private int discarded;
         private long lastWord = clock.now();
         private long owesFrom = lastWord;
         private boolean paused;
-        private boolean closing;
-        private boolean lingers;
         private boolean told;
+        private boolean tooMuch; // it wrote more ahead than is kept
+        private boolean later; // asked for in this turn
         private boolean welcomed;
         private boolean heard; // it has had an answer
         private final Door.Place place = door.enter(this, lastWord);
 
         Handler(Channel channel) {
-            this.channel = channel;
+            super(channel);
             protocol = new ClientProtocol(channel.alloc(), this);
             open.add(this);
+            keys.put(key, this);
         }
 
         private void makeRoom() {
@@ -167,19 +213,19 @@
             if (!heard) {
                 counters.add(Count.CLIENTS_IDLED_UNHEARD);
             }
-            channel.close();
-            gone();
+            end();
         }
 
         private void findNoRoom() {
             counters.add(Count.CLIENTS_REFUSED);
-            if (lingering >= LINGERING) {
-                channel.close();
+            protocol.refuse("53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
+        }
+
+        /** Our end of it: from now on it has no place here, and nothing that it writes is read as a statement. */
+        private void end() {
+            if (!isEnding()) {
                 gone();
-            } else {
-                lingering++;
-                lingers = true;
-                protocol.refuse("53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
+                linger(this);
             }
         }
 
@@ -193,29 +239,48 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
-            if (closing) {
-                discarded += in.readableBytes();
-                in.release();
-                if (discarded > LINGERS_FOR) {
-                    channel.close();
-                }
+            if (isEnding()) {
+                discard(in);
                 return;
             }
             word();
             if (!protocol.isOwing()) {
                 owesFrom = lastWord;
             }
-            protocol.feed(in);
-            throttle();
+            int ahead = protocol.waiting() + in.readableBytes();
+            boolean behind = protocol.isWaiting() || paused || !channel.isWritable();
+            tooMuch |= behind && (ahead > MOST_AHEAD || ahead > MOST_WAITING && held > SHORT_HELD);
+            if (tooMuch) {
+                in.release();
+                return;
+            }
+            protocol.add(in);
             weigh();
-            if (!closing) {
-                stand();
+            stand();
+            later();
+        }
+
+        /** What was read is gone on with once its end would have been read too: then nobody waits for it. */
+        private void goOn() {
+            later = false;
+            if (isEnding() || !channel.isOpen() || paused || !channel.isWritable()) {
+                return;
+            }
+            if (rejected > MOST_REJECTED) {
+                protocol.refuse("08P01", "too many statements that cannot be taken", null);
+                return;
             }
-            // An access that is open keeps its place: only what is half written can be refused.
-            if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && protocol.isOwing() && !closing) {
+            protocol.resume();
+            weigh();
+            if (tooMuch && !protocol.isWaiting() && !isEnding()) {
+                counters.add(Count.CLIENTS_REFUSED);
+                protocol.refuse("53300", "too much was written ahead of its answers", null);
+            } else if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && protocol.isOwing() && !isEnding()) {
+                // An access that is open keeps its place: only what is half written can be refused.
                 counters.add(Count.CLIENTS_REFUSED);
                 protocol.refuse("53300", "memory is short", null);
             }
+            stand();
         }
 
         private void word() {
@@ -224,10 +289,9 @@
 
         private void look() {
             long now = clock.now();
-            boolean unread = !channel.isWritable() && lastWord <= now - OWES;
-            if (closing ? lastWord <= now - LINGERS : unread) {
+            if (!channel.isWritable() && lastWord <= now - OWES) {
                 channel.close();
-            } else if (!closing && protocol.isOwing() && owesFrom <= now - OWES) {
+            } else if (protocol.isOwing() && owesFrom <= now - OWES) {
                 counters.add(Count.CLIENTS_TIMED_OUT);
                 protocol.refuse("08P01", "the message did not come in time", null);
             }
@@ -235,21 +299,15 @@
 
         /** Keeps count of what is held for this client: what it wrote ahead, and the access that is open. */
         private void weigh() {
-            int now = closing ? 0 : protocol.waiting() + (protocol.isWaiting() ? asked : 0);
+            int now = isEnding() || !open.contains(this) ? 0 : protocol.waiting() + (protocol.isWaiting() ? asked : 0);
             held += now - holds;
             holds = now;
         }
 
-        /** Neither what it writes ahead nor what it does not read may fill our memory. */
-        private void throttle() {
-            // Only behind an access: a long statement that is half read needs the rest of it.
-            boolean ahead = protocol.isWaiting() && protocol.waiting() > MOST_WAITING;
-            channel.config().setAutoRead(!ahead && !paused && channel.isWritable());
-        }
-
+        /** What it does not read may not fill our memory: until it has, no further statement is taken. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
-            throttle();
+            later();
         }
 
         @Override
@@ -259,11 +317,10 @@
 
         private void gone() {
             if (open.remove(this)) {
+                keys.remove(key);
                 door.leave(place);
                 sockets.clients(open.size());
-                lingering -= lingers ? 1 : 0;
                 counters.add(Count.CLIENTS_CLOSED);
-                closing = true;
                 weigh();
                 protocol.closed();
                 if (access != null) {
@@ -273,8 +330,22 @@
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+        public long key() {
+            return key;
+        }
+
+        @Override
+        public void cancel(long other) {
+            Handler at = keys.get(other);
+            if (at != null && at.protocol.isWaiting()) {
+                router.left(at.access);
+                at.protocol.cancelled();
+            }
+        }
+
+        @Override
+        public void left() {
+            router.left(access);
         }
 
         @Override
@@ -320,7 +391,7 @@
                 paused = true;
                 agenda.add(clock.now() + PAUSE, () -> {
                     paused = false;
-                    goOn();
+                    later();
                 });
             }
         }
@@ -336,6 +407,9 @@
             channel.writeAndFlush(out);
             weigh();
             stand();
+            if (tooMuch) {
+                later();
+            }
         }
 
         @Override
@@ -344,44 +418,15 @@
         }
 
         @Override
-        public void close(boolean told) {
-            if (closing) {
-                return; // asked again while it lingers: that must not begin anew
-            }
-            closing = true;
-            door.leave(place);
-            word();
-            weigh();
-            // Told why: our side ends first, and what still comes is read for a while.
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
-                if (told && channel instanceof DuplexChannel both) {
-                    both.shutdownOutput();
-                } else {
-                    channel.close();
-                }
-            });
+        public void close() {
+            end();
         }
 
         @Override
         public void later() {
-            channel.eventLoop().execute(this::goOn);
-        }
-
-        private void goOn() {
-            if (!closing && !paused) {
-                if (rejected > MOST_REJECTED) {
-                    protocol.refuse("08P01", "too many statements that cannot be taken", null);
-                } else {
-                    protocol.resume();
-                    throttle();
-                }
-            }
-        }
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext context) {
-            if (ending) {
-                protocol.finish();
+            if (!later) {
+                later = true;
+                channel.eventLoop().execute(this::goOn);
             }
         }
     }
--- a/router/src/main/java/rushwood/wire/Frames.java
+++ b/router/src/main/java/rushwood/wire/Frames.java
@@ -13,6 +13,7 @@
     private final IntUnaryOperator longest;
     private ByteBuf read;
     private int type;
+    private int looked; // bytes of what waits that were looked through
 
     /** With the most that the length of a message of a type may say; 0 for types that are not spoken. */
     Frames(ByteBufAllocator allocator, IntUnaryOperator longest) {
@@ -65,10 +66,28 @@
             return null;
         }
         type = next;
+        looked = Math.max(0, looked - before - length);
         ByteBuf message = read.readSlice(before + length);
         return message.skipBytes(before + LENGTH);
     }
 
+    /** Whether the head of a message of that type waits, behind whatever else; each message is looked at once. */
+    boolean isAhead(char wanted) {
+        while (waiting() - looked > LENGTH) {
+            int at = read.readerIndex() + looked;
+            int found = read.getUnsignedByte(at);
+            int length = read.getInt(at + 1);
+            if (found == wanted) {
+                return true;
+            }
+            if (length < LENGTH || length > longest.applyAsInt(found) || 1 + length > waiting() - looked) {
+                return false;
+            }
+            looked += 1 + length;
+        }
+        return false;
+    }
+
     /** Bytes that were read and not yet taken. */
     int waiting() {
         return read == null ? 0 : read.readableBytes();
@@ -85,6 +104,7 @@
         if (read != null) {
             read.release();
             read = null;
+            looked = 0;
         }
     }
 }
--- a/router/src/main/java/rushwood/wire/Messages.java
+++ b/router/src/main/java/rushwood/wire/Messages.java
@@ -43,8 +43,8 @@
         end(out, at);
     }
 
-    /** What answers a startup message. */
-    static void welcome(ByteBuf out) {
+    /** What answers a startup message, with the key by which what runs here can be cancelled. */
+    static void welcome(ByteBuf out, long key) {
         int at = begin(out, 'R');
         out.writeInt(0);
         end(out, at);
@@ -54,7 +54,7 @@
         parameter(out, "integer_datetimes", "on");
         parameter(out, "standard_conforming_strings", "on");
         at = begin(out, 'K');
-        out.writeLong(0);
+        out.writeLong(key);
         end(out, at);
         ready(out);
     }
--- a/router/src/main/java/rushwood/wire/RehearsedPeers.java
+++ b/router/src/main/java/rushwood/wire/RehearsedPeers.java
@@ -66,7 +66,7 @@
             }
             if (!started) {
                 started = true;
-                Messages.welcome(out);
+                Messages.welcome(out, 0);
                 return true;
             }
             int turn = (first + answers++) % KINDS;
--- a/router/src/test/java/rushwood/ScenarioTest.java
+++ b/router/src/test/java/rushwood/ScenarioTest.java
@@ -215,7 +215,7 @@
         }
 
         @Override
-        public void send(AccessId access, HostId host, long timeOut) {
+        public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
             shots.computeIfAbsent(access.value(), each -> new ArrayList<>()).add(host.value());
             done.add("send " + access + " " + host);
         }
--- a/router/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -3,229 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.ByteArrayOutputStream;
-import java.io.Closeable;
-import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import rushwood.wire.Bytes;
 
 /** The whole program in a process of its own, with stand-in hosts and discovery on loopback. */
-class ServiceTest {
-    private static final int PATIENCE = 20_000; // ms until a test that hangs fails
-    private static final String READ = Bytes.read("ID", ",d=900");
-
-    /** Accepts connections and serves each on a thread. */
-    private abstract static class Standin implements Closeable {
-        final ServerSocket socket;
-        private final List<Socket> open = new ArrayList<>();
-
-        Standin() throws IOException {
-            socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            thread(() -> {
-                while (true) {
-                    Socket next = socket.accept();
-                    synchronized (open) {
-                        open.add(next);
-                    }
-                    thread(() -> serve(next));
-                }
-            });
-        }
-
-        interface Job {
-            void run() throws IOException, InterruptedException;
-        }
-
-        static void thread(Job job) {
-            Thread thread = new Thread(() -> {
-                try {
-                    job.run();
-                } catch (IOException | InterruptedException e) {
-                    return; // the connection or the test is over
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        abstract void serve(Socket client) throws IOException, InterruptedException;
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-            synchronized (open) {
-                for (Socket each : open) {
-                    each.close();
-                }
-            }
-        }
-    }
-
-    /** A host; what it answers can be changed, and an answer that does not end with ready is cut off. */
-    private static final class Host extends Standin {
-        final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        final String role;
-        volatile Function<String, byte[]> answer;
-        volatile boolean resets;
-
-        Host(String role) throws IOException {
-            this.role = role;
-            answer = statement -> Bytes.join(Bytes.row(role), Bytes.parameter("part", role), Bytes.ready());
-        }
-
-        @Override
-        void serve(Socket client) throws IOException {
-            if (resets) {
-                client.setSoLinger(true, 0);
-                client.close();
-                return;
-            }
-            DataInputStream in = new DataInputStream(client.getInputStream());
-            in.readNBytes(in.readInt() - 4);
-            client.getOutputStream().write(Bytes.welcome());
-            while (true) {
-                in.readByte();
-                byte[] text = in.readNBytes(in.readInt() - 4);
-                String statement = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
-                seen.add(statement);
-                byte[] answered = answer.apply(statement);
-                client.getOutputStream().write(answered);
-                if (!Bytes.types(answered).endsWith("Z")) {
-                    client.close();
-                }
-            }
-        }
-    }
-
-    /** Discovery: the whole list, then a watch that tells what the test puts in. */
-    private static final class Registry extends Standin {
-        final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
-        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
-        volatile String list;
-
-        Registry() throws IOException {
-        }
-
-        @Override
-        void serve(Socket client) throws IOException, InterruptedException {
-            BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
-            String path = in.readLine().split(" ")[1];
-            asked.add(path);
-            OutputStream out = client.getOutputStream();
-            if (!path.contains("follow")) {
-                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).getBytes());
-                return;
-            }
-            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
-            while (true) {
-                String change = changes.take() + "\n";
-                out.write((Integer.toHexString(change.length()) + "\r\n" + change + "\r\n").getBytes());
-            }
-        }
-    }
-
-    /** A client connection that has said hello. */
-    private static final class Client implements Closeable {
-        final Socket socket;
-
-        Client(int port) throws IOException {
-            socket = new Socket("127.0.0.1", port);
-            socket.setSoTimeout(PATIENCE);
-            socket.getOutputStream().write(Bytes.startup());
-            assertEquals("R S S S S S K Z", read());
-        }
-
-        void ask(String statement) throws IOException {
-            socket.getOutputStream().write(Bytes.query(statement));
-        }
-
-        String answer(String statement) throws IOException {
-            ask(statement);
-            return read();
-        }
-
-        /** Messages up to ready. */
-        String read() throws IOException {
-            ByteArrayOutputStream all = new ByteArrayOutputStream();
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            byte type;
-            do {
-                type = in.readByte();
-                byte[] body = in.readNBytes(in.readInt() - 4);
-                all.writeBytes(Bytes.message((char) type, body));
-            } while (type != 'Z');
-            return Bytes.types(all.toByteArray());
-        }
-
-        boolean ended() throws IOException {
-            return socket.getInputStream().read() < 0;
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
-    @TempDir
-    Path folder;
-    private Host primary;
-    private Host replica;
-    private Registry registry;
-    private Process process;
-    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
-    private int port;
-    private int version = 40;
-
-    @BeforeEach
-    void start() throws Exception {
-        primary = new Host("master");
-        replica = new Host("replica");
-        registry = new Registry();
-        registry.list = list(true, entry("a", primary, "Ready"), entry("b", replica, "Ready"));
-        Path config = configure(registry);
-        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-ea",
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Dio.netty.leakDetection.level=paranoid", "-cp",
-                System.getProperty("java.class.path"), "rushwood.Main", "serve").redirectErrorStream(true);
-        builder.environment().put("NODE_CONFIG", config.toString());
-        builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + registry.socket.getLocalPort());
-        process = builder.start();
-        Standin.thread(() -> process.inputReader().lines().forEach(log::add));
-        String line = logged("serves at");
-        port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
-    }
-
-    private Path configure(Registry at) throws IOException {
-        return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"seed\":\"7\","
-                + "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + at.socket.getLocalPort()
-                + "\",\"limits\":{\"sockets\":256},\"known\":" + at.list + ",\"settings\":"
-                + ConfigTest.SETTINGS + "}");
-    }
-
-    private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
-    }
-
+class ServiceTest extends RunningRouter {
     /** A new file moves the list to another agent under load; a bad one changes nothing and is looked at again. */
     @Test
     void followsAnotherDiscovery() throws Exception {
@@ -259,59 +50,6 @@
         }
     }
 
-    @AfterEach
-    void stop() throws Exception {
-        process.toHandle().destroyForcibly(); // leaves its output open
-        assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
-        assertEquals(List.of(), log.stream().filter(line -> line.contains("LEAK")).toList());
-        registry.close();
-        primary.close();
-        replica.close();
-    }
-
-    private String list(boolean whole, String... entries) {
-        return "{\"version\":" + ++version + ",\"full\":" + whole + ",\"servers\":[" + String.join(",", entries)
-                + "]}";
-    }
-
-    private static String entry(String id, Host host, String state) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + host.socket.getLocalPort() + "\",\"cell\":2,"
-                + "\"state\":\"" + state + "\",\"weight\":1.0,\"part\":\"" + host.role + "\"}";
-    }
-
-    /** The whole list was asked for, as often as it took, and then a watch on what changes after that version. */
-    private static void watched(Registry at, int version) throws InterruptedException {
-        String next = take(at.asked);
-        while (next.equals("/registry/instances")) {
-            next = take(at.asked);
-        }
-        assertEquals("/registry/instances?follow=1&since=" + version, next);
-    }
-
-    private String logged(String part) throws InterruptedException {
-        for (String line = take(log); ; line = take(log)) {
-            if (line.contains(part)) {
-                return line;
-            }
-        }
-    }
-
-    private static String take(BlockingQueue<String> from) throws InterruptedException {
-        String next = from.poll(PATIENCE, TimeUnit.MILLISECONDS);
-        assertTrue(next != null, "nothing came");
-        return next;
-    }
-
-    /** The next statement of a client that a host saw. */
-    private static String statement(Host host) throws InterruptedException {
-        String next = take(host.seen);
-        return next.startsWith("SHOW") ? statement(host) : next;
-    }
-
-    private static String id(String statement, String id) {
-        return statement.replace("ID", id);
-    }
-
     @Test
     void serves() throws Exception {
         try (Client client = new Client(port)) {
@@ -384,23 +122,6 @@
         }
     }
 
-    private static String counters(Client client) throws IOException {
-        client.ask("SHOW counters");
-        StringBuilder text = new StringBuilder();
-        DataInputStream in = new DataInputStream(client.socket.getInputStream());
-        byte type;
-        do {
-            type = in.readByte();
-            byte[] body = in.readNBytes(in.readInt() - 4);
-            if (type == 'D') {
-                int name = body[5];
-                text.append(new String(body, 6, name)).append('=')
-                        .append(new String(body, 10 + name, body.length - 10 - name)).append(' ');
-            }
-        } while (type != 'Z');
-        return text.toString();
-    }
-
     @Test
     void discoveryThatBreaksIsAskedAgain() throws Exception {
         watched(registry, 41);
--- a/router/src/test/java/rushwood/state/RouterTest.java
+++ b/router/src/test/java/rushwood/state/RouterTest.java
@@ -89,7 +89,7 @@
         @Override
         public void arrived(long now, Access access) {
             due = access.due();
-            outlet.send(access.id(), A, 100 * MS);
+            outlet.send(access.id(), A, 100 * MS, 100 * MS);
         }
 
         @Override
@@ -184,6 +184,12 @@
             return new Heard();
         });
         router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+        beat();
+    }
+
+    /** Turns come while nothing happens, as they do in the program: without them all rest would be a pause. */
+    private void beat() {
+        agenda.add(clock.now() + Clock.BEAT, this::beat);
     }
 
     @AfterEach
@@ -199,7 +205,7 @@
 
     private void to(long millis) {
         for (turn(); timerAt <= millis * MS && timer != null; turn()) {
-            time = timerAt;
+            time = Math.max(time, timerAt); // a pause of the test may have passed it
             Runnable task = timer;
             timer = null;
             task.run();
--- a/router/src/test/java/rushwood/storm/StormTest.java
+++ b/router/src/test/java/rushwood/storm/StormTest.java
@@ -39,7 +39,7 @@
 
     private final class Heard implements Outlet {
         @Override
-        public void send(AccessId access, HostId host, long timeOut) {
+        public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
             heard.add("send " + access + " " + host);
         }
 
--- a/router/src/test/java/rushwood/wire/Bytes.java
+++ b/router/src/test/java/rushwood/wire/Bytes.java
@@ -79,7 +79,7 @@
     }
 
     public static byte[] welcome() {
-        return written(Messages::welcome);
+        return written(out -> Messages.welcome(out, 0));
     }
 
     public static byte[] ready() {
--- a/router/src/test/java/rushwood/wire/ClientProtocolTest.java
+++ b/router/src/test/java/rushwood/wire/ClientProtocolTest.java
@@ -23,6 +23,8 @@
         boolean ready = true;
         boolean atOnce = true;
         boolean closed;
+        boolean left;
+        long cancelled;
         boolean booked;
         boolean resume;
 
@@ -62,10 +64,25 @@
         }
 
         @Override
-        public void close(boolean told) {
+        public void close() {
             closed = true;
         }
 
+        @Override
+        public long key() {
+            return 0x100000002L;
+        }
+
+        @Override
+        public void cancel(long key) {
+            cancelled = key;
+        }
+
+        @Override
+        public void left() {
+            left = true;
+        }
+
         @Override
         public void later() {
             resume = true;
