--- a/router/src/main/java/rushwood/api/Decisions.java
+++ b/router/src/main/java/rushwood/api/Decisions.java
@@ -23,6 +23,9 @@
     /** The client has left: no answer is owed. */
     void left(long now, AccessId access);
 
+    /** This router ends at that time: whatever it has taken until then has its answer before. */
+    void closing(long now, long at);
+
     void probed(long now, HostId host, boolean answered, LoadReport report);
 
     /** A time asked for with {@link Outlet#wake} has come. */
--- a/router/src/main/java/rushwood/decision/Choice.java
+++ b/router/src/main/java/rushwood/decision/Choice.java
@@ -61,6 +61,7 @@
     private final double slotFloor;
     private final long margin;
     private long nextTick;
+    private long closesAt = Long.MAX_VALUE;
     private long askAgain = Long.MAX_VALUE;
     private long askGap;
     private double curiosity;
@@ -213,6 +214,12 @@
         forget(held);
     }
 
+    @Override
+    public void closing(long now, long at) {
+        closesAt = at;
+        taken.values().forEach(held -> dues.add(endsAt(held), held));
+    }
+
     private void withdraw(Held held) {
         Shot shot = held.out();
         if (shot != null && !shot.withdrawn && settings.mayCancel()) {
@@ -247,7 +254,8 @@
     // by then, and its client can still ask again. Harm: a slot a moment later. Others end at their limit.
     private long endsAt(Held held) {
         boolean half = held.shots.isEmpty() && held.product.lateEarnings() == 0;
-        return held.access.due() - (half ? (held.access.due() - held.arrivedAt) / 2 : 0) - margin;
+        long due = held.access.due() - (half ? (held.access.due() - held.arrivedAt) / 2 : 0);
+        return Math.min(due, closesAt) - margin;
     }
 
     // ---- stage: what may happen twice
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -263,7 +263,8 @@
 
     private void finish() {
         clients.finish();
-        if (clients.open() > 0 && clock.now() < last) {
+        // All have their answers by then; a moment more lets them be written, and connections end.
+        if (clients.open() > 0 && clock.now() < last + LOOK) {
             agenda.add(clock.now() + LOOK, this::finish);
             return;
         }
--- a/router/src/main/java/rushwood/state/Router.java
+++ b/router/src/main/java/rushwood/state/Router.java
@@ -286,9 +286,10 @@
         }
     }
 
-    /** No access that comes from now on has longer than until then: this router is not there any more. */
+    /** No access has longer than until then, those included that are open: this router is not there any more. */
     public void closing(long at) {
         closesAt = at;
+        tell(() -> decisions.closing(clock.now(), at));
     }
 
     public void close() {
--- a/router/src/main/java/rushwood/storm/Storm.java
+++ b/router/src/main/java/rushwood/storm/Storm.java
@@ -260,6 +260,11 @@
         inner.left(now, access);
     }
 
+    @Override
+    public void closing(long now, long at) {
+        inner.closing(now, at);
+    }
+
     /** Its client has no answer that ends it, and may come back: with a write that may have run, in doubt. */
     private void unanswered(long now, AccessId access) {
         Open open = opens.get(access);
--- a/router/src/test/java/rushwood/ScenarioTest.java
+++ b/router/src/test/java/rushwood/ScenarioTest.java
@@ -88,6 +88,7 @@
                 case "access" -> access(w);
                 case "answer" -> answer(w);
                 case "probed" -> decisions().probed(now, new HostId(w[1]), w[2].equals("yes"), report(w, 3));
+                case "closing" -> decisions().closing(now, START + ms(w[1]));
                 case "left" -> decisions().left(now, new AccessId(w[1]));
                 case "mark" -> mark = done.size();
                 case "expect" -> expect(w, place);
--- a/router/src/test/java/rushwood/lifecycle/RunningRouter.java
+++ b/router/src/test/java/rushwood/lifecycle/RunningRouter.java
@@ -92,6 +92,7 @@
         final String role;
         volatile Function<String, byte[]> answer;
         volatile boolean resets;
+        volatile boolean stays; // also behind an answer that does not end
         volatile CountDownLatch welcomes = new CountDownLatch(0); // new connections come up once it is at zero
 
         Host(String role) throws IOException {
@@ -117,8 +118,9 @@
                 seen.add(statement);
                 byte[] answered = answer.apply(statement);
                 client.getOutputStream().write(answered);
-                if (!Bytes.types(answered).endsWith("Z")) {
+                if (!stays && (answered.length < 6 || answered[answered.length - 6] != 'Z')) {
                     client.close();
+                    return;
                 }
             }
         }
@@ -137,7 +139,11 @@
         @Override
         void serve(Socket client) throws IOException, InterruptedException {
             BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
-            String path = in.readLine().split(" ")[1];
+            String line = in.readLine();
+            if (line == null) {
+                return; // given up before it was asked
+            }
+            String path = line.split(" ")[1];
             asked.add(path);
             if (stalls > 0) {
                 stalls--;
--- a/router/src/test/java/rushwood/state/RouterTest.java
+++ b/router/src/test/java/rushwood/state/RouterTest.java
@@ -104,6 +104,11 @@
             heard.add("left " + access);
         }
 
+        @Override
+        public void closing(long now, long at) {
+            heard.add("closing " + at / MS);
+        }
+
         @Override
         public void probed(long now, HostId host, boolean answered, LoadReport report) {
             heard.add("probed " + answered);
