Leave half of the probes to hosts that are down: reads took them all

Seen by ClosesTest.resetUnderAWrite: after one broken write its primary was not tried again in 10 s and 200 reads (probes_sent=20, none to it). Where answers tell no position each read found the replica's unknown and took the probe that the budget had; a host that is down comes back by probes alone. Choice.probeOldest leaves every second one while such a host is due.

--- a/router/src/main/java/rushwood/decision/Choice.java
+++ b/router/src/main/java/rushwood/decision/Choice.java
@@ -290,7 +290,7 @@
         return to == null || held.product.scope().joins(ran.host.listed, to.listed);
     }
 
-    /** Until when a further shot may begin: a connection that comes up late must not carry it past its window. */
+    /** Until when a further shot may begin: a connection that comes up late must not carry it past that. */
     private long repeatsTill(Held held) {
         Shot ran = held.product.effect() == Effect.LABELLED ? held.mayHaveRun() : null;
         return ran == null ? Long.MAX_VALUE : ran.sentAt + (long) (held.product.window() * WINDOW_USED);
@@ -478,6 +478,11 @@
 
     /** A read found no replica known to be fresh: the one unheard for longest is asked, if past the bound. */
     private void probeOldest(GroupState group, long now) {
+        // Probes are few, and a host that is down comes back by nothing else: half of them are left for it.
+        // Where answers told no position, reads took every probe and such a host stayed away for good.
+        if (chance.nextBoolean() && group.members.stream().anyMatch(host -> isDue(host, now))) {
+            return;
+        }
         group.replicas().stream().filter(host -> host.health != Health.DOWN && !host.probing)
                 .min(Comparator.comparingLong(host -> host.positionAt))
                 .filter(host -> host.positionAt < now - bound).ifPresent(this::probe);
@@ -756,7 +761,7 @@
         callOff(host, now);
         if (host.health == Health.WELL && missedAnswers(host, now) > SURELY_STUCK) {
             trouble(host, Health.STUCK, now);
-        } else if (host.health == Health.DOWN && now >= host.nextTrial && probe(host)) {
+        } else if (isDue(host, now) && probe(host)) {
             host.nextTrial = now + TRIAL_GAP;
         }
         if (host.group.primary == null && !host.group.first.isEmpty() && host.health != Health.DOWN) {
@@ -764,6 +769,11 @@
         }
     }
 
+    /** Down, and long enough since it was last asked whether it is up again. */
+    private static boolean isDue(HostState host, long now) {
+        return host.health == Health.DOWN && now >= host.nextTrial;
+    }
+
     private static final double DONE_SMOOTH = 0.05; // weight of one tick in the work done: two seconds back
 
     /**
