Close connections half a second after SIGTERM: a process that stands still then loses nothing

Lines at fault: Service took new requests on open connections up to 0.5 s before SIGKILL, where such a pause left them unanswered. By the protocol new connections come for 0.4 s and what comes in the first 0.7 s is not lost by SIGKILL: from 0.55 s on connections between accesses are closed now.

--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -37,12 +37,14 @@
     // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in or that linger.
     private static final int OWN_SOCKETS = 54;
     private static final long SECOND = 1_000_000_000L;
-    // A planned restart ends us no earlier than the longest outer limit, 3 s of it at most, and 0.7 s more after
-    // SIGTERM, however soon we leave: until then clients are served on the connections they have.
+    // A planned restart ends us no earlier than the longest deadline, 3 s of it at most, and 0.7 s more after SIGTERM.
+    // New connections come for 0.4 s of that; what came in the first 0.7 s has all of its time. So connections are
+    // closed between accesses from the middle of the two on: a process that stands still at its end, which is seen for
+    // up to two seconds, then holds nothing that it cannot answer. Harm: clients have to connect to another router.
     private static final long STAYS = 3 * SECOND;
     private static final long STAYS_MORE = 700 * SECOND / 1000;
     private static final long LAST_ANSWER = SECOND / 5; // before that end: a stall, and the time to exit
-    private static final long LAST_ACCESS = SECOND * 3 / 10; // before the last answer: most are answered in less
+    private static final long CLOSES = SECOND * 55 / 100; // after SIGTERM: connections between accesses
     private static final long LOOK = SECOND / 20; // between looks at whether all is answered
     private static final long LIST_WITHIN = SECOND; // of a start: the agent is on this machine and answers at once
     private static final int BACKLOG = 512; // connections that come while the process stands still
@@ -235,7 +237,7 @@
         }
     }
 
-    /** Serves on while it may, then closes what has no access open and ends with the last; blocks until then. */
+    /** Serves on while new clients come, then closes what has no access open and ends with the last; blocks till then. */
     public void stop() {
         ends = true;
         synchronized (this) {
@@ -248,10 +250,11 @@
             stopping = true;
             Logger.info("stopping with {} accesses open", router.openAccesses());
             // Told while this process stood still it was told at any moment of that, and its end is counted from there.
-            last = clock.cameAt() + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
+            long told = clock.cameAt();
+            last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
             router.closing(last);
             clients.closing();
-            agenda.add(last - LAST_ACCESS, this::finish);
+            agenda.add(told + CLOSES, this::finish);
         });
         try {
             ended.await();
