Test that an attempt begins neither past its window nor for a client that left; 2,048 hosts

RouterTest: a connection that comes up after the window of a repeat, or after its client left, carries nothing; it is used again. Hearsay kept word of 256 hosts; no list of hosts is capped below 1,024.

--- a/router/src/main/java/rushwood/fleet/Hearsay.java
+++ b/router/src/main/java/rushwood/fleet/Hearsay.java
@@ -21,8 +21,8 @@
     private record Word(MemberId by, Seen seen, long at) {
     }
 
-    // Hosts a tier has: up to 120 on the platform's days; twice that guards against a list that grew.
-    static final int MOST_HOSTS = 256;
+    // Hosts a tier has: up to 1,024 are to be borne; twice that guards against a list that changes as it grows.
+    static final int MOST_HOSTS = 2048;
     // Words kept a host: a quorum of a tier of 100 needs some; more than the tier's size says nothing new.
     static final int MOST_WORDS = 32;
 
--- a/router/src/test/java/rushwood/state/RouterTest.java
+++ b/router/src/test/java/rushwood/state/RouterTest.java
@@ -89,7 +89,7 @@
         @Override
         public void arrived(long now, Access access) {
             due = access.due();
-            outlet.send(access.id(), A, 100 * MS, 100 * MS);
+            outlet.send(access.id(), A, 100 * MS, beginWithin);
         }
 
         @Override
@@ -170,6 +170,7 @@
         timerAt = time + delay;
     }, counters);
     private Runnable next = () -> { };
+    private long beginWithin = 100 * MS;
     private Outlet outlet;
     private Router router;
 
@@ -419,6 +420,34 @@
         assertEquals(4, counters.get(Count.SHOTS_KEPT_BACK));
     }
 
+    /** A further attempt of a labelled access may begin inside its window alone: the connection came up too late. */
+    @Test
+    void anAttemptWhoseWindowEndsWhileItsConnectionComesUp() {
+        next = () -> outlet.giveUp(X);
+        beginWithin = 40 * MS;
+        router.arrived(new FakeStatement(), new FakeClient());
+        to(50);
+        links.get(0).events.opened();
+        expect("0 UNSENT after 50", "released", "given up");
+        assertEquals(List.of(), links.get(0).asked);
+        to(60);
+        router.arrived(new FakeStatement(), new FakeClient());
+        assertEquals(1, links.size(), "the connection is used by the next");
+        assertEquals(List.of("d=100"), links.get(0).asked);
+        links.get(0).answer(ShotEnd.FULFILLED);
+    }
+
+    /** Its client left while its connection came up, and hosts cannot be told to stop: nothing is written. */
+    @Test
+    void aClientLeavesWhileItsConnectionComesUp() {
+        router.arrived(new FakeStatement(), new FakeClient());
+        router.left(X);
+        expect("left x", "released", "0 UNSENT over after 0");
+        links.get(0).events.opened();
+        assertEquals(List.of(), links.get(0).asked);
+        assertEquals(1, counters.get(Count.SHOTS_KEPT_BACK));
+    }
+
     /** A whole list without it, and one in which its entry is bad but for its state, say the same. */
     @Test
     void aHostLeavesByAWholeList() {
