Bound what many clients write ahead in one turn; a failing turn ends its connection

What is read counts as it comes now, over 16 MB nobody keeps more than 64 KiB, and a connection whose turn fails is closed.

--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -89,7 +89,7 @@
     /** Ends what is silent, half written or unread for long: such connections would fill the house. */
     private void look() {
         agenda.add(clock.now() + LOOK, this::look);
-        List.copyOf(open).forEach(Handler::look);
+        List.copyOf(open).stream().filter(each -> !counters.safely(each::look)).forEach(each -> each.channel.close());
         List.copyOf(ended).forEach(each -> each.lookAtEnd(clock.now()));
         sweep();
     }
@@ -249,7 +249,8 @@
             }
             int ahead = protocol.waiting() + in.readableBytes();
             boolean behind = protocol.isWaiting() || paused || !channel.isWritable();
-            tooMuch |= behind && (ahead > MOST_AHEAD || ahead > MOST_WAITING && held > SHORT_HELD);
+            tooMuch |= behind && ahead > MOST_AHEAD
+                    || ahead > MOST_WAITING && held > (behind ? SHORT_HELD : MOST_HELD);
             if (tooMuch) {
                 in.release();
                 return;
@@ -263,6 +264,12 @@
         /** What was read is gone on with once its end would have been read too: then nobody waits for it. */
         private void goOn() {
             later = false;
+            if (!counters.safely(this::proceed)) {
+                channel.close(); // what it holds must not wait for more to come
+            }
+        }
+
+        private void proceed() {
             if (isEnding() || !channel.isOpen() || paused || !channel.isWritable()) {
                 return;
             }
--- a/router/src/test/java/rushwood/lifecycle/ClosesTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ClosesTest.java
@@ -119,6 +119,41 @@
         }
     }
 
+    /** Sixty write a megabyte each before any of it is read: memory holds, each can read what became of it. */
+    @Test
+    void muchAheadByMany() throws Exception {
+        byte[] much = Bytes.query(Bytes.write("ahead", ",d=900").replace("9f03", "9f".repeat(60_000)));
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (int i = 0; i < 8; i++) {
+            all.writeBytes(much);
+        }
+        List<Client> clients = new ArrayList<>();
+        try (Client stays = new Client(port)) {
+            for (int i = 0; i < 60; i++) {
+                clients.add(new Client(port));
+            }
+            signal("STOP");
+            for (Client each : clients) {
+                Standin.thread(() -> each.socket.getOutputStream().write(all.toByteArray()));
+            }
+            Thread.sleep(500);
+            signal("CONT");
+            for (int i = 0; i < 20; i++) {
+                String answer = stays.answer(id(READ, "r" + i));
+                assertTrue(answer.equals("T D C Z") || answer.equals("E(53300) Z"), answer);
+            }
+            Thread.sleep(300);
+            String counters = counters(stays);
+            assertTrue(counters.contains("exceptions_caught=0 ") && !counters.contains("clients_refused=0 "), counters);
+            assertEquals("T D C Z", stays.answer(id(READ, "last")));
+        } finally {
+            for (Client each : clients) {
+                each.close();
+            }
+        }
+        assertEquals(List.of(), log.stream().filter(each -> each.contains("OutOf") || each.contains("WARN")).toList());
+    }
+
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
--- a/router/src/test/java/rushwood/lifecycle/RunningRouter.java
+++ b/router/src/test/java/rushwood/lifecycle/RunningRouter.java
@@ -236,7 +236,7 @@
     /** Starts the process; it does not serve yet. */
     void launch() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-ea",
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Dio.netty.leakDetection.level=paranoid",
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx64m", "-XX:MaxDirectMemorySize=40m", "-Dio.netty.leakDetection.level=paranoid",
                 "-Djava.io.tmpdir=" + folder, "-cp",
                 System.getProperty("java.class.path"), "rushwood.Main", "serve").redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
