Close at once where SIGTERM was heard after a pause, and with the last answer

Lines: Service.stop put the closing of connections on the agenda, which lets the sockets be read first, a turn or two later; ClientProtocol.answer ended a connection a turn after its last answer. Both are done at once now.

--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -254,14 +254,18 @@
             last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
             router.closing(last);
             clients.closing();
-            agenda.add(told + CLOSES, this::finish);
+            if (clock.now() >= told + CLOSES) {
+                finish(); // it stood still: a turn later more may have been asked, and it may stand still again
+            } else {
+                agenda.add(told + CLOSES, this::finish);
+            }
         });
         try {
             ended.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        // All is closed; the loop itself ends with the process, which its own end in order held up by up to a second.
     }
 
     private void finish() {
--- a/router/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/router/src/main/java/rushwood/wire/ClientProtocol.java
@@ -280,8 +280,10 @@
         }
         state = State.IDLE;
         session.write(out);
-        if (frames.waiting() > 0 || ending) {
+        if (frames.waiting() > 0) {
             session.later();
+        } else if (ending) {
+            rest(); // with the answer: a turn later its client may have asked again
         }
     }
 
