--- a/router/src/main/java/rushwood/state/Clock.java
+++ b/router/src/main/java/rushwood/state/Clock.java
@@ -69,6 +69,11 @@
      * wrote, and what it wrote while this process stood still has waited unread.
      */
     public long cameAt() {
-        return now() <= pausedTo + SETTLE ? pausedFrom : now;
+        return cameAt(SETTLE);
+    }
+
+    /** The same for what takes up to {@code settle} from a pause's end to get here, as a signal does. */
+    public long cameAt(long settle) {
+        return now() <= pausedTo + settle ? pausedFrom : now;
     }
 }
