Five router processes against one cold host on sockets

ColdTierTest: a host that starts anew under steady load, and all routers started anew with it; what it is sent in any window stays within N + 2 x root of N + 2 of what it bears, and it is used.

--- a/lab/src/main/java/rushwood/lab/load/Tier.java
+++ b/lab/src/main/java/rushwood/lab/load/Tier.java
@@ -115,9 +115,14 @@
 
     /** With the drain grace of the routers' settings, in seconds; the first host is the primary. */
     public Tier(Path jar, int routers, int hostCount, double grace) throws IOException, InterruptedException {
+        this(jar, routers, hostCount, grace, new HostModel.Kind(RATE, 8, 64, 0.15, 0, 4, 0, 0));
+    }
+
+    /** With hosts of that kind. */
+    public Tier(Path jar, int routers, int hostCount, double grace, HostModel.Kind kind)
+            throws IOException, InterruptedException {
         this.jar = jar;
         this.grace = grace;
-        HostModel.Kind kind = new HostModel.Kind(RATE, 8, 64, 0.15, 0, 4, 0, 0);
         for (int i = 0; i < hostCount; i++) {
             String id = "h" + i;
             StandinHost host = new StandinHost(id, new HostModel(kind, i == 0, i), loop, System::nanoTime,
@@ -166,11 +171,25 @@
 
     /** An entry for an id at that host's address. */
     public StandinList.Entry entry(String id, String host, String state) {
+        return entry(id, host, state, 0);
+    }
+
+    private StandinList.Entry entry(String id, String host, String state, long startedMillis) {
         StandinHost at = hosts.get(host);
-        return new StandinList.Entry(id, NAME + ":" + at.address().getPort(), 0, state, 1, 0,
+        return new StandinList.Entry(id, NAME + ":" + at.address().getPort(), 0, state, 1, startedMillis,
                 id.equals("h0") ? "master" : "replica");
     }
 
+    /** Its process has started anew, and all agents have that; on the loop. */
+    public void startAnew(String host) {
+        hosts.get(host).model().start(now());
+        members.forEach(each -> each.agent.put(entry(host, host, "Ready", System.currentTimeMillis())));
+    }
+
+    public HostModel model(String host) {
+        return hosts.get(host).model();
+    }
+
     @Override
     public void close() throws IOException {
         for (Member member : members) {
