--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -36,7 +36,7 @@
     // In a full house what has come is read before anyone goes for one that comes: in so long a turn of the loop passes.
     private static final long READ_FIRST = 1_000_000L;
     private static final int MARGIN = 16; // let in meanwhile, from our own sockets: the accepts of a turn
-    private static final int LINGERING = 8; // ended ones that linger, from our own sockets too: more, the first go
+    private static final int LINGERING = 4; // ended ones that linger, from our own sockets too: more, the first go
     private static final long OWES = 2_400_000_000L; // the longest for a message: an end is owed within 3 s
     private static final long LOOK = 200_000_000L; // between looks for those that owe or linger
 
@@ -99,7 +99,11 @@
         channel.config().setRecvByteBufAllocator(READS_ALL);
         door.most(sockets.forClients(clock.now()));
         if (ending) {
-            refuse(channel, "57P03", "this router ends", null);
+            if (open() >= door.most() + MARGIN) {
+                channel.close();
+            } else {
+                refuse(channel, "57P03", "this router ends", null);
+            }
             return;
         } else if (door.open() >= door.most() + MARGIN && !makeRoom()) {
             refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
