Wait whole milliseconds for due times: the event loop spun before most of them

In late turns it ran 0.15 to 3 ms and did not wait for a core. Lines: the library's select rounds its wait to the nearest millisecond and asks the sockets without waiting for the last half, and its clock there moves by the processor time that it uses itself. WholeMillis has it wait a millisecond: what is due comes up to one late.

--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -59,7 +59,7 @@
     private final Map<String, String> environment;
     private final Reload.Signal hangUp;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+            WholeMillis.of(NioIoHandler.newFactory()));
     private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
     private final Counters counters = new Counters();
     private final CountDownLatch list = new CountDownLatch(1);
