--- a/lab/src/main/java/rushwood/lab/net/StandinList.java
+++ b/lab/src/main/java/rushwood/lab/net/StandinList.java
@@ -32,184 +32,222 @@
 import java.util.function.UnaryOperator;
 
 /**
- * The discovery agent: the whole list, and a watch that brings each change; silent, indented, broken off or spoilt on
- * order. What it is told on its own loop alone.
+ * The discovery agent: the whole list, and a watch that brings each change; silent, indented,
+ * broken off or spoilt on order. What it is told on its own loop alone.
  */
 public final class StandinList {
-    /** An entry as the list has it. */
-    public record Entry(String id, String address, int group, String state, double weight, long startedMillis,
-            String part) {
-        private String json() {
-            return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"a\",\"cell\":" + group
-                    + ",\"state\":\"" + state + "\",\"weight\":" + weight + ",\"started_ms\":" + startedMillis
-                    + ",\"part\":\"" + part + "\"}";
-        }
-    }
-
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int EMPTY_LINES = 2; // seconds between them
-
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
-    private final EventLoop loop;
-    private final ChannelGroup watches;
-    private Channel listener;
-    private final ChannelGroup calls;
-    private UnaryOperator<String> writes = UnaryOperator.identity();
-    private InetSocketAddress address;
-    private int version = 1;
-    private boolean silent;
-    private boolean down;
-    private int asked;
-
-    public StandinList(EventLoop loop) {
-        this.loop = loop;
-        watches = new DefaultChannelGroup(loop);
-        calls = new DefaultChannelGroup(loop);
-    }
-
-    public InetSocketAddress listen() throws InterruptedException {
-        bind().sync();
-        address = (InetSocketAddress) listener.localAddress();
-        loop.scheduleAtFixedRate(() -> tell("\n"), EMPTY_LINES, EMPTY_LINES, TimeUnit.SECONDS);
-        return address;
-    }
-
-    private ChannelFuture bind() {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        calls.add(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), new Call());
-                    }
-                }).childOption(ChannelOption.SO_LINGER, 0)
-                .bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address);
-        listener = bound.channel();
-        return bound;
-    }
-
-    public InetSocketAddress address() {
-        return address;
-    }
-
-    public void close() {
-        listener.close();
-        calls.close();
-    }
-
-    /** What is written, whole lists and changes, is made into something else first; null for what it is. */
-    public void writes(UnaryOperator<String> spoilt) {
-        writes = spoilt == null ? UnaryOperator.identity() : spoilt;
-    }
-
-    /** The watches that are open now say nothing any more, and stay open. */
-    public void mute() {
-        watches.clear();
-    }
-
-    /** All calls that are open now are reset. */
-    public void reset() {
-        calls.close();
-    }
-
-    /** Down, it takes calls and does not answer; those of that time are never answered. */
-    public void down(boolean is) {
-        down = is;
-        silent = is;
-    }
-
-    /** It is not there: what is open is reset, and new calls are refused. */
-    public void gone(boolean is) {
-        if (is) {
-            listener.close();
-            calls.close();
-        } else {
-            bind();
-        }
-    }
-
-    /** The version that it counts on from. */
-    public void version(int number) {
-        version = number;
-    }
-
-    public int version() {
-        return version;
-    }
-
-    /** How often the whole list was asked for. */
-    public int asked() {
-        return asked;
-    }
-
-    /** Writes that on all watches, as it is. */
-    public void raw(String text) {
-        watches.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
-    }
-
-    /** Nothing more is told while it is silent; what changed meanwhile is told by the next change. */
-    public void silent(boolean is) {
-        silent = is;
-    }
-
-    public void put(Entry entry) {
-        entries.put(entry.id(), entry);
-        version++;
-        tell(writes.apply(listing(false, List.of(entry))) + "\n");
-    }
-
-    public String whole() {
-        return listing(true, List.copyOf(entries.values()));
-    }
-
-    /** The same laid out over many lines, as some agents write it. */
-    public static String indented(String json) {
-        try {
-            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(MAPPER.readTree(json));
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(e);
-        }
-    }
-
-    private String listing(boolean full, List<Entry> listed) {
-        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
-                + String.join(",", listed.stream().map(Entry::json).toList()) + "]}";
-    }
-
-    private void tell(String line) {
-        if (!silent) {
-            watches.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
-        }
-    }
-
-    private final class Call extends SimpleChannelInboundHandler<Object> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, Object message) {
-            if (!(message instanceof HttpRequest request)) {
-                return;
-            }
-            asked += request.uri().contains("follow=1") ? 0 : 1;
-            if (down) {
-                return;
-            }
-            if (!request.uri().contains("follow=1")) {
-                DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.OK, Unpooled.copiedBuffer(writes.apply(whole()), StandardCharsets.UTF_8));
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-                context.writeAndFlush(response);
-                return;
-            }
-            DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            context.write(response);
-            context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(writes.apply(whole()) + "\n",
-                    StandardCharsets.UTF_8)));
-            watches.add(context.channel());
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
+  /** An entry as the list has it. */
+  public record Entry(
+      String id,
+      String address,
+      int group,
+      String state,
+      double weight,
+      long startedMillis,
+      String part) {
+    private String json() {
+      return "{\"id\":\""
+          + id
+          + "\",\"addr\":\""
+          + address
+          + "\",\"zone\":\"a\",\"cell\":"
+          + group
+          + ",\"state\":\""
+          + state
+          + "\",\"weight\":"
+          + weight
+          + ",\"started_ms\":"
+          + startedMillis
+          + ",\"part\":\""
+          + part
+          + "\"}";
+    }
+  }
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int EMPTY_LINES = 2; // seconds between them
+
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final EventLoop loop;
+  private final ChannelGroup watches;
+  private Channel listener;
+  private final ChannelGroup calls;
+  private UnaryOperator<String> writes = UnaryOperator.identity();
+  private InetSocketAddress address;
+  private int version = 1;
+  private boolean silent;
+  private boolean down;
+  private int asked;
+
+  public StandinList(EventLoop loop) {
+    this.loop = loop;
+    watches = new DefaultChannelGroup(loop);
+    calls = new DefaultChannelGroup(loop);
+  }
+
+  public InetSocketAddress listen() throws InterruptedException {
+    bind().sync();
+    address = (InetSocketAddress) listener.localAddress();
+    loop.scheduleAtFixedRate(() -> tell("\n"), EMPTY_LINES, EMPTY_LINES, TimeUnit.SECONDS);
+    return address;
+  }
+
+  private ChannelFuture bind() {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    calls.add(channel);
+                    channel.pipeline().addLast(new HttpServerCodec(), new Call());
+                  }
+                })
+            .childOption(ChannelOption.SO_LINGER, 0)
+            .bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address);
+    listener = bound.channel();
+    return bound;
+  }
+
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  public void close() {
+    listener.close();
+    calls.close();
+  }
+
+  /**
+   * What is written, whole lists and changes, is made into something else first; null for what it
+   * is.
+   */
+  public void writes(UnaryOperator<String> spoilt) {
+    writes = spoilt == null ? UnaryOperator.identity() : spoilt;
+  }
+
+  /** The watches that are open now say nothing any more, and stay open. */
+  public void mute() {
+    watches.clear();
+  }
+
+  /** All calls that are open now are reset. */
+  public void reset() {
+    calls.close();
+  }
+
+  /** Down, it takes calls and does not answer; those of that time are never answered. */
+  public void down(boolean is) {
+    down = is;
+    silent = is;
+  }
+
+  /** It is not there: what is open is reset, and new calls are refused. */
+  public void gone(boolean is) {
+    if (is) {
+      listener.close();
+      calls.close();
+    } else {
+      bind();
+    }
+  }
+
+  /** The version that it counts on from. */
+  public void version(int number) {
+    version = number;
+  }
+
+  public int version() {
+    return version;
+  }
+
+  /** How often the whole list was asked for. */
+  public int asked() {
+    return asked;
+  }
+
+  /** Writes that on all watches, as it is. */
+  public void raw(String text) {
+    watches.writeAndFlush(
+        new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+  }
+
+  /** Nothing more is told while it is silent; what changed meanwhile is told by the next change. */
+  public void silent(boolean is) {
+    silent = is;
+  }
+
+  public void put(Entry entry) {
+    entries.put(entry.id(), entry);
+    version++;
+    tell(writes.apply(listing(false, List.of(entry))) + "\n");
+  }
+
+  public String whole() {
+    return listing(true, List.copyOf(entries.values()));
+  }
+
+  /** The same laid out over many lines, as some agents write it. */
+  public static String indented(String json) {
+    try {
+      return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(MAPPER.readTree(json));
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  private String listing(boolean full, List<Entry> listed) {
+    return "{\"version\":"
+        + version
+        + ",\"full\":"
+        + full
+        + ",\"servers\":["
+        + String.join(",", listed.stream().map(Entry::json).toList())
+        + "]}";
+  }
+
+  private void tell(String line) {
+    if (!silent) {
+      watches.writeAndFlush(
+          new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
+    }
+  }
+
+  private final class Call extends SimpleChannelInboundHandler<Object> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Object message) {
+      if (!(message instanceof HttpRequest request)) {
+        return;
+      }
+      asked += request.uri().contains("follow=1") ? 0 : 1;
+      if (down) {
+        return;
+      }
+      if (!request.uri().contains("follow=1")) {
+        DefaultFullHttpResponse response =
+            new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.OK,
+                Unpooled.copiedBuffer(writes.apply(whole()), StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        context.writeAndFlush(response);
+        return;
+      }
+      DefaultHttpResponse response =
+          new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+      response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+      context.write(response);
+      context.writeAndFlush(
+          new DefaultHttpContent(
+              Unpooled.copiedBuffer(writes.apply(whole()) + "\n", StandardCharsets.UTF_8)));
+      watches.add(context.channel());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
 }
--- a/lab/src/main/java/rushwood/lab/report/Reports.java
+++ b/lab/src/main/java/rushwood/lab/report/Reports.java
@@ -1,10 +1,10 @@
 package rushwood.lab.report;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -22,80 +22,98 @@
 import org.jfree.data.xy.XYSeriesCollection;
 import rushwood.lab.load.Result;
 
-/** Writes results. Builds or settings that are compared stand side by side, each under its label. */
+/**
+ * Writes results. Builds or settings that are compared stand side by side, each under its label.
+ */
 public final class Reports {
-    private static final int WIDTH = 640;
-    private static final int HEIGHT = 240;
+  private static final int WIDTH = 640;
+  private static final int HEIGHT = 240;
 
-    private Reports() {
-    }
+  private Reports() {}
 
-    public static String json(Result result) throws JsonProcessingException {
-        ObjectNode json = JsonNodeFactory.instance.objectNode();
-        json.put("name", result.name()).put("step_seconds", Result.STEP);
-        ObjectNode figures = json.putObject("figures");
-        result.figures().forEach(figures::put);
-        ObjectNode counters = json.putObject("counters");
-        result.counters().forEach(counters::put);
-        ObjectNode lines = json.putObject("lines");
-        result.lines().forEach((name, line) -> {
-            ArrayNode steps = lines.putArray(name);
-            line.steps().forEach(steps::add);
-        });
-        return JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(json);
-    }
+  public static String json(Result result) throws JsonProcessingException {
+    ObjectNode json = JsonNodeFactory.instance.objectNode();
+    json.put("name", result.name()).put("step_seconds", Result.STEP);
+    ObjectNode figures = json.putObject("figures");
+    result.figures().forEach(figures::put);
+    ObjectNode counters = json.putObject("counters");
+    result.counters().forEach(counters::put);
+    ObjectNode lines = json.putObject("lines");
+    result
+        .lines()
+        .forEach(
+            (name, line) -> {
+              ArrayNode steps = lines.putArray(name);
+              line.steps().forEach(steps::add);
+            });
+    return JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(json);
+  }
 
-    /** A page with a table of figures, a column a result, and a plot for each line that any of them has. */
-    public static String html(String title, Map<String, Result> results) throws IOException {
-        StringBuilder page = new StringBuilder("<!doctype html><meta charset=utf-8><title>").append(escape(title))
-                .append("</title><style>body{font:14px sans-serif}td,th{padding:2px 12px;text-align:right}</style><h1>")
-                .append(escape(title)).append("</h1><table><tr><th>figure");
-        results.keySet().forEach(label -> page.append("<th>").append(escape(label)));
-        for (String figure : names(results, Result::figures)) {
-            row(page, figure, results.values().stream().map(each -> each.figures().get(figure)).toList());
-        }
-        for (String counter : names(results, Result::counters)) {
-            row(page, counter, results.values().stream().map(each -> each.counters().get(counter)).toList());
-        }
-        page.append("</table>");
-        for (String line : names(results, Result::lines)) {
-            page.append("<h2>").append(escape(line)).append("</h2><img src=\"data:image/png;base64,")
-                    .append(Base64.getEncoder().encodeToString(png(line, results))).append("\">");
-        }
-        return page.append('\n').toString();
+  /**
+   * A page with a table of figures, a column a result, and a plot for each line that any of them
+   * has.
+   */
+  public static String html(String title, Map<String, Result> results) throws IOException {
+    StringBuilder page =
+        new StringBuilder("<!doctype html><meta charset=utf-8><title>")
+            .append(escape(title))
+            .append(
+                "</title><style>body{font:14px sans-serif}td,th{padding:2px 12px;text-align:right}</style><h1>")
+            .append(escape(title))
+            .append("</h1><table><tr><th>figure");
+    results.keySet().forEach(label -> page.append("<th>").append(escape(label)));
+    for (String figure : names(results, Result::figures)) {
+      row(page, figure, results.values().stream().map(each -> each.figures().get(figure)).toList());
     }
-
-    private static void row(StringBuilder page, String name, List<? extends Number> values) {
-        page.append("<tr><td>").append(escape(name));
-        for (Number value : new ArrayList<Number>(values)) {
-            page.append("<td>").append(value == null ? "" : String.format("%.4g", value.doubleValue()));
-        }
+    for (String counter : names(results, Result::counters)) {
+      row(
+          page,
+          counter,
+          results.values().stream().map(each -> each.counters().get(counter)).toList());
     }
-
-    private static Set<String> names(Map<String, Result> results, Function<Result, Map<String, ?>> of) {
-        Set<String> names = new LinkedHashSet<>();
-        results.values().forEach(each -> names.addAll(of.apply(each).keySet()));
-        return names;
+    page.append("</table>");
+    for (String line : names(results, Result::lines)) {
+      page.append("<h2>")
+          .append(escape(line))
+          .append("</h2><img src=\"data:image/png;base64,")
+          .append(Base64.getEncoder().encodeToString(png(line, results)))
+          .append("\">");
     }
+    return page.append('\n').toString();
+  }
 
-    /** One line of all results over time. */
-    public static byte[] png(String line, Map<String, Result> results) throws IOException {
-        XYSeriesCollection data = new XYSeriesCollection();
-        for (Map.Entry<String, Result> each : new LinkedHashMap<>(results).entrySet()) {
-            XYSeries series = new XYSeries(each.getKey());
-            Result.Line steps = each.getValue().lines().get(line);
-            for (int i = 0; steps != null && i < steps.steps().size(); i++) {
-                series.add(i * Result.STEP, steps.steps().get(i));
-            }
-            data.addSeries(series);
-        }
-        JFreeChart chart = ChartFactory.createXYLineChart(line, "s", "a step of 0.1 s", data);
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        ChartUtils.writeChartAsPNG(out, chart, WIDTH, HEIGHT);
-        return out.toByteArray();
+  private static void row(StringBuilder page, String name, List<? extends Number> values) {
+    page.append("<tr><td>").append(escape(name));
+    for (Number value : new ArrayList<Number>(values)) {
+      page.append("<td>").append(value == null ? "" : String.format("%.4g", value.doubleValue()));
     }
+  }
 
-    private static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
+  private static Set<String> names(
+      Map<String, Result> results, Function<Result, Map<String, ?>> of) {
+    Set<String> names = new LinkedHashSet<>();
+    results.values().forEach(each -> names.addAll(of.apply(each).keySet()));
+    return names;
+  }
+
+  /** One line of all results over time. */
+  public static byte[] png(String line, Map<String, Result> results) throws IOException {
+    XYSeriesCollection data = new XYSeriesCollection();
+    for (Map.Entry<String, Result> each : new LinkedHashMap<>(results).entrySet()) {
+      XYSeries series = new XYSeries(each.getKey());
+      Result.Line steps = each.getValue().lines().get(line);
+      for (int i = 0; steps != null && i < steps.steps().size(); i++) {
+        series.add(i * Result.STEP, steps.steps().get(i));
+      }
+      data.addSeries(series);
     }
+    JFreeChart chart = ChartFactory.createXYLineChart(line, "s", "a step of 0.1 s", data);
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    ChartUtils.writeChartAsPNG(out, chart, WIDTH, HEIGHT);
+    return out.toByteArray();
+  }
+
+  private static String escape(String text) {
+    return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
+  }
 }
--- a/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
+++ b/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
@@ -40,465 +40,521 @@
 import rushwood.storm.StormSettings;
 
 /**
- * Plays an experiment in virtual time with any number of routers, each with decisions of its own that share nothing.
- * Sockets are not modelled, so the door is not: connections are free, and only attempts at hosts that are down count.
+ * Plays an experiment in virtual time with any number of routers, each with decisions of its own
+ * that share nothing. Sockets are not modelled, so the door is not: connections are free, and only
+ * attempts at hosts that are down count.
  */
 public final class VirtualRun {
-    private static final long MS = 1_000_000L;
-    private static final long START = 1_000_000_000L * MS; // some Unix time
-    private static final long WAY = MS / 2; // one way between any two: a data centre
-
-    private final Experiment experiment;
-    private final Events events = new Events(START);
-    private final Result result;
-    private final Ledger ledger = new Ledger();
-    private final Settings settings;
-    private final Map<HostId, Host> hosts = new LinkedHashMap<>();
-    private final List<Router> routers = new ArrayList<>();
-    private final StormSettings storm;
-    private final Map<Integer, Integer> backByGroup = new TreeMap<>();
-    private int waiting;
-    private int fulfilled;
-    private int inDoubt;
-    private int outOfTries;
-    private int turnedBack;
-    private int tries;
-    private int dials;
-    private int shots;
-    private long lastDone;
-
-    private static final class Host {
-        final HostModel model;
-        final Experiment.Host kind;
-        final Set<Shot> out = new LinkedHashSet<>();
-        long startedMillis;
-
-        Host(HostModel model, Experiment.Host kind) {
-            this.model = model;
-            this.kind = kind;
-        }
+  private static final long MS = 1_000_000L;
+  private static final long START = 1_000_000_000L * MS; // some Unix time
+  private static final long WAY = MS / 2; // one way between any two: a data centre
+
+  private final Experiment experiment;
+  private final Events events = new Events(START);
+  private final Result result;
+  private final Ledger ledger = new Ledger();
+  private final Settings settings;
+  private final Map<HostId, Host> hosts = new LinkedHashMap<>();
+  private final List<Router> routers = new ArrayList<>();
+  private final StormSettings storm;
+  private final Map<Integer, Integer> backByGroup = new TreeMap<>();
+  private int waiting;
+  private int fulfilled;
+  private int inDoubt;
+  private int outOfTries;
+  private int turnedBack;
+  private int tries;
+  private int dials;
+  private int shots;
+  private long lastDone;
+
+  private static final class Host {
+    final HostModel model;
+    final Experiment.Host kind;
+    final Set<Shot> out = new LinkedHashSet<>();
+    long startedMillis;
+
+    Host(HostModel model, Experiment.Host kind) {
+      this.model = model;
+      this.kind = kind;
     }
-
-    /** With the storm module as set, or with the decisions alone if that is null. */
-    public VirtualRun(Experiment experiment, StormSettings storm) throws BadConfig {
-        this.experiment = experiment;
-        this.storm = storm;
-        settings = Config.settings(RouterSettings.json(experiment).toString());
-        result = new Result(experiment.name());
-        int seed = 0;
-        for (Experiment.Host each : experiment.hosts()) {
-            HostModel model = new HostModel(each.kind(), each.primary(), experiment.seed() * 31 + seed++);
-            model.tips(each.tips());
-            hosts.put(new HostId(each.id()), new Host(model, each));
-        }
+  }
+
+  /** With the storm module as set, or with the decisions alone if that is null. */
+  public VirtualRun(Experiment experiment, StormSettings storm) throws BadConfig {
+    this.experiment = experiment;
+    this.storm = storm;
+    settings = Config.settings(RouterSettings.json(experiment).toString());
+    result = new Result(experiment.name());
+    int seed = 0;
+    for (Experiment.Host each : experiment.hosts()) {
+      HostModel model = new HostModel(each.kind(), each.primary(), experiment.seed() * 31 + seed++);
+      model.tips(each.tips());
+      hosts.put(new HostId(each.id()), new Host(model, each));
     }
+  }
 
-    public Result play() {
-        for (int i = 0; i < experiment.allRouters(); i++) {
-            routers.add(new Router(experiment.seed() * 1_000 + i));
-        }
-        int number = 0;
-        for (Experiment.Crowd crowd : experiment.clients()) {
-            Product product = Product.named(settings.products(), crowd.product());
-            SplittableRandom chance = new SplittableRandom(experiment.seed() + number);
-            for (int i = 0; i < crowd.count(); i++) {
-                Client client = new Client(number++, crowd, product, chance);
-                events.at(START + nanos(crowd.from() + crowd.over() * i / crowd.count()), client::next);
-                waiting++;
-            }
-        }
-        experiment.allEvents().forEach(each -> events.at(START + nanos(each.at()), () -> happen(each)));
-        events.at(START, this::sample);
-        long end = START + nanos(experiment.lasts());
-        while (waiting > 0 && events.next(end)) {
-            continue;
-        }
-        settle(number);
-        return result;
-    }
-
-    private static long nanos(double seconds) {
-        return Math.round(seconds * 1e9);
-    }
-
-    private void settle(int clients) {
-        result.figure("routers", routers.size());
-        result.figure("clients", clients);
-        result.figure("share_fulfilled", (double) fulfilled / clients);
-        result.figure("in_doubt", inDoubt);
-        result.figure("out_of_tries", outOfTries);
-        result.figure("unfinished", waiting);
-        result.figure("turned_back", turnedBack);
-        backByGroup.forEach((group, count) -> result.figure("turned_back_of_group_" + group, count));
-        result.figure("tries", tries);
-        result.figure("shots", shots);
-        result.figure("dials_at_hosts_down", dials);
-        double worst = 0;
-        int falls = 0;
-        double rate = 0;
-        for (Host host : hosts.values()) {
-            worst = Math.max(worst, host.model.worstPush());
-            falls += host.model.falls();
-            rate += host.kind.rate();
-        }
-        result.figure("worst_cold_push", worst);
-        result.figure("falls", falls);
-        result.figure("seconds_until_done", (lastDone - START) / 1e9);
-        result.figure("seconds_of_work_owed", fulfilled / rate);
-        result.figure("doubled_tries", ledger.doubledTries());
-        result.figure("doubled_writes", ledger.doubledWrites());
-        for (double percent : new double[] {50, 95, 99, 100}) {
-            result.figure("done_p" + (int) percent, result.doneWithin(percent));
-        }
+  public Result play() {
+    for (int i = 0; i < experiment.allRouters(); i++) {
+      routers.add(new Router(experiment.seed() * 1_000 + i));
     }
-
-    private void sample() {
-        hosts.forEach((id, host) -> result.count("in work at " + id, events.now() - START,
-                host.model.inWork(events.now())));
-        events.at(events.now() + 100 * MS, this::sample);
+    int number = 0;
+    for (Experiment.Crowd crowd : experiment.clients()) {
+      Product product = Product.named(settings.products(), crowd.product());
+      SplittableRandom chance = new SplittableRandom(experiment.seed() + number);
+      for (int i = 0; i < crowd.count(); i++) {
+        Client client = new Client(number++, crowd, product, chance);
+        events.at(START + nanos(crowd.from() + crowd.over() * i / crowd.count()), client::next);
+        waiting++;
+      }
     }
-
-    private void happen(Experiment.Event event) {
-        Host host = event.host() == null ? null : hosts.get(new HostId(event.host()));
-        switch (event.what()) {
-            case "die" -> die(host);
-            case "start" -> {
-                host.model.start(events.now());
-                host.startedMillis = events.now() / MS;
-            }
-            case "promote" -> hosts.values().stream().filter(each -> each.kind.group() == host.kind.group())
-                    .forEach(each -> each.model.promote(each == host));
-            case "demote" -> host.model.promote(false);
-            case "hang" -> host.model.hang(true);
-            case "wake" -> host.model.hang(false);
-            case "list" -> routers.forEach(each -> each.tell(() -> each.decisions.listChanged(events.now(), list())));
-            default -> throw new IllegalArgumentException(event.what() + " is not played in virtual time");
-        }
+    experiment.allEvents().forEach(each -> events.at(START + nanos(each.at()), () -> happen(each)));
+    events.at(START, this::sample);
+    long end = START + nanos(experiment.lasts());
+    while (waiting > 0 && events.next(end)) {
+      continue;
     }
-
-    private void die(Host host) {
-        host.model.die();
-        List.copyOf(host.out).forEach(shot -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.BROKEN)));
+    settle(number);
+    return result;
+  }
+
+  private static long nanos(double seconds) {
+    return Math.round(seconds * 1e9);
+  }
+
+  private void settle(int clients) {
+    result.figure("routers", routers.size());
+    result.figure("clients", clients);
+    result.figure("share_fulfilled", (double) fulfilled / clients);
+    result.figure("in_doubt", inDoubt);
+    result.figure("out_of_tries", outOfTries);
+    result.figure("unfinished", waiting);
+    result.figure("turned_back", turnedBack);
+    backByGroup.forEach((group, count) -> result.figure("turned_back_of_group_" + group, count));
+    result.figure("tries", tries);
+    result.figure("shots", shots);
+    result.figure("dials_at_hosts_down", dials);
+    double worst = 0;
+    int falls = 0;
+    double rate = 0;
+    for (Host host : hosts.values()) {
+      worst = Math.max(worst, host.model.worstPush());
+      falls += host.model.falls();
+      rate += host.kind.rate();
     }
-
-    private List<ListedHost> list() {
-        return hosts.entrySet().stream().map(each -> new ListedHost(each.getKey(),
-                new GroupId(each.getValue().kind.group()), new ZoneId("a"), 1, each.getValue().startedMillis * MS,
-                each.getValue().model.isPrimary(), ListedHost.State.IN_SERVICE)).toList();
+    result.figure("worst_cold_push", worst);
+    result.figure("falls", falls);
+    result.figure("seconds_until_done", (lastDone - START) / 1e9);
+    result.figure("seconds_of_work_owed", fulfilled / rate);
+    result.figure("doubled_tries", ledger.doubledTries());
+    result.figure("doubled_writes", ledger.doubledWrites());
+    for (double percent : new double[] {50, 95, 99, 100}) {
+      result.figure("done_p" + (int) percent, result.doneWithin(percent));
+    }
+  }
+
+  private void sample() {
+    hosts.forEach(
+        (id, host) ->
+            result.count(
+                "in work at " + id, events.now() - START, host.model.inWork(events.now())));
+    events.at(events.now() + 100 * MS, this::sample);
+  }
+
+  private void happen(Experiment.Event event) {
+    Host host = event.host() == null ? null : hosts.get(new HostId(event.host()));
+    switch (event.what()) {
+      case "die" -> die(host);
+      case "start" -> {
+        host.model.start(events.now());
+        host.startedMillis = events.now() / MS;
+      }
+      case "promote" ->
+          hosts.values().stream()
+              .filter(each -> each.kind.group() == host.kind.group())
+              .forEach(each -> each.model.promote(each == host));
+      case "demote" -> host.model.promote(false);
+      case "hang" -> host.model.hang(true);
+      case "wake" -> host.model.hang(false);
+      case "list" ->
+          routers.forEach(
+              each -> each.tell(() -> each.decisions.listChanged(events.now(), list())));
+      default ->
+          throw new IllegalArgumentException(event.what() + " is not played in virtual time");
+    }
+  }
+
+  private void die(Host host) {
+    host.model.die();
+    List.copyOf(host.out)
+        .forEach(shot -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.BROKEN)));
+  }
+
+  private List<ListedHost> list() {
+    return hosts.entrySet().stream()
+        .map(
+            each ->
+                new ListedHost(
+                    each.getKey(),
+                    new GroupId(each.getValue().kind.group()),
+                    new ZoneId("a"),
+                    1,
+                    each.getValue().startedMillis * MS,
+                    each.getValue().model.isPrimary(),
+                    ListedHost.State.IN_SERVICE))
+        .toList();
+  }
+
+  // ---- a router
+
+  private final class Shot {
+    final Router router;
+    final Open open;
+    final int number;
+    final HostId host;
+    final long sentAt = events.now();
+    boolean over;
+
+    Shot(Router router, Open open, HostId host) {
+      this.router = router;
+      this.open = open;
+      this.host = host;
+      number = open.shots.size();
     }
 
-    // ---- a router
-
-    private final class Shot {
-        final Router router;
-        final Open open;
-        final int number;
-        final HostId host;
-        final long sentAt = events.now();
-        boolean over;
-
-        Shot(Router router, Open open, HostId host) {
-            this.router = router;
-            this.open = open;
-            this.host = host;
-            number = open.shots.size();
-        }
-
-        void end(ShotEnd end) {
-            if (over) {
-                return;
-            }
-            over = true;
-            Host at = hosts.get(host);
-            at.out.remove(this);
-            boolean answered = end.hostAnswered();
-            boolean write = open.access.product().need() == Need.WRITE;
-            Boolean primary = answered ? (Boolean) at.model.isPrimary() : null;
-            long position = answered ? at.model.position(events.now()) : -1;
-            if (end == ShotEnd.FULFILLED && open.client != null) {
-                Client client = open.client;
-                open.client = null;
-                client.fulfilled();
-            }
-            router.tell(() -> {
-                router.decisions.answered(events.now(), new Answer(open.access.id(), number, host, end,
-                        events.now() - sentAt, open.client == null, primary,
-                        write && end == ShotEnd.FULFILLED ? events.now() : position, LoadReport.NONE));
-                router.forget(open);
-            });
-        }
+    void end(ShotEnd end) {
+      if (over) {
+        return;
+      }
+      over = true;
+      Host at = hosts.get(host);
+      at.out.remove(this);
+      boolean answered = end.hostAnswered();
+      boolean write = open.access.product().need() == Need.WRITE;
+      Boolean primary = answered ? (Boolean) at.model.isPrimary() : null;
+      long position = answered ? at.model.position(events.now()) : -1;
+      if (end == ShotEnd.FULFILLED && open.client != null) {
+        Client client = open.client;
+        open.client = null;
+        client.fulfilled();
+      }
+      router.tell(
+          () -> {
+            router.decisions.answered(
+                events.now(),
+                new Answer(
+                    open.access.id(),
+                    number,
+                    host,
+                    end,
+                    events.now() - sentAt,
+                    open.client == null,
+                    primary,
+                    write && end == ShotEnd.FULFILLED ? events.now() : position,
+                    LoadReport.NONE));
+            router.forget(open);
+          });
     }
+  }
 
-    private static final class Open {
-        final Access access;
-        final List<Shot> shots = new ArrayList<>();
-        Client client;
+  private static final class Open {
+    final Access access;
+    final List<Shot> shots = new ArrayList<>();
+    Client client;
 
-        Open(Access access, Client client) {
-            this.access = access;
-            this.client = client;
-        }
+    Open(Access access, Client client) {
+      this.access = access;
+      this.client = client;
+    }
+  }
+
+  private final class Router implements Outlet {
+    private final Map<AccessId, Open> opens = new HashMap<>();
+    private final Deque<Runnable> calls = new ArrayDeque<>();
+    private final Dials paced;
+    private final Decisions decisions;
+    private boolean telling;
+    private long wakeAt = Long.MAX_VALUE;
+
+    Router(long seed) {
+      paced = new Dials(new SplittableRandom(~seed), storm != null && storm.paceDials());
+      SplittableRandom chance = new SplittableRandom(seed);
+      decisions =
+          storm == null
+              ? new Choice(settings, chance, this)
+              : new Storm(
+                  settings,
+                  storm,
+                  paced,
+                  this,
+                  (crowd, out) -> new Choice(settings, chance, out, crowd));
+      tell(() -> decisions.listed(events.now(), list(), true));
     }
 
-    private final class Router implements Outlet {
-        private final Map<AccessId, Open> opens = new HashMap<>();
-        private final Deque<Runnable> calls = new ArrayDeque<>();
-        private final Dials paced;
-        private final Decisions decisions;
-        private boolean telling;
-        private long wakeAt = Long.MAX_VALUE;
-
-        Router(long seed) {
-            paced = new Dials(new SplittableRandom(~seed), storm != null && storm.paceDials());
-            SplittableRandom chance = new SplittableRandom(seed);
-            decisions = storm == null ? new Choice(settings, chance, this)
-                    : new Storm(settings, storm, paced, this, (crowd, out) -> new Choice(settings, chance, out, crowd));
-            tell(() -> decisions.listed(events.now(), list(), true));
-        }
-
-        void tell(Runnable call) {
-            calls.add(call);
-            if (!telling) {
-                telling = true;
-                for (Runnable next = calls.poll(); next != null; next = calls.poll()) {
-                    next.run();
-                }
-                telling = false;
-            }
+    void tell(Runnable call) {
+      calls.add(call);
+      if (!telling) {
+        telling = true;
+        for (Runnable next = calls.poll(); next != null; next = calls.poll()) {
+          next.run();
         }
+        telling = false;
+      }
+    }
 
-        void arrived(Access access, Client client) {
-            Open open = new Open(access, client);
-            opens.put(access.id(), open);
-            tell(() -> decisions.arrived(events.now(), access));
-        }
+    void arrived(Access access, Client client) {
+      Open open = new Open(access, client);
+      opens.put(access.id(), open);
+      tell(() -> decisions.arrived(events.now(), access));
+    }
 
-        void left(AccessId id) {
-            Open open = opens.get(id);
-            if (open != null && open.client != null) {
-                open.client = null;
-                tell(() -> {
-                    decisions.left(events.now(), id);
-                    forget(open);
-                });
-            }
-        }
+    void left(AccessId id) {
+      Open open = opens.get(id);
+      if (open != null && open.client != null) {
+        open.client = null;
+        tell(
+            () -> {
+              decisions.left(events.now(), id);
+              forget(open);
+            });
+      }
+    }
 
-        private void forget(Open open) {
-            if (open.client == null && open.shots.stream().allMatch(each -> each.over)) {
-                opens.remove(open.access.id());
-            }
-        }
+    private void forget(Open open) {
+      if (open.client == null && open.shots.stream().allMatch(each -> each.over)) {
+        opens.remove(open.access.id());
+      }
+    }
 
-        @Override
-        public void send(AccessId id, HostId to, long timeOut, long beginWithin) {
-            Open open = opens.get(id);
-            Shot shot = new Shot(this, open, to);
-            open.shots.add(shot);
-            shots++;
-            Host host = hosts.get(to);
-            if (!host.model.isUp()) {
-                if (paced.may(to, events.now())) {
-                    dials++;
-                    paced.begun(to);
-                    events.at(events.now() + 2 * WAY, () -> {
-                        paced.failed(to, events.now());
-                        shot.end(ShotEnd.UNREACHED);
-                    });
-                } else {
-                    calls.add(() -> shot.end(ShotEnd.UNSENT));
-                }
-                return;
-            }
-            paced.begun(to);
-            paced.opened(to);
-            host.out.add(shot);
-            events.at(events.now() + timeOut, () -> shot.end(ShotEnd.EXPIRED));
-            events.at(events.now() + WAY, () -> reach(host, shot));
-        }
+    @Override
+    public void send(AccessId id, HostId to, long timeOut, long beginWithin) {
+      Open open = opens.get(id);
+      Shot shot = new Shot(this, open, to);
+      open.shots.add(shot);
+      shots++;
+      Host host = hosts.get(to);
+      if (!host.model.isUp()) {
+        if (paced.may(to, events.now())) {
+          dials++;
+          paced.begun(to);
+          events.at(
+              events.now() + 2 * WAY,
+              () -> {
+                paced.failed(to, events.now());
+                shot.end(ShotEnd.UNREACHED);
+              });
+        } else {
+          calls.add(() -> shot.end(ShotEnd.UNSENT));
+        }
+        return;
+      }
+      paced.begun(to);
+      paced.opened(to);
+      host.out.add(shot);
+      events.at(events.now() + timeOut, () -> shot.end(ShotEnd.EXPIRED));
+      events.at(events.now() + WAY, () -> reach(host, shot));
+    }
 
-        private void reach(Host host, Shot shot) {
-            Access access = shot.open.access;
-            boolean write = access.product().need() == Need.WRITE;
-            HostModel.Reply reply = host.model.offer(events.now(), write,
-                    access.product().need() == Need.ANY ? -1 : 500 * MS);
-            int life = host.model.life();
-            switch (reply.verdict()) {
-                case SILENT -> {
-                    if (!host.model.isUp()) {
-                        die(host);
-                    }
-                }
-                case OVERFULL -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.OVERFULL));
-                case NOT_PRIMARY, TOO_FAR_BEHIND -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.BEHIND));
-                case TAKEN -> events.at(reply.doneAt(), () -> {
-                    if (host.model.life() == life) {
-                        if (write) {
-                            ledger.ran((int) access.mark(), access.id().value());
-                        }
-                        events.at(events.now() + WAY, () -> shot.end(ShotEnd.FULFILLED));
+    private void reach(Host host, Shot shot) {
+      Access access = shot.open.access;
+      boolean write = access.product().need() == Need.WRITE;
+      HostModel.Reply reply =
+          host.model.offer(
+              events.now(), write, access.product().need() == Need.ANY ? -1 : 500 * MS);
+      int life = host.model.life();
+      switch (reply.verdict()) {
+        case SILENT -> {
+          if (!host.model.isUp()) {
+            die(host);
+          }
+        }
+        case OVERFULL -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.OVERFULL));
+        case NOT_PRIMARY, TOO_FAR_BEHIND ->
+            events.at(events.now() + WAY, () -> shot.end(ShotEnd.BEHIND));
+        case TAKEN ->
+            events.at(
+                reply.doneAt(),
+                () -> {
+                  if (host.model.life() == life) {
+                    if (write) {
+                      ledger.ran((int) access.mark(), access.id().value());
                     }
+                    events.at(events.now() + WAY, () -> shot.end(ShotEnd.FULFILLED));
+                  }
                 });
-            }
-        }
+      }
+    }
 
-        @Override
-        public void withdraw(AccessId id, int shot) {
-            Open open = opens.get(id);
-            if (open != null) {
-                calls.add(() -> open.shots.get(shot).end(ShotEnd.WITHDRAWN));
-            }
-        }
+    @Override
+    public void withdraw(AccessId id, int shot) {
+      Open open = opens.get(id);
+      if (open != null) {
+        calls.add(() -> open.shots.get(shot).end(ShotEnd.WITHDRAWN));
+      }
+    }
 
-        private Client over(AccessId id) {
-            Open open = opens.get(id);
-            Client client = open == null ? null : open.client;
-            if (client != null) {
-                open.client = null;
-                forget(open);
-            }
-            return client;
-        }
+    private Client over(AccessId id) {
+      Open open = opens.get(id);
+      Client client = open == null ? null : open.client;
+      if (client != null) {
+        open.client = null;
+        forget(open);
+      }
+      return client;
+    }
 
-        @Override
-        public void turnBack(AccessId id, long advice) {
-            Client client = over(id);
-            if (client != null) {
-                events.at(events.now() + WAY, () -> client.turnedBack(advice));
-            }
-        }
+    @Override
+    public void turnBack(AccessId id, long advice) {
+      Client client = over(id);
+      if (client != null) {
+        events.at(events.now() + WAY, () -> client.turnedBack(advice));
+      }
+    }
 
-        @Override
-        public void giveUp(AccessId id) {
-            Client client = over(id);
-            if (client != null) {
-                events.at(events.now() + WAY, client::failed);
-            }
-        }
+    @Override
+    public void giveUp(AccessId id) {
+      Client client = over(id);
+      if (client != null) {
+        events.at(events.now() + WAY, client::failed);
+      }
+    }
+
+    @Override
+    public void probe(HostId id) {
+      HostModel model = hosts.get(id).model;
+      dials += model.isUp() ? 0 : 1;
+      events.at(
+          events.now() + 2 * WAY,
+          () -> {
+            boolean up = model.isUp();
+            LoadReport report =
+                up
+                    ? new LoadReport(model.position(events.now()), model.isPrimary())
+                    : LoadReport.NONE;
+            tell(() -> decisions.probed(events.now(), id, up, report));
+          });
+    }
 
-        @Override
-        public void probe(HostId id) {
-            HostModel model = hosts.get(id).model;
-            dials += model.isUp() ? 0 : 1;
-            events.at(events.now() + 2 * WAY, () -> {
-                boolean up = model.isUp();
-                LoadReport report = up ? new LoadReport(model.position(events.now()), model.isPrimary())
-                        : LoadReport.NONE;
-                tell(() -> decisions.probed(events.now(), id, up, report));
+    @Override
+    public void wake(long at) {
+      if (at < wakeAt) {
+        wakeAt = at;
+        events.at(
+            at,
+            () -> {
+              if (wakeAt == at) {
+                wakeAt = Long.MAX_VALUE;
+                tell(() -> decisions.woken(events.now()));
+              }
             });
-        }
+      }
+    }
 
-        @Override
-        public void wake(long at) {
-            if (at < wakeAt) {
-                wakeAt = at;
-                events.at(at, () -> {
-                    if (wakeAt == at) {
-                        wakeAt = Long.MAX_VALUE;
-                        tell(() -> decisions.woken(events.now()));
-                    }
-                });
-            }
-        }
+    @Override
+    public void subscribe() {
+      // the list is there
+    }
 
-        @Override
-        public void subscribe() {
-            // the list is there
-        }
+    @Override
+    public void log(String line) {
+      if (line.startsWith("storm at router")) {
+        result.count("changes of weather", events.now() - START, 1);
+      }
+    }
+  }
+
+  // ---- a client
+
+  private final class Client {
+    private final int number;
+    private final Experiment.Crowd kind;
+    private final Product product;
+    private final SplittableRandom chance;
+    private final Manners manners;
+    private final Router router;
+    private long began = -1;
+    private int tried;
+    private boolean answered;
+
+    Client(int number, Experiment.Crowd kind, Product product, SplittableRandom chance) {
+      this.number = number;
+      this.kind = kind;
+      this.product = product;
+      this.chance = chance;
+      manners = kind.comesBack();
+      router = routers.get(number % routers.size());
+    }
 
-        @Override
-        public void log(String line) {
-            if (line.startsWith("storm at router")) {
-                result.count("changes of weather", events.now() - START, 1);
+    void next() {
+      began = began < 0 ? events.now() : began;
+      tried++;
+      tries++;
+      answered = false;
+      result.count("tries", events.now() - START, 1);
+      int mine = tried;
+      long due = events.now() + nanos(kind.outer());
+      AccessId id = new AccessId(number + "-" + tried);
+      events.at(
+          events.now() + WAY,
+          () ->
+              router.arrived(
+                  new Access(
+                      id, product, null, new GroupId(kind.group()), due - WAY, 0, number + 1L, 0),
+                  this));
+      events.at(
+          due,
+          () -> {
+            if (tried == mine && !answered) {
+              answered = true;
+              router.left(id);
+              lost();
             }
-        }
+          });
     }
 
-    // ---- a client
-
-    private final class Client {
-        private final int number;
-        private final Experiment.Crowd kind;
-        private final Product product;
-        private final SplittableRandom chance;
-        private final Manners manners;
-        private final Router router;
-        private long began = -1;
-        private int tried;
-        private boolean answered;
-
-        Client(int number, Experiment.Crowd kind, Product product, SplittableRandom chance) {
-            this.number = number;
-            this.kind = kind;
-            this.product = product;
-            this.chance = chance;
-            manners = kind.comesBack();
-            router = routers.get(number % routers.size());
-        }
-
-        void next() {
-            began = began < 0 ? events.now() : began;
-            tried++;
-            tries++;
-            answered = false;
-            result.count("tries", events.now() - START, 1);
-            int mine = tried;
-            long due = events.now() + nanos(kind.outer());
-            AccessId id = new AccessId(number + "-" + tried);
-            events.at(events.now() + WAY, () -> router.arrived(new Access(id, product, null,
-                    new GroupId(kind.group()), due - WAY, 0, number + 1L, 0), this));
-            events.at(due, () -> {
-                if (tried == mine && !answered) {
-                    answered = true;
-                    router.left(id);
-                    lost();
-                }
-            });
-        }
-
-        void fulfilled() {
-            if (!answered) {
-                answered = true;
-                fulfilled++;
-                waiting--;
-                lastDone = events.now();
-                result.count("goodput", events.now() - START, 1);
-                result.done(events.now() - began);
-            }
-        }
+    void fulfilled() {
+      if (!answered) {
+        answered = true;
+        fulfilled++;
+        waiting--;
+        lastDone = events.now();
+        result.count("goodput", events.now() - START, 1);
+        result.done(events.now() - began);
+      }
+    }
 
-        void turnedBack(long told) {
-            if (!answered) {
-                answered = true;
-                turnedBack++;
-                backByGroup.merge(kind.group(), 1, Integer::sum);
-                again(told);
-            }
-        }
+    void turnedBack(long told) {
+      if (!answered) {
+        answered = true;
+        turnedBack++;
+        backByGroup.merge(kind.group(), 1, Integer::sum);
+        again(told);
+      }
+    }
 
-        void failed() {
-            if (!answered) {
-                answered = true;
-                lost();
-            }
-        }
+    void failed() {
+      if (!answered) {
+        answered = true;
+        lost();
+      }
+    }
 
-        private void lost() {
-            if (product.effect() == Effect.IRREVERSIBLE) {
-                inDoubt++;
-                waiting--;
-            } else {
-                again(0);
-            }
-        }
+    private void lost() {
+      if (product.effect() == Effect.IRREVERSIBLE) {
+        inDoubt++;
+        waiting--;
+      } else {
+        again(0);
+      }
+    }
 
-        private void again(long told) {
-            if (tried >= kind.tries()) {
-                outOfTries++;
-                waiting--;
-            } else {
-                events.at(events.now() + manners.pause(tried, told, chance), this::next);
-            }
-        }
+    private void again(long told) {
+      if (tried >= kind.tries()) {
+        outOfTries++;
+        waiting--;
+      } else {
+        events.at(events.now() + manners.pause(tried, told, chance), this::next);
+      }
     }
+  }
 }
--- a/lab/src/main/java/rushwood/lab/virt/package-info.java
+++ b/lab/src/main/java/rushwood/lab/virt/package-info.java
@@ -1,2 +1,5 @@
-/** The laboratory in virtual time: the decisions and the storm module of many routers against models of hosts. */
+/**
+ * The laboratory in virtual time: the decisions and the storm module of many routers against models
+ * of hosts.
+ */
 package rushwood.lab.virt;
--- a/lab/src/test/java/rushwood/lab/ColdTierTest.java
+++ b/lab/src/test/java/rushwood/lab/ColdTierTest.java
@@ -10,72 +10,80 @@
 import rushwood.lab.load.Tier.Member;
 import rushwood.lab.model.HostModel;
 
-/** Five router processes and a host that starts anew under them: the sum that they send it stays within what it bears. */
+/**
+ * Five router processes and a host that starts anew under them: the sum that they send it stays
+ * within what it bears.
+ */
 class ColdTierTest {
-    private static final int ROUTERS = 5;
-    private static final int RATE = 40; // accesses a second and router: three warm hosts do twice that
-    private static final String COLD = "h3";
-    private static final HostModel.Kind KIND = new HostModel.Kind(120, 8, 64, 0.15, 14_000_000_000L, 4, 1_000_000_000L, 0);
+  private static final int ROUTERS = 5;
+  private static final int RATE =
+      40; // accesses a second and router: three warm hosts do twice that
+  private static final String COLD = "h3";
+  private static final HostModel.Kind KIND =
+      new HostModel.Kind(120, 8, 64, 0.15, 14_000_000_000L, 4, 1_000_000_000L, 0);
 
-    private Tier tier;
+  private Tier tier;
 
-    @BeforeEach
-    void start() throws Exception {
-        tier = new Tier(Path.of("../router/target/rushwood.jar"), ROUTERS, 4, 2, KIND);
-        startAll();
-    }
+  @BeforeEach
+  void start() throws Exception {
+    tier = new Tier(Path.of("../router/target/rushwood.jar"), ROUTERS, 4, 2, KIND);
+    startAll();
+  }
 
-    @AfterEach
-    void stop() throws Exception {
-        tier.close();
-    }
+  @AfterEach
+  void stop() throws Exception {
+    tier.close();
+  }
 
-    private void startAll() throws Exception {
-        for (Member each : tier.members()) {
-            each.start(tier.on(each.agent()::whole));
-        }
-        begin();
+  private void startAll() throws Exception {
+    for (Member each : tier.members()) {
+      each.start(tier.on(each.agent()::whole));
     }
+    begin();
+  }
 
-    private void begin() throws Exception {
-        tier.on(() -> {
-            tier.members().forEach(each -> each.clients().begin(RATE));
-            return null;
+  private void begin() throws Exception {
+    tier.on(
+        () -> {
+          tier.members().forEach(each -> each.clients().begin(RATE));
+          return null;
         });
-    }
+  }
 
-    /** What a window of its first seconds may hold is N accesses and 2 x root of N + 2 of chance. */
-    private void bearsIt() throws Exception {
-        Thread.sleep(4000);
-        double most = KIND.tipMultiple() * KIND.coldFrom() * KIND.rate() * KIND.tipWindow() / 1e9;
-        double push = tier.on(() -> tier.model(COLD).worstPush());
-        assertTrue(push > 0.05, "it is used: " + push);
-        assertTrue(push <= 1 + (2 * Math.sqrt(most) + 2) / most, push + " times what it bears");
-    }
+  /** What a window of its first seconds may hold is N accesses and 2 x root of N + 2 of chance. */
+  private void bearsIt() throws Exception {
+    Thread.sleep(4000);
+    double most = KIND.tipMultiple() * KIND.coldFrom() * KIND.rate() * KIND.tipWindow() / 1e9;
+    double push = tier.on(() -> tier.model(COLD).worstPush());
+    assertTrue(push > 0.05, "it is used: " + push);
+    assertTrue(push <= 1 + (2 * Math.sqrt(most) + 2) / most, push + " times what it bears");
+  }
 
-    @Test
-    void aHostStartsAnew() throws Exception {
-        Thread.sleep(1500);
-        tier.on(() -> {
-            tier.startAnew(COLD);
-            return null;
+  @Test
+  void aHostStartsAnew() throws Exception {
+    Thread.sleep(1500);
+    tier.on(
+        () -> {
+          tier.startAnew(COLD);
+          return null;
         });
-        bearsIt();
-    }
+    bearsIt();
+  }
 
-    /** Nobody remembers what warm hosts do. */
-    @Test
-    void allRoutersStartWithIt() throws Exception {
-        Thread.sleep(500);
-        for (Member each : tier.members()) {
-            each.process().signal("KILL");
-        }
-        tier.on(() -> {
-            tier.members().forEach(each -> each.clients().pause());
-            tier.startAnew(COLD);
-            return null;
-        });
-        startAll();
-        bearsIt();
+  /** Nobody remembers what warm hosts do. */
+  @Test
+  void allRoutersStartWithIt() throws Exception {
+    Thread.sleep(500);
+    for (Member each : tier.members()) {
+      each.process().signal("KILL");
     }
+    tier.on(
+        () -> {
+          tier.members().forEach(each -> each.clients().pause());
+          tier.startAnew(COLD);
+          return null;
+        });
+    startAll();
+    bearsIt();
+  }
 }
--- a/router/src/main/java/rushwood/adapter/Adapter.java
+++ b/router/src/main/java/rushwood/adapter/Adapter.java
@@ -25,246 +25,268 @@
 
 /** Reads batches, hands each event to its router and writes the reply. */
 public final class Adapter {
-    private static final double SECOND = 1e9;
+  private static final double SECOND = 1e9;
 
-    private final BufferedReader in;
-    private final Map<Integer, Instance> instances = new LinkedHashMap<>();
-    private final Map<Integer, List<ListedHost>> pages = new LinkedHashMap<>();
-    private final Map<Integer, Instance> touched = new LinkedHashMap<>();
-    private long number;
-    private long now;
-    private Integer target;
+  private final BufferedReader in;
+  private final Map<Integer, Instance> instances = new LinkedHashMap<>();
+  private final Map<Integer, List<ListedHost>> pages = new LinkedHashMap<>();
+  private final Map<Integer, Instance> touched = new LinkedHashMap<>();
+  private long number;
+  private long now;
+  private Integer target;
 
-    private Adapter(InputStream in) {
-        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
-    }
+  private Adapter(InputStream in) {
+    this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+  }
 
-    /** Serves the wire until the end of input; the exit code. */
-    public static int run(InputStream in, OutputStream out, PrintStream errors) throws IOException {
-        Adapter adapter = new Adapter(in);
-        try {
-            for (String reply = adapter.batch(); reply != null; reply = adapter.batch()) {
-                out.write(reply.getBytes(StandardCharsets.UTF_8));
-                out.flush();
-            }
-            return 0;
-        } catch (BadLine e) {
-            errors.println("rushwood: " + e.getMessage());
-            return 1;
-        }
+  /** Serves the wire until the end of input; the exit code. */
+  public static int run(InputStream in, OutputStream out, PrintStream errors) throws IOException {
+    Adapter adapter = new Adapter(in);
+    try {
+      for (String reply = adapter.batch(); reply != null; reply = adapter.batch()) {
+        out.write(reply.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+      }
+      return 0;
+    } catch (BadLine e) {
+      errors.println("rushwood: " + e.getMessage());
+      return 1;
     }
+  }
 
-    private Line next() throws IOException {
-        String text = in.readLine();
-        number++;
-        return text == null ? null : new Line(text, number);
-    }
+  private Line next() throws IOException {
+    String text = in.readLine();
+    number++;
+    return text == null ? null : new Line(text, number);
+  }
 
-    /** The reply to the next batch, or null at the end of input. */
-    private String batch() throws IOException {
-        Line line = next();
-        while (line != null && line.message().isEmpty()) {
-            line = next();
-        }
-        if (line == null) {
-            return null;
-        }
-        if (!line.message().equals("mark")) {
-            throw line.bad("message", "stands where mark is due");
-        }
-        now = line.time("clock");
-        target = null;
-        touched.clear();
-        try {
-            for (line = more(); !line.message().equals("eof_batch"); line = more()) {
-                event(line);
-            }
-        } catch (BadLine e) {
-            return fault(e.getMessage(), e);
-        } catch (RuntimeException e) {
-            return fault(line.bad("message", "met " + e).getMessage(), new BadLine(e.toString()));
-        }
-        StringBuilder reply = new StringBuilder();
-        touched.forEach((router, instance) -> {
-            if (instance.lines.length() > 0) {
-                reply.append("as\trouter=").append(router).append('\n').append(instance.lines);
-                instance.lines.setLength(0);
-            }
-        });
-        return reply.append("ok\n").toString();
+  /** The reply to the next batch, or null at the end of input. */
+  private String batch() throws IOException {
+    Line line = next();
+    while (line != null && line.message().isEmpty()) {
+      line = next();
     }
-
-    private Line more() throws IOException {
-        Line line = next();
-        if (line == null) {
-            throw new BadLine("line " + number + ": the input ends within a batch");
-        }
-        return line;
+    if (line == null) {
+      return null;
     }
-
-    /** Ends the day in plain words where an instance can be named; else the caller ends the process. */
-    private String fault(String message, BadLine cause) throws IOException {
-        if (target == null) {
-            throw cause;
-        }
-        for (Line line = next(); line != null && !line.message().equals("eof_batch"); line = next()) {
-            continue;
-        }
-        return "as\trouter=" + target + "\ndie\tmessage=" + message.replaceAll("\\s+", " ") + "\nok\n";
+    if (!line.message().equals("mark")) {
+      throw line.bad("message", "stands where mark is due");
+    }
+    now = line.time("clock");
+    target = null;
+    touched.clear();
+    try {
+      for (line = more(); !line.message().equals("eof_batch"); line = more()) {
+        event(line);
+      }
+    } catch (BadLine e) {
+      return fault(e.getMessage(), e);
+    } catch (RuntimeException e) {
+      return fault(line.bad("message", "met " + e).getMessage(), new BadLine(e.toString()));
     }
+    StringBuilder reply = new StringBuilder();
+    touched.forEach(
+        (router, instance) -> {
+          if (instance.lines.length() > 0) {
+            reply.append("as\trouter=").append(router).append('\n').append(instance.lines);
+            instance.lines.setLength(0);
+          }
+        });
+    return reply.append("ok\n").toString();
+  }
 
-    private void event(Line line) throws IOException {
-        switch (line.message()) {
-            case "target_instance" -> target = line.whole("router");
-            case "manifest" -> pages.put(line.whole("page"), rows(line.whole("rows_in")));
-            case "power_on" -> start(line);
-            case "detach" -> {
-                instance(line);
-                instances.remove(target);
-                touched.remove(target);
-            }
-            case "topology" -> list(line);
-            case "work_item" -> instance(line).decisions.arrived(now, access(line));
-            case "report_back" -> instance(line).decisions.answered(now, answer(line));
-            case "lapsed" -> instance(line).decisions.left(now, new AccessId(line.need("id")));
-            case "status_back" -> instance(line).decisions.probed(now, new HostId(line.need("host")),
-                    end(line) == ShotEnd.FULFILLED, report(line));
-            case "due" -> instance(line).decisions.woken(now);
-            case "accepted", "from_peer" -> instance(line);
-            default -> throw line.bad("message", "is unknown");
-        }
+  private Line more() throws IOException {
+    Line line = next();
+    if (line == null) {
+      throw new BadLine("line " + number + ": the input ends within a batch");
     }
+    return line;
+  }
 
-    private Instance instance(Line line) {
-        Instance instance = target == null ? null : instances.get(target);
-        if (instance == null) {
-            throw line.bad("router", target == null ? "is not named" : target + " is unknown");
-        }
-        touched.put(target, instance);
-        return instance;
+  /**
+   * Ends the day in plain words where an instance can be named; else the caller ends the process.
+   */
+  private String fault(String message, BadLine cause) throws IOException {
+    if (target == null) {
+      throw cause;
     }
+    for (Line line = next(); line != null && !line.message().equals("eof_batch"); line = next()) {
+      continue;
+    }
+    return "as\trouter=" + target + "\ndie\tmessage=" + message.replaceAll("\\s+", " ") + "\nok\n";
+  }
 
-    private void start(Line line) {
-        if (target == null) {
-            throw line.bad("router", "is not named");
-        }
-        Instance instance = new Instance(new Conf(line.pairs(), line::bad), line.big("entropy"));
-        instances.put(target, instance);
-        touched.put(target, instance);
+  private void event(Line line) throws IOException {
+    switch (line.message()) {
+      case "target_instance" -> target = line.whole("router");
+      case "manifest" -> pages.put(line.whole("page"), rows(line.whole("rows_in")));
+      case "power_on" -> start(line);
+      case "detach" -> {
+        instance(line);
+        instances.remove(target);
+        touched.remove(target);
+      }
+      case "topology" -> list(line);
+      case "work_item" -> instance(line).decisions.arrived(now, access(line));
+      case "report_back" -> instance(line).decisions.answered(now, answer(line));
+      case "lapsed" -> instance(line).decisions.left(now, new AccessId(line.need("id")));
+      case "status_back" ->
+          instance(line)
+              .decisions
+              .probed(
+                  now, new HostId(line.need("host")), end(line) == ShotEnd.FULFILLED, report(line));
+      case "due" -> instance(line).decisions.woken(now);
+      case "accepted", "from_peer" -> instance(line);
+      default -> throw line.bad("message", "is unknown");
     }
+  }
 
-    private List<ListedHost> rows(int count) throws IOException {
-        List<ListedHost> hosts = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            Line row = more();
-            if (!row.message().equals("row")) {
-                throw row.bad("message", "stands where a row is due");
-            }
-            String started = row.find("up_since");
-            String group = row.find("group");
-            String weight = row.find("nominal");
-            String leads = row.find("leads");
-            hosts.add(new ListedHost(new HostId(row.need("host")),
-                    new GroupId(group == null ? -1 : row.whole("group")),
-                    new ZoneId(row.find("hall") == null ? "" : row.find("hall")),
-                    weight == null ? 1 : row.number("nominal"), started == null ? 0 : row.time("up_since"),
-                    leads != null && row.number("leads") == 1, state(row)));
-        }
-        return hosts;
+  private Instance instance(Line line) {
+    Instance instance = target == null ? null : instances.get(target);
+    if (instance == null) {
+      throw line.bad("router", target == null ? "is not named" : target + " is unknown");
     }
+    touched.put(target, instance);
+    return instance;
+  }
 
-    private static ListedHost.State state(Line row) {
-        return switch (row.need("stage_state")) {
-            case "in_service" -> ListedHost.State.IN_SERVICE;
-            case "terminating" -> ListedHost.State.DRAINING;
-            case "terminated" -> ListedHost.State.GONE;
-            default -> throw row.bad("stage_state", "is unknown");
-        };
+  private void start(Line line) {
+    if (target == null) {
+      throw line.bad("router", "is not named");
     }
+    Instance instance = new Instance(new Conf(line.pairs(), line::bad), line.big("entropy"));
+    instances.put(target, instance);
+    touched.put(target, instance);
+  }
 
-    private void list(Line line) {
-        Instance instance = instance(line);
-        String how = line.need("how");
-        if (how.equals("error")) {
-            instance.decisions.listFailed(now);
-            return;
-        }
-        List<ListedHost> hosts = pages.get(line.whole("page"));
-        if (hosts == null) {
-            throw line.bad("page", "names no list");
-        }
-        switch (how) {
-            case "diff" -> instance.decisions.listChanged(now, hosts);
-            case "snapshot" -> instance.decisions.listed(now, hosts, false);
-            case "disk" -> instance.decisions.listed(now, hosts, true);
-            default -> throw line.bad("how", "is unknown");
-        }
+  private List<ListedHost> rows(int count) throws IOException {
+    List<ListedHost> hosts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Line row = more();
+      if (!row.message().equals("row")) {
+        throw row.bad("message", "stands where a row is due");
+      }
+      String started = row.find("up_since");
+      String group = row.find("group");
+      String weight = row.find("nominal");
+      String leads = row.find("leads");
+      hosts.add(
+          new ListedHost(
+              new HostId(row.need("host")),
+              new GroupId(group == null ? -1 : row.whole("group")),
+              new ZoneId(row.find("hall") == null ? "" : row.find("hall")),
+              weight == null ? 1 : row.number("nominal"),
+              started == null ? 0 : row.time("up_since"),
+              leads != null && row.number("leads") == 1,
+              state(row)));
     }
+    return hosts;
+  }
+
+  private static ListedHost.State state(Line row) {
+    return switch (row.need("stage_state")) {
+      case "in_service" -> ListedHost.State.IN_SERVICE;
+      case "terminating" -> ListedHost.State.DRAINING;
+      case "terminated" -> ListedHost.State.GONE;
+      default -> throw row.bad("stage_state", "is unknown");
+    };
+  }
 
-    private Access access(Line line) {
-        String kind = line.need("kind");
-        Product product = Product.named(instance(line).settings.products(), kind);
-        if (product == null) {
-            throw line.bad("kind", "is unknown: " + kind);
-        }
-        String session = line.find("sess");
-        return new Access(new AccessId(line.need("id")), product,
-                session == null ? null : new SessionId(session),
-                new GroupId(line.find("cluster") == null ? -1 : line.whole("cluster")), line.time("due"),
-                line.find("token_ms") == null ? 0 : Math.round(line.number("token_ms") * 1e6));
+  private void list(Line line) {
+    Instance instance = instance(line);
+    String how = line.need("how");
+    if (how.equals("error")) {
+      instance.decisions.listFailed(now);
+      return;
+    }
+    List<ListedHost> hosts = pages.get(line.whole("page"));
+    if (hosts == null) {
+      throw line.bad("page", "names no list");
     }
+    switch (how) {
+      case "diff" -> instance.decisions.listChanged(now, hosts);
+      case "snapshot" -> instance.decisions.listed(now, hosts, false);
+      case "disk" -> instance.decisions.listed(now, hosts, true);
+      default -> throw line.bad("how", "is unknown");
+    }
+  }
 
-    private Answer answer(Line line) {
-        Boolean primary = null;
-        long position = -1;
-        if (line.find("stamp") != null) {
-            long stamp = line.big("stamp");
-            primary = stamp % 4 == 1 ? Boolean.TRUE : stamp % 4 == 2 ? Boolean.FALSE : null;
-            if (stamp / 4 > 0) {
-                position = instance(line).positionZero + stamp / 4 * 1_000_000L;
-            }
-        }
-        return new Answer(new AccessId(line.need("id")), line.whole("try"), new HostId(line.need("host")),
-                end(line), line.time("cost_time"), line.flag("ended"), primary, position, report(line));
+  private Access access(Line line) {
+    String kind = line.need("kind");
+    Product product = Product.named(instance(line).settings.products(), kind);
+    if (product == null) {
+      throw line.bad("kind", "is unknown: " + kind);
     }
+    String session = line.find("sess");
+    return new Access(
+        new AccessId(line.need("id")),
+        product,
+        session == null ? null : new SessionId(session),
+        new GroupId(line.find("cluster") == null ? -1 : line.whole("cluster")),
+        line.time("due"),
+        line.find("token_ms") == null ? 0 : Math.round(line.number("token_ms") * 1e6));
+  }
 
-    private static ShotEnd end(Line line) {
-        return switch (line.need("rc")) {
-            case "delivered" -> ShotEnd.FULFILLED;
-            case "app_error" -> ShotEnd.ERROR;
-            case "shed" -> ShotEnd.OVERFULL;
-            case "expired" -> ShotEnd.EXPIRED;
-            case "dial_failed" -> ShotEnd.UNREACHED;
-            case "dropped" -> ShotEnd.BROKEN;
-            case "revoked" -> ShotEnd.WITHDRAWN;
-            case "unused" -> ShotEnd.UNSENT;
-            case "empty" -> ShotEnd.BEHIND;
-            default -> throw line.bad("rc", "is unknown");
-        };
+  private Answer answer(Line line) {
+    Boolean primary = null;
+    long position = -1;
+    if (line.find("stamp") != null) {
+      long stamp = line.big("stamp");
+      primary = stamp % 4 == 1 ? Boolean.TRUE : stamp % 4 == 2 ? Boolean.FALSE : null;
+      if (stamp / 4 > 0) {
+        position = instance(line).positionZero + stamp / 4 * 1_000_000L;
+      }
     }
+    return new Answer(
+        new AccessId(line.need("id")),
+        line.whole("try"),
+        new HostId(line.need("host")),
+        end(line),
+        line.time("cost_time"),
+        line.flag("ended"),
+        primary,
+        position,
+        report(line));
+  }
+
+  private static ShotEnd end(Line line) {
+    return switch (line.need("rc")) {
+      case "delivered" -> ShotEnd.FULFILLED;
+      case "app_error" -> ShotEnd.ERROR;
+      case "shed" -> ShotEnd.OVERFULL;
+      case "expired" -> ShotEnd.EXPIRED;
+      case "dial_failed" -> ShotEnd.UNREACHED;
+      case "dropped" -> ShotEnd.BROKEN;
+      case "revoked" -> ShotEnd.WITHDRAWN;
+      case "unused" -> ShotEnd.UNSENT;
+      case "empty" -> ShotEnd.BEHIND;
+      default -> throw line.bad("rc", "is unknown");
+    };
+  }
 
-    /** Positions in reports are seconds after the zero of the settings; here they become clock times. */
-    private LoadReport report(Line line) {
-        String pairs = line.find("pressure");
-        if (pairs == null || pairs.isEmpty()) {
-            return LoadReport.NONE;
-        }
-        double position = Double.NaN;
-        Boolean primary = null;
-        for (String pair : pairs.split(",")) {
-            int colon = pair.indexOf(':');
-            if (colon < 0) {
-                throw line.bad("pressure", "is not a list of pairs");
-            }
-            String text = pair.substring(colon + 1);
-            double value = Decimal.number(text, () -> line.bad("pressure", "has no number"));
-            switch (pair.substring(0, colon)) {
-                case "x0" -> position = value * SECOND + instance(line).positionZero;
-                case "x1" -> primary = value == 1;
-                default -> {
-                }
-            }
-        }
-        return new LoadReport(position, primary);
+  /**
+   * Positions in reports are seconds after the zero of the settings; here they become clock times.
+   */
+  private LoadReport report(Line line) {
+    String pairs = line.find("pressure");
+    if (pairs == null || pairs.isEmpty()) {
+      return LoadReport.NONE;
+    }
+    double position = Double.NaN;
+    Boolean primary = null;
+    for (String pair : pairs.split(",")) {
+      int colon = pair.indexOf(':');
+      if (colon < 0) {
+        throw line.bad("pressure", "is not a list of pairs");
+      }
+      String text = pair.substring(colon + 1);
+      double value = Decimal.number(text, () -> line.bad("pressure", "has no number"));
+      switch (pair.substring(0, colon)) {
+        case "x0" -> position = value * SECOND + instance(line).positionZero;
+        case "x1" -> primary = value == 1;
+        default -> {}
+      }
     }
+    return new LoadReport(position, primary);
+  }
 }
--- a/router/src/main/java/rushwood/api/Answer.java
+++ b/router/src/main/java/rushwood/api/Answer.java
@@ -1,9 +1,17 @@
 package rushwood.api;
 
 /**
- * What came back for a shot. {@code over}: the access needs no final answer of ours. {@code primary} is the
- * role that it tells, null for none; {@code position} is the position or commit, negative for none.
+ * What came back for a shot. {@code over}: the access needs no final answer of ours. {@code
+ * primary} is the role that it tells, null for none; {@code position} is the position or commit,
+ * negative for none.
  */
-public record Answer(AccessId access, int shot, HostId host, ShotEnd end, long took, boolean over,
-        Boolean primary, long position, LoadReport report) {
-}
+public record Answer(
+    AccessId access,
+    int shot,
+    HostId host,
+    ShotEnd end,
+    long took,
+    boolean over,
+    Boolean primary,
+    long position,
+    LoadReport report) {}
--- a/router/src/main/java/rushwood/api/GroupId.java
+++ b/router/src/main/java/rushwood/api/GroupId.java
@@ -1,8 +1,8 @@
 package rushwood.api;
 
 public record GroupId(int value) {
-    @Override
-    public String toString() {
-        return Integer.toString(value);
-    }
+  @Override
+  public String toString() {
+    return Integer.toString(value);
+  }
 }
--- a/router/src/main/java/rushwood/api/ListedHost.java
+++ b/router/src/main/java/rushwood/api/ListedHost.java
@@ -1,8 +1,18 @@
 package rushwood.api;
 
 /** A host as the host list names it. {@code startedAt} is 0 for long ago. */
-public record ListedHost(HostId id, GroupId group, ZoneId zone, double weight, long startedAt,
-        boolean primary, State state) {
+public record ListedHost(
+    HostId id,
+    GroupId group,
+    ZoneId zone,
+    double weight,
+    long startedAt,
+    boolean primary,
+    State state) {
 
-    public enum State { IN_SERVICE, DRAINING, GONE }
+  public enum State {
+    IN_SERVICE,
+    DRAINING,
+    GONE
+  }
 }
--- a/router/src/main/java/rushwood/api/ZoneId.java
+++ b/router/src/main/java/rushwood/api/ZoneId.java
@@ -1,8 +1,8 @@
 package rushwood.api;
 
 public record ZoneId(String value) {
-    @Override
-    public String toString() {
-        return value;
-    }
+  @Override
+  public String toString() {
+    return value;
+  }
 }
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -34,263 +33,344 @@
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
 public final class Service {
-    // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in or that linger.
-    private static final int OWN_SOCKETS = 54;
-    private static final long SECOND = 1_000_000_000L;
-    // A planned restart ends us no earlier than the longest deadline, 3 s of it at most, and 0.7 s more after SIGTERM,
-    // however soon we leave: until then clients are served on the connections they have, as the front sends those that
-    // lose theirs here for seconds still (closed after 0.55 s, half of the tries of two routers failed meanwhile).
-    private static final long STAYS = 3 * SECOND;
-    private static final long STAYS_MORE = 700 * SECOND / 1000;
-    private static final long LAST_ANSWER = SECOND / 5; // before that end: a stall, and the time to exit
-    private static final long LAST_ACCESS = SECOND * 3 / 10; // before the last answer: most are answered in less
-    // A process that stands still at its end leaves what came meanwhile without an answer. One that did lately may again:
-    // it takes its last access earlier by twice as long, but not before new connections have stopped coming, after 0.4 s;
-    // what comes in the first 0.7 s is not lost. Harm: its clients find no router for longer.
-    private static final int PAUSES = 2;
-    private static final long CLOSES = SECOND * 55 / 100; // after SIGTERM, at the earliest
-    private static final long HOOK = SECOND / 10; // from SIGTERM to the event loop: two threads start, on part of a core
-    private static final long LOOK = SECOND / 20; // between looks at whether all is answered
-    private static final long LIST_WITHIN = SECOND; // of a start: the agent is on this machine and answers at once
-    private static final int BACKLOG = 512; // connections that come while the process stands still
+  // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in
+  // or that linger.
+  private static final int OWN_SOCKETS = 54;
+  private static final long SECOND = 1_000_000_000L;
+  // A planned restart ends us no earlier than the longest deadline, 3 s of it at most, and 0.7 s
+  // more after SIGTERM,
+  // however soon we leave: until then clients are served on the connections they have, as the front
+  // sends those that
+  // lose theirs here for seconds still (closed after 0.55 s, half of the tries of two routers
+  // failed meanwhile).
+  private static final long STAYS = 3 * SECOND;
+  private static final long STAYS_MORE = 700 * SECOND / 1000;
+  private static final long LAST_ANSWER =
+      SECOND / 5; // before that end: a stall, and the time to exit
+  private static final long LAST_ACCESS =
+      SECOND * 3 / 10; // before the last answer: most are answered in less
+  // A process that stands still at its end leaves what came meanwhile without an answer. One that
+  // did lately may again:
+  // it takes its last access earlier by twice as long, but not before new connections have stopped
+  // coming, after 0.4 s;
+  // what comes in the first 0.7 s is not lost. Harm: its clients find no router for longer.
+  private static final int PAUSES = 2;
+  private static final long CLOSES = SECOND * 55 / 100; // after SIGTERM, at the earliest
+  private static final long HOOK =
+      SECOND / 10; // from SIGTERM to the event loop: two threads start, on part of a core
+  private static final long LOOK = SECOND / 20; // between looks at whether all is answered
+  private static final long LIST_WITHIN =
+      SECOND; // of a start: the agent is on this machine and answers at once
+  private static final int BACKLOG = 512; // connections that come while the process stands still
 
-    private final Config config;
-    private final Operator operator;
-    private final Map<String, String> environment;
-    private final Reload.Signal hangUp;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            WholeMillis.of(NioIoHandler.newFactory()));
-    private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
-    private final Counters counters = new Counters();
-    private final CountDownLatch list = new CountDownLatch(1);
-    private final CountDownLatch ended = new CountDownLatch(1);
-    private Clock clock;
-    private Agenda agenda;
-    private Lines lines;
-    private Router router;
-    private Storm storm;
-    private Clients clients;
-    private Discovery discovery;
-    private InetSocketAddress followed;
-    private boolean stopping;
-    private volatile boolean ends; // told to, at any moment of its life
-    private Channel listener;
-    private long last;
-    private Future<?> timer;
+  private final Config config;
+  private final Operator operator;
+  private final Map<String, String> environment;
+  private final Reload.Signal hangUp;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, WholeMillis.of(NioIoHandler.newFactory()));
+  private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+  private final Counters counters = new Counters();
+  private final CountDownLatch list = new CountDownLatch(1);
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private Clock clock;
+  private Agenda agenda;
+  private Lines lines;
+  private Router router;
+  private Storm storm;
+  private Clients clients;
+  private Discovery discovery;
+  private InetSocketAddress followed;
+  private boolean stopping;
+  private volatile boolean ends; // told to, at any moment of its life
+  private Channel listener;
+  private long last;
+  private Future<?> timer;
 
-    /** With the environment that names the configuration's file, which is read again on SIGHUP, and what hears that. */
-    public Service(Config config, Operator operator, Map<String, String> environment, Reload.Signal hangUp) {
-        this.hangUp = hangUp;
-        this.config = config;
-        this.operator = operator;
-        this.environment = environment;
-    }
+  /**
+   * With the environment that names the configuration's file, which is read again on SIGHUP, and
+   * what hears that.
+   */
+  public Service(
+      Config config, Operator operator, Map<String, String> environment, Reload.Signal hangUp) {
+    this.hangUp = hangUp;
+    this.config = config;
+    this.operator = operator;
+    this.environment = environment;
+  }
 
-    /** Starts it; returns once clients are listened to, or never will be as it was told to end before. */
-    public void start() throws Exception {
-        new Rehearsal(config, group, loop, ByteBufAllocator.DEFAULT).play();
-        loop.submit(this::assemble).get();
-        awaitList();
-        listen();
-    }
+  /**
+   * Starts it; returns once clients are listened to, or never will be as it was told to end before.
+   */
+  public void start() throws Exception {
+    new Rehearsal(config, group, loop, ByteBufAllocator.DEFAULT).play();
+    loop.submit(this::assemble).get();
+    awaitList();
+    listen();
+  }
 
-    /** Told to end before this it never listens; told while it binds it serves first, as clients may have come. */
-    private synchronized void listen() throws InterruptedException {
-        if (ends) {
-            return;
-        }
-        ServerBootstrap server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(clients);
-        listener = server.bind(config.listen()).sync().channel();
-        Logger.info("{} serves at {}", config.name(), listener.localAddress());
+  /**
+   * Told to end before this it never listens; told while it binds it serves first, as clients may
+   * have come.
+   */
+  private synchronized void listen() throws InterruptedException {
+    if (ends) {
+      return;
     }
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(clients);
+    listener = server.bind(config.listen()).sync().channel();
+    Logger.info("{} serves at {}", config.name(), listener.localAddress());
+  }
 
-    /** No client meets a list from before: hosts that it calls ready may have left. Without an agent it has to do. */
-    private void awaitList() throws InterruptedException {
-        if (!list.await(LIST_WITHIN, TimeUnit.NANOSECONDS)) {
-            Logger.warn("no list came: this router starts with the one that it held");
-        }
+  /**
+   * No client meets a list from before: hosts that it calls ready may have left. Without an agent
+   * it has to do.
+   */
+  private void awaitList() throws InterruptedException {
+    if (!list.await(LIST_WITHIN, TimeUnit.NANOSECONDS)) {
+      Logger.warn("no list came: this router starts with the one that it held");
     }
+  }
 
-    private Void assemble() throws ReflectiveOperationException {
-        clock = Clock.system(loop::executeAfterEventLoopIteration);
-        agenda = new Agenda(clock, this::set, counters);
-        beat();
-        lines = new Lines(clock);
-        counters.onCaught(thrown -> lines.say("caught " + thrown + " at " + List.of(thrown.getStackTrace()).stream()
-                .limit(3).toList()));
-        HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
-        followed = config.discovery();
-        ListReader.Listing known = config.known();
-        discovery = new Discovery(loop, followed, clock, agenda, config.grace(),
-                known == null ? 0 : Math.max(0, known.version()), new SplittableRandom(config.seed() + 1),
-                new ListEvents());
-        Sockets sockets = new Sockets(config.sockets() - OWN_SOCKETS);
-        Dials dials = new Dials(new SplittableRandom(~config.seed()), operator.storm().paceDials());
-        router = new Router(clock, agenda, counters,
-                new Router.Limits(sockets, dials, config.openWithin(), config.idleFor(),
-                        config.settings().goneBinds(), config.grace()), links,
-                links::probe, () -> { }, lines::say, // the list is followed unasked
-                outlet -> storm(dials, outlet));
-        clients = new Clients(router, clock, agenda, counters, config.settings().products(),
-                new Door(sockets.forClients(clock.now()), config.settings().longestAdvice()), sockets,
-                () -> storm.adviseAtDoor(clock.now()), new SplittableRandom(config.seed() + 2));
-        if (known != null) {
-            known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
-        }
-        router.listed(known == null ? List.of() : known.places(), true);
-        discovery.follow();
-        new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded).listen(hangUp);
-        return null;
+  private Void assemble() throws ReflectiveOperationException {
+    clock = Clock.system(loop::executeAfterEventLoopIteration);
+    agenda = new Agenda(clock, this::set, counters);
+    beat();
+    lines = new Lines(clock);
+    counters.onCaught(
+        thrown ->
+            lines.say(
+                "caught "
+                    + thrown
+                    + " at "
+                    + List.of(thrown.getStackTrace()).stream().limit(3).toList()));
+    HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
+    followed = config.discovery();
+    ListReader.Listing known = config.known();
+    discovery =
+        new Discovery(
+            loop,
+            followed,
+            clock,
+            agenda,
+            config.grace(),
+            known == null ? 0 : Math.max(0, known.version()),
+            new SplittableRandom(config.seed() + 1),
+            new ListEvents());
+    Sockets sockets = new Sockets(config.sockets() - OWN_SOCKETS);
+    Dials dials = new Dials(new SplittableRandom(~config.seed()), operator.storm().paceDials());
+    router =
+        new Router(
+            clock,
+            agenda,
+            counters,
+            new Router.Limits(
+                sockets,
+                dials,
+                config.openWithin(),
+                config.idleFor(),
+                config.settings().goneBinds(),
+                config.grace()),
+            links,
+            links::probe,
+            () -> {},
+            lines::say, // the list is followed unasked
+            outlet -> storm(dials, outlet));
+    clients =
+        new Clients(
+            router,
+            clock,
+            agenda,
+            counters,
+            config.settings().products(),
+            new Door(sockets.forClients(clock.now()), config.settings().longestAdvice()),
+            sockets,
+            () -> storm.adviseAtDoor(clock.now()),
+            new SplittableRandom(config.seed() + 2));
+    if (known != null) {
+      known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
     }
+    router.listed(known == null ? List.of() : known.places(), true);
+    discovery.follow();
+    new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded)
+        .listen(hangUp);
+    return null;
+  }
 
-    private Storm storm(Dials dials, Outlet out) {
-        storm = new Storm(config.settings(), operator.storm(), dials, out, (crowd, outlet) ->
+  private Storm storm(Dials dials, Outlet out) {
+    storm =
+        new Storm(
+            config.settings(),
+            operator.storm(),
+            dials,
+            out,
+            (crowd, outlet) ->
                 new Choice(config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
-        Storm.Counts counts = storm.counts();
-        counters.also("storm_repeats", () -> counts.repeats);
-        counters.also("storm_returned", () -> counts.returned);
-        counters.also("storm_booked", () -> counts.booked);
-        counters.also("storm_unbooked", () -> counts.unbooked);
-        counters.also("storm_budget_empty", () -> counts.budgetEmpty);
-        counters.also("storm_doubtful", () -> counts.doubtful);
-        counters.also("storm_changes", () -> counts.changes);
-        return storm;
-    }
+    Storm.Counts counts = storm.counts();
+    counters.also("storm_repeats", () -> counts.repeats);
+    counters.also("storm_returned", () -> counts.returned);
+    counters.also("storm_booked", () -> counts.booked);
+    counters.also("storm_unbooked", () -> counts.unbooked);
+    counters.also("storm_budget_empty", () -> counts.budgetEmpty);
+    counters.also("storm_doubtful", () -> counts.doubtful);
+    counters.also("storm_changes", () -> counts.changes);
+    return storm;
+  }
 
-    /** Only where the list comes from can change while it runs; the same address again says nothing. */
-    private void reloaded(Config next) {
-        if (stopping) {
-            return;
-        }
-        config.fixed(next).forEach(field -> lines.say("the new configuration's " + field + " takes a restart"));
-        if (!next.discovery().equals(followed)) {
-            followed = next.discovery();
-            lines.say("discovery is at " + followed);
-            discovery.move(followed);
-        }
+  /**
+   * Only where the list comes from can change while it runs; the same address again says nothing.
+   */
+  private void reloaded(Config next) {
+    if (stopping) {
+      return;
     }
-
-    /** Turns come this often even while nothing happens, so that the clock can tell a pause from a rest. */
-    private void beat() {
-        agenda.add(clock.now() + Clock.BEAT, this::beat);
+    config
+        .fixed(next)
+        .forEach(field -> lines.say("the new configuration's " + field + " takes a restart"));
+    if (!next.discovery().equals(followed)) {
+      followed = next.discovery();
+      lines.say("discovery is at " + followed);
+      discovery.move(followed);
     }
+  }
+
+  /**
+   * Turns come this often even while nothing happens, so that the clock can tell a pause from a
+   * rest.
+   */
+  private void beat() {
+    agenda.add(clock.now() + Clock.BEAT, this::beat);
+  }
 
-    private void set(long delay, Runnable task) {
-        if (timer != null) {
-            timer.cancel(false);
-        }
-        timer = loop.schedule(task, delay, TimeUnit.NANOSECONDS);
+  private void set(long delay, Runnable task) {
+    if (timer != null) {
+      timer.cancel(false);
     }
+    timer = loop.schedule(task, delay, TimeUnit.NANOSECONDS);
+  }
 
-    private final class ListEvents implements Discovery.Events {
-        private String trouble = "";
+  private final class ListEvents implements Discovery.Events {
+    private String trouble = "";
 
-        @Override
-        public void listing(ListReader.Listing listing) {
-            counters.add(listing.whole() ? Counters.Count.LISTS_WHOLE : Counters.Count.LISTS_CHANGED);
-            if (listing.whole()) {
-                router.listed(listing.places(), listing.partials(), false);
-                list.countDown();
-            } else {
-                router.listChanged(listing.places(), listing.partials());
-            }
-            if (listing.faults().isEmpty()) {
-                well();
-            }
-        }
+    @Override
+    public void listing(ListReader.Listing listing) {
+      counters.add(listing.whole() ? Counters.Count.LISTS_WHOLE : Counters.Count.LISTS_CHANGED);
+      if (listing.whole()) {
+        router.listed(listing.places(), listing.partials(), false);
+        list.countDown();
+      } else {
+        router.listChanged(listing.places(), listing.partials());
+      }
+      if (listing.faults().isEmpty()) {
+        well();
+      }
+    }
 
-        @Override
-        public void leaving(List<Router.Partial> hosts) {
-            counters.add(Counters.Count.LISTS_CHANGED);
-            router.listChanged(List.of(), hosts);
-        }
+    @Override
+    public void leaving(List<Router.Partial> hosts) {
+      counters.add(Counters.Count.LISTS_CHANGED);
+      router.listChanged(List.of(), hosts);
+    }
 
-        @Override
-        public void unchanged() {
-            counters.add(Counters.Count.LISTS_CHECKED);
-            well();
-        }
+    @Override
+    public void unchanged() {
+      counters.add(Counters.Count.LISTS_CHECKED);
+      well();
+    }
 
-        private void well() {
-            if (!trouble.isEmpty()) {
-                trouble = "";
-                lines.say("discovery answers again");
-            }
-        }
+    private void well() {
+      if (!trouble.isEmpty()) {
+        trouble = "";
+        lines.say("discovery answers again");
+      }
+    }
 
-        @Override
-        public void failed(String why) {
-            router.listFailed();
-            say("discovery " + why);
-        }
+    @Override
+    public void failed(String why) {
+      router.listFailed();
+      say("discovery " + why);
+    }
 
-        @Override
-        public void unread(String fault) {
-            counters.add(Counters.Count.LISTS_UNREAD);
-            say("discovery writes what cannot be read, the rest counts: " + fault);
-        }
+    @Override
+    public void unread(String fault) {
+      counters.add(Counters.Count.LISTS_UNREAD);
+      say("discovery writes what cannot be read, the rest counts: " + fault);
+    }
 
-        /** The same trouble again and again is one line. */
-        private void say(String line) {
-            if (!line.equals(trouble)) {
-                trouble = line;
-                lines.say(line);
-            }
-        }
+    /** The same trouble again and again is one line. */
+    private void say(String line) {
+      if (!line.equals(trouble)) {
+        trouble = line;
+        lines.say(line);
+      }
     }
+  }
 
-    /** Serves on while new clients come, then closes what has no access open and ends with the last; blocks till then. */
-    public void stop() {
-        ends = true;
-        synchronized (this) {
-            if (listener == null) {
-                Logger.info("stopping before it serves");
-                return;
-            }
-        }
-        loop.execute(() -> {
-            stopping = true;
-            Logger.info("stopping with {} accesses open", router.openAccesses());
-            // Told while this process stood still it was told at any moment of that, and its end is counted from there.
-            long told = clock.cameAt(HOOK);
-            last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
-            router.closing(last);
-            clients.closing();
-            serveOn(told + CLOSES);
+  /**
+   * Serves on while new clients come, then closes what has no access open and ends with the last;
+   * blocks till then.
+   */
+  public void stop() {
+    ends = true;
+    synchronized (this) {
+      if (listener == null) {
+        Logger.info("stopping before it serves");
+        return;
+      }
+    }
+    loop.execute(
+        () -> {
+          stopping = true;
+          Logger.info("stopping with {} accesses open", router.openAccesses());
+          // Told while this process stood still it was told at any moment of that, and its end is
+          // counted from there.
+          long told = clock.cameAt(HOOK);
+          last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
+          router.closing(last);
+          clients.closing();
+          serveOn(told + CLOSES);
         });
-        try {
-            ended.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        // All is closed; the loop itself ends with the process, which its own end in order held up by up to a second.
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    // All is closed; the loop itself ends with the process, which its own end in order held up by
+    // up to a second.
+  }
 
-    /** Until what comes may find no answer any more; then at once, as a turn later more may have been asked. */
-    private void serveOn(long earliest) {
-        long at = Math.max(earliest, last - LAST_ACCESS - PAUSES * clock.longestPause());
-        if (clock.now() >= at) {
-            finish();
-        } else {
-            agenda.add(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
-        }
+  /**
+   * Until what comes may find no answer any more; then at once, as a turn later more may have been
+   * asked.
+   */
+  private void serveOn(long earliest) {
+    long at = Math.max(earliest, last - LAST_ACCESS - PAUSES * clock.longestPause());
+    if (clock.now() >= at) {
+      finish();
+    } else {
+      agenda.add(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
     }
+  }
 
-    private void finish() {
-        clients.finish();
-        // All have their answers by then; a moment more lets them be written, and connections end.
-        if (clients.open() > 0 && clock.now() < last + LOOK) {
-            agenda.add(clock.now() + LOOK, this::finish);
-            return;
-        }
-        clients.close();
-        listener.close();
-        discovery.close();
-        router.close();
-        Logger.info("counters {}", counters);
-        ended.countDown();
+  private void finish() {
+    clients.finish();
+    // All have their answers by then; a moment more lets them be written, and connections end.
+    if (clients.open() > 0 && clock.now() < last + LOOK) {
+      agenda.add(clock.now() + LOOK, this::finish);
+      return;
     }
+    clients.close();
+    listener.close();
+    discovery.close();
+    router.close();
+    Logger.info("counters {}", counters);
+    ended.countDown();
+  }
 }
--- a/router/src/main/java/rushwood/state/package-info.java
+++ b/router/src/main/java/rushwood/state/package-info.java
@@ -1,2 +1,5 @@
-/** What a running router keeps: open accesses and their shots, connections per host, counters, due times. */
+/**
+ * What a running router keeps: open accesses and their shots, connections per host, counters, due
+ * times.
+ */
 package rushwood.state;
--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -11,8 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.random.RandomGenerator;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import rushwood.api.AccessId;
 import rushwood.api.Product;
 import rushwood.state.Agenda;
@@ -25,420 +25,479 @@
 
 /** The connections of clients; reads and writes for {@link ClientProtocol}. */
 public final class Clients extends ChannelInitializer<Channel> {
-    // Bytes that a client may write ahead of its answers: eight of the longest statements. They are read all the same, as
-    // a client's end stands behind them and has to be seen. Of one that writes more, what is too much is dropped, and the
-    // connection ends behind the answer that is due, told why. Harm: to clients that pipeline more than that.
-    private static final int MOST_AHEAD = 1 << 20;
-    private static final int MOST_WAITING = 64 << 10; // and while memory is short
-    private static final long MOST_HELD = 16 << 20; // bytes of statements: a third of the memory for buffers
-    private static final long SHORT_HELD = MOST_HELD / 2; // from here on memory is short
-
-    // In a full house what has come is read before anyone goes for one that comes: in so long a turn of the loop passes.
-    private static final long READ_FIRST = 1_000_000L;
-    private static final int MARGIN = 16; // let in meanwhile, from our own sockets: the accepts of a turn
-    private static final int LINGERING = 4; // ended ones that linger, from our own sockets too: more, the first go
-    private static final long OWES = 2_400_000_000L; // the longest for a message: an end is owed within 3 s
-    private static final long LOOK = 200_000_000L; // between looks for those that owe or linger
-
-    // Statements that cannot be taken, one after the other: then the connection is heard less often, then closed.
-    // Guards against clients that write the same again as soon as it is turned away; harm: none to those that do not.
-    private static final int REJECTED = 3;
-    private static final int MOST_REJECTED = 12;
-    private static final long PAUSE = 50_000_000L;
-
-    // Reads up to where nothing more is here: an end that stands behind a statement is seen before that is sent on.
-    private static final int READS = 16; // a turn, up to 64 KiB each: the library's own figure
-    private static final RecvByteBufAllocator READS_ALL = new AdaptiveRecvByteBufAllocator()
-            .respectMaybeMoreData(false).maxMessagesPerRead(READS);
-
-    private final Set<Handler> open = new LinkedHashSet<>();
-    private final Set<Lingering> ended = new LinkedHashSet<>(); // ended by us, not yet closed; the first to end first
-    private final Map<Long, Handler> keys = new HashMap<>(); // looked up alone; each handler removes its own
-    private final RandomGenerator chance;
-    private final Router router;
-    private final Clock clock;
-    private final Agenda agenda;
-    private final Counters counters;
-    private final List<Product> products;
-    private final Door door;
-    private final Sockets sockets;
-    private final LongSupplier comeBack;
-    private boolean settling;
-    private int accepted;
-    private long held;
-    private boolean ending;
-
-    /**
-     * With the house and its sockets, the wait in nanoseconds that one without a place there is told, and the chance from
-     * which the keys of sessions are drawn.
-     */
-    public Clients(Router router, Clock clock, Agenda agenda, Counters counters, List<Product> products, Door door,
-            Sockets sockets, LongSupplier comeBack, RandomGenerator chance) {
-        this.router = router;
-        this.clock = clock;
-        this.agenda = agenda;
-        this.counters = counters;
-        this.products = products;
-        this.door = door;
-        this.sockets = sockets;
-        this.comeBack = comeBack;
-        this.chance = chance;
-        look();
-    }
-
-    /** Ends what is silent, half written or unread for long: such connections would fill the house. */
-    private void look() {
-        agenda.add(clock.now() + LOOK, this::look);
-        List.copyOf(open).stream().filter(each -> !counters.safely(each::look)).forEach(each -> each.channel.close());
-        List.copyOf(ended).forEach(each -> each.lookAtEnd(clock.now()));
-        sweep();
+  // Bytes that a client may write ahead of its answers: eight of the longest statements. They are
+  // read all the same, as
+  // a client's end stands behind them and has to be seen. Of one that writes more, what is too much
+  // is dropped, and the
+  // connection ends behind the answer that is due, told why. Harm: to clients that pipeline more
+  // than that.
+  private static final int MOST_AHEAD = 1 << 20;
+  private static final int MOST_WAITING = 64 << 10; // and while memory is short
+  private static final long MOST_HELD =
+      16 << 20; // bytes of statements: a third of the memory for buffers
+  private static final long SHORT_HELD = MOST_HELD / 2; // from here on memory is short
+
+  // In a full house what has come is read before anyone goes for one that comes: in so long a turn
+  // of the loop passes.
+  private static final long READ_FIRST = 1_000_000L;
+  private static final int MARGIN =
+      16; // let in meanwhile, from our own sockets: the accepts of a turn
+  private static final int LINGERING =
+      4; // ended ones that linger, from our own sockets too: more, the first go
+  private static final long OWES =
+      2_400_000_000L; // the longest for a message: an end is owed within 3 s
+  private static final long LOOK = 200_000_000L; // between looks for those that owe or linger
+
+  // Statements that cannot be taken, one after the other: then the connection is heard less often,
+  // then closed.
+  // Guards against clients that write the same again as soon as it is turned away; harm: none to
+  // those that do not.
+  private static final int REJECTED = 3;
+  private static final int MOST_REJECTED = 12;
+  private static final long PAUSE = 50_000_000L;
+
+  // Reads up to where nothing more is here: an end that stands behind a statement is seen before
+  // that is sent on.
+  private static final int READS = 16; // a turn, up to 64 KiB each: the library's own figure
+  private static final RecvByteBufAllocator READS_ALL =
+      new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS);
+
+  private final Set<Handler> open = new LinkedHashSet<>();
+  private final Set<Lingering> ended =
+      new LinkedHashSet<>(); // ended by us, not yet closed; the first to end first
+  private final Map<Long, Handler> keys =
+      new HashMap<>(); // looked up alone; each handler removes its own
+  private final RandomGenerator chance;
+  private final Router router;
+  private final Clock clock;
+  private final Agenda agenda;
+  private final Counters counters;
+  private final List<Product> products;
+  private final Door door;
+  private final Sockets sockets;
+  private final LongSupplier comeBack;
+  private boolean settling;
+  private int accepted;
+  private long held;
+  private boolean ending;
+
+  /**
+   * With the house and its sockets, the wait in nanoseconds that one without a place there is told,
+   * and the chance from which the keys of sessions are drawn.
+   */
+  public Clients(
+      Router router,
+      Clock clock,
+      Agenda agenda,
+      Counters counters,
+      List<Product> products,
+      Door door,
+      Sockets sockets,
+      LongSupplier comeBack,
+      RandomGenerator chance) {
+    this.router = router;
+    this.clock = clock;
+    this.agenda = agenda;
+    this.counters = counters;
+    this.products = products;
+    this.door = door;
+    this.sockets = sockets;
+    this.comeBack = comeBack;
+    this.chance = chance;
+    look();
+  }
+
+  /**
+   * Ends what is silent, half written or unread for long: such connections would fill the house.
+   */
+  private void look() {
+    agenda.add(clock.now() + LOOK, this::look);
+    List.copyOf(open).stream()
+        .filter(each -> !counters.safely(each::look))
+        .forEach(each -> each.channel.close());
+    List.copyOf(ended).forEach(each -> each.lookAtEnd(clock.now()));
+    sweep();
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    channel.config().setRecvByteBufAllocator(READS_ALL);
+    door.most(sockets.forClients(clock.now()));
+    if (ending) {
+      if (open() >= door.most() + MARGIN) {
+        channel.close();
+      } else {
+        refuse(channel, "57P03", "this router ends", null);
+      }
+      return;
+    } else if (door.open() >= door.most() + MARGIN && !makeRoom()) {
+      refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
+      return;
     }
-
-    @Override
-    protected void initChannel(Channel channel) {
-        channel.config().setRecvByteBufAllocator(READS_ALL);
-        door.most(sockets.forClients(clock.now()));
-        if (ending) {
-            if (open() >= door.most() + MARGIN) {
-                channel.close();
-            } else {
-                refuse(channel, "57P03", "this router ends", null);
-            }
-            return;
-        } else if (door.open() >= door.most() + MARGIN && !makeRoom()) {
-            refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
-            return;
-        }
-        counters.add(Count.CLIENTS_ACCEPTED);
-        channel.pipeline().addLast(new Handler(channel));
-        sockets.clients(open.size());
-        sweep();
-        if (door.isOverfull() && !settling) {
-            settling = true;
-            agenda.add(clock.now() + READ_FIRST, this::settle);
-        }
+    counters.add(Count.CLIENTS_ACCEPTED);
+    channel.pipeline().addLast(new Handler(channel));
+    sockets.clients(open.size());
+    sweep();
+    if (door.isOverfull() && !settling) {
+      settling = true;
+      agenda.add(clock.now() + READ_FIRST, this::settle);
     }
-
-    /** One that has no place: it can read why. */
-    private void refuse(Channel channel, String code, String why, String wait) {
-        counters.add(Count.CLIENTS_REFUSED);
-        ByteBuf out = channel.alloc().buffer(128);
-        Messages.error(out, true, code, why, wait);
-        Lingering refused = new Lingering(channel);
-        channel.pipeline().addLast(refused);
-        channel.write(out);
-        linger(refused);
-    }
-
-    /** Ended by us; where many are, the first has had the most time to end too. */
-    private void linger(Lingering connection) {
-        if (ended.size() >= LINGERING && !ending) {
-            ended.iterator().next().channel.close();
-        }
-        ended.add(connection);
-        connection.hangUp(clock.now());
-        connection.channel.closeFuture().addListener(closed -> ended.remove(connection));
+  }
+
+  /** One that has no place: it can read why. */
+  private void refuse(Channel channel, String code, String why, String wait) {
+    counters.add(Count.CLIENTS_REFUSED);
+    ByteBuf out = channel.alloc().buffer(128);
+    Messages.error(out, true, code, why, wait);
+    Lingering refused = new Lingering(channel);
+    channel.pipeline().addLast(refused);
+    channel.write(out);
+    linger(refused);
+  }
+
+  /** Ended by us; where many are, the first has had the most time to end too. */
+  private void linger(Lingering connection) {
+    if (ended.size() >= LINGERING && !ending) {
+      ended.iterator().next().channel.close();
     }
-
-    /** Those go that rest in vain, where clients ask once and stay. */
-    private void sweep() {
-        for (Door.Place goes = door.restsInVain(clock.now()); goes != null; goes = door.restsInVain(clock.now())) {
-            ((Handler) goes.guest()).makeRoom();
-        }
+    ended.add(connection);
+    connection.hangUp(clock.now());
+    connection.channel.closeFuture().addListener(closed -> ended.remove(connection));
+  }
+
+  /** Those go that rest in vain, where clients ask once and stay. */
+  private void sweep() {
+    for (Door.Place goes = door.restsInVain(clock.now());
+        goes != null;
+        goes = door.restsInVain(clock.now())) {
+      ((Handler) goes.guest()).makeRoom();
     }
+  }
 
-    private boolean makeRoom() {
-        Door.Place goes = door.next(clock.now());
-        if (goes != null) {
-            ((Handler) goes.guest()).makeRoom();
-        }
-        return goes != null;
+  private boolean makeRoom() {
+    Door.Place goes = door.next(clock.now());
+    if (goes != null) {
+      ((Handler) goes.guest()).makeRoom();
     }
-
-    /** All that had come is read: whoever may goes for those that came, who else is here last finds no room. */
-    private void settle() {
-        settling = false;
-        while (door.isOverfull() && makeRoom()) {
-            continue;
-        }
-        for (Door.Place newest = door.newest(); door.isOverfull() && newest != null; newest = door.newest()) {
-            ((Handler) newest.guest()).findNoRoom();
-        }
+    return goes != null;
+  }
+
+  /**
+   * All that had come is read: whoever may goes for those that came, who else is here last finds no
+   * room.
+   */
+  private void settle() {
+    settling = false;
+    while (door.isOverfull() && makeRoom()) {
+      continue;
     }
-
-    /** Connections, those included that end. */
-    public int open() {
-        return open.size() + ended.size();
+    for (Door.Place newest = door.newest();
+        door.isOverfull() && newest != null;
+        newest = door.newest()) {
+      ((Handler) newest.guest()).findNoRoom();
+    }
+  }
+
+  /** Connections, those included that end. */
+  public int open() {
+    return open.size() + ended.size();
+  }
+
+  /** Closes what is left: its time is over. */
+  public void close() {
+    List.copyOf(open).forEach(handler -> handler.channel.close());
+    List.copyOf(ended).forEach(each -> each.channel.close());
+  }
+
+  /** The end is near: a connection that closes now cannot be opened anew here. */
+  public void closing() {
+    door.closing();
+  }
+
+  /** Closes each connection as soon as no access is in it. */
+  public void finish() {
+    ending = true;
+    List.copyOf(open).forEach(handler -> handler.protocol.finish());
+  }
+
+  private final class Handler extends Lingering implements ClientProtocol.Session {
+    private final ClientProtocol protocol;
+    private final long key = (long) ++accepted << Integer.SIZE | chance.nextInt() & 0xffffffffL;
+    private AccessId access;
+    private int asked;
+    private int holds;
+    private int rejected;
+    private long lastWord = clock.now();
+    private long owesFrom = lastWord;
+    private boolean paused;
+    private boolean told;
+    private boolean tooMuch; // it wrote more ahead than is kept
+    private boolean later; // asked for in this turn
+    private boolean welcomed;
+    private boolean heard; // it has had an answer
+    private final Door.Place place = door.enter(this, lastWord);
+
+    Handler(Channel channel) {
+      super(channel);
+      protocol = new ClientProtocol(channel.alloc(), this);
+      open.add(this);
+      keys.put(key, this);
     }
 
-    /** Closes what is left: its time is over. */
-    public void close() {
-        List.copyOf(open).forEach(handler -> handler.channel.close());
-        List.copyOf(ended).forEach(each -> each.channel.close());
-    }
-
-    /** The end is near: a connection that closes now cannot be opened anew here. */
-    public void closing() {
-        door.closing();
-    }
-
-    /** Closes each connection as soon as no access is in it. */
-    public void finish() {
-        ending = true;
-        List.copyOf(open).forEach(handler -> handler.protocol.finish());
-    }
-
-    private final class Handler extends Lingering implements ClientProtocol.Session {
-        private final ClientProtocol protocol;
-        private final long key = (long) ++accepted << Integer.SIZE | chance.nextInt() & 0xffffffffL;
-        private AccessId access;
-        private int asked;
-        private int holds;
-        private int rejected;
-        private long lastWord = clock.now();
-        private long owesFrom = lastWord;
-        private boolean paused;
-        private boolean told;
-        private boolean tooMuch; // it wrote more ahead than is kept
-        private boolean later; // asked for in this turn
-        private boolean welcomed;
-        private boolean heard; // it has had an answer
-        private final Door.Place place = door.enter(this, lastWord);
-
-        Handler(Channel channel) {
-            super(channel);
-            protocol = new ClientProtocol(channel.alloc(), this);
-            open.add(this);
-            keys.put(key, this);
-        }
+    private void makeRoom() {
+      counters.add(Count.CLIENTS_IDLED);
+      if (!heard) {
+        counters.add(Count.CLIENTS_IDLED_UNHEARD);
+      }
+      end();
+    }
 
-        private void makeRoom() {
-            counters.add(Count.CLIENTS_IDLED);
-            if (!heard) {
-                counters.add(Count.CLIENTS_IDLED_UNHEARD);
-            }
-            end();
-        }
+    private void findNoRoom() {
+      counters.add(Count.CLIENTS_REFUSED);
+      protocol.refuse("53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
+    }
 
-        private void findNoRoom() {
-            counters.add(Count.CLIENTS_REFUSED);
-            protocol.refuse("53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
-        }
+    /**
+     * Our end of it: from now on it has no place here, and nothing that it writes is read as a
+     * statement.
+     */
+    private void end() {
+      if (!isEnding()) {
+        gone();
+        linger(this);
+      }
+    }
 
-        /** Our end of it: from now on it has no place here, and nothing that it writes is read as a statement. */
-        private void end() {
-            if (!isEnding()) {
-                gone();
-                linger(this);
-            }
-        }
+    /** What it does now, for the door. */
+    private void stand() {
+      boolean between = protocol.isBetween();
+      door.stands(
+          place,
+          !between
+              ? Door.Standing.BUSY
+              : !heard
+                  ? Door.Standing.UNHEARD
+                  : told ? Door.Standing.BOOKED : Door.Standing.RESTING,
+          clock.now());
+    }
 
-        /** What it does now, for the door. */
-        private void stand() {
-            boolean between = protocol.isBetween();
-            door.stands(place, !between ? Door.Standing.BUSY : !heard ? Door.Standing.UNHEARD
-                    : told ? Door.Standing.BOOKED : Door.Standing.RESTING, clock.now());
-        }
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      ByteBuf in = (ByteBuf) message;
+      if (isEnding()) {
+        discard(in);
+        return;
+      }
+      word();
+      if (!protocol.isOwing()) {
+        owesFrom = lastWord;
+      }
+      int ahead = protocol.waiting() + in.readableBytes();
+      boolean behind = protocol.isWaiting() || paused || !channel.isWritable();
+      tooMuch |=
+          behind && ahead > MOST_AHEAD
+              || ahead > MOST_WAITING && held > (behind ? SHORT_HELD : MOST_HELD);
+      if (tooMuch) {
+        in.release();
+        return;
+      }
+      protocol.add(in);
+      weigh();
+      stand();
+      later();
+    }
 
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            ByteBuf in = (ByteBuf) message;
-            if (isEnding()) {
-                discard(in);
-                return;
-            }
-            word();
-            if (!protocol.isOwing()) {
-                owesFrom = lastWord;
-            }
-            int ahead = protocol.waiting() + in.readableBytes();
-            boolean behind = protocol.isWaiting() || paused || !channel.isWritable();
-            tooMuch |= behind && ahead > MOST_AHEAD
-                    || ahead > MOST_WAITING && held > (behind ? SHORT_HELD : MOST_HELD);
-            if (tooMuch) {
-                in.release();
-                return;
-            }
-            protocol.add(in);
-            weigh();
-            stand();
-            later();
-        }
+    /**
+     * What was read is gone on with once its end would have been read too: then nobody waits for
+     * it.
+     */
+    private void goOn() {
+      later = false;
+      if (!counters.safely(this::proceed)) {
+        channel.close(); // what it holds must not wait for more to come
+      }
+    }
 
-        /** What was read is gone on with once its end would have been read too: then nobody waits for it. */
-        private void goOn() {
-            later = false;
-            if (!counters.safely(this::proceed)) {
-                channel.close(); // what it holds must not wait for more to come
-            }
-        }
+    private void proceed() {
+      if (isEnding() || !channel.isOpen() || paused || !channel.isWritable()) {
+        return;
+      }
+      if (rejected > MOST_REJECTED) {
+        protocol.refuse("08P01", "too many statements that cannot be taken", null);
+        return;
+      }
+      protocol.resume();
+      weigh();
+      if (tooMuch && !protocol.isWaiting() && !isEnding()) {
+        counters.add(Count.CLIENTS_REFUSED);
+        protocol.refuse("53300", "too much was written ahead of its answers", null);
+      } else if (held > MOST_HELD
+          && protocol.waiting() > MOST_WAITING
+          && protocol.isOwing()
+          && !isEnding()) {
+        // An access that is open keeps its place: only what is half written can be refused.
+        counters.add(Count.CLIENTS_REFUSED);
+        protocol.refuse("53300", "memory is short", null);
+      }
+      stand();
+    }
 
-        private void proceed() {
-            if (isEnding() || !channel.isOpen() || paused || !channel.isWritable()) {
-                return;
-            }
-            if (rejected > MOST_REJECTED) {
-                protocol.refuse("08P01", "too many statements that cannot be taken", null);
-                return;
-            }
-            protocol.resume();
-            weigh();
-            if (tooMuch && !protocol.isWaiting() && !isEnding()) {
-                counters.add(Count.CLIENTS_REFUSED);
-                protocol.refuse("53300", "too much was written ahead of its answers", null);
-            } else if (held > MOST_HELD && protocol.waiting() > MOST_WAITING && protocol.isOwing() && !isEnding()) {
-                // An access that is open keeps its place: only what is half written can be refused.
-                counters.add(Count.CLIENTS_REFUSED);
-                protocol.refuse("53300", "memory is short", null);
-            }
-            stand();
-        }
+    private void word() {
+      lastWord = clock.now();
+    }
 
-        private void word() {
-            lastWord = clock.now();
-        }
+    private void look() {
+      long now = clock.now();
+      if (!channel.isWritable() && lastWord <= now - OWES) {
+        channel.close();
+      } else if (protocol.isOwing() && owesFrom <= now - OWES) {
+        counters.add(Count.CLIENTS_TIMED_OUT);
+        protocol.refuse("08P01", "the message did not come in time", null);
+      }
+    }
 
-        private void look() {
-            long now = clock.now();
-            if (!channel.isWritable() && lastWord <= now - OWES) {
-                channel.close();
-            } else if (protocol.isOwing() && owesFrom <= now - OWES) {
-                counters.add(Count.CLIENTS_TIMED_OUT);
-                protocol.refuse("08P01", "the message did not come in time", null);
-            }
-        }
+    /**
+     * Keeps count of what is held for this client: what it wrote ahead, and the access that is
+     * open.
+     */
+    private void weigh() {
+      int now =
+          isEnding() || !open.contains(this)
+              ? 0
+              : protocol.waiting() + (protocol.isWaiting() ? asked : 0);
+      held += now - holds;
+      holds = now;
+    }
 
-        /** Keeps count of what is held for this client: what it wrote ahead, and the access that is open. */
-        private void weigh() {
-            int now = isEnding() || !open.contains(this) ? 0 : protocol.waiting() + (protocol.isWaiting() ? asked : 0);
-            held += now - holds;
-            holds = now;
-        }
+    /**
+     * What it does not read may not fill our memory: until it has, no further statement is taken.
+     */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+      later();
+    }
 
-        /** What it does not read may not fill our memory: until it has, no further statement is taken. */
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext context) {
-            later();
-        }
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      gone();
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            gone();
+    private void gone() {
+      if (open.remove(this)) {
+        keys.remove(key);
+        door.leave(place);
+        sockets.clients(open.size());
+        counters.add(Count.CLIENTS_CLOSED);
+        weigh();
+        protocol.closed();
+        if (access != null) {
+          router.left(access);
         }
+      }
+    }
 
-        private void gone() {
-            if (open.remove(this)) {
-                keys.remove(key);
-                door.leave(place);
-                sockets.clients(open.size());
-                counters.add(Count.CLIENTS_CLOSED);
-                weigh();
-                protocol.closed();
-                if (access != null) {
-                    router.left(access);
-                }
-            }
-        }
+    @Override
+    public long key() {
+      return key;
+    }
 
-        @Override
-        public long key() {
-            return key;
-        }
+    @Override
+    public void cancel(long other) {
+      Handler at = keys.get(other);
+      if (at != null && at.protocol.isWaiting()) {
+        router.left(at.access);
+        at.protocol.cancelled();
+      }
+    }
 
-        @Override
-        public void cancel(long other) {
-            Handler at = keys.get(other);
-            if (at != null && at.protocol.isWaiting()) {
-                router.left(at.access);
-                at.protocol.cancelled();
-            }
-        }
+    @Override
+    public void left() {
+      router.left(access);
+    }
 
-        @Override
-        public void left() {
-            router.left(access);
-        }
+    @Override
+    public boolean ready() {
+      return router.hasList();
+    }
 
-        @Override
-        public boolean ready() {
-            return router.hasList();
-        }
+    @Override
+    public void access(ByteBuf text) throws Fault {
+      SqlStatement statement = new SqlStatement(text, products);
+      if (held + text.readableBytes() > MOST_HELD) {
+        statement.release();
+        throw new Fault("53300", "memory is short: trying again is harmless", false);
+      }
+      boolean twice = router.isTaken(statement.id());
+      if (twice || !router.knows(statement.group())) {
+        statement.release();
+        throw new Fault("22023", twice ? "the id is not new" : "the cluster is unknown", false);
+      }
+      rejected = 0;
+      door.asked(access != null);
+      access = statement.id();
+      asked = text.readableBytes();
+      told = false;
+      router.arrived(statement, protocol);
+    }
 
-        @Override
-        public void access(ByteBuf text) throws Fault {
-            SqlStatement statement = new SqlStatement(text, products);
-            if (held + text.readableBytes() > MOST_HELD) {
-                statement.release();
-                throw new Fault("53300", "memory is short: trying again is harmless", false);
-            }
-            boolean twice = router.isTaken(statement.id());
-            if (twice || !router.knows(statement.group())) {
-                statement.release();
-                throw new Fault("22023", twice ? "the id is not new" : "the cluster is unknown", false);
-            }
-            rejected = 0;
-            door.asked(access != null);
-            access = statement.id();
-            asked = text.readableBytes();
-            told = false;
-            router.arrived(statement, protocol);
-        }
+    @Override
+    public int counters(ByteBuf out) {
+      int[] rows = new int[1];
+      counters.each(
+          (name, value) -> {
+            Messages.row(out, name, Long.toString(value));
+            rows[0]++;
+          });
+      return rows[0];
+    }
 
-        @Override
-        public int counters(ByteBuf out) {
-            int[] rows = new int[1];
-            counters.each((name, value) -> {
-                Messages.row(out, name, Long.toString(value));
-                rows[0]++;
+    @Override
+    public void rejected(Fault fault) {
+      counters.add(Count.STATEMENTS_REJECTED);
+      boolean ours = fault.state.equals("53300") || fault.state.equals("57P03");
+      if (!ours && ++rejected > REJECTED) {
+        paused = true;
+        agenda.add(
+            clock.now() + PAUSE,
+            () -> {
+              paused = false;
+              later();
             });
-            return rows[0];
-        }
-
-        @Override
-        public void rejected(Fault fault) {
-            counters.add(Count.STATEMENTS_REJECTED);
-            boolean ours = fault.state.equals("53300") || fault.state.equals("57P03");
-            if (!ours && ++rejected > REJECTED) {
-                paused = true;
-                agenda.add(clock.now() + PAUSE, () -> {
-                    paused = false;
-                    later();
-                });
-            }
-        }
+      }
+    }
 
-        @Override
-        public void write(ByteBuf out) {
-            word();
-            heard |= welcomed;
-            welcomed |= !protocol.isStarting();
-            if (!protocol.isStarting()) {
-                owesFrom = lastWord;
-            }
-            channel.writeAndFlush(out);
-            weigh();
-            stand();
-            if (tooMuch) {
-                later();
-            }
-        }
+    @Override
+    public void write(ByteBuf out) {
+      word();
+      heard |= welcomed;
+      welcomed |= !protocol.isStarting();
+      if (!protocol.isStarting()) {
+        owesFrom = lastWord;
+      }
+      channel.writeAndFlush(out);
+      weigh();
+      stand();
+      if (tooMuch) {
+        later();
+      }
+    }
 
-        @Override
-        public void booked() {
-            told = true;
-        }
+    @Override
+    public void booked() {
+      told = true;
+    }
 
-        @Override
-        public void close() {
-            end();
-        }
+    @Override
+    public void close() {
+      end();
+    }
 
-        @Override
-        public void later() {
-            if (!later) {
-                later = true;
-                channel.eventLoop().execute(this::goOn);
-            }
-        }
+    @Override
+    public void later() {
+      if (!later) {
+        later = true;
+        channel.eventLoop().execute(this::goOn);
+      }
     }
+  }
 }
--- a/router/src/main/java/rushwood/wire/package-info.java
+++ b/router/src/main/java/rushwood/wire/package-info.java
@@ -1,2 +1,5 @@
-/** What is spoken: state machines fed bytes that know no socket, and thin handlers that read and write. */
+/**
+ * What is spoken: state machines fed bytes that know no socket, and thin handlers that read and
+ * write.
+ */
 package rushwood.wire;
--- a/router/src/test/java/rushwood/lifecycle/RehearsalTest.java
+++ b/router/src/test/java/rushwood/lifecycle/RehearsalTest.java
@@ -17,20 +17,25 @@
 import rushwood.state.Counters.Count;
 
 class RehearsalTest {
-    /** A rehearsal in which nothing is fulfilled or parked would leave the code cold, and nobody would see it. */
-    @Test
-    void reachesWhatARealStartReaches(@TempDir Path folder) throws Exception {
-        Path file = Files.writeString(folder.resolve("config.json"), ConfigTest.GOOD);
-        UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Counters counters = new Rehearsal(Config.read(Map.of("NODE_CONFIG", file.toString())), group, group.next(),
-                allocator).play();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        assertTrue(counters.get(Count.ACCESSES_FULFILLED) > 0);
-        assertTrue(counters.get(Count.ACCESSES_TURNED_BACK) > 0);
-        assertTrue(counters.get(Count.CONNECTIONS_REUSED) > 0);
-        assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
-        assertEquals(0, counters.get(Count.STATEMENTS_REJECTED));
-        assertEquals(0, allocator.metric().usedHeapMemory(), "buffers are kept");
-    }
+  /**
+   * A rehearsal in which nothing is fulfilled or parked would leave the code cold, and nobody would
+   * see it.
+   */
+  @Test
+  void reachesWhatARealStartReaches(@TempDir Path folder) throws Exception {
+    Path file = Files.writeString(folder.resolve("config.json"), ConfigTest.GOOD);
+    UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    Counters counters =
+        new Rehearsal(
+                Config.read(Map.of("NODE_CONFIG", file.toString())), group, group.next(), allocator)
+            .play();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    assertTrue(counters.get(Count.ACCESSES_FULFILLED) > 0);
+    assertTrue(counters.get(Count.ACCESSES_TURNED_BACK) > 0);
+    assertTrue(counters.get(Count.CONNECTIONS_REUSED) > 0);
+    assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
+    assertEquals(0, counters.get(Count.STATEMENTS_REJECTED));
+    assertEquals(0, allocator.metric().usedHeapMemory(), "buffers are kept");
+  }
 }
--- a/router/src/test/java/rushwood/state/AgendaTest.java
+++ b/router/src/test/java/rushwood/state/AgendaTest.java
@@ -7,79 +7,87 @@
 import org.junit.jupiter.api.Test;
 
 class AgendaTest {
-    private static final long MS = 1_000_000L;
+  private static final long MS = 1_000_000L;
 
-    private final List<Runnable> turnEnds = new ArrayList<>();
-    private final List<String> done = new ArrayList<>();
-    private final List<Long> delays = new ArrayList<>();
-    private long time;
-    private Runnable set;
-    private final Counters counters = new Counters();
-    private final Clock clock = new Clock(() -> time, turnEnds::add);
-    private final Agenda agenda = new Agenda(clock, (delay, task) -> {
-        delays.add(delay);
-        set = task;
-    }, counters);
+  private final List<Runnable> turnEnds = new ArrayList<>();
+  private final List<String> done = new ArrayList<>();
+  private final List<Long> delays = new ArrayList<>();
+  private long time;
+  private Runnable set;
+  private final Counters counters = new Counters();
+  private final Clock clock = new Clock(() -> time, turnEnds::add);
+  private final Agenda agenda =
+      new Agenda(
+          clock,
+          (delay, task) -> {
+            delays.add(delay);
+            set = task;
+          },
+          counters);
 
-    /** One turn at that time in which the timer runs. */
-    private void turn(long at) {
-        turnEnds.forEach(Runnable::run);
-        turnEnds.clear();
-        time = at;
-        Runnable task = set;
-        set = null;
-        task.run();
-    }
+  /** One turn at that time in which the timer runs. */
+  private void turn(long at) {
+    turnEnds.forEach(Runnable::run);
+    turnEnds.clear();
+    time = at;
+    Runnable task = set;
+    set = null;
+    task.run();
+  }
 
-    @Test
-    void inOrderAndEqualTimesAsTheyCame() {
-        agenda.add(30 * MS, () -> done.add("c"));
-        agenda.add(10 * MS, () -> done.add("a"));
-        agenda.add(10 * MS, () -> done.add("b"));
-        agenda.add(20 * MS, () -> done.add("off")).callOff();
-        turn(10 * MS);
-        assertEquals(List.of("a", "b"), done);
-        assertEquals(20 * MS, delays.get(delays.size() - 1), "what was called off sets no timer");
-        turn(30 * MS);
-        assertEquals(List.of("a", "b", "c"), done);
-    }
+  @Test
+  void inOrderAndEqualTimesAsTheyCame() {
+    agenda.add(30 * MS, () -> done.add("c"));
+    agenda.add(10 * MS, () -> done.add("a"));
+    agenda.add(10 * MS, () -> done.add("b"));
+    agenda.add(20 * MS, () -> done.add("off")).callOff();
+    turn(10 * MS);
+    assertEquals(List.of("a", "b"), done);
+    assertEquals(20 * MS, delays.get(delays.size() - 1), "what was called off sets no timer");
+    turn(30 * MS);
+    assertEquals(List.of("a", "b", "c"), done);
+  }
 
-    /** A process that stood still has answers in its sockets: they are read before anything runs out. */
-    @Test
-    void afterAPauseTheSocketsComeFirst() {
-        Agenda.Entry expiry = agenda.add(10 * MS, () -> done.add("expired"));
-        agenda.add(10 * MS, () -> done.add("other"));
-        turn(500 * MS);
-        assertEquals(List.of(), done);
-        assertEquals(0, delays.get(delays.size() - 1));
-        expiry.callOff(); // its answer was read in between
-        turn(501 * MS);
-        assertEquals(List.of("other"), done);
-    }
+  /**
+   * A process that stood still has answers in its sockets: they are read before anything runs out.
+   */
+  @Test
+  void afterAPauseTheSocketsComeFirst() {
+    Agenda.Entry expiry = agenda.add(10 * MS, () -> done.add("expired"));
+    agenda.add(10 * MS, () -> done.add("other"));
+    turn(500 * MS);
+    assertEquals(List.of(), done);
+    assertEquals(0, delays.get(delays.size() - 1));
+    expiry.callOff(); // its answer was read in between
+    turn(501 * MS);
+    assertEquals(List.of("other"), done);
+  }
 
-    @Test
-    void aTaskThatFailsStopsNothing() {
-        agenda.add(10 * MS, () -> {
-            throw new IllegalStateException("on purpose");
+  @Test
+  void aTaskThatFailsStopsNothing() {
+    agenda.add(
+        10 * MS,
+        () -> {
+          throw new IllegalStateException("on purpose");
         });
-        agenda.add(10 * MS, () -> done.add("beside"));
-        agenda.add(11 * MS, () -> done.add("next"));
-        turn(10 * MS);
-        turn(11 * MS);
-        assertEquals(List.of("beside", "next"), done);
-        assertEquals(1, counters.get(Counters.Count.EXCEPTIONS_CAUGHT));
-    }
+    agenda.add(10 * MS, () -> done.add("beside"));
+    agenda.add(11 * MS, () -> done.add("next"));
+    turn(10 * MS);
+    turn(11 * MS);
+    assertEquals(List.of("beside", "next"), done);
+    assertEquals(1, counters.get(Counters.Count.EXCEPTIONS_CAUGHT));
+  }
 
-    @Test
-    void theClockStandsWithinATurnAndNeverGoesBack() {
-        time = 5;
-        assertEquals(5, clock.now());
-        time = 9;
-        assertEquals(5, clock.now());
-        turnEnds.remove(0).run();
-        assertEquals(9, clock.now());
-        turnEnds.remove(0).run();
-        time = 7;
-        assertEquals(9, clock.now());
-    }
+  @Test
+  void theClockStandsWithinATurnAndNeverGoesBack() {
+    time = 5;
+    assertEquals(5, clock.now());
+    time = 9;
+    assertEquals(5, clock.now());
+    turnEnds.remove(0).run();
+    assertEquals(9, clock.now());
+    turnEnds.remove(0).run();
+    time = 7;
+    assertEquals(9, clock.now());
+  }
 }
--- a/router/src/test/java/rushwood/state/RouterTest.java
+++ b/router/src/test/java/rushwood/state/RouterTest.java
@@ -29,603 +29,665 @@
 
 /** The router with links, a clock and decisions that the test plays. */
 class RouterTest {
-    private static final long MS = 1_000_000L;
-    private static final HostId A = new HostId("a");
-    private static final AccessId X = new AccessId("x");
-
-    /** A connection as the test sees it. */
-    private final class FakeLink implements Link {
-        final Events events;
-        final List<String> asked = new ArrayList<>();
-        boolean open = true;
-        boolean written = true;
-
-        FakeLink(Events events) {
-            this.events = events;
-        }
-
-        @Override
-        public void ask(ByteBuf statement, boolean probe) {
-            asked.add(probe ? "probe" : "d=" + statement.readableBytes());
-            statement.release();
-        }
-
-        @Override
-        public boolean written() {
-            return written;
-        }
-
-        @Override
-        public boolean open() {
-            return open;
-        }
-
-        @Override
-        public void close() {
-            open = false;
-        }
-
-        void answer(ShotEnd end) {
-            ByteBuf row = end == ShotEnd.FULFILLED ? Bytes.buffer(new byte[] {1}) : null;
-            events.answered(new HostAnswer(end, row, null, -1, LoadReport.NONE), true);
-        }
-    }
-
-    /** Decisions that only note what they hear; a first shot at once if so told. */
-    private final class Heard implements Decisions {
-        @Override
-        public void listed(long now, List<ListedHost> hosts, boolean remembered) {
-        }
-
-        @Override
-        public void listChanged(long now, List<ListedHost> changes) {
-            heard.add("changed " + changes.size());
-        }
-
-        @Override
-        public void listFailed(long now) {
-        }
-
-        @Override
-        public void arrived(long now, Access access) {
-            due = access.due();
-            outlet.send(access.id(), A, 100 * MS, beginWithin);
-        }
-
-        @Override
-        public void answered(long now, Answer answer) {
-            heard.add(answer.shot() + " " + answer.end() + (answer.over() ? " over" : "") + " after "
-                    + answer.took() / MS);
-            next.run();
-        }
-
-        @Override
-        public void left(long now, AccessId access) {
-            heard.add("left " + access);
-        }
-
-        @Override
-        public void closing(long now, long at) {
-            heard.add("closing " + at / MS);
-        }
-
-        @Override
-        public void probed(long now, HostId host, boolean answered, LoadReport report) {
-            heard.add("probed " + answered);
-        }
-
-        @Override
-        public void woken(long now) {
-            heard.add("woken " + now / MS);
-        }
-    }
-
-    /** A statement whose message is as long as the time in it. */
-    private final class FakeStatement implements Statement {
-        @Override
-        public Access access(long now, long cameAt, long last) {
-            return new Access(X, Bytes.PRODUCTS.get(0), null, new GroupId(1), Math.min(last, cameAt + 400 * MS), 0);
-        }
-
-        @Override
-        public ByteBuf message(long millis) {
-            return Bytes.buffer(new byte[(int) millis]);
-        }
-
-        @Override
-        public void release() {
-            heard.add("released");
-        }
-    }
-
-    private final class FakeClient implements Client {
-        @Override
-        public void fulfilled(ByteBuf row) {
-            row.release();
-            heard.add("fulfilled");
-        }
-
-        @Override
-        public void turnedBack(long advice) {
-            heard.add("turned back " + advice / MS);
-        }
-
-        @Override
-        public void givenUp() {
-            heard.add("given up");
-        }
-    }
-
-    private long time;
-    private Runnable timer;
-    private long timerAt;
-    private long due;
-    private final List<String> heard = new ArrayList<>();
-    private final List<FakeLink> links = new ArrayList<>();
-    private final List<Runnable> turnEnds = new ArrayList<>();
-    private final Counters counters = new Counters();
-    private final Clock clock = new Clock(() -> time, turnEnds::add);
-    private final Agenda agenda = new Agenda(clock, (delay, task) -> {
-        timer = task;
-        timerAt = time + delay;
-    }, counters);
-    private Runnable next = () -> { };
-    private long beginWithin = 100 * MS;
-    private Outlet outlet;
-    private Router router;
-
-    @BeforeEach
-    void start() {
-        start(true);
-    }
-
-    private void start(boolean goneBinds) {
-        links.clear();
-        router = new Router(clock, agenda, counters, new Router.Limits(new Sockets(5),
-                new Dials(new SplittableRandom(1), true), 250 * MS, 30_000 * MS, goneBinds, 2000 * MS), (to, events) -> {
-            links.add(new FakeLink(events));
-            return links.get(links.size() - 1);
-        }, () -> Bytes.buffer(new byte[0]), () -> heard.add("subscribed"), heard::add, each -> {
-            outlet = each;
-            return new Heard();
-        });
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        beat();
-    }
-
-    /** Turns come while nothing happens, as they do in the program: without them all rest would be a pause. */
-    private void beat() {
-        agenda.add(clock.now() + Clock.BEAT, this::beat);
-    }
-
-    @AfterEach
-    void released() {
-        Bytes.allReleased();
-        assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
-    }
+  private static final long MS = 1_000_000L;
+  private static final HostId A = new HostId("a");
+  private static final AccessId X = new AccessId("x");
 
-    private static Router.Place place(String id, int port, ListedHost.State state) {
-        return new Router.Place(new ListedHost(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
-                new InetSocketAddress("127.0.0.1", port));
-    }
-
-    private void to(long millis) {
-        for (turn(); timerAt <= millis * MS && timer != null; turn()) {
-            time = Math.max(time, timerAt); // a pause of the test may have passed it
-            Runnable task = timer;
-            timer = null;
-            task.run();
-        }
-        time = millis * MS;
-    }
-
-    private void turn() {
-        turnEnds.forEach(Runnable::run);
-        turnEnds.clear();
-    }
-
-    private FakeLink arriveAndOpen() {
-        router.arrived(new FakeStatement(), new FakeClient());
-        FakeLink link = links.get(links.size() - 1);
-        if (link.asked.isEmpty()) {
-            link.events.opened();
-        }
-        return link;
-    }
+  /** A connection as the test sees it. */
+  private final class FakeLink implements Link {
+    final Events events;
+    final List<String> asked = new ArrayList<>();
+    boolean open = true;
+    boolean written = true;
 
-    private void expect(String... lines) {
-        assertEquals(List.of(lines), heard);
-        heard.clear();
+    FakeLink(Events events) {
+      this.events = events;
     }
 
-    @Test
-    void fulfilledThenTold() {
-        FakeLink link = arriveAndOpen();
-        assertEquals(List.of("d=100"), link.asked);
-        to(20);
-        link.answer(ShotEnd.FULFILLED);
-        expect("fulfilled", "0 FULFILLED over after 20", "released");
-        to(30);
-        arriveAndOpen();
-        assertEquals(1, links.size(), "the connection is used again");
-        assertEquals(1, counters.get(Count.CONNECTIONS_REUSED));
-        link.answer(ShotEnd.FULFILLED);
+    @Override
+    public void ask(ByteBuf statement, boolean probe) {
+      asked.add(probe ? "probe" : "d=" + statement.readableBytes());
+      statement.release();
     }
 
-    /** Never written is told from written: only the first is sure not to have run. */
-    @Test
-    void breaks() {
-        next = () -> outlet.giveUp(X);
-        router.arrived(new FakeStatement(), new FakeClient());
-        links.get(0).events.broken(false);
-        expect("0 UNREACHED after 0", "released", "given up");
-        FakeLink half = arriveAndOpen();
-        half.written = false;
-        half.events.broken(true);
-        expect("0 UNSENT after 0", "released", "given up");
-        arriveAndOpen().events.broken(true);
-        expect("0 BROKEN after 0", "released", "given up");
+    @Override
+    public boolean written() {
+      return written;
     }
 
-    @Test
-    void neverComesUp() {
-        next = () -> outlet.turnBack(X, 7 * MS);
-        time = 0;
-        router.arrived(new FakeStatement(), new FakeClient());
-        to(99);
-        expect();
-        to(100);
-        expect("0 UNSENT after 100", "released", "turned back 7");
-        to(250);
-        assertEquals(false, links.get(0).open);
-        expect();
+    @Override
+    public boolean open() {
+      return open;
     }
 
-    @Test
-    void timedOutClosesTheConnection() {
-        next = () -> outlet.giveUp(X);
-        FakeLink link = arriveAndOpen();
-        to(100);
-        assertEquals(false, link.open);
-        expect("0 EXPIRED after 100", "released", "given up");
+    @Override
+    public void close() {
+      open = false;
     }
 
-    /** The end of a withdrawn shot comes once the decisions are back; its late answer reaches nobody. */
-    @Test
-    void withdrawn() {
-        FakeLink link = arriveAndOpen();
-        outlet.withdraw(X, 0);
-        outlet.withdraw(X, 0);
-        assertEquals(false, link.open);
-        expect("0 WITHDRAWN after 0");
-        outlet.giveUp(X);
-        outlet.giveUp(X);
-        expect("released", "given up");
+    void answer(ShotEnd end) {
+      ByteBuf row = end == ShotEnd.FULFILLED ? Bytes.buffer(new byte[] {1}) : null;
+      events.answered(new HostAnswer(end, row, null, -1, LoadReport.NONE), true);
     }
+  }
 
-    @Test
-    void leftWhileAShotIsOut() {
-        FakeLink link = arriveAndOpen();
-        router.left(X);
-        router.left(X);
-        expect("left x");
-        to(30);
-        link.answer(ShotEnd.FULFILLED);
-        expect("0 FULFILLED over after 30", "released");
-    }
+  /** Decisions that only note what they hear; a first shot at once if so told. */
+  private final class Heard implements Decisions {
+    @Override
+    public void listed(long now, List<ListedHost> hosts, boolean remembered) {}
 
-    @Test
-    void connectionsHaveALimit() {
-        next = () -> outlet.turnBack(X, 0);
-        outlet.probe(A);
-        outlet.probe(A);
-        router.arrived(new FakeStatement(), new FakeClient());
-        expect("0 UNSENT after 0", "released", "turned back 0");
-        assertEquals(2, links.size());
-        links.get(0).events.opened();
-        links.get(0).answer(ShotEnd.FULFILLED);
-        expect("probed true");
-        router.listChanged(List.of(place("b", 2, ListedHost.State.IN_SERVICE)), List.of());
-        heard.clear();
-        outlet.probe(new HostId("b"));
-        assertEquals(3, links.size(), "an idle connection makes room");
-        assertEquals(false, links.get(0).open);
+    @Override
+    public void listChanged(long now, List<ListedHost> changes) {
+      heard.add("changed " + changes.size());
     }
 
-    @Test
-    void probesEndInTime() {
-        outlet.probe(A);
-        links.get(0).events.opened();
-        assertEquals(List.of("probe"), links.get(0).asked);
-        to(250);
-        expect("probed false");
-        assertEquals(false, links.get(0).open);
-    }
-
-    @Test
-    void idleConnectionsAreClosedWellBeforeTheirLimit() {
-        FakeLink link = arriveAndOpen();
-        link.answer(ShotEnd.FULFILLED);
-        to(14_000);
-        assertEquals(true, link.open);
-        to(17_000);
-        assertEquals(false, link.open);
-    }
-
-    /** What a host writes unasked right behind an answer has to be seen before the connection is used again. */
-    @Test
-    void aConnectionRestsBeforeItsNextUse() {
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(2, links.size());
-        to(5);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(2, links.size());
-    }
-
-    /** Where one that rested breaks at its next use, those that rested as long are not used any more, for a while. */
-    @Test
-    void staleConnectionsAreNotKept() {
-        next = () -> outlet.giveUp(X);
-        FakeLink first = arriveAndOpen();
-        first.answer(ShotEnd.FULFILLED);
-        to(400);
-        arriveAndOpen().events.broken(true);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        to(550);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(2, links.size(), "150 ms are safe still");
-        to(800);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(3, links.size(), "250 ms are not");
-    }
+    @Override
+    public void listFailed(long now) {}
 
-    @Test
-    void anOldAddressIsNotUsedAgain() {
-        FakeLink idle = arriveAndOpen();
-        idle.answer(ShotEnd.FULFILLED);
-        to(10);
-        FakeLink busy = arriveAndOpen();
-        assertEquals(idle, busy);
-        router.listChanged(List.of(place("a", 9, ListedHost.State.IN_SERVICE)), List.of());
-        busy.answer(ShotEnd.FULFILLED);
-        assertEquals(false, busy.open);
+    @Override
+    public void arrived(long now, Access access) {
+      due = access.due();
+      outlet.send(access.id(), A, 100 * MS, beginWithin);
     }
 
-    @Test
-    void drainingHostsLoseTheirIdleConnections() {
-        FakeLink link = arriveAndOpen();
-        link.answer(ShotEnd.FULFILLED);
-        router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
-        assertEquals(false, link.open);
+    @Override
+    public void answered(long now, Answer answer) {
+      heard.add(
+          answer.shot()
+              + " "
+              + answer.end()
+              + (answer.over() ? " over" : "")
+              + " after "
+              + answer.took() / MS);
+      next.run();
     }
 
-    /** Chosen before the news and not begun: nothing of it is written, and the decisions choose again. */
-    @Test
-    void aHostLeavesWhileItsConnectionComesUp() {
-        for (ListedHost.State state : List.of(ListedHost.State.DRAINING, ListedHost.State.GONE)) {
-            next = () -> outlet.turnBack(X, 0);
-            router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-            heard.clear();
-            router.arrived(new FakeStatement(), new FakeClient());
-            FakeLink link = links.get(links.size() - 1);
-            outlet.probe(A);
-            FakeLink probe = links.get(links.size() - 1);
-            to(time / MS + 50);
-            router.listChanged(List.of(place("a", 1, state)), List.of());
-            expect("changed 1", "0 UNSENT after 50", "released", "turned back 0", "probed false");
-            assertEquals(List.of(false, false), List.of(link.open, probe.open));
-            assertEquals(List.of(), link.asked);
-        }
-        assertEquals(4, counters.get(Count.SHOTS_KEPT_BACK));
+    @Override
+    public void left(long now, AccessId access) {
+      heard.add("left " + access);
     }
 
-    /** A further attempt of a labelled access may begin inside its window alone: the connection came up too late. */
-    @Test
-    void anAttemptWhoseWindowEndsWhileItsConnectionComesUp() {
-        next = () -> outlet.giveUp(X);
-        beginWithin = 40 * MS;
-        router.arrived(new FakeStatement(), new FakeClient());
-        to(50);
-        links.get(0).events.opened();
-        expect("0 UNSENT after 50", "released", "given up");
-        assertEquals(List.of(), links.get(0).asked);
-        to(60);
-        router.arrived(new FakeStatement(), new FakeClient());
-        assertEquals(1, links.size(), "the connection is used by the next");
-        assertEquals(List.of("d=100"), links.get(0).asked);
-        links.get(0).answer(ShotEnd.FULFILLED);
-    }
-
-    /** Its client left while its connection came up, and hosts cannot be told to stop: nothing is written. */
-    @Test
-    void aClientLeavesWhileItsConnectionComesUp() {
-        router.arrived(new FakeStatement(), new FakeClient());
-        router.left(X);
-        expect("left x", "released", "0 UNSENT over after 0");
-        links.get(0).events.opened();
-        assertEquals(List.of(), links.get(0).asked);
-        assertEquals(1, counters.get(Count.SHOTS_KEPT_BACK));
-    }
-
-    /** A whole list without it, and one in which its entry is bad but for its state, say the same. */
-    @Test
-    void aHostLeavesByAWholeList() {
-        next = () -> outlet.turnBack(X, 0);
-        for (int i = 0; i < 2; i++) {
-            router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-            router.arrived(new FakeStatement(), new FakeClient());
-            router.listed(List.of(), i == 0 ? List.of()
-                    : List.of(new Router.Partial(A, ListedHost.State.DRAINING)), false);
-            expect("0 UNSENT after 0", "released", "turned back 0");
-        }
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        router.listed(List.of(), List.of(new Router.Partial(A, null)), false);
-        assertEquals(1, router.hosts(), "an entry of which only the id can be read says that it is there");
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        expect("fulfilled", "0 FULFILLED over after 0", "released");
-    }
-
-    /** Where gone does not bind it may still be sent to; draining binds until it is listed in service again. */
-    @Test
-    void goneThatDoesNotBind() {
-        start(false);
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
-        router.listed(List.of(), false);
-        heard.clear();
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        expect("fulfilled", "0 FULFILLED over after 0", "released");
-        router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
-        router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
-        outlet.probe(A);
-        expect("changed 1", "changed 1", "probed false");
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        expect("fulfilled", "0 FULFILLED over after 0", "released");
-    }
-
-    /**
-     * The process stood still for longer than a quarter of the grace: the turn after it reads clients before discovery,
-     * so what it chooses is written in the next, unless its host leaves meanwhile.
-     */
-    @Test
-    void afterAPauseTheListComesFirst() {
-        next = () -> outlet.turnBack(X, 0);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        to(100);
-        clock.now();
-        turn();
-        time += 600 * MS;
-        heard.clear();
-        router.arrived(new FakeStatement(), new FakeClient());
-        assertEquals(1, links.get(0).asked.size(), "not yet");
-        router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
-        expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        to(time / MS + 100);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        to(time / MS + 100);
-        clock.now();
-        turn();
-        time += 600 * MS;
-        router.arrived(new FakeStatement(), new FakeClient());
-        assertEquals(1, links.get(1).asked.size(), "not yet");
-        to(time / MS + 2);
-        assertEquals(2, links.get(1).asked.size(), "its host is still there");
-        links.get(1).answer(ShotEnd.FULFILLED);
-        assertEquals(2, counters.get(Count.SHOTS_DEFERRED));
-    }
-
-    /** The wait that the pause fell into ended without a look at the sockets: the turn after it is the first that reads. */
-    @Test
-    void theTurnAfterTheOneAfterAPause() {
-        next = () -> outlet.turnBack(X, 0);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        to(100);
-        for (long pause : new long[] {600, 10}) {
-            clock.now();
-            turn();
-            time += pause * MS;
-        }
-        heard.clear();
-        router.arrived(new FakeStatement(), new FakeClient());
-        assertEquals(1, links.get(0).asked.size(), "not yet");
-        router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
-        expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
-    }
-
-    /** The turn itself takes that long, as a collection or a burst of accesses in it does. */
-    @Test
-    void aTurnThatLastsLong() {
-        next = () -> outlet.turnBack(X, 0);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        to(100);
-        clock.now();
-        time += 600 * MS; // within the turn: its clock has been read
-        router.arrived(new FakeStatement(), new FakeClient());
-        assertEquals(1, links.get(0).asked.size(), "not yet");
-        outlet.withdraw(X, 0);
-        to(time / MS + 10);
-        assertEquals(1, links.get(0).asked.size(), "nobody waits for it any more");
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(1, links.size(), "its connection is idle again");
-    }
-
-    /** Of hundreds of hosts that come and go only the living are kept; one may come back under its id. */
-    @Test
-    void goneHostsAreForgotten() {
-        FakeLink link = arriveAndOpen();
-        for (int i = 0; i < 300; i++) {
-            router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.IN_SERVICE)), List.of());
-            router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.GONE)), List.of());
-        }
-        assertEquals(1, router.hosts());
-        router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
-        link.answer(ShotEnd.FULFILLED);
-        assertEquals(false, link.open, "a forgotten host's connection is not kept");
-        router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        assertEquals(2, links.size());
-    }
-
-    @Test
-    void goneHostsNeverHeardOfSayNothing() {
-        router.listChanged(List.of(place("z", 1, ListedHost.State.GONE)), List.of());
-        expect("changed 0");
-    }
-
-    /** What came while the process stood still has waited unread: its time counts from before the pause. */
-    @Test
-    void aPauseCountsAsWaiting() {
-        to(1000);
-        clock.now();
-        assertEquals(1430 * MS, dueOfOneAt(1030), "a rest is no pause");
-        assertEquals(1430 * MS, dueOfOneAt(1330));
-        assertEquals(1430 * MS, dueOfOneAt(1335), "a connection that was accepted only after the pause");
-        assertEquals(1760 * MS, dueOfOneAt(1360));
-    }
-
-    /** When the access is due that is read in a new turn at that time. */
-    private long dueOfOneAt(long millis) {
-        turn();
-        time = millis * MS;
-        arriveAndOpen().answer(ShotEnd.FULFILLED);
-        return due;
-    }
-
-    @Test
-    void whatComesBeforeAnEndIsDueByThen() {
-        router.closing(300 * MS);
-        assertEquals(300 * MS, dueOfOneAt(100));
-    }
-
-    /** What one call or one due task throws ends that alone; the access that it was about has its answer. */
-    @Test
-    void exceptionsEndOneThing() {
-        next = () -> {
-            throw new IllegalStateException("on purpose");
+    @Override
+    public void closing(long now, long at) {
+      heard.add("closing " + at / MS);
+    }
+
+    @Override
+    public void probed(long now, HostId host, boolean answered, LoadReport report) {
+      heard.add("probed " + answered);
+    }
+
+    @Override
+    public void woken(long now) {
+      heard.add("woken " + now / MS);
+    }
+  }
+
+  /** A statement whose message is as long as the time in it. */
+  private final class FakeStatement implements Statement {
+    @Override
+    public Access access(long now, long cameAt, long last) {
+      return new Access(
+          X, Bytes.PRODUCTS.get(0), null, new GroupId(1), Math.min(last, cameAt + 400 * MS), 0);
+    }
+
+    @Override
+    public ByteBuf message(long millis) {
+      return Bytes.buffer(new byte[(int) millis]);
+    }
+
+    @Override
+    public void release() {
+      heard.add("released");
+    }
+  }
+
+  private final class FakeClient implements Client {
+    @Override
+    public void fulfilled(ByteBuf row) {
+      row.release();
+      heard.add("fulfilled");
+    }
+
+    @Override
+    public void turnedBack(long advice) {
+      heard.add("turned back " + advice / MS);
+    }
+
+    @Override
+    public void givenUp() {
+      heard.add("given up");
+    }
+  }
+
+  private long time;
+  private Runnable timer;
+  private long timerAt;
+  private long due;
+  private final List<String> heard = new ArrayList<>();
+  private final List<FakeLink> links = new ArrayList<>();
+  private final List<Runnable> turnEnds = new ArrayList<>();
+  private final Counters counters = new Counters();
+  private final Clock clock = new Clock(() -> time, turnEnds::add);
+  private final Agenda agenda =
+      new Agenda(
+          clock,
+          (delay, task) -> {
+            timer = task;
+            timerAt = time + delay;
+          },
+          counters);
+  private Runnable next = () -> {};
+  private long beginWithin = 100 * MS;
+  private Outlet outlet;
+  private Router router;
+
+  @BeforeEach
+  void start() {
+    start(true);
+  }
+
+  private void start(boolean goneBinds) {
+    links.clear();
+    router =
+        new Router(
+            clock,
+            agenda,
+            counters,
+            new Router.Limits(
+                new Sockets(5),
+                new Dials(new SplittableRandom(1), true),
+                250 * MS,
+                30_000 * MS,
+                goneBinds,
+                2000 * MS),
+            (to, events) -> {
+              links.add(new FakeLink(events));
+              return links.get(links.size() - 1);
+            },
+            () -> Bytes.buffer(new byte[0]),
+            () -> heard.add("subscribed"),
+            heard::add,
+            each -> {
+              outlet = each;
+              return new Heard();
+            });
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    beat();
+  }
+
+  /**
+   * Turns come while nothing happens, as they do in the program: without them all rest would be a
+   * pause.
+   */
+  private void beat() {
+    agenda.add(clock.now() + Clock.BEAT, this::beat);
+  }
+
+  @AfterEach
+  void released() {
+    Bytes.allReleased();
+    assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
+  }
+
+  private static Router.Place place(String id, int port, ListedHost.State state) {
+    return new Router.Place(
+        new ListedHost(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
+        new InetSocketAddress("127.0.0.1", port));
+  }
+
+  private void to(long millis) {
+    for (turn(); timerAt <= millis * MS && timer != null; turn()) {
+      time = Math.max(time, timerAt); // a pause of the test may have passed it
+      Runnable task = timer;
+      timer = null;
+      task.run();
+    }
+    time = millis * MS;
+  }
+
+  private void turn() {
+    turnEnds.forEach(Runnable::run);
+    turnEnds.clear();
+  }
+
+  private FakeLink arriveAndOpen() {
+    router.arrived(new FakeStatement(), new FakeClient());
+    FakeLink link = links.get(links.size() - 1);
+    if (link.asked.isEmpty()) {
+      link.events.opened();
+    }
+    return link;
+  }
+
+  private void expect(String... lines) {
+    assertEquals(List.of(lines), heard);
+    heard.clear();
+  }
+
+  @Test
+  void fulfilledThenTold() {
+    FakeLink link = arriveAndOpen();
+    assertEquals(List.of("d=100"), link.asked);
+    to(20);
+    link.answer(ShotEnd.FULFILLED);
+    expect("fulfilled", "0 FULFILLED over after 20", "released");
+    to(30);
+    arriveAndOpen();
+    assertEquals(1, links.size(), "the connection is used again");
+    assertEquals(1, counters.get(Count.CONNECTIONS_REUSED));
+    link.answer(ShotEnd.FULFILLED);
+  }
+
+  /** Never written is told from written: only the first is sure not to have run. */
+  @Test
+  void breaks() {
+    next = () -> outlet.giveUp(X);
+    router.arrived(new FakeStatement(), new FakeClient());
+    links.get(0).events.broken(false);
+    expect("0 UNREACHED after 0", "released", "given up");
+    FakeLink half = arriveAndOpen();
+    half.written = false;
+    half.events.broken(true);
+    expect("0 UNSENT after 0", "released", "given up");
+    arriveAndOpen().events.broken(true);
+    expect("0 BROKEN after 0", "released", "given up");
+  }
+
+  @Test
+  void neverComesUp() {
+    next = () -> outlet.turnBack(X, 7 * MS);
+    time = 0;
+    router.arrived(new FakeStatement(), new FakeClient());
+    to(99);
+    expect();
+    to(100);
+    expect("0 UNSENT after 100", "released", "turned back 7");
+    to(250);
+    assertEquals(false, links.get(0).open);
+    expect();
+  }
+
+  @Test
+  void timedOutClosesTheConnection() {
+    next = () -> outlet.giveUp(X);
+    FakeLink link = arriveAndOpen();
+    to(100);
+    assertEquals(false, link.open);
+    expect("0 EXPIRED after 100", "released", "given up");
+  }
+
+  /**
+   * The end of a withdrawn shot comes once the decisions are back; its late answer reaches nobody.
+   */
+  @Test
+  void withdrawn() {
+    FakeLink link = arriveAndOpen();
+    outlet.withdraw(X, 0);
+    outlet.withdraw(X, 0);
+    assertEquals(false, link.open);
+    expect("0 WITHDRAWN after 0");
+    outlet.giveUp(X);
+    outlet.giveUp(X);
+    expect("released", "given up");
+  }
+
+  @Test
+  void leftWhileAShotIsOut() {
+    FakeLink link = arriveAndOpen();
+    router.left(X);
+    router.left(X);
+    expect("left x");
+    to(30);
+    link.answer(ShotEnd.FULFILLED);
+    expect("0 FULFILLED over after 30", "released");
+  }
+
+  @Test
+  void connectionsHaveALimit() {
+    next = () -> outlet.turnBack(X, 0);
+    outlet.probe(A);
+    outlet.probe(A);
+    router.arrived(new FakeStatement(), new FakeClient());
+    expect("0 UNSENT after 0", "released", "turned back 0");
+    assertEquals(2, links.size());
+    links.get(0).events.opened();
+    links.get(0).answer(ShotEnd.FULFILLED);
+    expect("probed true");
+    router.listChanged(List.of(place("b", 2, ListedHost.State.IN_SERVICE)), List.of());
+    heard.clear();
+    outlet.probe(new HostId("b"));
+    assertEquals(3, links.size(), "an idle connection makes room");
+    assertEquals(false, links.get(0).open);
+  }
+
+  @Test
+  void probesEndInTime() {
+    outlet.probe(A);
+    links.get(0).events.opened();
+    assertEquals(List.of("probe"), links.get(0).asked);
+    to(250);
+    expect("probed false");
+    assertEquals(false, links.get(0).open);
+  }
+
+  @Test
+  void idleConnectionsAreClosedWellBeforeTheirLimit() {
+    FakeLink link = arriveAndOpen();
+    link.answer(ShotEnd.FULFILLED);
+    to(14_000);
+    assertEquals(true, link.open);
+    to(17_000);
+    assertEquals(false, link.open);
+  }
+
+  /**
+   * What a host writes unasked right behind an answer has to be seen before the connection is used
+   * again.
+   */
+  @Test
+  void aConnectionRestsBeforeItsNextUse() {
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(2, links.size());
+    to(5);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(2, links.size());
+  }
+
+  /**
+   * Where one that rested breaks at its next use, those that rested as long are not used any more,
+   * for a while.
+   */
+  @Test
+  void staleConnectionsAreNotKept() {
+    next = () -> outlet.giveUp(X);
+    FakeLink first = arriveAndOpen();
+    first.answer(ShotEnd.FULFILLED);
+    to(400);
+    arriveAndOpen().events.broken(true);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    to(550);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(2, links.size(), "150 ms are safe still");
+    to(800);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(3, links.size(), "250 ms are not");
+  }
+
+  @Test
+  void anOldAddressIsNotUsedAgain() {
+    FakeLink idle = arriveAndOpen();
+    idle.answer(ShotEnd.FULFILLED);
+    to(10);
+    FakeLink busy = arriveAndOpen();
+    assertEquals(idle, busy);
+    router.listChanged(List.of(place("a", 9, ListedHost.State.IN_SERVICE)), List.of());
+    busy.answer(ShotEnd.FULFILLED);
+    assertEquals(false, busy.open);
+  }
+
+  @Test
+  void drainingHostsLoseTheirIdleConnections() {
+    FakeLink link = arriveAndOpen();
+    link.answer(ShotEnd.FULFILLED);
+    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    assertEquals(false, link.open);
+  }
+
+  /**
+   * Chosen before the news and not begun: nothing of it is written, and the decisions choose again.
+   */
+  @Test
+  void aHostLeavesWhileItsConnectionComesUp() {
+    for (ListedHost.State state : List.of(ListedHost.State.DRAINING, ListedHost.State.GONE)) {
+      next = () -> outlet.turnBack(X, 0);
+      router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+      heard.clear();
+      router.arrived(new FakeStatement(), new FakeClient());
+      FakeLink link = links.get(links.size() - 1);
+      outlet.probe(A);
+      FakeLink probe = links.get(links.size() - 1);
+      to(time / MS + 50);
+      router.listChanged(List.of(place("a", 1, state)), List.of());
+      expect("changed 1", "0 UNSENT after 50", "released", "turned back 0", "probed false");
+      assertEquals(List.of(false, false), List.of(link.open, probe.open));
+      assertEquals(List.of(), link.asked);
+    }
+    assertEquals(4, counters.get(Count.SHOTS_KEPT_BACK));
+  }
+
+  /**
+   * A further attempt of a labelled access may begin inside its window alone: the connection came
+   * up too late.
+   */
+  @Test
+  void anAttemptWhoseWindowEndsWhileItsConnectionComesUp() {
+    next = () -> outlet.giveUp(X);
+    beginWithin = 40 * MS;
+    router.arrived(new FakeStatement(), new FakeClient());
+    to(50);
+    links.get(0).events.opened();
+    expect("0 UNSENT after 50", "released", "given up");
+    assertEquals(List.of(), links.get(0).asked);
+    to(60);
+    router.arrived(new FakeStatement(), new FakeClient());
+    assertEquals(1, links.size(), "the connection is used by the next");
+    assertEquals(List.of("d=100"), links.get(0).asked);
+    links.get(0).answer(ShotEnd.FULFILLED);
+  }
+
+  /**
+   * Its client left while its connection came up, and hosts cannot be told to stop: nothing is
+   * written.
+   */
+  @Test
+  void aClientLeavesWhileItsConnectionComesUp() {
+    router.arrived(new FakeStatement(), new FakeClient());
+    router.left(X);
+    expect("left x", "released", "0 UNSENT over after 0");
+    links.get(0).events.opened();
+    assertEquals(List.of(), links.get(0).asked);
+    assertEquals(1, counters.get(Count.SHOTS_KEPT_BACK));
+  }
+
+  /** A whole list without it, and one in which its entry is bad but for its state, say the same. */
+  @Test
+  void aHostLeavesByAWholeList() {
+    next = () -> outlet.turnBack(X, 0);
+    for (int i = 0; i < 2; i++) {
+      router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+      router.arrived(new FakeStatement(), new FakeClient());
+      router.listed(
+          List.of(),
+          i == 0 ? List.of() : List.of(new Router.Partial(A, ListedHost.State.DRAINING)),
+          false);
+      expect("0 UNSENT after 0", "released", "turned back 0");
+    }
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    router.listed(List.of(), List.of(new Router.Partial(A, null)), false);
+    assertEquals(
+        1, router.hosts(), "an entry of which only the id can be read says that it is there");
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    expect("fulfilled", "0 FULFILLED over after 0", "released");
+  }
+
+  /**
+   * Where gone does not bind it may still be sent to; draining binds until it is listed in service
+   * again.
+   */
+  @Test
+  void goneThatDoesNotBind() {
+    start(false);
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
+    router.listed(List.of(), false);
+    heard.clear();
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    expect("fulfilled", "0 FULFILLED over after 0", "released");
+    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
+    outlet.probe(A);
+    expect("changed 1", "changed 1", "probed false");
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    expect("fulfilled", "0 FULFILLED over after 0", "released");
+  }
+
+  /**
+   * The process stood still for longer than a quarter of the grace: the turn after it reads clients
+   * before discovery, so what it chooses is written in the next, unless its host leaves meanwhile.
+   */
+  @Test
+  void afterAPauseTheListComesFirst() {
+    next = () -> outlet.turnBack(X, 0);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    to(100);
+    clock.now();
+    turn();
+    time += 600 * MS;
+    heard.clear();
+    router.arrived(new FakeStatement(), new FakeClient());
+    assertEquals(1, links.get(0).asked.size(), "not yet");
+    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    to(time / MS + 100);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    to(time / MS + 100);
+    clock.now();
+    turn();
+    time += 600 * MS;
+    router.arrived(new FakeStatement(), new FakeClient());
+    assertEquals(1, links.get(1).asked.size(), "not yet");
+    to(time / MS + 2);
+    assertEquals(2, links.get(1).asked.size(), "its host is still there");
+    links.get(1).answer(ShotEnd.FULFILLED);
+    assertEquals(2, counters.get(Count.SHOTS_DEFERRED));
+  }
+
+  /**
+   * The wait that the pause fell into ended without a look at the sockets: the turn after it is the
+   * first that reads.
+   */
+  @Test
+  void theTurnAfterTheOneAfterAPause() {
+    next = () -> outlet.turnBack(X, 0);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    to(100);
+    for (long pause : new long[] {600, 10}) {
+      clock.now();
+      turn();
+      time += pause * MS;
+    }
+    heard.clear();
+    router.arrived(new FakeStatement(), new FakeClient());
+    assertEquals(1, links.get(0).asked.size(), "not yet");
+    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
+  }
+
+  /** The turn itself takes that long, as a collection or a burst of accesses in it does. */
+  @Test
+  void aTurnThatLastsLong() {
+    next = () -> outlet.turnBack(X, 0);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    to(100);
+    clock.now();
+    time += 600 * MS; // within the turn: its clock has been read
+    router.arrived(new FakeStatement(), new FakeClient());
+    assertEquals(1, links.get(0).asked.size(), "not yet");
+    outlet.withdraw(X, 0);
+    to(time / MS + 10);
+    assertEquals(1, links.get(0).asked.size(), "nobody waits for it any more");
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(1, links.size(), "its connection is idle again");
+  }
+
+  /**
+   * Of hundreds of hosts that come and go only the living are kept; one may come back under its id.
+   */
+  @Test
+  void goneHostsAreForgotten() {
+    FakeLink link = arriveAndOpen();
+    for (int i = 0; i < 300; i++) {
+      router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.IN_SERVICE)), List.of());
+      router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.GONE)), List.of());
+    }
+    assertEquals(1, router.hosts());
+    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
+    link.answer(ShotEnd.FULFILLED);
+    assertEquals(false, link.open, "a forgotten host's connection is not kept");
+    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    assertEquals(2, links.size());
+  }
+
+  @Test
+  void goneHostsNeverHeardOfSayNothing() {
+    router.listChanged(List.of(place("z", 1, ListedHost.State.GONE)), List.of());
+    expect("changed 0");
+  }
+
+  /**
+   * What came while the process stood still has waited unread: its time counts from before the
+   * pause.
+   */
+  @Test
+  void aPauseCountsAsWaiting() {
+    to(1000);
+    clock.now();
+    assertEquals(1430 * MS, dueOfOneAt(1030), "a rest is no pause");
+    assertEquals(1430 * MS, dueOfOneAt(1330));
+    assertEquals(
+        1430 * MS, dueOfOneAt(1335), "a connection that was accepted only after the pause");
+    assertEquals(1760 * MS, dueOfOneAt(1360));
+  }
+
+  /** When the access is due that is read in a new turn at that time. */
+  private long dueOfOneAt(long millis) {
+    turn();
+    time = millis * MS;
+    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    return due;
+  }
+
+  @Test
+  void whatComesBeforeAnEndIsDueByThen() {
+    router.closing(300 * MS);
+    assertEquals(300 * MS, dueOfOneAt(100));
+  }
+
+  /**
+   * What one call or one due task throws ends that alone; the access that it was about has its
+   * answer.
+   */
+  @Test
+  void exceptionsEndOneThing() {
+    next =
+        () -> {
+          throw new IllegalStateException("on purpose");
         };
-        arriveAndOpen().answer(ShotEnd.ERROR);
-        expect("0 ERROR after 0", "given up", "released");
-        agenda.add(50 * MS, next);
-        outlet.wake(50 * MS);
-        to(60);
-        expect("woken 50");
-        assertEquals(2, counters.get(Count.EXCEPTIONS_CAUGHT));
-    }
-
-    @Test
-    void oneWakeATime() {
-        outlet.wake(50 * MS);
-        outlet.wake(20 * MS);
-        to(60);
-        expect("woken 20");
-    }
-
-    @Test
-    void whatMustHoldIsAsserted() {
-        assertThrows(AssertionError.class, () -> counters.must(false, "on purpose"));
-        counters.must(true, "");
-    }
+    arriveAndOpen().answer(ShotEnd.ERROR);
+    expect("0 ERROR after 0", "given up", "released");
+    agenda.add(50 * MS, next);
+    outlet.wake(50 * MS);
+    to(60);
+    expect("woken 50");
+    assertEquals(2, counters.get(Count.EXCEPTIONS_CAUGHT));
+  }
+
+  @Test
+  void oneWakeATime() {
+    outlet.wake(50 * MS);
+    outlet.wake(20 * MS);
+    to(60);
+    expect("woken 20");
+  }
+
+  @Test
+  void whatMustHoldIsAsserted() {
+    assertThrows(AssertionError.class, () -> counters.must(false, "on purpose"));
+    counters.must(true, "");
+  }
 }
