--- a/router/src/test/java/rushwood/storm/StormTest.java
+++ b/router/src/test/java/rushwood/storm/StormTest.java
@@ -24,232 +24,309 @@
 
 /** The module with the decisions behind it. */
 class StormTest {
-    private static final long MS = 1_000_000L;
-    private static final Product PAY = new Product("pay", 0, 750 * MS, Product.Effect.IRREVERSIBLE,
-            Product.Scope.EVERYWHERE, 5000 * MS, Product.Need.WRITE, 0, 0);
-    private static final Product ANY = new Product("any", 1, 400 * MS, Product.Effect.REDOABLE,
-            Product.Scope.EVERYWHERE, 0, Product.Need.ANY, 0, 0);
-    private static final Settings SETTINGS = new Settings(1, List.of(PAY, ANY), false, Settings.Behind.TURNS_AWAY,
-            false, false, false, true, true, 500 * MS, 10, 5 * MS, true, 0.15, 14_000 * MS, 4, 1000 * MS, 10_000 * MS);
-
-    private final List<String> heard = new ArrayList<>();
-    private Storm storm;
-    private long now = 1_000_000 * MS;
-    private int ids;
-
-    private final class Heard implements Outlet {
-        @Override
-        public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
-            heard.add("send " + access + " " + host);
-        }
+  private static final long MS = 1_000_000L;
+  private static final Product PAY =
+      new Product(
+          "pay",
+          0,
+          750 * MS,
+          Product.Effect.IRREVERSIBLE,
+          Product.Scope.EVERYWHERE,
+          5000 * MS,
+          Product.Need.WRITE,
+          0,
+          0);
+  private static final Product ANY =
+      new Product(
+          "any",
+          1,
+          400 * MS,
+          Product.Effect.REDOABLE,
+          Product.Scope.EVERYWHERE,
+          0,
+          Product.Need.ANY,
+          0,
+          0);
+  private static final Settings SETTINGS =
+      new Settings(
+          1,
+          List.of(PAY, ANY),
+          false,
+          Settings.Behind.TURNS_AWAY,
+          false,
+          false,
+          false,
+          true,
+          true,
+          500 * MS,
+          10,
+          5 * MS,
+          true,
+          0.15,
+          14_000 * MS,
+          4,
+          1000 * MS,
+          10_000 * MS);
 
-        @Override
-        public void withdraw(AccessId access, int shot) {
-            heard.add("withdraw " + access);
-        }
+  private final List<String> heard = new ArrayList<>();
+  private Storm storm;
+  private long now = 1_000_000 * MS;
+  private int ids;
 
-        @Override
-        public void turnBack(AccessId access, long advice) {
-            heard.add("back " + access + " " + advice / MS);
-        }
+  private final class Heard implements Outlet {
+    @Override
+    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
+      heard.add("send " + access + " " + host);
+    }
 
-        @Override
-        public void giveUp(AccessId access) {
-            heard.add("up " + access);
-        }
+    @Override
+    public void withdraw(AccessId access, int shot) {
+      heard.add("withdraw " + access);
+    }
 
-        @Override
-        public void probe(HostId host) {
-        }
+    @Override
+    public void turnBack(AccessId access, long advice) {
+      heard.add("back " + access + " " + advice / MS);
+    }
 
-        @Override
-        public void wake(long at) {
-        }
+    @Override
+    public void giveUp(AccessId access) {
+      heard.add("up " + access);
+    }
 
-        @Override
-        public void subscribe() {
-        }
+    @Override
+    public void probe(HostId host) {}
 
-        @Override
-        public void log(String line) {
-            heard.add(line);
-        }
-    }
+    @Override
+    public void wake(long at) {}
 
-    private void start(boolean doubts, int groups) {
-        Dials dials = new Dials(new SplittableRandom(1), true);
-        storm = new Storm(SETTINGS, new StormSettings(true, true, 0.2, 10, doubts), dials, new Heard(),
-                (crowd, outlet) -> new Choice(SETTINGS, new SplittableRandom(2), outlet, crowd));
-        List<ListedHost> list = new ArrayList<>();
-        for (int i = 0; i < groups; i++) {
-            list.add(new ListedHost(new HostId("h" + i), new GroupId(i), new ZoneId(""), 1, 0, true,
-                    ListedHost.State.IN_SERVICE));
-        }
-        storm.listed(now, list, true);
-    }
+    @Override
+    public void subscribe() {}
 
-    private String arrive(Product product, int group, long mark) {
-        String id = "a" + ids++;
-        storm.arrived(now, new Access(new AccessId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
-        return id;
+    @Override
+    public void log(String line) {
+      heard.add(line);
     }
+  }
 
-    private void answer(String id, int group, ShotEnd end, boolean over) {
-        storm.answered(now, new Answer(new AccessId(id), 0, new HostId("h" + group), end, 10 * MS, over, null, -1,
-                LoadReport.NONE));
+  private void start(boolean doubts, int groups) {
+    Dials dials = new Dials(new SplittableRandom(1), true);
+    storm =
+        new Storm(
+            SETTINGS,
+            new StormSettings(true, true, 0.2, 10, doubts),
+            dials,
+            new Heard(),
+            (crowd, outlet) -> new Choice(SETTINGS, new SplittableRandom(2), outlet, crowd));
+    List<ListedHost> list = new ArrayList<>();
+    for (int i = 0; i < groups; i++) {
+      list.add(
+          new ListedHost(
+              new HostId("h" + i),
+              new GroupId(i),
+              new ZoneId(""),
+              1,
+              0,
+              true,
+              ListedHost.State.IN_SERVICE));
     }
+    storm.listed(now, list, true);
+  }
 
-    /** Its connection broke after the write was sent; the same write with a new id is not run while that may have. */
-    @Test
-    void paymentNeverDoubles() {
-        start(true, 1);
-        String first = arrive(PAY, 0, 77);
-        assertEquals(List.of("send " + first + " h0"), heard.stream().filter(each -> each.startsWith("send")).toList());
-        storm.left(now, new AccessId(first));
-        heard.clear();
-        now += 100 * MS;
-        String second = arrive(PAY, 0, 77);
-        assertEquals(List.of("up " + second), heard);
-        assertEquals(1, storm.counts().doubtful);
-        answer(first, 0, ShotEnd.EXPIRED, true);
-        String third = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("up " + third), "running out proves nothing");
-        String other = arrive(PAY, 0, 78);
-        assertTrue(heard.contains("send " + other + " h0"), "another payment is not held up");
-        now += 5100 * MS;
-        String late = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("send " + late + " h0"), "nobody comes back for it so late");
-    }
+  private String arrive(Product product, int group, long mark) {
+    String id = "a" + ids++;
+    storm.arrived(
+        now,
+        new Access(
+            new AccessId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
+    return id;
+  }
 
-    /** Proof that it never ran ends the doubt. */
-    @Test
-    void proofEndsDoubt() {
-        start(true, 1);
-        String first = arrive(PAY, 0, 77);
-        storm.left(now, new AccessId(first));
-        answer(first, 0, ShotEnd.OVERFULL, true);
-        now += 100 * MS; // a host that refuses rests
-        String second = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("send " + second + " h0"), heard.toString());
-    }
+  private void answer(String id, int group, ShotEnd end, boolean over) {
+    storm.answered(
+        now,
+        new Answer(
+            new AccessId(id),
+            0,
+            new HostId("h" + group),
+            end,
+            10 * MS,
+            over,
+            null,
+            -1,
+            LoadReport.NONE));
+  }
 
-    /** Two of one mark at once: that the one was fulfilled, or never ran, says nothing of the other. */
-    @Test
-    void doubtIsItsOwn() {
-        start(true, 1);
-        String first = arrive(PAY, 0, 77);
-        String second = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("send " + second + " h0"), heard.toString());
-        storm.left(now, new AccessId(first));
-        answer(second, 0, ShotEnd.FULFILLED, true);
-        String third = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("up " + third), "the first may still run");
-    }
+  /**
+   * Its connection broke after the write was sent; the same write with a new id is not run while
+   * that may have.
+   */
+  @Test
+  void paymentNeverDoubles() {
+    start(true, 1);
+    String first = arrive(PAY, 0, 77);
+    assertEquals(
+        List.of("send " + first + " h0"),
+        heard.stream().filter(each -> each.startsWith("send")).toList());
+    storm.left(now, new AccessId(first));
+    heard.clear();
+    now += 100 * MS;
+    String second = arrive(PAY, 0, 77);
+    assertEquals(List.of("up " + second), heard);
+    assertEquals(1, storm.counts().doubtful);
+    answer(first, 0, ShotEnd.EXPIRED, true);
+    String third = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("up " + third), "running out proves nothing");
+    String other = arrive(PAY, 0, 78);
+    assertTrue(heard.contains("send " + other + " h0"), "another payment is not held up");
+    now += 5100 * MS;
+    String late = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("send " + late + " h0"), "nobody comes back for it so late");
+  }
 
-    @Test
-    void twoDoubtsOfOneMark() {
-        start(true, 1);
-        String first = arrive(PAY, 0, 77);
-        String second = arrive(PAY, 0, 77);
-        storm.left(now, new AccessId(first));
-        storm.left(now, new AccessId(second));
-        answer(second, 0, ShotEnd.OVERFULL, true);
-        now += 100 * MS;
-        assertTrue(heard.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
-    }
+  /** Proof that it never ran ends the doubt. */
+  @Test
+  void proofEndsDoubt() {
+    start(true, 1);
+    String first = arrive(PAY, 0, 77);
+    storm.left(now, new AccessId(first));
+    answer(first, 0, ShotEnd.OVERFULL, true);
+    now += 100 * MS; // a host that refuses rests
+    String second = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("send " + second + " h0"), heard.toString());
+  }
 
-    /** An access that the network ended by itself is not kept for good, nor counted among those that wait. */
-    @Test
-    void whatIsOverdueIsForgotten() {
-        start(false, 1);
-        for (int i = 0; i < 100; i++) {
-            arrive(ANY, 7, i + 1); // of a group without hosts
-        }
-        assertEquals(100, storm.open());
-        now += 2100 * MS; // their outer limit is a second; the decisions are not woken
-        storm.left(now, new AccessId("another"));
-        assertEquals(0, storm.open());
-    }
+  /**
+   * Two of one mark at once: that the one was fulfilled, or never ran, says nothing of the other.
+   */
+  @Test
+  void doubtIsItsOwn() {
+    start(true, 1);
+    String first = arrive(PAY, 0, 77);
+    String second = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("send " + second + " h0"), heard.toString());
+    storm.left(now, new AccessId(first));
+    answer(second, 0, ShotEnd.FULFILLED, true);
+    String third = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("up " + third), "the first may still run");
+  }
+
+  @Test
+  void twoDoubtsOfOneMark() {
+    start(true, 1);
+    String first = arrive(PAY, 0, 77);
+    String second = arrive(PAY, 0, 77);
+    storm.left(now, new AccessId(first));
+    storm.left(now, new AccessId(second));
+    answer(second, 0, ShotEnd.OVERFULL, true);
+    now += 100 * MS;
+    assertTrue(heard.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
+  }
 
-    /** Fulfilled is no doubt: the same club pays the same key again. */
-    @Test
-    void fulfilledIsNoDoubt() {
-        start(true, 1);
-        String first = arrive(PAY, 0, 77);
-        answer(first, 0, ShotEnd.FULFILLED, true);
-        String second = arrive(PAY, 0, 77);
-        assertTrue(heard.contains("send " + second + " h0"));
+  /**
+   * An access that the network ended by itself is not kept for good, nor counted among those that
+   * wait.
+   */
+  @Test
+  void whatIsOverdueIsForgotten() {
+    start(false, 1);
+    for (int i = 0; i < 100; i++) {
+      arrive(ANY, 7, i + 1); // of a group without hosts
     }
+    assertEquals(100, storm.open());
+    now += 2100 * MS; // their outer limit is a second; the decisions are not woken
+    storm.left(now, new AccessId("another"));
+    assertEquals(0, storm.open());
+  }
 
-    /** Who is told to return is known when it does, and stands before who came meanwhile. */
-    @Test
-    void whoReturnsIsServedFirst() {
-        start(false, 1);
-        List<String> sent = new ArrayList<>();
-        for (int i = 0; i < 40; i++) {
-            sent.add(arrive(ANY, 0, 1000 + i));
-        }
-        now += 700 * MS; // half of their time: the parked go back
-        storm.woken(now);
-        List<String> back = heard.stream().filter(each -> each.startsWith("back")).toList();
-        assertTrue(back.size() > 20, heard.toString());
-        for (String each : back.subList(0, back.size() - 1)) { // with the last one nobody waits here any more
-            long wait = Long.parseLong(each.split(" ")[2]);
-            assertTrue(wait > 0 && wait <= 500, each);
-        }
-        String fresh = arrive(ANY, 0, 5);
-        now += 100 * MS;
-        String returns = arrive(ANY, 0, 1000 + Integer.parseInt(back.get(0).split(" ")[1].substring(1)));
-        assertEquals(1, storm.counts().returned);
-        heard.clear();
-        String out = sent.get(0);
-        answer(out, 0, ShotEnd.FULFILLED, true);
-        assertEquals("send " + returns + " h0", heard.stream().filter(each -> each.startsWith("send")).findFirst()
-                .orElse("none, " + fresh + " waits"));
+  /** Fulfilled is no doubt: the same club pays the same key again. */
+  @Test
+  void fulfilledIsNoDoubt() {
+    start(true, 1);
+    String first = arrive(PAY, 0, 77);
+    answer(first, 0, ShotEnd.FULFILLED, true);
+    String second = arrive(PAY, 0, 77);
+    assertTrue(heard.contains("send " + second + " h0"));
+  }
+
+  /** Who is told to return is known when it does, and stands before who came meanwhile. */
+  @Test
+  void whoReturnsIsServedFirst() {
+    start(false, 1);
+    List<String> sent = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      sent.add(arrive(ANY, 0, 1000 + i));
+    }
+    now += 700 * MS; // half of their time: the parked go back
+    storm.woken(now);
+    List<String> back = heard.stream().filter(each -> each.startsWith("back")).toList();
+    assertTrue(back.size() > 20, heard.toString());
+    for (String each :
+        back.subList(0, back.size() - 1)) { // with the last one nobody waits here any more
+      long wait = Long.parseLong(each.split(" ")[2]);
+      assertTrue(wait > 0 && wait <= 500, each);
     }
+    String fresh = arrive(ANY, 0, 5);
+    now += 100 * MS;
+    String returns =
+        arrive(ANY, 0, 1000 + Integer.parseInt(back.get(0).split(" ")[1].substring(1)));
+    assertEquals(1, storm.counts().returned);
+    heard.clear();
+    String out = sent.get(0);
+    answer(out, 0, ShotEnd.FULFILLED, true);
+    assertEquals(
+        "send " + returns + " h0",
+        heard.stream()
+            .filter(each -> each.startsWith("send"))
+            .findFirst()
+            .orElse("none, " + fresh + " waits"));
+  }
 
-    /** One group storms: the other one's state, budget and waits are untouched. */
-    @Test
-    void theCalmGroupStaysCalm() {
-        start(false, 2);
-        for (int round = 0; round < 60; round++) {
-            for (int i = 0; i < 20; i++) {
-                String id = arrive(ANY, 0, 1 + i);
-                storm.left(now, new AccessId(id));
-                if (heard.contains("send " + id + " h0")) {
-                    answer(id, 0, ShotEnd.EXPIRED, true);
-                }
-            }
-            String calm = arrive(ANY, 1, 10_000 + round);
-            answer(calm, 1, ShotEnd.FULFILLED, true);
-            now += 50 * MS;
-            storm.woken(now);
+  /** One group storms: the other one's state, budget and waits are untouched. */
+  @Test
+  void theCalmGroupStaysCalm() {
+    start(false, 2);
+    for (int round = 0; round < 60; round++) {
+      for (int i = 0; i < 20; i++) {
+        String id = arrive(ANY, 0, 1 + i);
+        storm.left(now, new AccessId(id));
+        if (heard.contains("send " + id + " h0")) {
+          answer(id, 0, ShotEnd.EXPIRED, true);
         }
-        assertEquals(Weather.State.STORM, storm.state(new GroupId(0)), heard.toString());
-        assertEquals(Weather.State.CALM, storm.state(new GroupId(1)));
-        assertTrue(storm.mayRepeat(now, new GroupId(1)));
-        for (int i = 0; i < 100; i++) {
-            storm.sent(now, new GroupId(0), true);
-        }
-        assertFalse(storm.mayRepeat(now, new GroupId(0)));
-        assertTrue(storm.mayRepeat(now, new GroupId(1)));
+      }
+      String calm = arrive(ANY, 1, 10_000 + round);
+      answer(calm, 1, ShotEnd.FULFILLED, true);
+      now += 50 * MS;
+      storm.woken(now);
+    }
+    assertEquals(Weather.State.STORM, storm.state(new GroupId(0)), heard.toString());
+    assertEquals(Weather.State.CALM, storm.state(new GroupId(1)));
+    assertTrue(storm.mayRepeat(now, new GroupId(1)));
+    for (int i = 0; i < 100; i++) {
+      storm.sent(now, new GroupId(0), true);
     }
+    assertFalse(storm.mayRepeat(now, new GroupId(0)));
+    assertTrue(storm.mayRepeat(now, new GroupId(1)));
+  }
 
-    /** Many clients that ask for one hot key are no repeats, though now and then one of them has no answer. */
-    @Test
-    void hotKeysAreNoRepeats() {
-        start(false, 1);
-        for (int i = 0; i < 1000; i++) {
-            String id = arrive(ANY, 0, 7);
-            if (i % 20 == 0) {
-                storm.left(now, new AccessId(id));
-                answer(id, 0, ShotEnd.WITHDRAWN, true);
-            } else {
-                answer(id, 0, ShotEnd.FULFILLED, true);
-            }
-            now += 2 * MS;
-        }
-        assertTrue(storm.counts().repeats <= 50, storm.counts().repeats + " of 50 that had no answer");
-        assertEquals(Weather.State.CALM, storm.state());
+  /**
+   * Many clients that ask for one hot key are no repeats, though now and then one of them has no
+   * answer.
+   */
+  @Test
+  void hotKeysAreNoRepeats() {
+    start(false, 1);
+    for (int i = 0; i < 1000; i++) {
+      String id = arrive(ANY, 0, 7);
+      if (i % 20 == 0) {
+        storm.left(now, new AccessId(id));
+        answer(id, 0, ShotEnd.WITHDRAWN, true);
+      } else {
+        answer(id, 0, ShotEnd.FULFILLED, true);
+      }
+      now += 2 * MS;
     }
+    assertTrue(storm.counts().repeats <= 50, storm.counts().repeats + " of 50 that had no answer");
+    assertEquals(Weather.State.CALM, storm.state());
+  }
 }
--- a/router/src/test/java/rushwood/storm/StructuresTest.java
+++ b/router/src/test/java/rushwood/storm/StructuresTest.java
@@ -12,174 +12,188 @@
 
 /** What the storm module keeps, against plain structures and at its bounds. */
 class StructuresTest {
-    private static final long MS = 1_000_000L;
-    private static final HostId A = new HostId("a");
+  private static final long MS = 1_000_000L;
+  private static final HostId A = new HostId("a");
 
-    /** Never fewer than an exact map has within the span; too many for one mark in a hundred at the most. */
-    @Test
-    void sketchAgainstMap() {
-        Repeats sketch = new Repeats(1 << 14, 1000 * MS);
-        Map<Long, Integer> exact = new HashMap<>();
-        SplittableRandom chance = new SplittableRandom(3);
-        for (int i = 0; i < 10_000; i++) {
-            long mark = chance.nextLong(8_000);
-            sketch.add(mark, 500 * MS);
-            exact.merge(mark, 1, Integer::sum);
-        }
-        int over = 0;
-        for (long mark = 0; mark < 100_000; mark++) {
-            int is = exact.getOrDefault(mark, 0);
-            int seen = sketch.count(mark, 600 * MS);
-            assertTrue(seen >= is, "never too few");
-            over += seen > is ? 1 : 0;
-        }
-        assertTrue(over < 100_000 / 100, over + " marks seen too often");
-        assertEquals(1 << 17, sketch.bytes());
-        assertTrue(sketch.count(exact.keySet().iterator().next(), 1600 * MS) > 0, "one span later still");
-        assertEquals(0, sketch.count(exact.keySet().iterator().next(), 2700 * MS), "and then no more");
+  /**
+   * Never fewer than an exact map has within the span; too many for one mark in a hundred at the
+   * most.
+   */
+  @Test
+  void sketchAgainstMap() {
+    Repeats sketch = new Repeats(1 << 14, 1000 * MS);
+    Map<Long, Integer> exact = new HashMap<>();
+    SplittableRandom chance = new SplittableRandom(3);
+    for (int i = 0; i < 10_000; i++) {
+      long mark = chance.nextLong(8_000);
+      sketch.add(mark, 500 * MS);
+      exact.merge(mark, 1, Integer::sum);
     }
+    int over = 0;
+    for (long mark = 0; mark < 100_000; mark++) {
+      int is = exact.getOrDefault(mark, 0);
+      int seen = sketch.count(mark, 600 * MS);
+      assertTrue(seen >= is, "never too few");
+      over += seen > is ? 1 : 0;
+    }
+    assertTrue(over < 100_000 / 100, over + " marks seen too often");
+    assertEquals(1 << 17, sketch.bytes());
+    assertTrue(
+        sketch.count(exact.keySet().iterator().next(), 1600 * MS) > 0, "one span later still");
+    assertEquals(0, sketch.count(exact.keySet().iterator().next(), 2700 * MS), "and then no more");
+  }
 
-    @Test
-    void sketchTurnsAfterLongRest() {
-        Repeats sketch = new Repeats(64, 100 * MS);
-        sketch.add(1, 0);
-        assertEquals(1, sketch.count(1, 150 * MS));
-        assertEquals(0, sketch.count(1, 100_000 * MS));
-        for (int i = 0; i < 1000; i++) {
-            sketch.add(7, 100_000 * MS);
-        }
-        assertEquals(254, sketch.count(7, 100_000 * MS), "it does not run over");
+  @Test
+  void sketchTurnsAfterLongRest() {
+    Repeats sketch = new Repeats(64, 100 * MS);
+    sketch.add(1, 0);
+    assertEquals(1, sketch.count(1, 150 * MS));
+    assertEquals(0, sketch.count(1, 100_000 * MS));
+    for (int i = 0; i < 1000; i++) {
+      sketch.add(7, 100_000 * MS);
     }
+    assertEquals(254, sketch.count(7, 100_000 * MS), "it does not run over");
+  }
 
-    /** A full bucket forgets what is over first; memory stays what it is. */
-    @Test
-    void marksAtTheirBound() {
-        Marks marks = new Marks(16);
-        long bytes = marks.bytes();
-        for (long mark = 1; mark <= 10_000; mark++) {
-            marks.put(mark, mark * MS, mark, 0);
-        }
-        int kept = 0;
-        for (long mark = 1; mark <= 10_000; mark++) {
-            long is = marks.get(mark, 0);
-            assertTrue(is == -1 || is == mark);
-            kept += is == mark ? 1 : 0;
-        }
-        assertEquals(64, kept);
-        assertEquals(10_000, marks.get(10_000, 0));
-        assertEquals(-1, marks.get(10_000, 10_000 * MS), "its time is over");
-        marks.put(10_000, 20_000 * MS, 5, 0);
-        assertEquals(5, marks.get(10_000, 0));
-        marks.remove(10_000);
-        assertEquals(-1, marks.get(10_000, 0));
-        assertEquals(bytes, marks.bytes());
+  /** A full bucket forgets what is over first; memory stays what it is. */
+  @Test
+  void marksAtTheirBound() {
+    Marks marks = new Marks(16);
+    long bytes = marks.bytes();
+    for (long mark = 1; mark <= 10_000; mark++) {
+      marks.put(mark, mark * MS, mark, 0);
+    }
+    int kept = 0;
+    for (long mark = 1; mark <= 10_000; mark++) {
+      long is = marks.get(mark, 0);
+      assertTrue(is == -1 || is == mark);
+      kept += is == mark ? 1 : 0;
     }
+    assertEquals(64, kept);
+    assertEquals(10_000, marks.get(10_000, 0));
+    assertEquals(-1, marks.get(10_000, 10_000 * MS), "its time is over");
+    marks.put(10_000, 20_000 * MS, 5, 0);
+    assertEquals(5, marks.get(10_000, 0));
+    marks.remove(10_000);
+    assertEquals(-1, marks.get(10_000, 0));
+    assertEquals(bytes, marks.bytes());
+  }
 
-    /** Nothing told is longer than allowed, and no slot is promised to more than are expected to fit. */
-    @Test
-    void calendarBooksWhatFits() {
-        Calendar calendar = new Calendar(500 * MS);
-        calendar.expect(1000); // ten a slot
-        int[] slots = new int[51];
-        int booked = 0;
-        for (int i = 0; i < 1000; i++) {
-            Calendar.Place place = calendar.book(0, 1, true, 0, 500 * MS);
-            assertTrue(place.away() > 0 && place.away() <= 500 * MS);
-            if (place.booked()) {
-                booked++;
-                slots[(int) (place.away() / Calendar.SLOT)]++;
-            }
-        }
-        assertEquals(500, booked, "fifty slots of ten");
-        for (int count : slots) {
-            assertTrue(count <= 10);
-        }
-        assertFalse(calendar.book(0, 1, true, 0, 500 * MS).booked());
-        assertTrue(calendar.book(200 * MS, 1, true, 0, 500 * MS).booked(), "slots that passed are used again");
+  /**
+   * Nothing told is longer than allowed, and no slot is promised to more than are expected to fit.
+   */
+  @Test
+  void calendarBooksWhatFits() {
+    Calendar calendar = new Calendar(500 * MS);
+    calendar.expect(1000); // ten a slot
+    int[] slots = new int[51];
+    int booked = 0;
+    for (int i = 0; i < 1000; i++) {
+      Calendar.Place place = calendar.book(0, 1, true, 0, 500 * MS);
+      assertTrue(place.away() > 0 && place.away() <= 500 * MS);
+      if (place.booked()) {
+        booked++;
+        slots[(int) (place.away() / Calendar.SLOT)]++;
+      }
     }
+    assertEquals(500, booked, "fifty slots of ten");
+    for (int count : slots) {
+      assertTrue(count <= 10);
+    }
+    assertFalse(calendar.book(0, 1, true, 0, 500 * MS).booked());
+    assertTrue(
+        calendar.book(200 * MS, 1, true, 0, 500 * MS).booked(), "slots that passed are used again");
+  }
 
-    /** Those that wait here come first; what earns little leaves a quarter; one group leaves half to the others. */
-    @Test
-    void calendarIsFair() {
-        Calendar calendar = new Calendar(500 * MS);
-        calendar.expect(1000);
-        assertTrue(calendar.book(0, 1, true, 300, 500 * MS).away() >= 300 * MS);
-        assertFalse(calendar.book(0, 1, true, 600, 500 * MS).booked());
-        assertFalse(calendar.book(0, 1, true, 300, 200 * MS).booked(), "its client has left by then");
-        Calendar low = new Calendar(100 * MS);
-        low.expect(1000);
-        int booked = 0;
-        while (low.book(0, 1, false, 0, 100 * MS).booked()) {
-            booked++;
-        }
-        assertEquals(70, booked, "seven of ten places in each of ten slots");
-        Calendar two = new Calendar(100 * MS);
-        two.expect(1000);
-        two.book(0, 2, true, 0, 100 * MS);
-        booked = 0;
-        while (two.book(0, 1, true, 0, 100 * MS).booked()) {
-            booked++;
-        }
-        assertEquals(50, booked);
-        assertTrue(two.book(0, 2, true, 0, 100 * MS).booked(), "there is room for the other");
+  /**
+   * Those that wait here come first; what earns little leaves a quarter; one group leaves half to
+   * the others.
+   */
+  @Test
+  void calendarIsFair() {
+    Calendar calendar = new Calendar(500 * MS);
+    calendar.expect(1000);
+    assertTrue(calendar.book(0, 1, true, 300, 500 * MS).away() >= 300 * MS);
+    assertFalse(calendar.book(0, 1, true, 600, 500 * MS).booked());
+    assertFalse(calendar.book(0, 1, true, 300, 200 * MS).booked(), "its client has left by then");
+    Calendar low = new Calendar(100 * MS);
+    low.expect(1000);
+    int booked = 0;
+    while (low.book(0, 1, false, 0, 100 * MS).booked()) {
+      booked++;
+    }
+    assertEquals(70, booked, "seven of ten places in each of ten slots");
+    Calendar two = new Calendar(100 * MS);
+    two.expect(1000);
+    two.book(0, 2, true, 0, 100 * MS);
+    booked = 0;
+    while (two.book(0, 1, true, 0, 100 * MS).booked()) {
+      booked++;
     }
+    assertEquals(50, booked);
+    assertTrue(two.book(0, 2, true, 0, 100 * MS).booked(), "there is room for the other");
+  }
 
-    /** Slow hosts: a place in every fourth slot. */
-    @Test
-    void calendarOfFewPlaces() {
-        Calendar calendar = new Calendar(500 * MS);
-        calendar.expect(25);
-        int booked = 0;
-        while (calendar.book(0, 1, true, 0, 500 * MS).booked()) {
-            booked++;
-        }
-        assertTrue(booked >= 12 && booked <= 13, booked + " in half a second of 25 a second");
-        Calendar none = new Calendar(500 * MS);
-        assertEquals(500 * MS, none.book(0, 1, true, 0, 500 * MS).away());
+  /** Slow hosts: a place in every fourth slot. */
+  @Test
+  void calendarOfFewPlaces() {
+    Calendar calendar = new Calendar(500 * MS);
+    calendar.expect(25);
+    int booked = 0;
+    while (calendar.book(0, 1, true, 0, 500 * MS).booked()) {
+      booked++;
     }
+    assertTrue(booked >= 12 && booked <= 13, booked + " in half a second of 25 a second");
+    Calendar none = new Calendar(500 * MS);
+    assertEquals(500 * MS, none.book(0, 1, true, 0, 500 * MS).away());
+  }
 
-    /** Whatever wants to dial a dead host: under fifty attempts a second, and one that works opens the way. */
-    @Test
-    void dialsArePaced() {
-        Dials dials = new Dials(new SplittableRandom(9), true);
-        int attempts = 0;
-        for (long at = 0; at < 10_000 * MS; at += MS) {
-            for (int i = 0; i < 20; i++) {
-                if (dials.may(A, at)) {
-                    dials.begun(A);
-                    attempts++;
-                    dials.failed(A, at);
-                }
-            }
+  /**
+   * Whatever wants to dial a dead host: under fifty attempts a second, and one that works opens the
+   * way.
+   */
+  @Test
+  void dialsArePaced() {
+    Dials dials = new Dials(new SplittableRandom(9), true);
+    int attempts = 0;
+    for (long at = 0; at < 10_000 * MS; at += MS) {
+      for (int i = 0; i < 20; i++) {
+        if (dials.may(A, at)) {
+          dials.begun(A);
+          attempts++;
+          dials.failed(A, at);
         }
-        assertTrue(attempts > 15 && attempts < 50, attempts + " in ten seconds");
-        long at = 11_000 * MS;
-        assertTrue(dials.may(A, at));
-        dials.begun(A);
-        assertFalse(dials.may(A, at), "one at a time");
-        dials.opened(A);
-        dials.begun(A);
-        assertTrue(dials.may(A, at), "it is well: as many as are wanted");
-        dials.forget(A);
-        dials.failed(A, at);
-        assertEquals(0, dials.known(), "what ends late of one forgotten leaves nothing");
+      }
     }
+    assertTrue(attempts > 15 && attempts < 50, attempts + " in ten seconds");
+    long at = 11_000 * MS;
+    assertTrue(dials.may(A, at));
+    dials.begun(A);
+    assertFalse(dials.may(A, at), "one at a time");
+    dials.opened(A);
+    dials.begun(A);
+    assertTrue(dials.may(A, at), "it is well: as many as are wanted");
+    dials.forget(A);
+    dials.failed(A, at);
+    assertEquals(0, dials.known(), "what ends late of one forgotten leaves nothing");
+  }
 
-    /** Further shots never outgrow their share of the first ones by more than the floor. */
-    @Test
-    void budgetHolds() {
-        Budget budget = new Budget(0.2, 10);
-        int further = 0;
-        for (int i = 0; i < 10_000; i++) {
-            long at = i * MS;
-            budget.first(at);
-            for (int j = 0; j < 3; j++) {
-                if (budget.allows(at)) {
-                    budget.further(at);
-                    further++;
-                }
-            }
+  /** Further shots never outgrow their share of the first ones by more than the floor. */
+  @Test
+  void budgetHolds() {
+    Budget budget = new Budget(0.2, 10);
+    int further = 0;
+    for (int i = 0; i < 10_000; i++) {
+      long at = i * MS;
+      budget.first(at);
+      for (int j = 0; j < 3; j++) {
+        if (budget.allows(at)) {
+          budget.further(at);
+          further++;
         }
-        assertTrue(further >= 2000 && further <= 2000 + 100 + 20, further + " for 10,000 in ten seconds");
+      }
     }
+    assertTrue(
+        further >= 2000 && further <= 2000 + 100 + 20, further + " for 10,000 in ten seconds");
+  }
 }
--- a/router/src/test/java/rushwood/storm/WeatherTest.java
+++ b/router/src/test/java/rushwood/storm/WeatherTest.java
@@ -12,47 +12,54 @@
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
 
-/** Plays the scenarios of storms: so many ticks of so much of each, and the state that is to come of it. */
+/**
+ * Plays the scenarios of storms: so many ticks of so much of each, and the state that is to come of
+ * it.
+ */
 class WeatherTest {
-    @TestFactory
-    List<DynamicTest> scenarios() throws IOException {
-        List<DynamicTest> tests = new ArrayList<>();
-        try (Stream<Path> files = Files.list(Path.of("src/test/resources/storms"))) {
-            files.sorted().forEach(file -> tests.add(DynamicTest.dynamicTest(file.getFileName().toString(),
-                    () -> play(file))));
-        }
-        assertTrue(tests.size() >= 5);
-        return tests;
+  @TestFactory
+  List<DynamicTest> scenarios() throws IOException {
+    List<DynamicTest> tests = new ArrayList<>();
+    try (Stream<Path> files = Files.list(Path.of("src/test/resources/storms"))) {
+      files
+          .sorted()
+          .forEach(
+              file ->
+                  tests.add(
+                      DynamicTest.dynamicTest(file.getFileName().toString(), () -> play(file))));
     }
+    assertTrue(tests.size() >= 5);
+    return tests;
+  }
 
-    private static void play(Path file) throws IOException {
-        Weather weather = new Weather();
-        int number = 0;
-        for (String line : Files.readAllLines(file)) {
-            number++;
-            String[] words = line.split(" ");
-            if (words[0].equals("expect")) {
-                assertEquals(words[1], weather.state().name(), file + ":" + number + " " + weather);
-            } else if (words[0].equals("for")) {
-                for (int i = 0; i < Integer.parseInt(words[1]); i++) {
-                    for (int at = 2; at < words.length; at += 2) {
-                        add(weather.tally(), words[at], Integer.parseInt(words[at + 1]));
-                    }
-                    weather.tick();
-                }
-            } else {
-                assertEquals("#", words[0]);
-            }
+  private static void play(Path file) throws IOException {
+    Weather weather = new Weather();
+    int number = 0;
+    for (String line : Files.readAllLines(file)) {
+      number++;
+      String[] words = line.split(" ");
+      if (words[0].equals("expect")) {
+        assertEquals(words[1], weather.state().name(), file + ":" + number + " " + weather);
+      } else if (words[0].equals("for")) {
+        for (int i = 0; i < Integer.parseInt(words[1]); i++) {
+          for (int at = 2; at < words.length; at += 2) {
+            add(weather.tally(), words[at], Integer.parseInt(words[at + 1]));
+          }
+          weather.tick();
         }
+      } else {
+        assertEquals("#", words[0]);
+      }
     }
+  }
 
-    private static void add(Weather.Tally tally, String what, int count) {
-        switch (what) {
-            case "arrivals" -> tally.arrivals += count;
-            case "repeats" -> tally.repeats += count;
-            case "refused" -> tally.refused += count;
-            case "done" -> tally.done += count;
-            default -> throw new IllegalArgumentException(what);
-        }
+  private static void add(Weather.Tally tally, String what, int count) {
+    switch (what) {
+      case "arrivals" -> tally.arrivals += count;
+      case "repeats" -> tally.repeats += count;
+      case "refused" -> tally.refused += count;
+      case "done" -> tally.done += count;
+      default -> throw new IllegalArgumentException(what);
     }
+  }
 }
--- a/router/src/test/java/rushwood/wire/Bytes.java
+++ b/router/src/test/java/rushwood/wire/Bytes.java
@@ -14,131 +14,171 @@
 
 /** Writes and reads messages for the tests, and keeps count of buffers that are not given back. */
 public final class Bytes {
-    public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
-    public static final List<Product> PRODUCTS = List.of(
-            new Product("pass", 0, 400_000_000, Product.Effect.REDOABLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.BOUNDED, 500_000_000, 0),
-            new Product("pay", 1, 750_000_000, Product.Effect.IRREVERSIBLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.WRITE, 0, 0),
-            new Product("mine", 2, 400_000_000, Product.Effect.REDOABLE, Product.Scope.EVERYWHERE, 0,
-                    Product.Need.SESSION, 0, 0));
-
-    private static final List<ByteBuf> GIVEN = new ArrayList<>();
-
-    private Bytes() {
-    }
-
-    public static ByteBuf buffer(byte[] bytes) {
-        ByteBuf buffer = ALLOCATOR.buffer(bytes.length).writeBytes(bytes);
-        GIVEN.add(buffer);
-        return buffer;
-    }
-
-    /** Fails if a buffer that was handed out since the last call was not released. */
-    public static void allReleased() {
-        GIVEN.forEach(each -> assertEquals(0, each.refCnt(), "a buffer is kept"));
-        GIVEN.clear();
-    }
-
-    public static byte[] join(byte[]... parts) {
-        ByteBuf out = ALLOCATOR.heapBuffer();
-        for (byte[] part : parts) {
-            out.writeBytes(part);
-        }
-        return take(out);
-    }
-
-    static byte[] take(ByteBuf from) {
-        byte[] bytes = new byte[from.readableBytes()];
-        from.readBytes(bytes);
-        from.release();
-        return bytes;
-    }
-
-    static byte[] written(Consumer<ByteBuf> writer) {
-        ByteBuf out = ALLOCATOR.heapBuffer();
-        writer.accept(out);
-        return take(out);
-    }
-
-    public static byte[] message(char type, byte[] body) {
-        return written(out -> out.writeByte(type).writeInt(4 + body.length).writeBytes(body));
-    }
-
-    public static byte[] query(String text) {
-        return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
-    }
-
-    static byte[] startup(int code, String rest) {
-        return written(out -> out.writeInt(8 + rest.length()).writeInt(code).writeCharSequence(rest,
-                StandardCharsets.US_ASCII));
-    }
-
-    public static byte[] startup() {
-        return startup(Messages.VERSION, "user\0client\0database\0core\0\0");
-    }
-
-    public static byte[] welcome() {
-        return written(out -> Messages.welcome(out, 0));
-    }
-
-    public static byte[] ready() {
-        return written(Messages::ready);
-    }
-
-    public static byte[] parameter(String name, String value) {
-        return message('S', (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8));
-    }
-
-    public static byte[] error(String code) {
-        return written(out -> Messages.error(out, false, code, "no", null));
-    }
-
-    public static byte[] row(String value) {
-        return written(out -> {
-            Messages.columns(out, "val");
-            Messages.row(out, value);
-            Messages.complete(out, "SELECT 1");
+  public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
+  public static final List<Product> PRODUCTS =
+      List.of(
+          new Product(
+              "pass",
+              0,
+              400_000_000,
+              Product.Effect.REDOABLE,
+              Product.Scope.EVERYWHERE,
+              0,
+              Product.Need.BOUNDED,
+              500_000_000,
+              0),
+          new Product(
+              "pay",
+              1,
+              750_000_000,
+              Product.Effect.IRREVERSIBLE,
+              Product.Scope.EVERYWHERE,
+              0,
+              Product.Need.WRITE,
+              0,
+              0),
+          new Product(
+              "mine",
+              2,
+              400_000_000,
+              Product.Effect.REDOABLE,
+              Product.Scope.EVERYWHERE,
+              0,
+              Product.Need.SESSION,
+              0,
+              0));
+
+  private static final List<ByteBuf> GIVEN = new ArrayList<>();
+
+  private Bytes() {}
+
+  public static ByteBuf buffer(byte[] bytes) {
+    ByteBuf buffer = ALLOCATOR.buffer(bytes.length).writeBytes(bytes);
+    GIVEN.add(buffer);
+    return buffer;
+  }
+
+  /** Fails if a buffer that was handed out since the last call was not released. */
+  public static void allReleased() {
+    GIVEN.forEach(each -> assertEquals(0, each.refCnt(), "a buffer is kept"));
+    GIVEN.clear();
+  }
+
+  public static byte[] join(byte[]... parts) {
+    ByteBuf out = ALLOCATOR.heapBuffer();
+    for (byte[] part : parts) {
+      out.writeBytes(part);
+    }
+    return take(out);
+  }
+
+  static byte[] take(ByteBuf from) {
+    byte[] bytes = new byte[from.readableBytes()];
+    from.readBytes(bytes);
+    from.release();
+    return bytes;
+  }
+
+  static byte[] written(Consumer<ByteBuf> writer) {
+    ByteBuf out = ALLOCATOR.heapBuffer();
+    writer.accept(out);
+    return take(out);
+  }
+
+  public static byte[] message(char type, byte[] body) {
+    return written(out -> out.writeByte(type).writeInt(4 + body.length).writeBytes(body));
+  }
+
+  public static byte[] query(String text) {
+    return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
+  }
+
+  static byte[] startup(int code, String rest) {
+    return written(
+        out ->
+            out.writeInt(8 + rest.length())
+                .writeInt(code)
+                .writeCharSequence(rest, StandardCharsets.US_ASCII));
+  }
+
+  public static byte[] startup() {
+    return startup(Messages.VERSION, "user\0client\0database\0core\0\0");
+  }
+
+  public static byte[] welcome() {
+    return written(out -> Messages.welcome(out, 0));
+  }
+
+  public static byte[] ready() {
+    return written(Messages::ready);
+  }
+
+  public static byte[] parameter(String name, String value) {
+    return message('S', (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8));
+  }
+
+  public static byte[] error(String code) {
+    return written(out -> Messages.error(out, false, code, "no", null));
+  }
+
+  public static byte[] row(String value) {
+    return written(
+        out -> {
+          Messages.columns(out, "val");
+          Messages.row(out, value);
+          Messages.complete(out, "SELECT 1");
         });
-    }
-
-    public static String read(String id, String more) {
-        return "SELECT val FROM state WHERE uid = 'k1' /* id=" + id + ",c=pass,t=acme,cluster=2" + more + " */";
-    }
-
-    public static String write(String id, String more) {
-        return "INSERT INTO state (uid, val) VALUES ('k1', '\\x9f03') RETURNING val /* id=" + id
-                + ",c=pay,t=acme,cluster=2" + more + " */";
-    }
-
-    /** The types of whole messages, an error's with its code: "T D C E(53300) Z". */
-    public static String types(byte[] bytes) {
-        StringBuilder types = new StringBuilder();
-        for (int at = 0; at < bytes.length;) {
-            char type = (char) bytes[at];
-            types.append(types.length() == 0 ? "" : " ").append(type);
-            int length = (bytes[at + 1] & 255) << 24 | (bytes[at + 2] & 255) << 16 | (bytes[at + 3] & 255) << 8
-                    | bytes[at + 4] & 255;
-            if (type == 'E') {
-                String body = new String(bytes, at + 5, length - 4, StandardCharsets.UTF_8);
-                types.append('(').append(body, body.indexOf("\0C") + 2, body.indexOf("\0M")).append(')');
-            }
-            at += 1 + length;
-        }
-        return types.toString();
-    }
-
-    /** Hands the bytes over in one piece, then byte by byte, then cut in two at every place. */
-    static void everyWay(byte[] bytes, Consumer<List<ByteBuf>> play) {
-        play.accept(List.of(buffer(bytes)));
-        List<ByteBuf> single = new ArrayList<>();
-        for (byte each : bytes) {
-            single.add(buffer(new byte[] {each}));
-        }
-        play.accept(single);
-        for (int cut = 1; cut < bytes.length; cut++) {
-            play.accept(List.of(buffer(Arrays.copyOf(bytes, cut)),
-                    buffer(Arrays.copyOfRange(bytes, cut, bytes.length))));
-        }
-    }
+  }
+
+  public static String read(String id, String more) {
+    return "SELECT val FROM state WHERE uid = 'k1' /* id="
+        + id
+        + ",c=pass,t=acme,cluster=2"
+        + more
+        + " */";
+  }
+
+  public static String write(String id, String more) {
+    return "INSERT INTO state (uid, val) VALUES ('k1', '\\x9f03') RETURNING val /* id="
+        + id
+        + ",c=pay,t=acme,cluster=2"
+        + more
+        + " */";
+  }
+
+  /** The types of whole messages, an error's with its code: "T D C E(53300) Z". */
+  public static String types(byte[] bytes) {
+    StringBuilder types = new StringBuilder();
+    for (int at = 0; at < bytes.length; ) {
+      char type = (char) bytes[at];
+      types.append(types.length() == 0 ? "" : " ").append(type);
+      int length =
+          (bytes[at + 1] & 255) << 24
+              | (bytes[at + 2] & 255) << 16
+              | (bytes[at + 3] & 255) << 8
+              | bytes[at + 4] & 255;
+      if (type == 'E') {
+        String body = new String(bytes, at + 5, length - 4, StandardCharsets.UTF_8);
+        types.append('(').append(body, body.indexOf("\0C") + 2, body.indexOf("\0M")).append(')');
+      }
+      at += 1 + length;
+    }
+    return types.toString();
+  }
+
+  /** Hands the bytes over in one piece, then byte by byte, then cut in two at every place. */
+  static void everyWay(byte[] bytes, Consumer<List<ByteBuf>> play) {
+    play.accept(List.of(buffer(bytes)));
+    List<ByteBuf> single = new ArrayList<>();
+    for (byte each : bytes) {
+      single.add(buffer(new byte[] {each}));
+    }
+    play.accept(single);
+    for (int cut = 1; cut < bytes.length; cut++) {
+      play.accept(
+          List.of(
+              buffer(Arrays.copyOf(bytes, cut)),
+              buffer(Arrays.copyOfRange(bytes, cut, bytes.length))));
+    }
+  }
 }
--- a/router/src/test/java/rushwood/wire/SqlStatementTest.java
+++ b/router/src/test/java/rushwood/wire/SqlStatementTest.java
@@ -12,89 +12,92 @@
 import rushwood.api.Access;
 
 class SqlStatementTest {
-    private static final long MS = 1_000_000L;
+  private static final long MS = 1_000_000L;
 
-    @AfterEach
-    void released() {
-        Bytes.allReleased();
-    }
+  @AfterEach
+  void released() {
+    Bytes.allReleased();
+  }
 
-    private static SqlStatement read(String text) throws Fault {
-        ByteBuf buffer = Bytes.buffer(text.getBytes(StandardCharsets.UTF_8));
-        try {
-            return new SqlStatement(buffer, Bytes.PRODUCTS);
-        } finally {
-            buffer.release();
-        }
+  private static SqlStatement read(String text) throws Fault {
+    ByteBuf buffer = Bytes.buffer(text.getBytes(StandardCharsets.UTF_8));
+    try {
+      return new SqlStatement(buffer, Bytes.PRODUCTS);
+    } finally {
+      buffer.release();
     }
+  }
 
-    private static void bad(String state, String text) {
-        Fault fault = assertThrows(Fault.class, () -> read(text));
-        assertEquals(state, fault.state, text);
-        assertEquals(false, fault.fatal);
-    }
+  private static void bad(String state, String text) {
+    Fault fault = assertThrows(Fault.class, () -> read(text));
+    assertEquals(state, fault.state, text);
+    assertEquals(false, fault.fatal);
+  }
 
-    @Test
-    void whatTheModuleHears() throws Fault {
-        SqlStatement statement = read("SELECT val FROM state WHERE uid = 's7' "
+  @Test
+  void whatTheModuleHears() throws Fault {
+    SqlStatement statement =
+        read(
+            "SELECT val FROM state WHERE uid = 's7' "
                 + "/* id=9b1f,c=mine,t=acme,d=480,cluster=2,after=1767225600123,r=1 */");
-        long now = 1767225601000L * MS;
-        Access access = statement.access(now, now - 100 * MS, Long.MAX_VALUE);
-        assertEquals("9b1f", access.id().value());
-        assertEquals("mine", access.product().name());
-        assertEquals("s7", access.session().value());
-        assertEquals(2, access.group().value());
-        assertEquals(now + 380 * MS, access.due(), "counted from when it came");
-        assertEquals(877 * MS, access.sinceWrite());
-        assertEquals(now + 9, statement.access(now, now, now + 9).due(), "no longer than this router is there");
-        statement.release();
-    }
+    long now = 1767225601000L * MS;
+    Access access = statement.access(now, now - 100 * MS, Long.MAX_VALUE);
+    assertEquals("9b1f", access.id().value());
+    assertEquals("mine", access.product().name());
+    assertEquals("s7", access.session().value());
+    assertEquals(2, access.group().value());
+    assertEquals(now + 380 * MS, access.due(), "counted from when it came");
+    assertEquals(877 * MS, access.sinceWrite());
+    assertEquals(
+        now + 9, statement.access(now, now, now + 9).due(), "no longer than this router is there");
+    statement.release();
+  }
 
-    @Test
-    void readsWithoutSessionsNameNone() throws Fault {
-        SqlStatement statement = read(Bytes.read("a", ",d=480"));
-        assertNull(statement.access(0, 0, 1).session());
-        assertEquals(0, statement.access(0, 0, 1).sinceWrite());
-        statement.release();
-    }
+  @Test
+  void readsWithoutSessionsNameNone() throws Fault {
+    SqlStatement statement = read(Bytes.read("a", ",d=480"));
+    assertNull(statement.access(0, 0, 1).session());
+    assertEquals(0, statement.access(0, 0, 1).sinceWrite());
+    statement.release();
+  }
 
-    @Test
-    void onlyTheTimeChanges() throws Fault {
-        for (String time : new String[] {"7", "480", "12000"}) {
-            SqlStatement statement = read(Bytes.write("a", ",d=480,after=5"));
-            byte[] message = Bytes.take(statement.message(Long.parseLong(time)));
-            assertArrayEquals(Bytes.query(Bytes.write("a", ",d=" + time + ",after=5")), message);
-            statement.release();
-        }
+  @Test
+  void onlyTheTimeChanges() throws Fault {
+    for (String time : new String[] {"7", "480", "12000"}) {
+      SqlStatement statement = read(Bytes.write("a", ",d=480,after=5"));
+      byte[] message = Bytes.take(statement.message(Long.parseLong(time)));
+      assertArrayEquals(Bytes.query(Bytes.write("a", ",d=" + time + ",after=5")), message);
+      statement.release();
     }
+  }
 
-    @Test
-    void faults() {
-        bad("42601", Bytes.read("a", ""));
-        bad("42601", Bytes.read("a", ",d=1,d=2"));
-        bad("42601", Bytes.read("", ",d=1"));
-        bad("42601", Bytes.read("a", ",d=1,x"));
-        bad("42601", "SELECT val FROM state /* id=a,c=pass,d=1,cluster=2 */");
-        bad("42601", "/* id=a,c=pass,d=1 */");
-        bad("42601", "*/");
-        bad("42601", Bytes.read("a", ",d=1") + ";");
-        bad("42601", Bytes.read("a", ",d=1").replace("state", "other"));
-        bad("42601", Bytes.read("a", ",d=1").replace("k1", "k'1"));
-        bad("42601", Bytes.read("a", ",d=1").replace("k1", ""));
-        bad("42601", Bytes.read("a", ",d=1").replace("k1", "k\u00e9"));
-        bad("42601", Bytes.read("a", ",d=1,x=a\nb"));
-        bad("42601", Bytes.read("a", ",d=1").replace(" */", " */ -- */"));
-        bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9f0"));
-        bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9g03"));
-        bad("42601", Bytes.write("a", ",d=1").replace("RETURNING val ", ""));
-        bad("22023", Bytes.read("a", ",d=3600001"));
-        bad("22023", Bytes.read("a", ",d=0"));
-        bad("22023", Bytes.read("a", ",d=-1"));
-        bad("22023", Bytes.read("a", ",d=99999999999"));
-        bad("22023", Bytes.read("a", ",d=1,after=x"));
-        bad("22023", Bytes.read("a", ",d=1").replace("c=pass", "c=none"));
-        bad("22023", Bytes.read("a", ",d=1").replace("c=pass", "c=pay"));
-        bad("22023", Bytes.read("a", ",d=1").replace("cluster=2", "cluster=two"));
-        bad("22023", Bytes.read("a".repeat(200), ",d=1"));
-    }
+  @Test
+  void faults() {
+    bad("42601", Bytes.read("a", ""));
+    bad("42601", Bytes.read("a", ",d=1,d=2"));
+    bad("42601", Bytes.read("", ",d=1"));
+    bad("42601", Bytes.read("a", ",d=1,x"));
+    bad("42601", "SELECT val FROM state /* id=a,c=pass,d=1,cluster=2 */");
+    bad("42601", "/* id=a,c=pass,d=1 */");
+    bad("42601", "*/");
+    bad("42601", Bytes.read("a", ",d=1") + ";");
+    bad("42601", Bytes.read("a", ",d=1").replace("state", "other"));
+    bad("42601", Bytes.read("a", ",d=1").replace("k1", "k'1"));
+    bad("42601", Bytes.read("a", ",d=1").replace("k1", ""));
+    bad("42601", Bytes.read("a", ",d=1").replace("k1", "k\u00e9"));
+    bad("42601", Bytes.read("a", ",d=1,x=a\nb"));
+    bad("42601", Bytes.read("a", ",d=1").replace(" */", " */ -- */"));
+    bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9f0"));
+    bad("42601", Bytes.write("a", ",d=1").replace("9f03", "9g03"));
+    bad("42601", Bytes.write("a", ",d=1").replace("RETURNING val ", ""));
+    bad("22023", Bytes.read("a", ",d=3600001"));
+    bad("22023", Bytes.read("a", ",d=0"));
+    bad("22023", Bytes.read("a", ",d=-1"));
+    bad("22023", Bytes.read("a", ",d=99999999999"));
+    bad("22023", Bytes.read("a", ",d=1,after=x"));
+    bad("22023", Bytes.read("a", ",d=1").replace("c=pass", "c=none"));
+    bad("22023", Bytes.read("a", ",d=1").replace("c=pass", "c=pay"));
+    bad("22023", Bytes.read("a", ",d=1").replace("cluster=2", "cluster=two"));
+    bad("22023", Bytes.read("a".repeat(200), ",d=1"));
+  }
 }
