--- a/lab/src/main/java/rushwood/lab/load/StormCost.java
+++ b/lab/src/main/java/rushwood/lab/load/StormCost.java
@@ -13,21 +13,21 @@
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Crowd;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.Product;
-import rushwood.api.Settings;
-import rushwood.api.ShotEnd;
+import rushwood.api.OverloadSignals;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
-import rushwood.decision.Choice;
+import rushwood.policy.DefaultRoutingPolicy;
 import rushwood.storm.Calendar;
 import rushwood.storm.Dials;
 import rushwood.storm.Repeats;
@@ -48,23 +48,23 @@
   private static final long MS = 1_000_000L;
   private static final HostId HOST = new HostId("a");
   private static final GroupId GROUP = new GroupId(1);
-  private static final Product ANY =
-      new Product(
+  private static final RequestClass ANY =
+      new RequestClass(
           "any",
           0,
           400 * MS,
-          Product.Effect.REDOABLE,
-          Product.Scope.EVERYWHERE,
+          RequestClass.Idempotency.IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
           0,
-          Product.Need.ANY,
+          RequestClass.Consistency.EVENTUAL,
           0,
           0);
-  private static final Settings SETTINGS =
-      new Settings(
+  private static final RoutingSettings SETTINGS =
+      new RoutingSettings(
           1,
           List.of(ANY),
           false,
-          Settings.Behind.TURNS_AWAY,
+          RoutingSettings.LaggingReadBehavior.REJECTS,
           false,
           false,
           false,
@@ -82,33 +82,33 @@
 
   private final Repeats repeats = new Repeats(1 << 14, 1000 * MS);
   private final Calendar calendar = new Calendar(500 * MS);
-  private Decisions alone;
-  private Decisions behind;
+  private RoutingPolicy alone;
+  private RoutingPolicy behind;
   private long now = 1_000_000 * MS;
   private long number;
 
   /** Hears everything and does nothing. */
-  private static final class Nothing implements Outlet {
+  private static final class Nothing implements PolicyActions {
     @Override
-    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {}
+    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {}
 
     @Override
-    public void withdraw(AccessId access, int shot) {}
+    public void cancel(RequestId access, int shot) {}
 
     @Override
-    public void turnBack(AccessId access, long advice) {}
+    public void reject(RequestId access, long advice) {}
 
     @Override
-    public void giveUp(AccessId access) {}
+    public void fail(RequestId access) {}
 
     @Override
     public void probe(HostId host) {}
 
     @Override
-    public void wake(long at) {}
+    public void wakeAt(long at) {}
 
     @Override
-    public void subscribe() {}
+    public void subscribeToEndpoints() {}
 
     @Override
     public void log(String line) {}
@@ -116,31 +116,39 @@
 
   @Setup
   public void start() {
-    alone = new Choice(SETTINGS, new SplittableRandom(1), new Nothing(), Crowd.plain(SETTINGS));
+    alone =
+        new DefaultRoutingPolicy(
+            SETTINGS,
+            new SplittableRandom(1),
+            new Nothing(),
+            OverloadSignals.withoutOverloadControl(SETTINGS));
     behind =
         new Storm(
             SETTINGS,
             StormSettings.DEFAULT,
             new Dials(new SplittableRandom(1), true),
             new Nothing(),
-            (crowd, outlet) -> new Choice(SETTINGS, new SplittableRandom(1), outlet, crowd));
-    for (Decisions each : List.of(alone, behind)) {
-      each.listed(
+            (crowd, outlet) ->
+                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), outlet, crowd));
+    for (RoutingPolicy each : List.of(alone, behind)) {
+      each.endpointsReplaced(
           now,
-          List.of(
-              new ListedHost(HOST, GROUP, new ZoneId(""), 1, 0, true, ListedHost.State.IN_SERVICE)),
+          List.of(new Endpoint(HOST, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
           true);
     }
     calendar.expect(1000);
   }
 
-  private void access(Decisions decisions) {
+  private void access(RoutingPolicy decisions) {
     now += MS;
-    AccessId id = new AccessId(Long.toString(number++));
-    decisions.arrived(now, new Access(id, ANY, null, GROUP, now + 1000 * MS, 0, number, 0));
-    decisions.answered(
-        now, new Answer(id, 0, HOST, ShotEnd.FULFILLED, MS, true, null, -1, LoadReport.NONE));
-    decisions.woken(now);
+    RequestId id = new RequestId(Long.toString(number++));
+    decisions.requestReceived(
+        now, new Request(id, ANY, null, GROUP, now + 1000 * MS, 0, number, 0));
+    decisions.attemptFinished(
+        now,
+        new AttemptResult(
+            id, 0, HOST, AttemptOutcome.SUCCESS, MS, true, null, -1, LoadReport.NONE));
+    decisions.timerFired(now);
   }
 
   @Benchmark
--- a/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
+++ b/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
@@ -11,22 +11,21 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.Product;
-import rushwood.api.Product.Effect;
-import rushwood.api.Product.Need;
-import rushwood.api.Settings;
-import rushwood.api.ShotEnd;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RequestClass.Idempotency;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
-import rushwood.decision.Choice;
 import rushwood.lab.load.Experiment;
 import rushwood.lab.load.Result;
 import rushwood.lab.load.RouterSettings;
@@ -35,6 +34,7 @@
 import rushwood.lab.model.Manners;
 import rushwood.lifecycle.BadConfig;
 import rushwood.lifecycle.Config;
+import rushwood.policy.DefaultRoutingPolicy;
 import rushwood.storm.Dials;
 import rushwood.storm.Storm;
 import rushwood.storm.StormSettings;
@@ -53,7 +53,7 @@
   private final Events events = new Events(START);
   private final Result result;
   private final Ledger ledger = new Ledger();
-  private final Settings settings;
+  private final RoutingSettings settings;
   private final Map<HostId, Host> hosts = new LinkedHashMap<>();
   private final List<Router> routers = new ArrayList<>();
   private final StormSettings storm;
@@ -100,7 +100,7 @@
     }
     int number = 0;
     for (Experiment.Crowd crowd : experiment.clients()) {
-      Product product = Product.named(settings.products(), crowd.product());
+      RequestClass product = RequestClass.findByName(settings.requestClasses(), crowd.product());
       SplittableRandom chance = new SplittableRandom(experiment.seed() + number);
       for (int i = 0; i < crowd.count(); i++) {
         Client client = new Client(number++, crowd, product, chance);
@@ -178,7 +178,7 @@
       case "wake" -> host.model.hang(false);
       case "list" ->
           routers.forEach(
-              each -> each.tell(() -> each.decisions.listChanged(events.now(), list())));
+              each -> each.tell(() -> each.decisions.endpointsUpdated(events.now(), list())));
       default ->
           throw new IllegalArgumentException(event.what() + " is not played in virtual time");
     }
@@ -187,21 +187,22 @@
   private void die(Host host) {
     host.model.die();
     List.copyOf(host.out)
-        .forEach(shot -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.BROKEN)));
+        .forEach(
+            shot -> events.at(events.now() + WAY, () -> shot.end(AttemptOutcome.CONNECTION_LOST)));
   }
 
-  private List<ListedHost> list() {
+  private List<Endpoint> list() {
     return hosts.entrySet().stream()
         .map(
             each ->
-                new ListedHost(
+                new Endpoint(
                     each.getKey(),
                     new GroupId(each.getValue().kind.group()),
                     new ZoneId("a"),
                     1,
                     each.getValue().startedMillis * MS,
                     each.getValue().model.isPrimary(),
-                    ListedHost.State.IN_SERVICE))
+                    Endpoint.State.READY))
         .toList();
   }
 
@@ -222,27 +223,27 @@
       number = open.shots.size();
     }
 
-    void end(ShotEnd end) {
+    void end(AttemptOutcome end) {
       if (over) {
         return;
       }
       over = true;
       Host at = hosts.get(host);
       at.out.remove(this);
-      boolean answered = end.hostAnswered();
-      boolean write = open.access.product().need() == Need.WRITE;
+      boolean answered = end.isHostResponse();
+      boolean write = open.access.requestClass().consistency() == Consistency.WRITE;
       Boolean primary = answered ? (Boolean) at.model.isPrimary() : null;
       long position = answered ? at.model.position(events.now()) : -1;
-      if (end == ShotEnd.FULFILLED && open.client != null) {
+      if (end == AttemptOutcome.SUCCESS && open.client != null) {
         Client client = open.client;
         open.client = null;
         client.fulfilled();
       }
       router.tell(
           () -> {
-            router.decisions.answered(
+            router.decisions.attemptFinished(
                 events.now(),
-                new Answer(
+                new AttemptResult(
                     open.access.id(),
                     number,
                     host,
@@ -250,7 +251,7 @@
                     events.now() - sentAt,
                     open.client == null,
                     primary,
-                    write && end == ShotEnd.FULFILLED ? events.now() : position,
+                    write && end == AttemptOutcome.SUCCESS ? events.now() : position,
                     LoadReport.NONE));
             router.forget(open);
           });
@@ -258,21 +259,21 @@
   }
 
   private static final class Open {
-    final Access access;
+    final Request access;
     final List<Shot> shots = new ArrayList<>();
     Client client;
 
-    Open(Access access, Client client) {
+    Open(Request access, Client client) {
       this.access = access;
       this.client = client;
     }
   }
 
-  private final class Router implements Outlet {
-    private final Map<AccessId, Open> opens = new HashMap<>();
+  private final class Router implements PolicyActions {
+    private final Map<RequestId, Open> opens = new HashMap<>();
     private final Deque<Runnable> calls = new ArrayDeque<>();
     private final Dials paced;
-    private final Decisions decisions;
+    private final RoutingPolicy decisions;
     private boolean telling;
     private long wakeAt = Long.MAX_VALUE;
 
@@ -281,14 +282,14 @@
       SplittableRandom chance = new SplittableRandom(seed);
       decisions =
           storm == null
-              ? new Choice(settings, chance, this)
+              ? new DefaultRoutingPolicy(settings, chance, this)
               : new Storm(
                   settings,
                   storm,
                   paced,
                   this,
-                  (crowd, out) -> new Choice(settings, chance, out, crowd));
-      tell(() -> decisions.listed(events.now(), list(), true));
+                  (crowd, out) -> new DefaultRoutingPolicy(settings, chance, out, crowd));
+      tell(() -> decisions.endpointsReplaced(events.now(), list(), true));
     }
 
     void tell(Runnable call) {
@@ -302,19 +303,19 @@
       }
     }
 
-    void arrived(Access access, Client client) {
+    void arrived(Request access, Client client) {
       Open open = new Open(access, client);
       opens.put(access.id(), open);
-      tell(() -> decisions.arrived(events.now(), access));
+      tell(() -> decisions.requestReceived(events.now(), access));
     }
 
-    void left(AccessId id) {
+    void left(RequestId id) {
       Open open = opens.get(id);
       if (open != null && open.client != null) {
         open.client = null;
         tell(
             () -> {
-              decisions.left(events.now(), id);
+              decisions.clientDisconnected(events.now(), id);
               forget(open);
             });
       }
@@ -327,7 +328,7 @@
     }
 
     @Override
-    public void send(AccessId id, HostId to, long timeOut, long beginWithin) {
+    public void send(RequestId id, HostId to, long timeOut, long beginWithin) {
       Open open = opens.get(id);
       Shot shot = new Shot(this, open, to);
       open.shots.add(shot);
@@ -341,26 +342,28 @@
               events.now() + 2 * WAY,
               () -> {
                 paced.failed(to, events.now());
-                shot.end(ShotEnd.UNREACHED);
+                shot.end(AttemptOutcome.CONNECT_FAILED);
               });
         } else {
-          calls.add(() -> shot.end(ShotEnd.UNSENT));
+          calls.add(() -> shot.end(AttemptOutcome.NOT_SENT));
         }
         return;
       }
       paced.begun(to);
       paced.opened(to);
       host.out.add(shot);
-      events.at(events.now() + timeOut, () -> shot.end(ShotEnd.EXPIRED));
+      events.at(events.now() + timeOut, () -> shot.end(AttemptOutcome.TIMED_OUT));
       events.at(events.now() + WAY, () -> reach(host, shot));
     }
 
     private void reach(Host host, Shot shot) {
-      Access access = shot.open.access;
-      boolean write = access.product().need() == Need.WRITE;
+      Request access = shot.open.access;
+      boolean write = access.requestClass().consistency() == Consistency.WRITE;
       HostModel.Reply reply =
           host.model.offer(
-              events.now(), write, access.product().need() == Need.ANY ? -1 : 500 * MS);
+              events.now(),
+              write,
+              access.requestClass().consistency() == Consistency.EVENTUAL ? -1 : 500 * MS);
       int life = host.model.life();
       switch (reply.verdict()) {
         case SILENT -> {
@@ -368,32 +371,32 @@
             die(host);
           }
         }
-        case OVERFULL -> events.at(events.now() + WAY, () -> shot.end(ShotEnd.OVERFULL));
+        case OVERFULL -> events.at(events.now() + WAY, () -> shot.end(AttemptOutcome.OVERLOADED));
         case NOT_PRIMARY, TOO_FAR_BEHIND ->
-            events.at(events.now() + WAY, () -> shot.end(ShotEnd.BEHIND));
+            events.at(events.now() + WAY, () -> shot.end(AttemptOutcome.REPLICA_LAGGING));
         case TAKEN ->
             events.at(
                 reply.doneAt(),
                 () -> {
                   if (host.model.life() == life) {
                     if (write) {
-                      ledger.ran((int) access.mark(), access.id().value());
+                      ledger.ran((int) access.fingerprint(), access.id().value());
                     }
-                    events.at(events.now() + WAY, () -> shot.end(ShotEnd.FULFILLED));
+                    events.at(events.now() + WAY, () -> shot.end(AttemptOutcome.SUCCESS));
                   }
                 });
       }
     }
 
     @Override
-    public void withdraw(AccessId id, int shot) {
+    public void cancel(RequestId id, int shot) {
       Open open = opens.get(id);
       if (open != null) {
-        calls.add(() -> open.shots.get(shot).end(ShotEnd.WITHDRAWN));
+        calls.add(() -> open.shots.get(shot).end(AttemptOutcome.CANCELLED));
       }
     }
 
-    private Client over(AccessId id) {
+    private Client over(RequestId id) {
       Open open = opens.get(id);
       Client client = open == null ? null : open.client;
       if (client != null) {
@@ -404,7 +407,7 @@
     }
 
     @Override
-    public void turnBack(AccessId id, long advice) {
+    public void reject(RequestId id, long advice) {
       Client client = over(id);
       if (client != null) {
         events.at(events.now() + WAY, () -> client.turnedBack(advice));
@@ -412,7 +415,7 @@
     }
 
     @Override
-    public void giveUp(AccessId id) {
+    public void fail(RequestId id) {
       Client client = over(id);
       if (client != null) {
         events.at(events.now() + WAY, client::failed);
@@ -431,12 +434,12 @@
                 up
                     ? new LoadReport(model.position(events.now()), model.isPrimary())
                     : LoadReport.NONE;
-            tell(() -> decisions.probed(events.now(), id, up, report));
+            tell(() -> decisions.probeFinished(events.now(), id, up, report));
           });
     }
 
     @Override
-    public void wake(long at) {
+    public void wakeAt(long at) {
       if (at < wakeAt) {
         wakeAt = at;
         events.at(
@@ -444,14 +447,14 @@
             () -> {
               if (wakeAt == at) {
                 wakeAt = Long.MAX_VALUE;
-                tell(() -> decisions.woken(events.now()));
+                tell(() -> decisions.timerFired(events.now()));
               }
             });
       }
     }
 
     @Override
-    public void subscribe() {
+    public void subscribeToEndpoints() {
       // the list is there
     }
 
@@ -468,7 +471,7 @@
   private final class Client {
     private final int number;
     private final Experiment.Crowd kind;
-    private final Product product;
+    private final RequestClass product;
     private final SplittableRandom chance;
     private final Manners manners;
     private final Router router;
@@ -476,7 +479,7 @@
     private int tried;
     private boolean answered;
 
-    Client(int number, Experiment.Crowd kind, Product product, SplittableRandom chance) {
+    Client(int number, Experiment.Crowd kind, RequestClass product, SplittableRandom chance) {
       this.number = number;
       this.kind = kind;
       this.product = product;
@@ -493,12 +496,12 @@
       result.count("tries", events.now() - START, 1);
       int mine = tried;
       long due = events.now() + nanos(kind.outer());
-      AccessId id = new AccessId(number + "-" + tried);
+      RequestId id = new RequestId(number + "-" + tried);
       events.at(
           events.now() + WAY,
           () ->
               router.arrived(
-                  new Access(
+                  new Request(
                       id, product, null, new GroupId(kind.group()), due - WAY, 0, number + 1L, 0),
                   this));
       events.at(
@@ -540,7 +543,7 @@
     }
 
     private void lost() {
-      if (product.effect() == Effect.IRREVERSIBLE) {
+      if (product.idempotency() == Idempotency.NON_IDEMPOTENT) {
         inDoubt++;
         waiting--;
       } else {
--- a/router/src/main/java/rushwood/adapter/Adapter.java
+++ b/router/src/main/java/rushwood/adapter/Adapter.java
@@ -11,16 +11,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Product;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
 import rushwood.api.SessionId;
-import rushwood.api.ShotEnd;
 import rushwood.api.ZoneId;
 
 /** Reads batches, hands each event to its router and writes the reply. */
@@ -29,7 +29,7 @@
 
   private final BufferedReader in;
   private final Map<Integer, Instance> instances = new LinkedHashMap<>();
-  private final Map<Integer, List<ListedHost>> pages = new LinkedHashMap<>();
+  private final Map<Integer, List<Endpoint>> pages = new LinkedHashMap<>();
   private final Map<Integer, Instance> touched = new LinkedHashMap<>();
   private long number;
   private long now;
@@ -127,15 +127,19 @@
         touched.remove(target);
       }
       case "topology" -> list(line);
-      case "work_item" -> instance(line).decisions.arrived(now, access(line));
-      case "report_back" -> instance(line).decisions.answered(now, answer(line));
-      case "lapsed" -> instance(line).decisions.left(now, new AccessId(line.need("id")));
+      case "work_item" -> instance(line).decisions.requestReceived(now, access(line));
+      case "report_back" -> instance(line).decisions.attemptFinished(now, answer(line));
+      case "lapsed" ->
+          instance(line).decisions.clientDisconnected(now, new RequestId(line.need("id")));
       case "status_back" ->
           instance(line)
               .decisions
-              .probed(
-                  now, new HostId(line.need("host")), end(line) == ShotEnd.FULFILLED, report(line));
-      case "due" -> instance(line).decisions.woken(now);
+              .probeFinished(
+                  now,
+                  new HostId(line.need("host")),
+                  end(line) == AttemptOutcome.SUCCESS,
+                  report(line));
+      case "due" -> instance(line).decisions.timerFired(now);
       case "accepted", "from_peer" -> instance(line);
       default -> throw line.bad("message", "is unknown");
     }
@@ -159,8 +163,8 @@
     touched.put(target, instance);
   }
 
-  private List<ListedHost> rows(int count) throws IOException {
-    List<ListedHost> hosts = new ArrayList<>();
+  private List<Endpoint> rows(int count) throws IOException {
+    List<Endpoint> hosts = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       Line row = more();
       if (!row.message().equals("row")) {
@@ -171,7 +175,7 @@
       String weight = row.find("nominal");
       String leads = row.find("leads");
       hosts.add(
-          new ListedHost(
+          new Endpoint(
               new HostId(row.need("host")),
               new GroupId(group == null ? -1 : row.whole("group")),
               new ZoneId(row.find("hall") == null ? "" : row.find("hall")),
@@ -183,11 +187,11 @@
     return hosts;
   }
 
-  private static ListedHost.State state(Line row) {
+  private static Endpoint.State state(Line row) {
     return switch (row.need("stage_state")) {
-      case "in_service" -> ListedHost.State.IN_SERVICE;
-      case "terminating" -> ListedHost.State.DRAINING;
-      case "terminated" -> ListedHost.State.GONE;
+      case "in_service" -> Endpoint.State.READY;
+      case "terminating" -> Endpoint.State.DRAINING;
+      case "terminated" -> Endpoint.State.REMOVED;
       default -> throw row.bad("stage_state", "is unknown");
     };
   }
@@ -196,30 +200,30 @@
     Instance instance = instance(line);
     String how = line.need("how");
     if (how.equals("error")) {
-      instance.decisions.listFailed(now);
+      instance.decisions.endpointRefreshFailed(now);
       return;
     }
-    List<ListedHost> hosts = pages.get(line.whole("page"));
+    List<Endpoint> hosts = pages.get(line.whole("page"));
     if (hosts == null) {
       throw line.bad("page", "names no list");
     }
     switch (how) {
-      case "diff" -> instance.decisions.listChanged(now, hosts);
-      case "snapshot" -> instance.decisions.listed(now, hosts, false);
-      case "disk" -> instance.decisions.listed(now, hosts, true);
+      case "diff" -> instance.decisions.endpointsUpdated(now, hosts);
+      case "snapshot" -> instance.decisions.endpointsReplaced(now, hosts, false);
+      case "disk" -> instance.decisions.endpointsReplaced(now, hosts, true);
       default -> throw line.bad("how", "is unknown");
     }
   }
 
-  private Access access(Line line) {
+  private Request access(Line line) {
     String kind = line.need("kind");
-    Product product = Product.named(instance(line).settings.products(), kind);
+    RequestClass product = RequestClass.findByName(instance(line).settings.requestClasses(), kind);
     if (product == null) {
       throw line.bad("kind", "is unknown: " + kind);
     }
     String session = line.find("sess");
-    return new Access(
-        new AccessId(line.need("id")),
+    return new Request(
+        new RequestId(line.need("id")),
         product,
         session == null ? null : new SessionId(session),
         new GroupId(line.find("cluster") == null ? -1 : line.whole("cluster")),
@@ -227,7 +231,7 @@
         line.find("token_ms") == null ? 0 : Math.round(line.number("token_ms") * 1e6));
   }
 
-  private Answer answer(Line line) {
+  private AttemptResult answer(Line line) {
     Boolean primary = null;
     long position = -1;
     if (line.find("stamp") != null) {
@@ -237,8 +241,8 @@
         position = instance(line).positionZero + stamp / 4 * 1_000_000L;
       }
     }
-    return new Answer(
-        new AccessId(line.need("id")),
+    return new AttemptResult(
+        new RequestId(line.need("id")),
         line.whole("try"),
         new HostId(line.need("host")),
         end(line),
@@ -249,17 +253,17 @@
         report(line));
   }
 
-  private static ShotEnd end(Line line) {
+  private static AttemptOutcome end(Line line) {
     return switch (line.need("rc")) {
-      case "delivered" -> ShotEnd.FULFILLED;
-      case "app_error" -> ShotEnd.ERROR;
-      case "shed" -> ShotEnd.OVERFULL;
-      case "expired" -> ShotEnd.EXPIRED;
-      case "dial_failed" -> ShotEnd.UNREACHED;
-      case "dropped" -> ShotEnd.BROKEN;
-      case "revoked" -> ShotEnd.WITHDRAWN;
-      case "unused" -> ShotEnd.UNSENT;
-      case "empty" -> ShotEnd.BEHIND;
+      case "delivered" -> AttemptOutcome.SUCCESS;
+      case "app_error" -> AttemptOutcome.ERROR;
+      case "shed" -> AttemptOutcome.OVERLOADED;
+      case "expired" -> AttemptOutcome.TIMED_OUT;
+      case "dial_failed" -> AttemptOutcome.CONNECT_FAILED;
+      case "dropped" -> AttemptOutcome.CONNECTION_LOST;
+      case "revoked" -> AttemptOutcome.CANCELLED;
+      case "unused" -> AttemptOutcome.NOT_SENT;
+      case "empty" -> AttemptOutcome.REPLICA_LAGGING;
       default -> throw line.bad("rc", "is unknown");
     };
   }
--- a/router/src/main/java/rushwood/adapter/Conf.java
+++ b/router/src/main/java/rushwood/adapter/Conf.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
-import rushwood.api.Product;
-import rushwood.api.Settings;
+import rushwood.api.RequestClass;
+import rushwood.api.RoutingSettings;
 
 /** Decodes the settings of a start, given as pairs of path and value. */
 public final class Conf {
@@ -18,10 +18,10 @@
     this.bad = bad;
   }
 
-  public Settings settings() {
+  public RoutingSettings settings() {
     boolean reports = !pairs.getOrDefault("load_report.how", "off").equals("off");
     boolean remembers = pairs.getOrDefault("domain.token_mode", "client").equals("router");
-    return new Settings(
+    return new RoutingSettings(
         (int) number("n_instances"),
         products(),
         one("discovery", "automatic", "subscribe") == 1,
@@ -47,23 +47,25 @@
     return pairs.containsKey("domain.position_zero") ? time("domain.position_zero") : 0;
   }
 
-  private Settings.Behind behind() {
+  private RoutingSettings.LaggingReadBehavior behind() {
     boolean told = pairs.containsKey("domain.behind");
-    return Settings.Behind.values()[told ? one("domain.behind", "off", "reject", "hold") : 0];
+    return RoutingSettings.LaggingReadBehavior.values()[
+        told ? one("domain.behind", "off", "reject", "hold") : 0];
   }
 
-  private List<Product> products() {
+  private List<RequestClass> products() {
     String[] needs = pairs.getOrDefault("domain.needs_by_class", "").split(",");
     String[] bounds = pairs.getOrDefault("domain.lag_allowed", "").split(",");
-    List<Product> products = new ArrayList<>();
+    List<RequestClass> products = new ArrayList<>();
     for (int i = 0; i < count("classes.count"); i++) {
       String at = "classes." + i + ".";
       products.add(
-          new Product(
+          new RequestClass(
               text(at + "name"),
               i,
               time(at + "aim"),
-              Product.Effect.values()[one(at + "semantics", "repeatable", "by_key", "once")],
+              RequestClass.Idempotency.values()[
+                  one(at + "semantics", "repeatable", "by_key", "once")],
               scope(at),
               time(at + "window"),
               need(i < needs.length ? needs[i] : ""),
@@ -88,17 +90,17 @@
         : Decimal.nanos(text, () -> bad.apply("domain.lag_allowed", "is no list of times"));
   }
 
-  private Product.Scope scope(String at) {
-    return Product.Scope.values()[one(at + "key_scope", "all", "zone", "cell")];
+  private RequestClass.KeyScope scope(String at) {
+    return RequestClass.KeyScope.values()[one(at + "key_scope", "all", "zone", "cell")];
   }
 
-  private Product.Need need(String word) {
+  private RequestClass.Consistency need(String word) {
     return switch (word) {
-      case "update" -> Product.Need.WRITE;
-      case "latest" -> Product.Need.CURRENT;
-      case "own_writes" -> Product.Need.SESSION;
-      case "recent" -> Product.Need.BOUNDED;
-      case "loose", "" -> Product.Need.ANY;
+      case "update" -> RequestClass.Consistency.WRITE;
+      case "latest" -> RequestClass.Consistency.STRONG;
+      case "own_writes" -> RequestClass.Consistency.READ_YOUR_WRITES;
+      case "recent" -> RequestClass.Consistency.BOUNDED_STALENESS;
+      case "loose", "" -> RequestClass.Consistency.EVENTUAL;
       default -> throw bad.apply("domain.needs_by_class", "has the unknown word " + word);
     };
   }
--- a/router/src/main/java/rushwood/adapter/Instance.java
+++ b/router/src/main/java/rushwood/adapter/Instance.java
@@ -1,28 +1,28 @@
 package rushwood.adapter;
 
 import java.util.SplittableRandom;
-import rushwood.api.AccessId;
-import rushwood.api.Decisions;
 import rushwood.api.HostId;
-import rushwood.api.Outlet;
-import rushwood.api.Settings;
-import rushwood.decision.Choice;
+import rushwood.api.PolicyActions;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
+import rushwood.policy.DefaultRoutingPolicy;
 
 /** One router behind the wire: its decisions, and the lines of its part of the reply. */
-final class Instance implements Outlet {
+final class Instance implements PolicyActions {
   final StringBuilder lines = new StringBuilder();
-  final Settings settings;
+  final RoutingSettings settings;
   final long positionZero;
-  final Decisions decisions;
+  final RoutingPolicy decisions;
 
   Instance(Conf conf, long seed) {
     settings = conf.settings();
     positionZero = conf.positionZero();
-    decisions = new Choice(settings, new SplittableRandom(seed), this);
+    decisions = new DefaultRoutingPolicy(settings, new SplittableRandom(seed), this);
   }
 
   @Override
-  public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
+  public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
     lines.append("route\tid=").append(access.value()).append("\thost=").append(host.value());
     lines.append("\tcap=");
     Decimal.write(lines, timeOut);
@@ -30,12 +30,12 @@
   }
 
   @Override
-  public void withdraw(AccessId access, int shot) {
+  public void cancel(RequestId access, int shot) {
     lines.append("retract\tid=").append(access.value()).append("\ttry=").append(shot).append('\n');
   }
 
   @Override
-  public void turnBack(AccessId access, long advice) {
+  public void reject(RequestId access, long advice) {
     lines.append("bounce\tid=").append(access.value());
     if (advice > 0) {
       lines.append("\tretry_in=");
@@ -45,7 +45,7 @@
   }
 
   @Override
-  public void giveUp(AccessId access) {
+  public void fail(RequestId access) {
     lines.append("end_failed\tid=").append(access.value()).append('\n');
   }
 
@@ -55,14 +55,14 @@
   }
 
   @Override
-  public void wake(long at) {
+  public void wakeAt(long at) {
     lines.append("set_timer\twhen=");
     Decimal.write(lines, at);
     lines.append("\thandle=0\n");
   }
 
   @Override
-  public void subscribe() {
+  public void subscribeToEndpoints() {
     lines.append("listen\twant=1\n");
   }
 
--- a/router/src/main/java/rushwood/api/Answer.java
+++ b/router/src/main/java/rushwood/api/AttemptResult.java
@@ -5,13 +5,13 @@
  * primary} is the role that it tells, null for none; {@code position} is the position or commit,
  * negative for none.
  */
-public record Answer(
-    AccessId access,
-    int shot,
+public record AttemptResult(
+    RequestId request,
+    int attemptNumber,
     HostId host,
-    ShotEnd end,
-    long took,
-    boolean over,
+    AttemptOutcome outcome,
+    long durationNanos,
+    boolean requestFinished,
     Boolean primary,
     long position,
     LoadReport report) {}
--- a/router/src/main/java/rushwood/api/ListedHost.java
+++ b/router/src/main/java/rushwood/api/Endpoint.java
@@ -1,7 +1,7 @@
 package rushwood.api;
 
 /** A host as the host list names it. {@code startedAt} is 0 for long ago. */
-public record ListedHost(
+public record Endpoint(
     HostId id,
     GroupId group,
     ZoneId zone,
@@ -11,8 +11,8 @@
     State state) {
 
   public enum State {
-    IN_SERVICE,
+    READY,
     DRAINING,
-    GONE
+    REMOVED
   }
 }
--- a/router/src/main/java/rushwood/api/Crowd.java
+++ b/router/src/main/java/rushwood/api/OverloadSignals.java
@@ -4,43 +4,43 @@
  * What the decisions are told of crowds: the waits to tell, the budgets to obey. They still choose
  * what they apply to.
  */
-public interface Crowd {
+public interface OverloadSignals {
   /**
    * The wait to tell the client of an access that is turned back now, 0 for none; {@code crowded}:
    * others wait here.
    */
-  long advise(long now, Access access, boolean crowded);
+  long retryAfterNanos(long now, Request request, boolean othersWaiting);
 
   /**
    * Whether a further shot, after one that cost its host something, keeps within what repeats may
    * cost.
    */
-  boolean mayRepeat(long now, GroupId group);
+  boolean canRetry(long now, GroupId group);
 
   /** A shot was sent; {@code further}: after one of that access that cost its host something. */
-  void sent(long now, GroupId group, boolean further);
+  void attemptSent(long now, GroupId group, boolean retry);
 
   /** Whether a host that is down may be tried although no probe has found it up. */
-  boolean mayTry(long now, HostId host);
+  boolean canConnect(long now, HostId host);
 
   /** No figures: the longest wait while others wait, no budgets. */
-  static Crowd plain(Settings settings) {
-    return new Crowd() {
+  static OverloadSignals withoutOverloadControl(RoutingSettings settings) {
+    return new OverloadSignals() {
       @Override
-      public long advise(long now, Access access, boolean crowded) {
-        return settings.mayAdvise() && crowded ? settings.longestAdvice() : 0;
+      public long retryAfterNanos(long now, Request request, boolean othersWaiting) {
+        return settings.canSendRetryAfter() && othersWaiting ? settings.maxRetryAfterNanos() : 0;
       }
 
       @Override
-      public boolean mayRepeat(long now, GroupId group) {
+      public boolean canRetry(long now, GroupId group) {
         return true;
       }
 
       @Override
-      public void sent(long now, GroupId group, boolean further) {}
+      public void attemptSent(long now, GroupId group, boolean retry) {}
 
       @Override
-      public boolean mayTry(long now, HostId host) {
+      public boolean canConnect(long now, HostId host) {
         return true;
       }
     };
--- a/router/src/main/java/rushwood/api/Outlet.java
+++ b/router/src/main/java/rushwood/api/PolicyActions.java
@@ -1,26 +1,26 @@
 package rushwood.api;
 
 /** What the decisions can have done. */
-public interface Outlet {
+public interface PolicyActions {
   /**
    * An attempt that ends after {@code timeOut}, and may not begin any more after {@code
    * beginWithin} nanoseconds.
    */
-  void send(AccessId access, HostId host, long timeOut, long beginWithin);
+  void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos);
 
-  void withdraw(AccessId access, int shot);
+  void cancel(RequestId request, int attemptNumber);
 
   /** Final: trying again is harmless, after {@code advice} if positive. */
-  void turnBack(AccessId access, long advice);
+  void reject(RequestId request, long retryAfterNanos);
 
   /** Final: no promise. */
-  void giveUp(AccessId access);
+  void fail(RequestId request);
 
   void probe(HostId host);
 
-  void wake(long at);
+  void wakeAt(long time);
 
-  void subscribe();
+  void subscribeToEndpoints();
 
   void log(String line);
 }
--- a/router/src/main/java/rushwood/api/AccessId.java
+++ b/router/src/main/java/rushwood/api/RequestId.java
@@ -1,6 +1,6 @@
 package rushwood.api;
 
-public record AccessId(String value) {
+public record RequestId(String value) {
   @Override
   public String toString() {
     return value;
--- a/router/src/main/java/rushwood/api/Decisions.java
+++ b/router/src/main/java/rushwood/api/RoutingPolicy.java
@@ -6,30 +6,30 @@
  * The decisions of one router. Calls come one at a time, with a clock that never goes back; what is
  * decided leaves through the {@link Outlet} handed over at start, before the call returns.
  */
-public interface Decisions {
+public interface RoutingPolicy {
   /**
    * The whole list; {@code remembered} if it is only what this router last held before it started.
    */
-  void listed(long now, List<ListedHost> hosts, boolean remembered);
+  void endpointsReplaced(long now, List<Endpoint> endpoints, boolean fromCache);
 
   /** Changes; none where the list comes from another place from now on. */
-  void listChanged(long now, List<ListedHost> changes);
+  void endpointsUpdated(long now, List<Endpoint> changes);
 
   /** A call for the list failed, or the subscription ended. */
-  void listFailed(long now);
+  void endpointRefreshFailed(long now);
 
-  void arrived(long now, Access access);
+  void requestReceived(long now, Request request);
 
-  void answered(long now, Answer answer);
+  void attemptFinished(long now, AttemptResult result);
 
   /** The client has left: no answer is owed. */
-  void left(long now, AccessId access);
+  void clientDisconnected(long now, RequestId request);
 
   /** This router ends at that time: whatever it has taken until then has its answer before. */
-  void closing(long now, long at);
+  void shuttingDown(long now, long deadline);
 
-  void probed(long now, HostId host, boolean answered, LoadReport report);
+  void probeFinished(long now, HostId host, boolean answered, LoadReport report);
 
   /** A time asked for with {@link Outlet#wake} has come. */
-  void woken(long now);
+  void timerFired(long now);
 }
--- a/router/src/main/java/rushwood/lifecycle/Config.java
+++ b/router/src/main/java/rushwood/lifecycle/Config.java
@@ -15,7 +15,7 @@
 import java.util.Map;
 import rushwood.adapter.BadLine;
 import rushwood.adapter.Conf;
-import rushwood.api.Settings;
+import rushwood.api.RoutingSettings;
 import rushwood.wire.ListReader;
 
 /**
@@ -29,7 +29,7 @@
     long seed,
     int sockets,
     ListReader.Listing known,
-    Settings settings,
+    RoutingSettings settings,
     long openWithin,
     long idleFor,
     long longestOuterLimit,
@@ -154,7 +154,7 @@
   }
 
   /** The decisions' part of the object "settings" of a configuration. */
-  public static Settings settings(String json) throws BadConfig {
+  public static RoutingSettings settings(String json) throws BadConfig {
     Map<String, String> pairs = new LinkedHashMap<>();
     flatten("", JsonParser.parseString(json), pairs);
     try {
--- a/router/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/router/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -23,12 +23,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
-import rushwood.api.Product;
+import rushwood.api.RequestClass;
 import rushwood.api.ZoneId;
-import rushwood.decision.Choice;
+import rushwood.policy.DefaultRoutingPolicy;
 import rushwood.state.Agenda;
 import rushwood.state.Clock;
 import rushwood.state.Counters;
@@ -60,7 +60,7 @@
   private final EventLoopGroup group;
   private final SingleThreadEventLoop loop;
   private final ByteBufAllocator allocator;
-  private final List<Product> products;
+  private final List<RequestClass> products;
   private final Counters counters = new Counters();
   private final List<Channel> channels = new ArrayList<>();
   private final ChannelGroup peers;
@@ -77,7 +77,7 @@
     this.loop = (SingleThreadEventLoop) loop;
     this.allocator = allocator;
     peers = new DefaultChannelGroup(loop);
-    products = config.settings().products();
+    products = config.settings().requestClasses();
   }
 
   /** What came of it, for whoever wants to know that it still does something. */
@@ -127,7 +127,7 @@
                     dials,
                     out,
                     (crowd, outlet) ->
-                        new Choice(
+                        new DefaultRoutingPolicy(
                             config.settings(),
                             new SplittableRandom(config.seed()),
                             outlet,
@@ -190,25 +190,25 @@
     for (int i = 0; i < HOSTS; i++) {
       places.add(
           new Router.Place(
-              new ListedHost(
+              new Endpoint(
                   new HostId("h" + i),
                   new GroupId(0),
                   new ZoneId(""),
                   1,
                   0,
                   i == 0,
-                  ListedHost.State.IN_SERVICE),
+                  Endpoint.State.READY),
               new InetSocketAddress(0)));
     }
     return places;
   }
 
   private String statement() {
-    Product product = products.get(asked++ % products.size());
+    RequestClass product = products.get(asked++ % products.size());
     boolean tooLate = asked % 16 == 0;
     String comment =
         "/* id=" + asked + ",c=" + product.name() + ",d=" + (tooLate ? 1 : 2000) + ",cluster=0 */";
-    return product.need() == Product.Need.WRITE
+    return product.consistency() == RequestClass.Consistency.WRITE
         ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
         : "SELECT val FROM state WHERE uid = 'k' " + comment;
   }
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -16,8 +16,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
-import rushwood.api.Outlet;
-import rushwood.decision.Choice;
+import rushwood.api.PolicyActions;
+import rushwood.policy.DefaultRoutingPolicy;
 import rushwood.state.Agenda;
 import rushwood.state.Clock;
 import rushwood.state.Counters;
@@ -176,7 +176,7 @@
                 dials,
                 config.openWithin(),
                 config.idleFor(),
-                config.settings().goneBinds(),
+                config.settings().isRemovalBinding(),
                 config.grace()),
             links,
             links::probe,
@@ -189,8 +189,8 @@
             clock,
             agenda,
             counters,
-            config.settings().products(),
-            new Door(sockets.forClients(clock.now()), config.settings().longestAdvice()),
+            config.settings().requestClasses(),
+            new Door(sockets.forClients(clock.now()), config.settings().maxRetryAfterNanos()),
             sockets,
             () -> storm.adviseAtDoor(clock.now()),
             new SplittableRandom(config.seed() + 2));
@@ -204,7 +204,7 @@
     return null;
   }
 
-  private Storm storm(Dials dials, Outlet out) {
+  private Storm storm(Dials dials, PolicyActions out) {
     storm =
         new Storm(
             config.settings(),
@@ -212,7 +212,8 @@
             dials,
             out,
             (crowd, outlet) ->
-                new Choice(config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
+                new DefaultRoutingPolicy(
+                    config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
     Storm.Counts counts = storm.counts();
     counters.also("storm_repeats", () -> counts.repeats);
     counters.also("storm_returned", () -> counts.returned);
--- a/router/src/main/java/rushwood/decision/GroupState.java
+++ b/router/src/main/java/rushwood/policy/GroupState.java
@@ -1,4 +1,4 @@
-package rushwood.decision;
+package rushwood.policy;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -10,59 +10,59 @@
  */
 final class GroupState {
   final List<HostState> members = new ArrayList<>();
-  final List<Held> first = new ArrayList<>();
-  final List<Held> further = new ArrayList<>();
+  final List<PendingRequest> firstAttempts = new ArrayList<>();
+  final List<PendingRequest> retries = new ArrayList<>();
   HostState primary;
-  Held scout;
+  PendingRequest primaryDiscovery;
 
-  void join(HostState host) {
+  void add(HostState host) {
     if (host.group != this) {
-      host.leave();
+      host.leaveGroup();
       host.group = this;
       members.add(host);
       members.sort((a, b) -> a.id.value().compareTo(b.id.value()));
     }
   }
 
-  void drop(HostState host) {
+  void remove(HostState host) {
     members.remove(host);
-    unseat(host);
+    clearPrimary(host);
   }
 
-  boolean noneWell() {
+  boolean hasNoHealthyMember() {
     for (HostState host : members) {
-      if (host.health == HostState.Health.WELL) {
+      if (host.health == HostState.Health.HEALTHY) {
         return false;
       }
     }
     return true;
   }
 
-  void unseat(HostState host) {
+  void clearPrimary(HostState host) {
     if (primary == host) {
       primary = null;
     }
   }
 
   /** The write that asks who is primary has its answer, or is over. */
-  void scoutBack(Held held) {
-    if (scout == held) {
-      scout = null;
+  void endPrimaryDiscovery(PendingRequest pending) {
+    if (primaryDiscovery == pending) {
+      primaryDiscovery = null;
     }
   }
 
   /** Draws one by weight and takes it out. */
-  static HostState draw(List<HostState> from, RandomGenerator chance) {
+  static HostState drawByWeight(List<HostState> candidates, RandomGenerator random) {
     double point = 0;
-    for (HostState host : from) {
-      point += host.listed.weight();
+    for (HostState host : candidates) {
+      point += host.endpoint.weight();
     }
-    point *= chance.nextDouble();
-    int at = 0;
-    while (at < from.size() - 1 && point >= from.get(at).listed.weight()) {
-      point -= from.get(at++).listed.weight();
+    point *= random.nextDouble();
+    int index = 0;
+    while (index < candidates.size() - 1 && point >= candidates.get(index).endpoint.weight()) {
+      point -= candidates.get(index++).endpoint.weight();
     }
-    return from.remove(at);
+    return candidates.remove(index);
   }
 
   List<HostState> replicas() {
--- a/router/src/main/java/rushwood/decision/package-info.java
+++ b/router/src/main/java/rushwood/policy/package-info.java
@@ -1,2 +1,2 @@
 /** The decisions: {@code Choice} makes them all, the other files only hold what it remembers. */
-package rushwood.decision;
+package rushwood.policy;
--- a/router/src/main/java/rushwood/state/Pool.java
+++ b/router/src/main/java/rushwood/state/Pool.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import rushwood.api.AttemptOutcome;
 import rushwood.api.HostId;
-import rushwood.api.ShotEnd;
 import rushwood.state.Counters.Count;
 
 /**
@@ -279,7 +279,7 @@
     private void keepBack() {
       counters.add(Count.SHOTS_KEPT_BACK);
       close();
-      end(HostAnswer.of(ShotEnd.UNSENT));
+      end(HostAnswer.of(AttemptOutcome.NOT_SENT));
     }
 
     private void ask() {
@@ -289,7 +289,7 @@
         errand = null;
         counters.add(Count.SHOTS_KEPT_BACK);
         rest();
-        end(late, HostAnswer.of(ShotEnd.UNSENT));
+        end(late, HostAnswer.of(AttemptOutcome.NOT_SENT));
         return;
       }
       counters.must(!asked && !closed, "one errand at a time on a connection");
@@ -301,7 +301,7 @@
       limits.dials().failed(id, clock.now());
       counters.add(Count.CONNECTIONS_FAILED);
       close();
-      end(HostAnswer.of(ShotEnd.UNREACHED));
+      end(HostAnswer.of(AttemptOutcome.CONNECT_FAILED));
     }
 
     @Override
@@ -342,8 +342,10 @@
       }
       // One that was accepted and breaks unwritten proves that nothing ran, not that the host is
       // down.
-      ShotEnd end =
-          !accepted ? ShotEnd.UNREACHED : asked && link.written() ? ShotEnd.BROKEN : ShotEnd.UNSENT;
+      AttemptOutcome end =
+          !accepted
+              ? AttemptOutcome.CONNECT_FAILED
+              : asked && link.written() ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.NOT_SENT;
       host.idle.remove(this);
       close();
       end(HostAnswer.of(end));
--- a/router/src/main/java/rushwood/state/Router.java
+++ b/router/src/main/java/rushwood/state/Router.java
@@ -15,15 +15,15 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
-import rushwood.api.Outlet;
-import rushwood.api.ShotEnd;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
 import rushwood.state.Counters.Count;
 import rushwood.storm.Dials;
 import rushwood.storm.Sockets;
@@ -35,12 +35,12 @@
  */
 public final class Router {
   /** A host of the list and where it listens. */
-  public record Place(ListedHost host, InetSocketAddress address) {}
+  public record Place(Endpoint host, InetSocketAddress address) {}
 
   /**
    * What can be read of an entry that is bad as a whole: its host, and that host's state or null.
    */
-  public record Partial(HostId id, ListedHost.State state) {}
+  public record Partial(HostId id, Endpoint.State state) {}
 
   /**
    * The sockets that connections to hosts come from, what paces attempts, how long one may take to
@@ -51,13 +51,13 @@
       Sockets sockets, Dials dials, long openWithin, long idleFor, boolean goneBinds, long grace) {}
 
   private static final class Open {
-    final AccessId id;
+    final RequestId id;
     final Statement statement;
     final List<Shot> shots = new ArrayList<>();
     Client client;
     int out;
 
-    Open(AccessId id, Statement statement, Client client) {
+    Open(RequestId id, Statement statement, Client client) {
       this.id = id;
       this.statement = statement;
       this.client = client;
@@ -108,12 +108,12 @@
     @Override
     void ended(HostAnswer answer) {
       over = true;
-      boolean answered = answer.end() == ShotEnd.FULFILLED;
+      boolean answered = answer.end() == AttemptOutcome.SUCCESS;
       if (answered) {
         counters.add(Count.PROBES_ANSWERED);
       }
       answer.release();
-      ends.add(() -> decisions.probed(clock.now(), host, answered, answer.report()));
+      ends.add(() -> decisions.probeFinished(clock.now(), host, answered, answer.report()));
       settle();
     }
   }
@@ -121,8 +121,8 @@
   private static final long MS = 1_000_000L;
   private static final int REMEMBERED = 2000; // ids of accesses that are over: some seconds of them
 
-  private final Map<AccessId, Open> opens = new HashMap<>();
-  private final Set<AccessId> ended = new LinkedHashSet<>();
+  private final Map<RequestId, Open> opens = new HashMap<>();
+  private final Set<RequestId> ended = new LinkedHashSet<>();
   private final Deque<Runnable> ends = new ArrayDeque<>();
   private final Map<HostId, Place> known = new LinkedHashMap<>();
   private final Set<GroupId> groups = new HashSet<>();
@@ -133,7 +133,7 @@
   private final Supplier<ByteBuf> probe;
   private final Runnable subscribe;
   private final Consumer<String> log;
-  private final Decisions decisions;
+  private final RoutingPolicy decisions;
   private final long probeWithin;
   private final boolean goneBinds;
   private long closesAt = Long.MAX_VALUE;
@@ -151,7 +151,7 @@
       Supplier<ByteBuf> probe,
       Runnable subscribe,
       Consumer<String> log,
-      Function<Outlet, Decisions> maker) {
+      Function<PolicyActions, RoutingPolicy> maker) {
     this.clock = clock;
     this.agenda = agenda;
     this.counters = counters;
@@ -181,7 +181,10 @@
     all.forEach(place -> named.add(place.host().id()));
     List<HostId> absent = known.keySet().stream().filter(id -> !named.contains(id)).toList();
     place(all);
-    tell(() -> decisions.listed(clock.now(), all.stream().map(Place::host).toList(), remembered));
+    tell(
+        () ->
+            decisions.endpointsReplaced(
+                clock.now(), all.stream().map(Place::host).toList(), remembered));
     leave(all);
     absent.forEach(this::gone);
   }
@@ -191,10 +194,10 @@
     List<Place> heard = new ArrayList<>(changes);
     heard.removeIf(
         each ->
-            !known.containsKey(each.host().id()) && each.host().state() == ListedHost.State.GONE);
+            !known.containsKey(each.host().id()) && each.host().state() == Endpoint.State.REMOVED);
     heard.addAll(complete(partials));
     place(heard);
-    tell(() -> decisions.listChanged(clock.now(), heard.stream().map(Place::host).toList()));
+    tell(() -> decisions.endpointsUpdated(clock.now(), heard.stream().map(Place::host).toList()));
     leave(heard);
   }
 
@@ -203,12 +206,12 @@
     for (Partial each : partials) {
       Place is = known.get(each.id());
       if (is != null) {
-        ListedHost host = is.host();
+        Endpoint host = is.host();
         whole.add(
             each.state() == null
                 ? is
                 : new Place(
-                    new ListedHost(
+                    new Endpoint(
                         host.id(),
                         host.group(),
                         host.zone(),
@@ -228,9 +231,9 @@
    */
   private void leave(List<Place> places) {
     for (Place place : places) {
-      if (place.host().state() == ListedHost.State.DRAINING) {
+      if (place.host().state() == Endpoint.State.DRAINING) {
         pool.rest(place.host().id());
-      } else if (place.host().state() == ListedHost.State.GONE) {
+      } else if (place.host().state() == Endpoint.State.REMOVED) {
         gone(place.host().id());
       }
     }
@@ -251,10 +254,10 @@
 
   private void place(List<Place> places) {
     for (Place place : places) {
-      ListedHost host = place.host();
+      Endpoint host = place.host();
       known.put(host.id(), place);
       groups.add(host.group());
-      pool.place(host.id(), place.address(), host.state() == ListedHost.State.IN_SERVICE);
+      pool.place(host.id(), place.address(), host.state() == Endpoint.State.READY);
     }
   }
 
@@ -274,7 +277,7 @@
    * Whether an access of that id is open or was a moment ago: each has a new one, and must not run
    * twice.
    */
-  public boolean isTaken(AccessId id) {
+  public boolean isTaken(RequestId id) {
     return opens.containsKey(id) || ended.contains(id);
   }
 
@@ -285,16 +288,16 @@
 
   public void arrived(Statement statement, Client client) {
     long now = clock.now();
-    Access access = statement.access(now, clock.cameAt(), closesAt);
+    Request access = statement.access(now, clock.cameAt(), closesAt);
     counters.add(Count.ACCESSES_TAKEN);
     counters.must(!opens.containsKey(access.id()), "an id stands for one access");
     open++;
     Open taken = new Open(access.id(), statement, client);
     opens.put(access.id(), taken);
-    tell(taken, () -> decisions.arrived(now, access));
+    tell(taken, () -> decisions.requestReceived(now, access));
   }
 
-  public void left(AccessId id) {
+  public void left(RequestId id) {
     Open access = opens.get(id);
     if (access != null && access.client != null) {
       counters.add(Count.ACCESSES_LEFT);
@@ -302,7 +305,7 @@
       tell(
           access,
           () -> {
-            decisions.left(clock.now(), id);
+            decisions.clientDisconnected(clock.now(), id);
             keepBack(access);
           });
     }
@@ -315,7 +318,7 @@
     for (Shot shot : List.copyOf(access.shots)) {
       if (!shot.over && (shot.on == null || !shot.on.asked())) {
         counters.add(Count.SHOTS_KEPT_BACK);
-        stop(shot, ShotEnd.WITHDRAWN);
+        stop(shot, AttemptOutcome.CANCELLED);
       }
     }
   }
@@ -326,7 +329,7 @@
    */
   public void closing(long at) {
     closesAt = at;
-    tell(() -> decisions.closing(clock.now(), at));
+    tell(() -> decisions.shuttingDown(clock.now(), at));
   }
 
   public void close() {
@@ -346,7 +349,7 @@
     Open access = shot.open;
     access.out--;
     counters.must(access.out >= 0, "a shot ends once");
-    if (answer.end() == ShotEnd.FULFILLED && access.client != null) {
+    if (answer.end() == AttemptOutcome.SUCCESS && access.client != null) {
       counters.add(Count.ACCESSES_FULFILLED);
       over(access).fulfilled(answer.row());
     } else {
@@ -355,9 +358,9 @@
     tell(
         access,
         () ->
-            decisions.answered(
+            decisions.attemptFinished(
                 clock.now(),
-                new Answer(
+                new AttemptResult(
                     access.id,
                     shot.number,
                     shot.host,
@@ -387,10 +390,10 @@
   }
 
   /** Stops waiting for a shot; one that was never written is known not to have run. */
-  private void stop(Shot shot, ShotEnd end) {
+  private void stop(Shot shot, AttemptOutcome end) {
     boolean asked = shot.on != null && shot.on.asked();
     pool.stop(shot);
-    end(shot, HostAnswer.of(asked ? end : ShotEnd.UNSENT));
+    end(shot, HostAnswer.of(asked ? end : AttemptOutcome.NOT_SENT));
   }
 
   /**
@@ -430,9 +433,9 @@
 
   // ---- what the decisions do
 
-  private final class Out implements Outlet {
+  private final class Out implements PolicyActions {
     @Override
-    public void send(AccessId id, HostId host, long timeOut, long beginWithin) {
+    public void send(RequestId id, HostId host, long timeOut, long beginWithin) {
       Open access = opens.get(id);
       if (!counters.must(access != null && access.client != null, "a shot for an open access")) {
         return;
@@ -443,22 +446,22 @@
       access.shots.add(shot);
       access.out++;
       counters.add(Count.SHOTS_SENT);
-      shot.expiry = agenda.add(now + timeOut, () -> stop(shot, ShotEnd.EXPIRED));
+      shot.expiry = agenda.add(now + timeOut, () -> stop(shot, AttemptOutcome.TIMED_OUT));
       if (timeOut <= 0 || !pool.run(shot)) {
-        end(shot, HostAnswer.of(ShotEnd.UNSENT));
+        end(shot, HostAnswer.of(AttemptOutcome.NOT_SENT));
       }
     }
 
     @Override
-    public void withdraw(AccessId id, int number) {
+    public void cancel(RequestId id, int number) {
       Open access = opens.get(id);
       if (access != null && !access.shots.get(number).over) {
-        stop(access.shots.get(number), ShotEnd.WITHDRAWN);
+        stop(access.shots.get(number), AttemptOutcome.CANCELLED);
       }
     }
 
     @Override
-    public void turnBack(AccessId id, long advice) {
+    public void reject(RequestId id, long advice) {
       Client client = finish(id);
       if (client != null) {
         counters.add(Count.ACCESSES_TURNED_BACK);
@@ -467,7 +470,7 @@
     }
 
     @Override
-    public void giveUp(AccessId id) {
+    public void fail(RequestId id) {
       Client client = finish(id);
       if (client != null) {
         counters.add(Count.ACCESSES_GIVEN_UP);
@@ -475,7 +478,7 @@
       }
     }
 
-    private Client finish(AccessId id) {
+    private Client finish(RequestId id) {
       Open access = opens.get(id);
       if (access == null || access.client == null) {
         return null; // it was fulfilled or left a moment ago
@@ -494,24 +497,24 @@
           () -> {
             if (!errand.over) {
               pool.stop(errand);
-              errand.ended(HostAnswer.of(ShotEnd.EXPIRED));
+              errand.ended(HostAnswer.of(AttemptOutcome.TIMED_OUT));
             }
           });
       if (!pool.run(errand)) {
-        errand.ended(HostAnswer.of(ShotEnd.UNSENT));
+        errand.ended(HostAnswer.of(AttemptOutcome.NOT_SENT));
       }
     }
 
     @Override
-    public void wake(long at) {
+    public void wakeAt(long at) {
       if (wake != null) {
         wake.callOff();
       }
-      wake = agenda.add(at, () -> tell(() -> decisions.woken(clock.now())));
+      wake = agenda.add(at, () -> tell(() -> decisions.timerFired(clock.now())));
     }
 
     @Override
-    public void subscribe() {
+    public void subscribeToEndpoints() {
       subscribe.run();
     }
 
--- a/router/src/main/java/rushwood/state/Statement.java
+++ b/router/src/main/java/rushwood/state/Statement.java
@@ -1,7 +1,7 @@
 package rushwood.state;
 
 import io.netty.buffer.ByteBuf;
-import rushwood.api.Access;
+import rushwood.api.Request;
 
 /** An access as a client wrote it. */
 public interface Statement {
@@ -9,7 +9,7 @@
    * What the module hears now of a statement that came then: its due time counts from there, {@code
    * last} at most.
    */
-  Access access(long now, long cameAt, long last);
+  Request access(long now, long cameAt, long last);
 
   /** The statement for a shot that is waited for that many milliseconds; the caller releases it. */
   ByteBuf message(long millis);
--- a/router/src/main/java/rushwood/storm/Storm.java
+++ b/router/src/main/java/rushwood/storm/Storm.java
@@ -6,27 +6,27 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Crowd;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.Product.Effect;
-import rushwood.api.Product.Need;
-import rushwood.api.Settings;
-import rushwood.api.ShotEnd;
+import rushwood.api.OverloadSignals;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RequestClass.Idempotency;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
 
 /**
  * Stands before the decisions of a router: it hears what they hear, sees storms in it, and gives
  * them the figures and budgets that {@link Crowd} names. It sends nothing by itself but the end of
  * a write that its client repeats while the last try may still run, where the operator wants that.
  */
-public final class Storm implements Decisions, Crowd {
+public final class Storm implements RoutingPolicy, OverloadSignals {
   /** Counts since the start. */
   public static final class Counts {
     public long repeats;
@@ -47,22 +47,22 @@
   private static final long LATE =
       500_000_000L; // a client that returns this much after its time has lost its place
 
-  private final Settings settings;
+  private final RoutingSettings settings;
   private final StormSettings set;
-  private final Outlet outlet;
-  private final Decisions inner;
+  private final PolicyActions outlet;
+  private final RoutingPolicy inner;
   private final Repeats repeats;
   private final Marks returns;
   private final Marks doubts;
   private final Calendar calendar;
-  private final Crowd plain;
+  private final OverloadSignals plain;
   private final Dials dials;
   private final Weather router = new Weather();
   private final Map<GroupId, Group> groups =
       new TreeMap<>((a, b) -> Integer.compare(a.value(), b.value()));
   private final Map<HostId, Weather> hosts = new LinkedHashMap<>();
   private final Map<HostId, GroupId> groupOf = new LinkedHashMap<>();
-  private final Map<AccessId, Open> opens = new LinkedHashMap<>();
+  private final Map<RequestId, Open> opens = new LinkedHashMap<>();
   private final Counts counts = new Counts();
   private long nextTick = Long.MIN_VALUE;
   private long waiting;
@@ -71,18 +71,19 @@
 
   /** An access that is open here, or whose client has its answer while shots are out. */
   private static final class Open {
-    final Access access;
+    final Request access;
     int out;
     boolean mayHaveRun;
     boolean over;
     long doubt; // the number under which it is in doubt, 0 for none
 
-    Open(Access access) {
+    Open(Request access) {
       this.access = access;
     }
 
     boolean isDoubtful() {
-      return access.product().need() == Need.WRITE && access.product().effect() != Effect.REDOABLE;
+      return access.requestClass().consistency() == Consistency.WRITE
+          && access.requestClass().idempotency() != Idempotency.IDEMPOTENT;
     }
   }
 
@@ -98,23 +99,26 @@
 
   /** With what makes the decisions from these figures and an outlet. */
   public Storm(
-      Settings settings,
+      RoutingSettings settings,
       StormSettings set,
       Dials dials,
-      Outlet outlet,
-      BiFunction<Crowd, Outlet, Decisions> maker) {
+      PolicyActions outlet,
+      BiFunction<OverloadSignals, PolicyActions, RoutingPolicy> maker) {
     this.settings = settings;
     this.set = set;
     this.dials = dials;
     this.outlet = outlet;
-    plain = Crowd.plain(settings);
+    plain = OverloadSignals.withoutOverloadControl(settings);
     returns = new Marks(set.calendar() ? BUCKETS : 1);
     doubts = new Marks(set.doubts() ? BUCKETS : 1);
     long longest =
-        settings.products().stream().mapToLong(each -> 2 * each.quotedTime()).max().orElse(1)
-            + settings.longestAdvice();
+        settings.requestClasses().stream()
+                .mapToLong(each -> 2 * each.latencyObjectiveNanos())
+                .max()
+                .orElse(1)
+            + settings.maxRetryAfterNanos();
     repeats = new Repeats(CELLS, longest);
-    calendar = new Calendar(Math.max(Calendar.SLOT, settings.longestAdvice()));
+    calendar = new Calendar(Math.max(Calendar.SLOT, settings.maxRetryAfterNanos()));
     inner = maker.apply(this, new Out());
   }
 
@@ -144,30 +148,30 @@
   // ---- what the decisions hear
 
   @Override
-  public void listed(long now, List<ListedHost> list, boolean remembered) {
-    List<HostId> named = list.stream().map(ListedHost::id).toList();
-    if (settings.goneBinds()) {
+  public void endpointsReplaced(long now, List<Endpoint> list, boolean remembered) {
+    List<HostId> named = list.stream().map(Endpoint::id).toList();
+    if (settings.isRemovalBinding()) {
       List.copyOf(groupOf.keySet()).stream()
           .filter(each -> !named.contains(each))
           .forEach(this::forget);
     }
     list.forEach(this::place);
-    inner.listed(now, list, remembered);
+    inner.endpointsReplaced(now, list, remembered);
   }
 
   @Override
-  public void listChanged(long now, List<ListedHost> changes) {
-    for (ListedHost each : changes) {
-      if (each.state() == ListedHost.State.GONE && settings.goneBinds()) {
+  public void endpointsUpdated(long now, List<Endpoint> changes) {
+    for (Endpoint each : changes) {
+      if (each.state() == Endpoint.State.REMOVED && settings.isRemovalBinding()) {
         forget(each.id());
       } else {
         place(each);
       }
     }
-    inner.listChanged(now, changes);
+    inner.endpointsUpdated(now, changes);
   }
 
-  private void place(ListedHost host) {
+  private void place(Endpoint host) {
     groupOf.put(host.id(), host.group());
     groups.computeIfAbsent(host.group(), each -> new Group());
     hosts.computeIfAbsent(host.id(), each -> new Weather());
@@ -183,19 +187,19 @@
   }
 
   @Override
-  public void listFailed(long now) {
-    inner.listFailed(now);
+  public void endpointRefreshFailed(long now) {
+    inner.endpointRefreshFailed(now);
   }
 
   @Override
-  public void arrived(long now, Access access) {
+  public void requestReceived(long now, Request access) {
     tick(now);
     Group group = groups.get(access.group());
-    boolean seen = access.mark() != 0 && repeats.count(access.mark(), now) > 0;
-    long waited = seen ? returns.get(access.mark(), now) : -1;
+    boolean seen = access.fingerprint() != 0 && repeats.count(access.fingerprint(), now) > 0;
+    long waited = seen ? returns.get(access.fingerprint(), now) : -1;
     boolean repeated = seen && group != null && group.unanswered >= 1;
     if (waited >= 0) {
-      returns.remove(access.mark());
+      returns.remove(access.fingerprint());
       counts.returned++;
     }
     if (repeated) {
@@ -205,15 +209,15 @@
     came(router, repeated);
     came(group == null ? null : group.weather, repeated);
     Open open = new Open(access);
-    if (set.doubts() && open.isDoubtful() && doubts.get(access.mark(), now) >= 0) {
+    if (set.doubts() && open.isDoubtful() && doubts.get(access.fingerprint(), now) >= 0) {
       counts.doubtful++;
-      outlet.giveUp(
+      outlet.fail(
           access.id()); // its last try may still run, or has: nobody can promise that once is all
       return;
     }
     opens.put(access.id(), open);
     waiting++;
-    inner.arrived(now, waited > 0 ? access.afterWaiting(waited) : access);
+    inner.requestReceived(now, waited > 0 ? access.afterWaiting(waited) : access);
   }
 
   private static void came(Weather weather, boolean repeated) {
@@ -224,29 +228,31 @@
   }
 
   @Override
-  public void answered(long now, Answer answer) {
+  public void attemptFinished(long now, AttemptResult answer) {
     tick(now);
     GroupId id = groupOf.get(answer.host());
     Group group = id == null ? null : groups.get(id);
-    boolean done = answer.end() == ShotEnd.FULFILLED;
-    boolean expired = answer.end() == ShotEnd.EXPIRED;
+    boolean done = answer.outcome() == AttemptOutcome.SUCCESS;
+    boolean expired = answer.outcome() == AttemptOutcome.TIMED_OUT;
     boolean byHost =
-        expired || answer.end() == ShotEnd.UNREACHED || answer.end() == ShotEnd.OVERFULL;
+        expired
+            || answer.outcome() == AttemptOutcome.CONNECT_FAILED
+            || answer.outcome() == AttemptOutcome.OVERLOADED;
     note(router, done, expired);
     note(group == null ? null : group.weather, done, expired);
     note(hosts.get(answer.host()), done, byHost);
-    Open open = opens.get(answer.access());
+    Open open = opens.get(answer.request());
     if (open != null) {
       open.out--;
-      open.mayHaveRun |= !answer.end().neverRan();
-      if (answer.over() && !open.over) {
+      open.mayHaveRun |= !answer.outcome().provesNotExecuted();
+      if (answer.requestFinished() && !open.over) {
         open.over = true; // it was fulfilled: nobody comes back for it
         waiting--;
         open.mayHaveRun = false;
       }
       settle(now, open);
     }
-    inner.answered(now, answer);
+    inner.attemptFinished(now, answer);
   }
 
   /**
@@ -256,8 +262,10 @@
   private void settle(long now, Open open) {
     if (open.over && open.out <= 0) {
       opens.remove(open.access.id());
-      if (open.doubt > 0 && !open.mayHaveRun && doubts.get(open.access.mark(), now) == open.doubt) {
-        doubts.remove(open.access.mark());
+      if (open.doubt > 0
+          && !open.mayHaveRun
+          && doubts.get(open.access.fingerprint(), now) == open.doubt) {
+        doubts.remove(open.access.fingerprint());
       }
     }
   }
@@ -270,53 +278,55 @@
   }
 
   @Override
-  public void left(long now, AccessId access) {
+  public void clientDisconnected(long now, RequestId access) {
     tick(now);
     unanswered(now, access);
-    inner.left(now, access);
+    inner.clientDisconnected(now, access);
   }
 
   @Override
-  public void closing(long now, long at) {
-    inner.closing(now, at);
+  public void shuttingDown(long now, long at) {
+    inner.shuttingDown(now, at);
   }
 
   /**
    * Its client has no answer that ends it, and may come back: with a write that may have run, in
    * doubt.
    */
-  private void unanswered(long now, AccessId access) {
+  private void unanswered(long now, RequestId access) {
     Open open = opens.get(access);
     if (open == null || open.over) {
       return;
     }
     open.over = true;
     waiting--;
-    if (open.access.mark() != 0) {
-      repeats.add(open.access.mark(), now);
+    if (open.access.fingerprint() != 0) {
+      repeats.add(open.access.fingerprint(), now);
       Group group = groups.get(open.access.group());
       if (group != null) {
         group.unanswered++;
       }
       if (set.doubts() && open.isDoubtful() && (open.out > 0 || open.mayHaveRun)) {
-        long till = Math.max(open.access.due(), now + open.access.product().window());
-        boolean another = doubts.get(open.access.mark(), now) >= 0;
+        long till =
+            Math.max(
+                open.access.deadline(), now + open.access.requestClass().idempotencyWindowNanos());
+        boolean another = doubts.get(open.access.fingerprint(), now) >= 0;
         open.doubt = ++doubters;
-        doubts.put(open.access.mark(), till, another ? 0 : open.doubt, now);
+        doubts.put(open.access.fingerprint(), till, another ? 0 : open.doubt, now);
       }
     }
     settle(now, open);
   }
 
   @Override
-  public void probed(long now, HostId host, boolean answered, LoadReport report) {
-    inner.probed(now, host, answered, report);
+  public void probeFinished(long now, HostId host, boolean answered, LoadReport report) {
+    inner.probeFinished(now, host, answered, report);
   }
 
   @Override
-  public void woken(long now) {
+  public void timerFired(long now) {
     tick(now);
-    inner.woken(now);
+    inner.timerFired(now);
   }
 
   // ---- the weather
@@ -347,7 +357,7 @@
     Iterator<Open> each = opens.values().iterator();
     while (each.hasNext()) {
       Open open = each.next();
-      if (open.access.due() > now - OVERDUE) {
+      if (open.access.deadline() > now - OVERDUE) {
         return; // the later ones came later: one that waits long only keeps them a while
       }
       waiting -= open.over ? 0 : 1;
@@ -367,41 +377,41 @@
   // ---- what the decisions ask
 
   @Override
-  public long advise(long now, Access access, boolean crowded) {
+  public long retryAfterNanos(long now, Request access, boolean crowded) {
     Group group = groups.get(access.group());
     router.tally().refused++;
     if (group != null) {
       group.weather.tally().refused++;
     }
     if (!set.calendar()) {
-      return plain.advise(now, access, crowded);
+      return plain.retryAfterNanos(now, access, crowded);
     }
-    if (!settings.mayAdvise() || !crowded && state(access.group()) == Weather.State.CALM) {
+    if (!settings.canSendRetryAfter() || !crowded && state(access.group()) == Weather.State.CALM) {
       return 0;
     }
-    boolean high = access.product().need() == Need.WRITE;
+    boolean high = access.requestClass().consistency() == Consistency.WRITE;
     Calendar.Place place =
-        calendar.book(now, access.group().value(), high, waiting, settings.longestAdvice());
+        calendar.book(now, access.group().value(), high, waiting, settings.maxRetryAfterNanos());
     counts.booked += place.booked() ? 1 : 0;
     counts.unbooked += place.booked() ? 0 : 1;
-    if (access.mark() != 0) {
-      returns.put(access.mark(), now + place.away() + LATE, place.away(), now);
+    if (access.fingerprint() != 0) {
+      returns.put(access.fingerprint(), now + place.away() + LATE, place.away(), now);
     }
     return place.away();
   }
 
   /** For one who finds no room at the door: there is no access yet, so the place is for anyone. */
   public long adviseAtDoor(long now) {
-    if (!settings.mayAdvise()) {
+    if (!settings.canSendRetryAfter()) {
       return 0;
     }
     return set.calendar()
-        ? calendar.book(now, -1, false, waiting, settings.longestAdvice()).away()
-        : settings.longestAdvice();
+        ? calendar.book(now, -1, false, waiting, settings.maxRetryAfterNanos()).away()
+        : settings.maxRetryAfterNanos();
   }
 
   @Override
-  public boolean mayRepeat(long now, GroupId id) {
+  public boolean canRetry(long now, GroupId id) {
     Weather.State state = state(id);
     boolean storm = state == Weather.State.STORM || state == Weather.State.EASING;
     boolean may = !storm || groups.get(id).budget.allows(now);
@@ -410,7 +420,7 @@
   }
 
   @Override
-  public void sent(long now, GroupId id, boolean further) {
+  public void attemptSent(long now, GroupId id, boolean further) {
     Group group = groups.get(id);
     if (group != null && further) {
       group.budget.further(now);
@@ -420,14 +430,14 @@
   }
 
   @Override
-  public boolean mayTry(long now, HostId host) {
+  public boolean canConnect(long now, HostId host) {
     return dials.may(host, now);
   }
 
   /** What the decisions decide passes through; shots are kept in mind. */
-  private final class Out implements Outlet {
+  private final class Out implements PolicyActions {
     @Override
-    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
+    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
       Open open = opens.get(access);
       if (open != null) {
         open.out++;
@@ -436,20 +446,20 @@
     }
 
     @Override
-    public void withdraw(AccessId access, int shot) {
-      outlet.withdraw(access, shot);
+    public void cancel(RequestId access, int shot) {
+      outlet.cancel(access, shot);
     }
 
     @Override
-    public void turnBack(AccessId access, long advice) {
+    public void reject(RequestId access, long advice) {
       unanswered(lately, access);
-      outlet.turnBack(access, advice);
+      outlet.reject(access, advice);
     }
 
     @Override
-    public void giveUp(AccessId access) {
+    public void fail(RequestId access) {
       unanswered(lately, access);
-      outlet.giveUp(access);
+      outlet.fail(access);
     }
 
     @Override
@@ -458,13 +468,13 @@
     }
 
     @Override
-    public void wake(long at) {
-      outlet.wake(at);
+    public void wakeAt(long at) {
+      outlet.wakeAt(at);
     }
 
     @Override
-    public void subscribe() {
-      outlet.subscribe();
+    public void subscribeToEndpoints() {
+      outlet.subscribeToEndpoints();
     }
 
     @Override
--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -13,8 +13,8 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import rushwood.api.AccessId;
-import rushwood.api.Product;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
 import rushwood.state.Agenda;
 import rushwood.state.Clock;
 import rushwood.state.Counters;
@@ -72,7 +72,7 @@
   private final Clock clock;
   private final Agenda agenda;
   private final Counters counters;
-  private final List<Product> products;
+  private final List<RequestClass> products;
   private final Door door;
   private final Sockets sockets;
   private final LongSupplier comeBack;
@@ -90,7 +90,7 @@
       Clock clock,
       Agenda agenda,
       Counters counters,
-      List<Product> products,
+      List<RequestClass> products,
       Door door,
       Sockets sockets,
       LongSupplier comeBack,
@@ -223,7 +223,7 @@
   private final class Handler extends Lingering implements ClientProtocol.Session {
     private final ClientProtocol protocol;
     private final long key = (long) ++accepted << Integer.SIZE | chance.nextInt() & 0xffffffffL;
-    private AccessId access;
+    private RequestId access;
     private int asked;
     private int holds;
     private int rejected;
--- a/router/src/main/java/rushwood/wire/HostProtocol.java
+++ b/router/src/main/java/rushwood/wire/HostProtocol.java
@@ -5,8 +5,8 @@
 import io.netty.buffer.CompositeByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
+import rushwood.api.AttemptOutcome;
 import rushwood.api.LoadReport;
-import rushwood.api.ShotEnd;
 import rushwood.state.HostAnswer;
 import rushwood.state.Link;
 
@@ -36,7 +36,7 @@
   private CompositeByteBuf row;
   private char last;
   private String value;
-  private ShotEnd end;
+  private AttemptOutcome end;
   private boolean spoilt;
   private Boolean primary;
   private long position;
@@ -159,7 +159,7 @@
       row.addComponent(true, message.retainedSlice());
     }
     if (type == 'C') {
-      end = ShotEnd.FULFILLED;
+      end = AttemptOutcome.SUCCESS;
     }
   }
 
@@ -225,14 +225,16 @@
     if (state == State.OPENING) {
       state = State.ENDED;
       events.answered(
-          HostAnswer.of(code.equals("53300") ? ShotEnd.OVERFULL : ShotEnd.UNREACHED), false);
+          HostAnswer.of(
+              code.equals("53300") ? AttemptOutcome.OVERLOADED : AttemptOutcome.CONNECT_FAILED),
+          false);
     } else if (state == State.ASKED && end == null) {
       dropRow();
       end =
           switch (code) {
-            case "25006", "72000" -> ShotEnd.BEHIND;
-            case "53300" -> ShotEnd.OVERFULL;
-            default -> ShotEnd.ERROR;
+            case "25006", "72000" -> AttemptOutcome.REPLICA_LAGGING;
+            case "53300" -> AttemptOutcome.OVERLOADED;
+            default -> AttemptOutcome.ERROR;
           };
     } else {
       throw Fault.lost("an error that answers nothing");
@@ -274,7 +276,7 @@
       events.answered(answer(), false);
     } else if (was == State.ASKED && spoilt) {
       dropRow();
-      events.answered(HostAnswer.of(ShotEnd.SPOILT), false);
+      events.answered(HostAnswer.of(AttemptOutcome.MALFORMED), false);
     } else if (was != State.ENDED) {
       dropRow();
       events.broken(accepted);
--- a/router/src/main/java/rushwood/wire/ListReader.java
+++ b/router/src/main/java/rushwood/wire/ListReader.java
@@ -14,9 +14,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.ZoneId;
 import rushwood.state.Router.Partial;
 import rushwood.state.Router.Place;
@@ -384,7 +384,7 @@
     return Stream.concat(
             partials.stream(),
             places.stream().map(Place::host).map(host -> new Partial(host.id(), host.state())))
-        .filter(each -> each.state() != null && each.state() != ListedHost.State.IN_SERVICE)
+        .filter(each -> each.state() != null && each.state() != Endpoint.State.READY)
         .toList();
   }
 
@@ -426,14 +426,14 @@
   }
 
   private static Place place(JsonObject host) {
-    ListedHost.State state = state(text(host, "state"));
+    Endpoint.State state = state(text(host, "state"));
     double weight = number(host, "weight", 1);
     if (!(weight > 0)) {
       throw bad("weight");
     }
     boolean primary = host.has("part") && text(host, "part").equals("master");
     return new Place(
-        new ListedHost(
+        new Endpoint(
             new HostId(text(host, "id")),
             new GroupId((int) number(host, "cell", -1)),
             new ZoneId(host.has("zone") ? text(host, "zone") : ""),
@@ -444,11 +444,11 @@
         address(text(host, "addr")));
   }
 
-  private static ListedHost.State state(String word) {
+  private static Endpoint.State state(String word) {
     return switch (word) {
-      case "Ready" -> ListedHost.State.IN_SERVICE;
-      case "Terminating" -> ListedHost.State.DRAINING;
-      case "Gone" -> ListedHost.State.GONE;
+      case "Ready" -> Endpoint.State.READY;
+      case "Terminating" -> Endpoint.State.DRAINING;
+      case "Gone" -> Endpoint.State.REMOVED;
       default ->
           throw new IllegalArgumentException(
               "state has the unknown word "
--- a/router/src/main/java/rushwood/wire/SqlStatement.java
+++ b/router/src/main/java/rushwood/wire/SqlStatement.java
@@ -7,10 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
 import rushwood.api.GroupId;
-import rushwood.api.Product;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
 import rushwood.api.SessionId;
 import rushwood.state.Statement;
 
@@ -47,7 +47,7 @@
   private int timeTo;
   private final boolean write;
   private final SessionId key;
-  private final Product product;
+  private final RequestClass product;
   private final GroupId group;
   private final long waits;
   private final long after;
@@ -57,7 +57,7 @@
    * The form is checked to the byte: a host closes on what it cannot read, and would pass for a
    * sick one.
    */
-  SqlStatement(ByteBuf text, List<Product> products) throws Fault {
+  SqlStatement(ByteBuf text, List<RequestClass> products) throws Fault {
     this.text = text;
     at = text.readerIndex();
     write = take(WRITE);
@@ -83,7 +83,7 @@
       throw new Fault("42601", "the comment does not end the statement", false);
     }
     product = product(products);
-    if (write != (product.need() == Product.Need.WRITE)) {
+    if (write != (product.consistency() == RequestClass.Consistency.WRITE)) {
       throw impossible("c", "does not go with the statement");
     }
     if (need("id").length() > LONGEST_ID) {
@@ -145,8 +145,8 @@
     }
   }
 
-  private Product product(List<Product> products) throws Fault {
-    Product product = Product.named(products, need("c"));
+  private RequestClass product(List<RequestClass> products) throws Fault {
+    RequestClass product = RequestClass.findByName(products, need("c"));
     if (product == null) {
       throw impossible("c", "names no product");
     }
@@ -189,8 +189,8 @@
     return hash == 0 ? 1 : hash;
   }
 
-  AccessId id() {
-    return new AccessId(fields.get("id"));
+  RequestId id() {
+    return new RequestId(fields.get("id"));
   }
 
   GroupId group() {
@@ -198,10 +198,10 @@
   }
 
   @Override
-  public Access access(long now, long cameAt, long last) {
-    boolean session = write || product.need() == Product.Need.SESSION;
+  public Request access(long now, long cameAt, long last) {
+    boolean session = write || product.consistency() == RequestClass.Consistency.READ_YOUR_WRITES;
     long sinceWrite = after == 0 ? 0 : Math.max(1, now - after);
-    return new Access(
+    return new Request(
         id(),
         product,
         session ? key : null,
--- a/router/src/test/java/rushwood/ScenarioTest.java
+++ b/router/src/test/java/rushwood/ScenarioTest.java
@@ -1,7 +1,5 @@
 package rushwood;
 
-import static org.junit.jupiter.api.Assertions.fail;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,23 +11,24 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.Product;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
 import rushwood.api.SessionId;
-import rushwood.api.Settings;
-import rushwood.api.ShotEnd;
 import rushwood.api.ZoneId;
-import rushwood.decision.Choice;
+import rushwood.policy.DefaultRoutingPolicy;
 
 /**
  * Plays every scenario. A line is a word and its operands, times in milliseconds. What the
@@ -52,28 +51,29 @@
                 DynamicTest.dynamicTest(
                     file.getFileName().toString(),
                     () -> {
-                      Play play = new Play();
+                      ScenarioPlayer player = new ScenarioPlayer();
                       int number = 0;
                       for (String line : Files.readAllLines(file)) {
                         number++;
                         if (!line.isBlank() && !line.startsWith("#")) {
-                          play.line(line.trim().split("\\s+"), file.getFileName() + ":" + number);
+                          player.execute(
+                              line.trim().split("\\s+"), file.getFileName() + ":" + number);
                         }
                       }
                     }));
   }
 
-  private static final class Play implements Outlet {
+  private static final class ScenarioPlayer implements PolicyActions {
     private static final long MS = 1_000_000L;
     private static final long START = 1_000_000 * MS;
 
-    private final Map<String, String> set =
+    private final Map<String, String> options =
         new HashMap<>(
             Map.of(
                 "routers",
                 "1",
                 "behind",
-                "TURNS_AWAY",
+                "REJECTS",
                 "most-shots",
                 "10",
                 "cold-for",
@@ -86,55 +86,65 @@
                 "false",
                 "gone-binds",
                 "true"));
-    private final Map<String, Product> products = new LinkedHashMap<>();
-    private final Map<String, String> outer = new HashMap<>();
-    private final Map<String, ListedHost> hosts = new LinkedHashMap<>();
-    private final Map<String, Access> accesses = new HashMap<>();
-    private final Map<String, List<String>> shots = new HashMap<>();
-    private final List<String> done = new ArrayList<>();
-    private final TreeSet<Long> wakes = new TreeSet<>();
-    private Decisions decisions;
+    private final Map<String, RequestClass> requestClasses = new LinkedHashMap<>();
+    private final Map<String, String> defaultDeadlines = new HashMap<>();
+    private final Map<String, Endpoint> hosts = new LinkedHashMap<>();
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<String, List<String>> attemptHosts = new HashMap<>();
+    private final List<String> performed = new ArrayList<>();
+    private final TreeSet<Long> timers = new TreeSet<>();
+    private RoutingPolicy policy;
     private long now = START;
-    private int seen;
+    private int matched;
     private int mark;
 
-    void line(String[] w, String place) {
-      switch (w[0]) {
-        case "set" -> set.put(w[1], w[2]);
-        case "product" -> product(w);
-        case "host" -> host(w);
-        case "list" -> decisions().listed(now, named(w), now == START);
-        case "change" -> decisions().listChanged(now, named(w));
-        case "fail-list" -> decisions().listFailed(now);
-        case "at" -> advance(START + ms(w[1]));
-        case "access" -> access(w);
-        case "answer" -> answer(w);
+    void execute(String[] words, String place) {
+      switch (words[0]) {
+        case "set" -> options.put(words[1], words[2]);
+        case "product" -> defineRequestClass(words);
+        case "host" -> defineHost(words);
+        case "list" -> policy().endpointsReplaced(now, endpointsNamed(words), now == START);
+        case "change" -> policy().endpointsUpdated(now, endpointsNamed(words));
+        case "fail-list" -> policy().endpointRefreshFailed(now);
+        case "at" -> advance(START + nanos(words[1]));
+        case "access" -> arrive(words);
+        case "answer" -> answerAttempt(words);
         case "probed" ->
-            decisions().probed(now, new HostId(w[1]), w[2].equals("yes"), report(w, 3));
-        case "closing" -> decisions().closing(now, START + ms(w[1]));
-        case "left" -> decisions().left(now, new AccessId(w[1]));
-        case "mark" -> mark = done.size();
-        case "expect" -> expect(w, place);
+            policy()
+                .probeFinished(
+                    now, new HostId(words[1]), words[2].equals("yes"), loadReport(words, 3));
+        case "closing" -> policy().shuttingDown(now, START + nanos(words[1]));
+        case "left" -> policy().clientDisconnected(now, new RequestId(words[1]));
+        case "mark" -> mark = performed.size();
+        case "expect" -> expectAction(words, place);
         case "never" -> {
-          if (done.subList(seen, done.size()).stream().anyMatch(line -> matches(w, 1, line))) {
-            fail(place + ": " + String.join(" ", w) + " in " + done.subList(seen, done.size()));
+          if (performed.subList(matched, performed.size()).stream()
+              .anyMatch(line -> matchesPattern(words, 1, line))) {
+            Assertions.fail(
+                place
+                    + ": "
+                    + String.join(" ", words)
+                    + " in "
+                    + performed.subList(matched, performed.size()));
           }
         }
         case "count" -> {
-          long found = done.stream().skip(mark).filter(line -> matches(w, 2, line)).count();
-          if (found != Long.parseLong(w[1])) {
-            fail(place + ": " + found + " of " + String.join(" ", w) + " in " + done);
+          long found =
+              performed.stream().skip(mark).filter(line -> matchesPattern(words, 2, line)).count();
+          if (found != Long.parseLong(words[1])) {
+            Assertions.fail(
+                place + ": " + found + " of " + String.join(" ", words) + " in " + performed);
           }
         }
-        default -> fail(place + ": unknown word " + w[0]);
+        default -> Assertions.fail(place + ": unknown word " + words[0]);
       }
     }
 
-    private static long ms(String word) {
+    private static long nanos(String word) {
       return Math.round(Double.parseDouble(word) * MS);
     }
 
-    private static String after(String[] words, String key, String absent) {
+    private static String operand(String[] words, String key, String absent) {
       for (int i = 1; i < words.length - 1; i++) {
         if (words[i].equals(key)) {
           return words[i + 1];
@@ -143,141 +153,147 @@
       return absent;
     }
 
-    private Decisions decisions() {
-      if (decisions == null) {
-        decisions =
-            new Choice(
-                new Settings(
-                    Integer.parseInt(set.get("routers")),
-                    List.copyOf(products.values()),
-                    Boolean.parseBoolean(set.get("ask")),
-                    Settings.Behind.valueOf(set.get("behind")),
+    private RoutingPolicy policy() {
+      if (policy == null) {
+        policy =
+            new DefaultRoutingPolicy(
+                new RoutingSettings(
+                    Integer.parseInt(options.get("routers")),
+                    List.copyOf(requestClasses.values()),
+                    Boolean.parseBoolean(options.get("ask")),
+                    RoutingSettings.LaggingReadBehavior.valueOf(options.get("behind")),
                     true,
-                    Boolean.parseBoolean(set.get("remembers")),
+                    Boolean.parseBoolean(options.get("remembers")),
                     true,
                     true,
                     true,
                     500 * MS,
-                    Integer.parseInt(set.get("most-shots")),
+                    Integer.parseInt(options.get("most-shots")),
                     5 * MS,
-                    Boolean.parseBoolean(set.get("gone-binds")),
-                    Double.parseDouble(set.get("cold-from")),
-                    ms(set.get("cold-for")),
+                    Boolean.parseBoolean(options.get("gone-binds")),
+                    Double.parseDouble(options.get("cold-from")),
+                    nanos(options.get("cold-for")),
                     2,
                     1000 * MS,
                     10_000 * MS),
                 new SplittableRandom(1),
                 this);
       }
-      return decisions;
+      return policy;
     }
 
     /**
      * product NAME EFFECT NEED [bound MS] [quoted MS] [outer MS] [window MS] [scope SCOPE] [late
      * SHARE]
      */
-    private void product(String[] w) {
-      outer.put(w[1], after(w, "outer", "1500"));
-      products.put(
-          w[1],
-          new Product(
-              w[1],
-              products.size(),
-              ms(after(w, "quoted", "400")),
-              Product.Effect.valueOf(w[2]),
-              Product.Scope.valueOf(after(w, "scope", "GROUP")),
-              ms(after(w, "window", "3000")),
-              Product.Need.valueOf(w[3]),
-              ms(after(w, "bound", "500")),
-              Double.parseDouble(after(w, "late", "0"))));
+    private void defineRequestClass(String[] words) {
+      defaultDeadlines.put(words[1], operand(words, "outer", "1500"));
+      requestClasses.put(
+          words[1],
+          new RequestClass(
+              words[1],
+              requestClasses.size(),
+              nanos(operand(words, "quoted", "400")),
+              RequestClass.Idempotency.valueOf(words[2]),
+              RequestClass.KeyScope.valueOf(operand(words, "scope", "GROUP")),
+              nanos(operand(words, "window", "3000")),
+              RequestClass.Consistency.valueOf(words[3]),
+              nanos(operand(words, "bound", "500")),
+              Double.parseDouble(operand(words, "late", "0"))));
     }
 
     /** host NAME [primary yes] [state STATE] [started MS] [group N] [zone Z] */
-    private void host(String[] w) {
-      String started = after(w, "started", null);
+    private void defineHost(String[] words) {
+      String started = operand(words, "started", null);
       hosts.put(
-          w[1],
-          new ListedHost(
-              new HostId(w[1]),
-              new GroupId(Integer.parseInt(after(w, "group", "1"))),
-              new ZoneId(after(w, "zone", "z")),
+          words[1],
+          new Endpoint(
+              new HostId(words[1]),
+              new GroupId(Integer.parseInt(operand(words, "group", "1"))),
+              new ZoneId(operand(words, "zone", "z")),
               1,
-              started == null ? 0 : START + ms(started),
-              after(w, "primary", "no").equals("yes"),
-              ListedHost.State.valueOf(after(w, "state", "IN_SERVICE"))));
+              started == null ? 0 : START + nanos(started),
+              operand(words, "primary", "no").equals("yes"),
+              Endpoint.State.valueOf(operand(words, "state", "READY"))));
     }
 
-    private List<ListedHost> named(String[] w) {
-      return Stream.of(w).skip(1).map(hosts::get).toList();
+    private List<Endpoint> endpointsNamed(String[] words) {
+      return Stream.of(words).skip(1).map(hosts::get).toList();
     }
 
     /** access NAME PRODUCT [due MS from now] [session S] [group N] */
-    private void access(String[] w) {
-      Product product = products.get(w[2]);
-      String session = after(w, "session", null);
-      Access access =
-          new Access(
-              new AccessId(w[1]),
+    private void arrive(String[] words) {
+      RequestClass product = requestClasses.get(words[2]);
+      String session = operand(words, "session", null);
+      Request access =
+          new Request(
+              new RequestId(words[1]),
               product,
               session == null ? null : new SessionId(session),
-              new GroupId(Integer.parseInt(after(w, "group", "1"))),
-              now + ms(after(w, "due", outer.get(w[2]))),
+              new GroupId(Integer.parseInt(operand(words, "group", "1"))),
+              now + nanos(operand(words, "due", defaultDeadlines.get(words[2]))),
               0);
-      accesses.put(w[1], access);
-      decisions().arrived(now, access);
+      requests.put(words[1], access);
+      policy().requestReceived(now, access);
     }
 
     /** answer NAME END [role primary|replica] [took MS] [position MS], for the last shot. */
-    private void answer(String[] w) {
-      List<String> sent = shots.get(w[1]);
-      ShotEnd end = ShotEnd.valueOf(w[2]);
-      String role = after(w, "role", null);
-      String host = after(w, "from", sent.get(sent.size() - 1));
-      decisions()
-          .answered(
+    private void answerAttempt(String[] words) {
+      List<String> sent = attemptHosts.get(words[1]);
+      AttemptOutcome end = AttemptOutcome.valueOf(words[2]);
+      String role = operand(words, "role", null);
+      String host = operand(words, "from", sent.get(sent.size() - 1));
+      policy()
+          .attemptFinished(
               now,
-              new Answer(
-                  new AccessId(w[1]),
+              new AttemptResult(
+                  new RequestId(words[1]),
                   sent.lastIndexOf(host),
                   new HostId(host),
                   end,
-                  ms(after(w, "took", "50")),
-                  end == ShotEnd.FULFILLED,
+                  nanos(operand(words, "took", "50")),
+                  end == AttemptOutcome.SUCCESS,
                   role == null ? null : role.equals("primary"),
                   -1,
-                  report(w, 3)));
+                  loadReport(words, 3)));
     }
 
-    private LoadReport report(String[] w, int from) {
-      String position = after(w, "position", null);
-      String role = after(w, "reports", null);
+    private LoadReport loadReport(String[] words, int from) {
+      String position = operand(words, "position", null);
+      String role = operand(words, "reports", null);
       return position == null
           ? LoadReport.NONE
-          : new LoadReport(START + ms(position), role == null ? null : role.equals("primary"));
+          : new LoadReport(START + nanos(position), role == null ? null : role.equals("primary"));
     }
 
     private void advance(long to) {
-      while (!wakes.isEmpty() && wakes.first() <= to) {
-        now = Math.max(now, wakes.pollFirst());
-        decisions().woken(now);
+      while (!timers.isEmpty() && timers.first() <= to) {
+        now = Math.max(now, timers.pollFirst());
+        policy().timerFired(now);
       }
       now = to;
     }
 
-    private void expect(String[] w, String place) {
-      for (int i = seen; i < done.size(); i++) {
-        if (matches(w, 1, done.get(i))) {
-          seen = i + 1;
+    private void expectAction(String[] words, String place) {
+      for (int i = matched; i < performed.size(); i++) {
+        if (matchesPattern(words, 1, performed.get(i))) {
+          matched = i + 1;
           return;
         }
       }
-      fail(place + ": no " + String.join(" ", w) + " in " + done.subList(seen, done.size()));
+      Assertions.fail(
+          place
+              + ": no "
+              + String.join(" ", words)
+              + " in "
+              + performed.subList(matched, performed.size()));
     }
 
-    private static boolean matches(String[] w, int from, String line) {
+    private static boolean matchesPattern(String[] pattern, int from, String line) {
       String[] words = line.split(" ");
-      for (int i = from; i < w.length; i++) {
-        if (i - from >= words.length || !w[i].equals("*") && !w[i].equals(words[i - from])) {
+      for (int i = from; i < pattern.length; i++) {
+        if (i - from >= words.length
+            || !pattern[i].equals("*") && !pattern[i].equals(words[i - from])) {
           return false;
         }
       }
@@ -285,44 +301,44 @@
     }
 
     @Override
-    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
-      shots.computeIfAbsent(access.value(), each -> new ArrayList<>()).add(host.value());
-      done.add("send " + access + " " + host);
+    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
+      attemptHosts.computeIfAbsent(access.value(), each -> new ArrayList<>()).add(host.value());
+      performed.add("send " + access + " " + host);
     }
 
     @Override
-    public void withdraw(AccessId access, int shot) {
-      done.add("withdraw " + access + " " + shot);
+    public void cancel(RequestId access, int shot) {
+      performed.add("withdraw " + access + " " + shot);
     }
 
     @Override
-    public void turnBack(AccessId access, long advice) {
-      done.add("turn-back " + access + " " + advice / MS);
+    public void reject(RequestId access, long advice) {
+      performed.add("turn-back " + access + " " + advice / MS);
     }
 
     @Override
-    public void giveUp(AccessId access) {
-      done.add("give-up " + access);
+    public void fail(RequestId access) {
+      performed.add("give-up " + access);
     }
 
     @Override
     public void probe(HostId host) {
-      done.add("probe " + host);
+      performed.add("probe " + host);
     }
 
     @Override
-    public void wake(long at) {
-      wakes.add(Math.max(at, now + 1));
+    public void wakeAt(long at) {
+      timers.add(Math.max(at, now + 1));
     }
 
     @Override
-    public void subscribe() {
-      done.add("subscribe");
+    public void subscribeToEndpoints() {
+      performed.add("subscribe");
     }
 
     @Override
     public void log(String line) {
-      done.add("log " + line);
+      performed.add("log " + line);
     }
   }
 }
--- a/router/src/test/java/rushwood/lifecycle/ConfigTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ConfigTest.java
@@ -47,8 +47,8 @@
     assertEquals("/127.0.0.1:2", config.discovery().toString());
     assertEquals(0xfc1f30d27a5be964L, config.seed());
     assertEquals(41, config.known().version());
-    assertEquals(2, config.settings().products().size());
-    assertEquals(500_000_000, config.settings().products().get(0).bound());
+    assertEquals(2, config.settings().requestClasses().size());
+    assertEquals(500_000_000, config.settings().requestClasses().get(0).maxStalenessNanos());
     assertEquals(250_000_000, config.openWithin());
     assertEquals(30_000_000_000L, config.idleFor());
   }
--- a/router/src/test/java/rushwood/state/RouterTest.java
+++ b/router/src/test/java/rushwood/state/RouterTest.java
@@ -11,16 +11,16 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
-import rushwood.api.Decisions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.ShotEnd;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
 import rushwood.api.ZoneId;
 import rushwood.state.Counters.Count;
 import rushwood.storm.Dials;
@@ -31,7 +31,7 @@
 class RouterTest {
   private static final long MS = 1_000_000L;
   private static final HostId A = new HostId("a");
-  private static final AccessId X = new AccessId("x");
+  private static final RequestId X = new RequestId("x");
 
   /** A connection as the test sees it. */
   private final class FakeLink implements Link {
@@ -65,60 +65,60 @@
       open = false;
     }
 
-    void answer(ShotEnd end) {
-      ByteBuf row = end == ShotEnd.FULFILLED ? Bytes.buffer(new byte[] {1}) : null;
+    void answer(AttemptOutcome end) {
+      ByteBuf row = end == AttemptOutcome.SUCCESS ? Bytes.buffer(new byte[] {1}) : null;
       events.answered(new HostAnswer(end, row, null, -1, LoadReport.NONE), true);
     }
   }
 
   /** Decisions that only note what they hear; a first shot at once if so told. */
-  private final class Heard implements Decisions {
+  private final class Heard implements RoutingPolicy {
     @Override
-    public void listed(long now, List<ListedHost> hosts, boolean remembered) {}
+    public void endpointsReplaced(long now, List<Endpoint> hosts, boolean remembered) {}
 
     @Override
-    public void listChanged(long now, List<ListedHost> changes) {
+    public void endpointsUpdated(long now, List<Endpoint> changes) {
       heard.add("changed " + changes.size());
     }
 
     @Override
-    public void listFailed(long now) {}
+    public void endpointRefreshFailed(long now) {}
 
     @Override
-    public void arrived(long now, Access access) {
-      due = access.due();
+    public void requestReceived(long now, Request access) {
+      due = access.deadline();
       outlet.send(access.id(), A, 100 * MS, beginWithin);
     }
 
     @Override
-    public void answered(long now, Answer answer) {
+    public void attemptFinished(long now, AttemptResult answer) {
       heard.add(
-          answer.shot()
+          answer.attemptNumber()
               + " "
-              + answer.end()
-              + (answer.over() ? " over" : "")
+              + answer.outcome()
+              + (answer.requestFinished() ? " over" : "")
               + " after "
-              + answer.took() / MS);
+              + answer.durationNanos() / MS);
       next.run();
     }
 
     @Override
-    public void left(long now, AccessId access) {
+    public void clientDisconnected(long now, RequestId access) {
       heard.add("left " + access);
     }
 
     @Override
-    public void closing(long now, long at) {
+    public void shuttingDown(long now, long at) {
       heard.add("closing " + at / MS);
     }
 
     @Override
-    public void probed(long now, HostId host, boolean answered, LoadReport report) {
+    public void probeFinished(long now, HostId host, boolean answered, LoadReport report) {
       heard.add("probed " + answered);
     }
 
     @Override
-    public void woken(long now) {
+    public void timerFired(long now) {
       heard.add("woken " + now / MS);
     }
   }
@@ -126,8 +126,8 @@
   /** A statement whose message is as long as the time in it. */
   private final class FakeStatement implements Statement {
     @Override
-    public Access access(long now, long cameAt, long last) {
-      return new Access(
+    public Request access(long now, long cameAt, long last) {
+      return new Request(
           X, Bytes.PRODUCTS.get(0), null, new GroupId(1), Math.min(last, cameAt + 400 * MS), 0);
     }
 
@@ -179,7 +179,7 @@
           counters);
   private Runnable next = () -> {};
   private long beginWithin = 100 * MS;
-  private Outlet outlet;
+  private PolicyActions outlet;
   private Router router;
 
   @BeforeEach
@@ -212,7 +212,7 @@
               outlet = each;
               return new Heard();
             });
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
     beat();
   }
 
@@ -230,9 +230,9 @@
     assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
   }
 
-  private static Router.Place place(String id, int port, ListedHost.State state) {
+  private static Router.Place place(String id, int port, Endpoint.State state) {
     return new Router.Place(
-        new ListedHost(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
+        new Endpoint(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
         new InetSocketAddress("127.0.0.1", port));
   }
 
@@ -270,19 +270,19 @@
     FakeLink link = arriveAndOpen();
     assertEquals(List.of("d=100"), link.asked);
     to(20);
-    link.answer(ShotEnd.FULFILLED);
+    link.answer(AttemptOutcome.SUCCESS);
     expect("fulfilled", "0 FULFILLED over after 20", "released");
     to(30);
     arriveAndOpen();
     assertEquals(1, links.size(), "the connection is used again");
     assertEquals(1, counters.get(Count.CONNECTIONS_REUSED));
-    link.answer(ShotEnd.FULFILLED);
+    link.answer(AttemptOutcome.SUCCESS);
   }
 
   /** Never written is told from written: only the first is sure not to have run. */
   @Test
   void breaks() {
-    next = () -> outlet.giveUp(X);
+    next = () -> outlet.fail(X);
     router.arrived(new FakeStatement(), new FakeClient());
     links.get(0).events.broken(false);
     expect("0 UNREACHED after 0", "released", "given up");
@@ -296,7 +296,7 @@
 
   @Test
   void neverComesUp() {
-    next = () -> outlet.turnBack(X, 7 * MS);
+    next = () -> outlet.reject(X, 7 * MS);
     time = 0;
     router.arrived(new FakeStatement(), new FakeClient());
     to(99);
@@ -310,7 +310,7 @@
 
   @Test
   void timedOutClosesTheConnection() {
-    next = () -> outlet.giveUp(X);
+    next = () -> outlet.fail(X);
     FakeLink link = arriveAndOpen();
     to(100);
     assertEquals(false, link.open);
@@ -323,12 +323,12 @@
   @Test
   void withdrawn() {
     FakeLink link = arriveAndOpen();
-    outlet.withdraw(X, 0);
-    outlet.withdraw(X, 0);
+    outlet.cancel(X, 0);
+    outlet.cancel(X, 0);
     assertEquals(false, link.open);
     expect("0 WITHDRAWN after 0");
-    outlet.giveUp(X);
-    outlet.giveUp(X);
+    outlet.fail(X);
+    outlet.fail(X);
     expect("released", "given up");
   }
 
@@ -339,22 +339,22 @@
     router.left(X);
     expect("left x");
     to(30);
-    link.answer(ShotEnd.FULFILLED);
+    link.answer(AttemptOutcome.SUCCESS);
     expect("0 FULFILLED over after 30", "released");
   }
 
   @Test
   void connectionsHaveALimit() {
-    next = () -> outlet.turnBack(X, 0);
+    next = () -> outlet.reject(X, 0);
     outlet.probe(A);
     outlet.probe(A);
     router.arrived(new FakeStatement(), new FakeClient());
     expect("0 UNSENT after 0", "released", "turned back 0");
     assertEquals(2, links.size());
     links.get(0).events.opened();
-    links.get(0).answer(ShotEnd.FULFILLED);
+    links.get(0).answer(AttemptOutcome.SUCCESS);
     expect("probed true");
-    router.listChanged(List.of(place("b", 2, ListedHost.State.IN_SERVICE)), List.of());
+    router.listChanged(List.of(place("b", 2, Endpoint.State.READY)), List.of());
     heard.clear();
     outlet.probe(new HostId("b"));
     assertEquals(3, links.size(), "an idle connection makes room");
@@ -374,7 +374,7 @@
   @Test
   void idleConnectionsAreClosedWellBeforeTheirLimit() {
     FakeLink link = arriveAndOpen();
-    link.answer(ShotEnd.FULFILLED);
+    link.answer(AttemptOutcome.SUCCESS);
     to(14_000);
     assertEquals(true, link.open);
     to(17_000);
@@ -387,11 +387,11 @@
    */
   @Test
   void aConnectionRestsBeforeItsNextUse() {
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(2, links.size());
     to(5);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(2, links.size());
   }
 
@@ -401,37 +401,37 @@
    */
   @Test
   void staleConnectionsAreNotKept() {
-    next = () -> outlet.giveUp(X);
+    next = () -> outlet.fail(X);
     FakeLink first = arriveAndOpen();
-    first.answer(ShotEnd.FULFILLED);
+    first.answer(AttemptOutcome.SUCCESS);
     to(400);
     arriveAndOpen().events.broken(true);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     to(550);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(2, links.size(), "150 ms are safe still");
     to(800);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(3, links.size(), "250 ms are not");
   }
 
   @Test
   void anOldAddressIsNotUsedAgain() {
     FakeLink idle = arriveAndOpen();
-    idle.answer(ShotEnd.FULFILLED);
+    idle.answer(AttemptOutcome.SUCCESS);
     to(10);
     FakeLink busy = arriveAndOpen();
     assertEquals(idle, busy);
-    router.listChanged(List.of(place("a", 9, ListedHost.State.IN_SERVICE)), List.of());
-    busy.answer(ShotEnd.FULFILLED);
+    router.listChanged(List.of(place("a", 9, Endpoint.State.READY)), List.of());
+    busy.answer(AttemptOutcome.SUCCESS);
     assertEquals(false, busy.open);
   }
 
   @Test
   void drainingHostsLoseTheirIdleConnections() {
     FakeLink link = arriveAndOpen();
-    link.answer(ShotEnd.FULFILLED);
-    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    link.answer(AttemptOutcome.SUCCESS);
+    router.listChanged(List.of(place("a", 1, Endpoint.State.DRAINING)), List.of());
     assertEquals(false, link.open);
   }
 
@@ -440,9 +440,9 @@
    */
   @Test
   void aHostLeavesWhileItsConnectionComesUp() {
-    for (ListedHost.State state : List.of(ListedHost.State.DRAINING, ListedHost.State.GONE)) {
-      next = () -> outlet.turnBack(X, 0);
-      router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    for (Endpoint.State state : List.of(Endpoint.State.DRAINING, Endpoint.State.REMOVED)) {
+      next = () -> outlet.reject(X, 0);
+      router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
       heard.clear();
       router.arrived(new FakeStatement(), new FakeClient());
       FakeLink link = links.get(links.size() - 1);
@@ -463,7 +463,7 @@
    */
   @Test
   void anAttemptWhoseWindowEndsWhileItsConnectionComesUp() {
-    next = () -> outlet.giveUp(X);
+    next = () -> outlet.fail(X);
     beginWithin = 40 * MS;
     router.arrived(new FakeStatement(), new FakeClient());
     to(50);
@@ -474,7 +474,7 @@
     router.arrived(new FakeStatement(), new FakeClient());
     assertEquals(1, links.size(), "the connection is used by the next");
     assertEquals(List.of("d=100"), links.get(0).asked);
-    links.get(0).answer(ShotEnd.FULFILLED);
+    links.get(0).answer(AttemptOutcome.SUCCESS);
   }
 
   /**
@@ -494,21 +494,21 @@
   /** A whole list without it, and one in which its entry is bad but for its state, say the same. */
   @Test
   void aHostLeavesByAWholeList() {
-    next = () -> outlet.turnBack(X, 0);
+    next = () -> outlet.reject(X, 0);
     for (int i = 0; i < 2; i++) {
-      router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+      router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
       router.arrived(new FakeStatement(), new FakeClient());
       router.listed(
           List.of(),
-          i == 0 ? List.of() : List.of(new Router.Partial(A, ListedHost.State.DRAINING)),
+          i == 0 ? List.of() : List.of(new Router.Partial(A, Endpoint.State.DRAINING)),
           false);
       expect("0 UNSENT after 0", "released", "turned back 0");
     }
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
     router.listed(List.of(), List.of(new Router.Partial(A, null)), false);
     assertEquals(
         1, router.hosts(), "an entry of which only the id can be read says that it is there");
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     expect("fulfilled", "0 FULFILLED over after 0", "released");
   }
 
@@ -519,18 +519,18 @@
   @Test
   void goneThatDoesNotBind() {
     start(false);
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
+    router.listChanged(List.of(place("a", 1, Endpoint.State.REMOVED)), List.of());
     router.listed(List.of(), false);
     heard.clear();
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     expect("fulfilled", "0 FULFILLED over after 0", "released");
-    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
-    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
+    router.listChanged(List.of(place("a", 1, Endpoint.State.DRAINING)), List.of());
+    router.listChanged(List.of(place("a", 1, Endpoint.State.REMOVED)), List.of());
     outlet.probe(A);
     expect("changed 1", "changed 1", "probed false");
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     expect("fulfilled", "0 FULFILLED over after 0", "released");
   }
 
@@ -540,8 +540,8 @@
    */
   @Test
   void afterAPauseTheListComesFirst() {
-    next = () -> outlet.turnBack(X, 0);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    next = () -> outlet.reject(X, 0);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     to(100);
     clock.now();
     turn();
@@ -549,11 +549,11 @@
     heard.clear();
     router.arrived(new FakeStatement(), new FakeClient());
     assertEquals(1, links.get(0).asked.size(), "not yet");
-    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    router.listChanged(List.of(place("a", 1, Endpoint.State.DRAINING)), List.of());
     expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
     to(time / MS + 100);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     to(time / MS + 100);
     clock.now();
     turn();
@@ -562,7 +562,7 @@
     assertEquals(1, links.get(1).asked.size(), "not yet");
     to(time / MS + 2);
     assertEquals(2, links.get(1).asked.size(), "its host is still there");
-    links.get(1).answer(ShotEnd.FULFILLED);
+    links.get(1).answer(AttemptOutcome.SUCCESS);
     assertEquals(2, counters.get(Count.SHOTS_DEFERRED));
   }
 
@@ -572,8 +572,8 @@
    */
   @Test
   void theTurnAfterTheOneAfterAPause() {
-    next = () -> outlet.turnBack(X, 0);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    next = () -> outlet.reject(X, 0);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     to(100);
     for (long pause : new long[] {600, 10}) {
       clock.now();
@@ -583,24 +583,24 @@
     heard.clear();
     router.arrived(new FakeStatement(), new FakeClient());
     assertEquals(1, links.get(0).asked.size(), "not yet");
-    router.listChanged(List.of(place("a", 1, ListedHost.State.DRAINING)), List.of());
+    router.listChanged(List.of(place("a", 1, Endpoint.State.DRAINING)), List.of());
     expect("changed 1", "0 UNSENT after 0", "released", "turned back 0");
   }
 
   /** The turn itself takes that long, as a collection or a burst of accesses in it does. */
   @Test
   void aTurnThatLastsLong() {
-    next = () -> outlet.turnBack(X, 0);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    next = () -> outlet.reject(X, 0);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     to(100);
     clock.now();
     time += 600 * MS; // within the turn: its clock has been read
     router.arrived(new FakeStatement(), new FakeClient());
     assertEquals(1, links.get(0).asked.size(), "not yet");
-    outlet.withdraw(X, 0);
+    outlet.cancel(X, 0);
     to(time / MS + 10);
     assertEquals(1, links.get(0).asked.size(), "nobody waits for it any more");
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(1, links.size(), "its connection is idle again");
   }
 
@@ -611,21 +611,21 @@
   void goneHostsAreForgotten() {
     FakeLink link = arriveAndOpen();
     for (int i = 0; i < 300; i++) {
-      router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.IN_SERVICE)), List.of());
-      router.listChanged(List.of(place("h" + i, i + 1, ListedHost.State.GONE)), List.of());
+      router.listChanged(List.of(place("h" + i, i + 1, Endpoint.State.READY)), List.of());
+      router.listChanged(List.of(place("h" + i, i + 1, Endpoint.State.REMOVED)), List.of());
     }
     assertEquals(1, router.hosts());
-    router.listChanged(List.of(place("a", 1, ListedHost.State.GONE)), List.of());
-    link.answer(ShotEnd.FULFILLED);
+    router.listChanged(List.of(place("a", 1, Endpoint.State.REMOVED)), List.of());
+    link.answer(AttemptOutcome.SUCCESS);
     assertEquals(false, link.open, "a forgotten host's connection is not kept");
-    router.listed(List.of(place("a", 1, ListedHost.State.IN_SERVICE)), false);
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    router.listed(List.of(place("a", 1, Endpoint.State.READY)), false);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     assertEquals(2, links.size());
   }
 
   @Test
   void goneHostsNeverHeardOfSayNothing() {
-    router.listChanged(List.of(place("z", 1, ListedHost.State.GONE)), List.of());
+    router.listChanged(List.of(place("z", 1, Endpoint.State.REMOVED)), List.of());
     expect("changed 0");
   }
 
@@ -648,7 +648,7 @@
   private long dueOfOneAt(long millis) {
     turn();
     time = millis * MS;
-    arriveAndOpen().answer(ShotEnd.FULFILLED);
+    arriveAndOpen().answer(AttemptOutcome.SUCCESS);
     return due;
   }
 
@@ -668,10 +668,10 @@
         () -> {
           throw new IllegalStateException("on purpose");
         };
-    arriveAndOpen().answer(ShotEnd.ERROR);
+    arriveAndOpen().answer(AttemptOutcome.ERROR);
     expect("0 ERROR after 0", "given up", "released");
     agenda.add(50 * MS, next);
-    outlet.wake(50 * MS);
+    outlet.wakeAt(50 * MS);
     to(60);
     expect("woken 50");
     assertEquals(2, counters.get(Count.EXCEPTIONS_CAUGHT));
@@ -679,8 +679,8 @@
 
   @Test
   void oneWakeATime() {
-    outlet.wake(50 * MS);
-    outlet.wake(20 * MS);
+    outlet.wakeAt(50 * MS);
+    outlet.wakeAt(20 * MS);
     to(60);
     expect("woken 20");
   }
--- a/router/src/test/java/rushwood/storm/StormTest.java
+++ b/router/src/test/java/rushwood/storm/StormTest.java
@@ -8,51 +8,51 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import rushwood.api.Access;
-import rushwood.api.AccessId;
-import rushwood.api.Answer;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.api.LoadReport;
-import rushwood.api.Outlet;
-import rushwood.api.Product;
-import rushwood.api.Settings;
-import rushwood.api.ShotEnd;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
-import rushwood.decision.Choice;
+import rushwood.policy.DefaultRoutingPolicy;
 
 /** The module with the decisions behind it. */
 class StormTest {
   private static final long MS = 1_000_000L;
-  private static final Product PAY =
-      new Product(
+  private static final RequestClass PAY =
+      new RequestClass(
           "pay",
           0,
           750 * MS,
-          Product.Effect.IRREVERSIBLE,
-          Product.Scope.EVERYWHERE,
+          RequestClass.Idempotency.NON_IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
           5000 * MS,
-          Product.Need.WRITE,
+          RequestClass.Consistency.WRITE,
           0,
           0);
-  private static final Product ANY =
-      new Product(
+  private static final RequestClass ANY =
+      new RequestClass(
           "any",
           1,
           400 * MS,
-          Product.Effect.REDOABLE,
-          Product.Scope.EVERYWHERE,
+          RequestClass.Idempotency.IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
           0,
-          Product.Need.ANY,
+          RequestClass.Consistency.EVENTUAL,
           0,
           0);
-  private static final Settings SETTINGS =
-      new Settings(
+  private static final RoutingSettings SETTINGS =
+      new RoutingSettings(
           1,
           List.of(PAY, ANY),
           false,
-          Settings.Behind.TURNS_AWAY,
+          RoutingSettings.LaggingReadBehavior.REJECTS,
           false,
           false,
           false,
@@ -73,24 +73,24 @@
   private long now = 1_000_000 * MS;
   private int ids;
 
-  private final class Heard implements Outlet {
+  private final class Heard implements PolicyActions {
     @Override
-    public void send(AccessId access, HostId host, long timeOut, long beginWithin) {
+    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
       heard.add("send " + access + " " + host);
     }
 
     @Override
-    public void withdraw(AccessId access, int shot) {
+    public void cancel(RequestId access, int shot) {
       heard.add("withdraw " + access);
     }
 
     @Override
-    public void turnBack(AccessId access, long advice) {
+    public void reject(RequestId access, long advice) {
       heard.add("back " + access + " " + advice / MS);
     }
 
     @Override
-    public void giveUp(AccessId access) {
+    public void fail(RequestId access) {
       heard.add("up " + access);
     }
 
@@ -98,10 +98,10 @@
     public void probe(HostId host) {}
 
     @Override
-    public void wake(long at) {}
+    public void wakeAt(long at) {}
 
     @Override
-    public void subscribe() {}
+    public void subscribeToEndpoints() {}
 
     @Override
     public void log(String line) {
@@ -117,36 +117,37 @@
             new StormSettings(true, true, 0.2, 10, doubts),
             dials,
             new Heard(),
-            (crowd, outlet) -> new Choice(SETTINGS, new SplittableRandom(2), outlet, crowd));
-    List<ListedHost> list = new ArrayList<>();
+            (crowd, outlet) ->
+                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(2), outlet, crowd));
+    List<Endpoint> list = new ArrayList<>();
     for (int i = 0; i < groups; i++) {
       list.add(
-          new ListedHost(
+          new Endpoint(
               new HostId("h" + i),
               new GroupId(i),
               new ZoneId(""),
               1,
               0,
               true,
-              ListedHost.State.IN_SERVICE));
+              Endpoint.State.READY));
     }
-    storm.listed(now, list, true);
+    storm.endpointsReplaced(now, list, true);
   }
 
-  private String arrive(Product product, int group, long mark) {
+  private String arrive(RequestClass product, int group, long mark) {
     String id = "a" + ids++;
-    storm.arrived(
+    storm.requestReceived(
         now,
-        new Access(
-            new AccessId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
+        new Request(
+            new RequestId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
     return id;
   }
 
-  private void answer(String id, int group, ShotEnd end, boolean over) {
-    storm.answered(
+  private void answer(String id, int group, AttemptOutcome end, boolean over) {
+    storm.attemptFinished(
         now,
-        new Answer(
-            new AccessId(id),
+        new AttemptResult(
+            new RequestId(id),
             0,
             new HostId("h" + group),
             end,
@@ -168,13 +169,13 @@
     assertEquals(
         List.of("send " + first + " h0"),
         heard.stream().filter(each -> each.startsWith("send")).toList());
-    storm.left(now, new AccessId(first));
+    storm.clientDisconnected(now, new RequestId(first));
     heard.clear();
     now += 100 * MS;
     String second = arrive(PAY, 0, 77);
     assertEquals(List.of("up " + second), heard);
     assertEquals(1, storm.counts().doubtful);
-    answer(first, 0, ShotEnd.EXPIRED, true);
+    answer(first, 0, AttemptOutcome.TIMED_OUT, true);
     String third = arrive(PAY, 0, 77);
     assertTrue(heard.contains("up " + third), "running out proves nothing");
     String other = arrive(PAY, 0, 78);
@@ -189,8 +190,8 @@
   void proofEndsDoubt() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
-    storm.left(now, new AccessId(first));
-    answer(first, 0, ShotEnd.OVERFULL, true);
+    storm.clientDisconnected(now, new RequestId(first));
+    answer(first, 0, AttemptOutcome.OVERLOADED, true);
     now += 100 * MS; // a host that refuses rests
     String second = arrive(PAY, 0, 77);
     assertTrue(heard.contains("send " + second + " h0"), heard.toString());
@@ -205,8 +206,8 @@
     String first = arrive(PAY, 0, 77);
     String second = arrive(PAY, 0, 77);
     assertTrue(heard.contains("send " + second + " h0"), heard.toString());
-    storm.left(now, new AccessId(first));
-    answer(second, 0, ShotEnd.FULFILLED, true);
+    storm.clientDisconnected(now, new RequestId(first));
+    answer(second, 0, AttemptOutcome.SUCCESS, true);
     String third = arrive(PAY, 0, 77);
     assertTrue(heard.contains("up " + third), "the first may still run");
   }
@@ -216,9 +217,9 @@
     start(true, 1);
     String first = arrive(PAY, 0, 77);
     String second = arrive(PAY, 0, 77);
-    storm.left(now, new AccessId(first));
-    storm.left(now, new AccessId(second));
-    answer(second, 0, ShotEnd.OVERFULL, true);
+    storm.clientDisconnected(now, new RequestId(first));
+    storm.clientDisconnected(now, new RequestId(second));
+    answer(second, 0, AttemptOutcome.OVERLOADED, true);
     now += 100 * MS;
     assertTrue(heard.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
   }
@@ -235,7 +236,7 @@
     }
     assertEquals(100, storm.open());
     now += 2100 * MS; // their outer limit is a second; the decisions are not woken
-    storm.left(now, new AccessId("another"));
+    storm.clientDisconnected(now, new RequestId("another"));
     assertEquals(0, storm.open());
   }
 
@@ -244,7 +245,7 @@
   void fulfilledIsNoDoubt() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
-    answer(first, 0, ShotEnd.FULFILLED, true);
+    answer(first, 0, AttemptOutcome.SUCCESS, true);
     String second = arrive(PAY, 0, 77);
     assertTrue(heard.contains("send " + second + " h0"));
   }
@@ -258,7 +259,7 @@
       sent.add(arrive(ANY, 0, 1000 + i));
     }
     now += 700 * MS; // half of their time: the parked go back
-    storm.woken(now);
+    storm.timerFired(now);
     List<String> back = heard.stream().filter(each -> each.startsWith("back")).toList();
     assertTrue(back.size() > 20, heard.toString());
     for (String each :
@@ -273,7 +274,7 @@
     assertEquals(1, storm.counts().returned);
     heard.clear();
     String out = sent.get(0);
-    answer(out, 0, ShotEnd.FULFILLED, true);
+    answer(out, 0, AttemptOutcome.SUCCESS, true);
     assertEquals(
         "send " + returns + " h0",
         heard.stream()
@@ -289,24 +290,24 @@
     for (int round = 0; round < 60; round++) {
       for (int i = 0; i < 20; i++) {
         String id = arrive(ANY, 0, 1 + i);
-        storm.left(now, new AccessId(id));
+        storm.clientDisconnected(now, new RequestId(id));
         if (heard.contains("send " + id + " h0")) {
-          answer(id, 0, ShotEnd.EXPIRED, true);
+          answer(id, 0, AttemptOutcome.TIMED_OUT, true);
         }
       }
       String calm = arrive(ANY, 1, 10_000 + round);
-      answer(calm, 1, ShotEnd.FULFILLED, true);
+      answer(calm, 1, AttemptOutcome.SUCCESS, true);
       now += 50 * MS;
-      storm.woken(now);
+      storm.timerFired(now);
     }
     assertEquals(Weather.State.STORM, storm.state(new GroupId(0)), heard.toString());
     assertEquals(Weather.State.CALM, storm.state(new GroupId(1)));
-    assertTrue(storm.mayRepeat(now, new GroupId(1)));
+    assertTrue(storm.canRetry(now, new GroupId(1)));
     for (int i = 0; i < 100; i++) {
-      storm.sent(now, new GroupId(0), true);
+      storm.attemptSent(now, new GroupId(0), true);
     }
-    assertFalse(storm.mayRepeat(now, new GroupId(0)));
-    assertTrue(storm.mayRepeat(now, new GroupId(1)));
+    assertFalse(storm.canRetry(now, new GroupId(0)));
+    assertTrue(storm.canRetry(now, new GroupId(1)));
   }
 
   /**
@@ -319,10 +320,10 @@
     for (int i = 0; i < 1000; i++) {
       String id = arrive(ANY, 0, 7);
       if (i % 20 == 0) {
-        storm.left(now, new AccessId(id));
-        answer(id, 0, ShotEnd.WITHDRAWN, true);
+        storm.clientDisconnected(now, new RequestId(id));
+        answer(id, 0, AttemptOutcome.CANCELLED, true);
       } else {
-        answer(id, 0, ShotEnd.FULFILLED, true);
+        answer(id, 0, AttemptOutcome.SUCCESS, true);
       }
       now += 2 * MS;
     }
--- a/router/src/test/java/rushwood/wire/Bytes.java
+++ b/router/src/test/java/rushwood/wire/Bytes.java
@@ -10,41 +10,41 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
-import rushwood.api.Product;
+import rushwood.api.RequestClass;
 
 /** Writes and reads messages for the tests, and keeps count of buffers that are not given back. */
 public final class Bytes {
   public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
-  public static final List<Product> PRODUCTS =
+  public static final List<RequestClass> PRODUCTS =
       List.of(
-          new Product(
+          new RequestClass(
               "pass",
               0,
               400_000_000,
-              Product.Effect.REDOABLE,
-              Product.Scope.EVERYWHERE,
+              RequestClass.Idempotency.IDEMPOTENT,
+              RequestClass.KeyScope.GLOBAL,
               0,
-              Product.Need.BOUNDED,
+              RequestClass.Consistency.BOUNDED_STALENESS,
               500_000_000,
               0),
-          new Product(
+          new RequestClass(
               "pay",
               1,
               750_000_000,
-              Product.Effect.IRREVERSIBLE,
-              Product.Scope.EVERYWHERE,
+              RequestClass.Idempotency.NON_IDEMPOTENT,
+              RequestClass.KeyScope.GLOBAL,
               0,
-              Product.Need.WRITE,
+              RequestClass.Consistency.WRITE,
               0,
               0),
-          new Product(
+          new RequestClass(
               "mine",
               2,
               400_000_000,
-              Product.Effect.REDOABLE,
-              Product.Scope.EVERYWHERE,
+              RequestClass.Idempotency.IDEMPOTENT,
+              RequestClass.KeyScope.GLOBAL,
               0,
-              Product.Need.SESSION,
+              RequestClass.Consistency.READ_YOUR_WRITES,
               0,
               0));
 
--- a/router/src/test/java/rushwood/wire/ListReaderTest.java
+++ b/router/src/test/java/rushwood/wire/ListReaderTest.java
@@ -14,8 +14,8 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import rushwood.api.Endpoint;
 import rushwood.api.HostId;
-import rushwood.api.ListedHost;
 import rushwood.state.Router.Partial;
 import rushwood.state.Router.Place;
 
@@ -26,7 +26,7 @@
   private static final String OTHER =
       "{\"id\":\"s-2\",\"addr\":\"10.1.0.19:6432\",\"zone\":\"}]\\\"\",\"cell\":3,"
           + "\"state\":\"Ready\"}";
-  private static final Partial DRAINS = new Partial(new HostId("s-1"), ListedHost.State.DRAINING);
+  private static final Partial DRAINS = new Partial(new HostId("s-1"), Endpoint.State.DRAINING);
 
   @AfterEach
   void released() {
@@ -81,14 +81,14 @@
                   listings.get(0).faults().isEmpty()));
           assertEquals(43, listings.get(1).version());
           Place place = listings.get(1).places().get(0);
-          ListedHost host = place.host();
+          Endpoint host = place.host();
           assertEquals("/10.1.0.18:6432", place.address().toString());
           assertEquals("s-1", host.id().value());
           assertEquals(3, host.group().value());
           assertEquals(1.5, host.weight());
           assertEquals(1767225600123_000_000L, host.startedAt());
           assertEquals(true, host.primary());
-          assertEquals(ListedHost.State.DRAINING, host.state());
+          assertEquals(Endpoint.State.DRAINING, host.state());
           assertEquals("}]\"", listings.get(1).places().get(1).host().zone().value());
         });
   }
@@ -214,7 +214,7 @@
     assertEquals(2, one(text, 40, sum).places().size());
     assertEquals(2, one(text, -1, sum).places().size());
     assertEquals(
-        ListedHost.State.IN_SERVICE,
+        Endpoint.State.READY,
         one(text.replace("Terminating", "Ready"), 41, sum).places().get(0).host().state());
     assertEquals(DRAINS, one(text.replace("Ready", "Gone"), 41, sum).leaving().get(0));
     assertEquals(2, one(text.replaceFirst("41", "42"), 41, sum).places().size());
--- a/router/src/test/java/rushwood/wire/SqlStatementTest.java
+++ b/router/src/test/java/rushwood/wire/SqlStatementTest.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import rushwood.api.Access;
+import rushwood.api.Request;
 
 class SqlStatementTest {
   private static final long MS = 1_000_000L;
@@ -41,15 +41,17 @@
             "SELECT val FROM state WHERE uid = 's7' "
                 + "/* id=9b1f,c=mine,t=acme,d=480,cluster=2,after=1767225600123,r=1 */");
     long now = 1767225601000L * MS;
-    Access access = statement.access(now, now - 100 * MS, Long.MAX_VALUE);
+    Request access = statement.access(now, now - 100 * MS, Long.MAX_VALUE);
     assertEquals("9b1f", access.id().value());
-    assertEquals("mine", access.product().name());
+    assertEquals("mine", access.requestClass().name());
     assertEquals("s7", access.session().value());
     assertEquals(2, access.group().value());
-    assertEquals(now + 380 * MS, access.due(), "counted from when it came");
-    assertEquals(877 * MS, access.sinceWrite());
+    assertEquals(now + 380 * MS, access.deadline(), "counted from when it came");
+    assertEquals(877 * MS, access.sinceLastWriteNanos());
     assertEquals(
-        now + 9, statement.access(now, now, now + 9).due(), "no longer than this router is there");
+        now + 9,
+        statement.access(now, now, now + 9).deadline(),
+        "no longer than this router is there");
     statement.release();
   }
 
@@ -57,7 +59,7 @@
   void readsWithoutSessionsNameNone() throws Fault {
     SqlStatement statement = read(Bytes.read("a", ",d=480"));
     assertNull(statement.access(0, 0, 1).session());
-    assertEquals(0, statement.access(0, 0, 1).sinceWrite());
+    assertEquals(0, statement.access(0, 0, 1).sinceLastWriteNanos());
     statement.release();
   }
 
