--- a/router/src/main/java/rushwood/state/HostAnswer.java
+++ b/router/src/main/java/rushwood/dispatch/BackendResponse.java
@@ -1,4 +1,4 @@
-package rushwood.state;
+package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
 import rushwood.api.AttemptOutcome;
@@ -8,10 +8,10 @@
  * How one use of a connection ended. {@code row} holds the messages to pass on, null unless
  * fulfilled; whoever gets the answer releases it.
  */
-public record HostAnswer(
-    AttemptOutcome end, ByteBuf row, Boolean primary, long position, LoadReport report) {
-  public static HostAnswer of(AttemptOutcome end) {
-    return new HostAnswer(end, null, null, -1, LoadReport.NONE);
+public record BackendResponse(
+    AttemptOutcome outcome, ByteBuf row, Boolean primary, long position, LoadReport report) {
+  public static BackendResponse withoutRow(AttemptOutcome outcome) {
+    return new BackendResponse(outcome, null, null, -1, LoadReport.NONE);
   }
 
   public void release() {
--- a/router/src/main/java/rushwood/state/Client.java
+++ b/router/src/main/java/rushwood/dispatch/ClientResponder.java
@@ -1,14 +1,14 @@
-package rushwood.state;
+package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
 
 /** Where the one final answer of an access goes. */
-public interface Client {
+public interface ClientResponder {
   /** The messages of the row as the host gave them; the client releases them. */
-  void fulfilled(ByteBuf row);
+  void sendResult(ByteBuf row);
 
   /** Trying again is harmless, after {@code advice} nanoseconds if positive. */
-  void turnedBack(long advice);
+  void sendRejection(long retryAfterNanos);
 
-  void givenUp();
+  void sendFailure();
 }
--- a/router/src/main/java/rushwood/state/Statement.java
+++ b/router/src/main/java/rushwood/dispatch/Statement.java
@@ -1,4 +1,4 @@
-package rushwood.state;
+package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
 import rushwood.api.Request;
@@ -9,10 +9,10 @@
    * What the module hears now of a statement that came then: its due time counts from there, {@code
    * last} at most.
    */
-  Request access(long now, long cameAt, long last);
+  Request toRequest(long now, long earliestArrival, long latestDeadline);
 
   /** The statement for a shot that is waited for that many milliseconds; the caller releases it. */
-  ByteBuf message(long millis);
+  ByteBuf toMessage(long timeoutMillis);
 
   /** No shot will need it any more. */
   void release();
--- a/router/src/main/java/rushwood/state/package-info.java
+++ b/router/src/main/java/rushwood/dispatch/package-info.java
@@ -2,4 +2,4 @@
  * What a running router keeps: open accesses and their shots, connections per host, counters, due
  * times.
  */
-package rushwood.state;
+package rushwood.dispatch;
--- a/router/src/main/java/rushwood/lifecycle/Lines.java
+++ b/router/src/main/java/rushwood/lifecycle/Lines.java
@@ -1,19 +1,19 @@
 package rushwood.lifecycle;
 
 import org.tinylog.Logger;
-import rushwood.state.Clock;
+import rushwood.dispatch.EventLoopClock;
 
 /** Log lines, so many a second at the most: what floods us must not fill the log. */
 final class Lines {
   private static final int MOST = 20; // a second: more than a calm day writes, few enough to read
   private static final long SECOND = 1_000_000_000L;
 
-  private final Clock clock;
+  private final EventLoopClock clock;
   private long since;
   private int said;
   private int unsaid;
 
-  Lines(Clock clock) {
+  Lines(EventLoopClock clock) {
     this.clock = clock;
     since = clock.now();
   }
--- a/router/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/router/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -28,11 +28,11 @@
 import rushwood.api.HostId;
 import rushwood.api.RequestClass;
 import rushwood.api.ZoneId;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.RequestDispatcher;
+import rushwood.dispatch.TimerQueue;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.state.Agenda;
-import rushwood.state.Clock;
-import rushwood.state.Counters;
-import rushwood.state.Router;
 import rushwood.storm.Dials;
 import rushwood.storm.Door;
 import rushwood.storm.Sockets;
@@ -66,7 +66,7 @@
   private final ChannelGroup peers;
   private final CompletableFuture<Counters> played = new CompletableFuture<>();
   private Path folder;
-  private Router router;
+  private RequestDispatcher router;
   private Future<?> timer;
   private int asked;
   private boolean over;
@@ -99,8 +99,8 @@
 
   private void begin() {
     long end = System.nanoTime() + LONGEST;
-    Clock clock = Clock.system(loop::executeAfterEventLoopIteration);
-    Agenda agenda = new Agenda(clock, this::set, counters);
+    EventLoopClock clock = EventLoopClock.system(loop::executeAfterEventLoopIteration);
+    TimerQueue agenda = new TimerQueue(clock, this::set, counters);
     HostLinks links =
         new HostLinks(
             new Bootstrap().group(loop).channel(NioDomainSocketChannel.class),
@@ -110,11 +110,11 @@
     Dials dials = new Dials(new SplittableRandom(config.seed()), true);
     Sockets sockets = new Sockets(CLIENTS * 5);
     router =
-        new Router(
+        new RequestDispatcher(
             clock,
             agenda,
             counters,
-            new Router.Limits(
+            new RequestDispatcher.ConnectionSettings(
                 sockets, dials, config.openWithin(), config.idleFor(), true, config.grace()),
             links,
             links::probe,
@@ -143,7 +143,7 @@
             sockets,
             () -> 0,
             new SplittableRandom(config.seed()));
-    router.listed(places(), true);
+    router.endpointsReplaced(places(), true);
     listen(
         "h",
         new ChannelInitializer<Channel>() {
@@ -185,11 +185,11 @@
     }
   }
 
-  private List<Router.Place> places() {
-    List<Router.Place> places = new ArrayList<>();
+  private List<RequestDispatcher.EndpointAddress> places() {
+    List<RequestDispatcher.EndpointAddress> places = new ArrayList<>();
     for (int i = 0; i < HOSTS; i++) {
       places.add(
-          new Router.Place(
+          new RequestDispatcher.EndpointAddress(
               new Endpoint(
                   new HostId("h" + i),
                   new GroupId(0),
--- a/router/src/main/java/rushwood/lifecycle/Reload.java
+++ b/router/src/main/java/rushwood/lifecycle/Reload.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
-import rushwood.state.Agenda;
-import rushwood.state.Clock;
-import rushwood.state.Counters;
-import rushwood.state.Counters.Count;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.Counters.Counter;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.TimerQueue;
 
 /**
  * Reads the configuration again on SIGHUP, beside the event loop; what comes of it is told on the
@@ -23,8 +23,8 @@
 
   private final Map<String, String> environment;
   private final Executor loop;
-  private final Clock clock;
-  private final Agenda agenda;
+  private final EventLoopClock clock;
+  private final TimerQueue agenda;
   private final Counters counters;
   private final Consumer<String> log;
   private final Consumer<Config> taken;
@@ -34,8 +34,8 @@
   Reload(
       Map<String, String> environment,
       Executor loop,
-      Clock clock,
-      Agenda agenda,
+      EventLoopClock clock,
+      TimerQueue agenda,
       Counters counters,
       Consumer<String> log,
       Consumer<Config> taken) {
@@ -119,7 +119,7 @@
             Config config = Config.reread(environment);
             loop.execute(
                 () -> {
-                  counters.add(Count.CONFIGS_TAKEN);
+                  counters.increment(Counter.CONFIGS_APPLIED);
                   taken.accept(config);
                 });
           } catch (BadConfig e) {
@@ -134,11 +134,11 @@
    */
   private void refused(int signal, int look, String last, String why) {
     if (!why.equals(last)) {
-      counters.add(Count.CONFIGS_REFUSED);
+      counters.increment(Counter.CONFIGS_REJECTED);
       log.accept("the new configuration is not taken: " + why);
     }
     if (signal == signals && look < MOST) {
-      agenda.add(
+      agenda.schedule(
           clock.now() + AGAIN,
           () -> {
             if (signal == signals) {
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -17,11 +17,11 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import rushwood.api.PolicyActions;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.RequestDispatcher;
+import rushwood.dispatch.TimerQueue;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.state.Agenda;
-import rushwood.state.Clock;
-import rushwood.state.Counters;
-import rushwood.state.Router;
 import rushwood.storm.Dials;
 import rushwood.storm.Door;
 import rushwood.storm.Sockets;
@@ -73,10 +73,10 @@
   private final Counters counters = new Counters();
   private final CountDownLatch list = new CountDownLatch(1);
   private final CountDownLatch ended = new CountDownLatch(1);
-  private Clock clock;
-  private Agenda agenda;
+  private EventLoopClock clock;
+  private TimerQueue agenda;
   private Lines lines;
-  private Router router;
+  private RequestDispatcher router;
   private Storm storm;
   private Clients clients;
   private Discovery discovery;
@@ -140,11 +140,11 @@
   }
 
   private Void assemble() throws ReflectiveOperationException {
-    clock = Clock.system(loop::executeAfterEventLoopIteration);
-    agenda = new Agenda(clock, this::set, counters);
+    clock = EventLoopClock.system(loop::executeAfterEventLoopIteration);
+    agenda = new TimerQueue(clock, this::set, counters);
     beat();
     lines = new Lines(clock);
-    counters.onCaught(
+    counters.onException(
         thrown ->
             lines.say(
                 "caught "
@@ -167,11 +167,11 @@
     Sockets sockets = new Sockets(config.sockets() - OWN_SOCKETS);
     Dials dials = new Dials(new SplittableRandom(~config.seed()), operator.storm().paceDials());
     router =
-        new Router(
+        new RequestDispatcher(
             clock,
             agenda,
             counters,
-            new Router.Limits(
+            new RequestDispatcher.ConnectionSettings(
                 sockets,
                 dials,
                 config.openWithin(),
@@ -197,7 +197,7 @@
     if (known != null) {
       known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
     }
-    router.listed(known == null ? List.of() : known.places(), true);
+    router.endpointsReplaced(known == null ? List.of() : known.places(), true);
     discovery.follow();
     new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded)
         .listen(hangUp);
@@ -215,13 +215,13 @@
                 new DefaultRoutingPolicy(
                     config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
     Storm.Counts counts = storm.counts();
-    counters.also("storm_repeats", () -> counts.repeats);
-    counters.also("storm_returned", () -> counts.returned);
-    counters.also("storm_booked", () -> counts.booked);
-    counters.also("storm_unbooked", () -> counts.unbooked);
-    counters.also("storm_budget_empty", () -> counts.budgetEmpty);
-    counters.also("storm_doubtful", () -> counts.doubtful);
-    counters.also("storm_changes", () -> counts.changes);
+    counters.register("overload_repeated_requests", () -> counts.repeats);
+    counters.register("overload_returned_as_advised", () -> counts.returned);
+    counters.register("overload_reserved", () -> counts.booked);
+    counters.register("overload_unreserved", () -> counts.unbooked);
+    counters.register("overload_retries_denied", () -> counts.budgetEmpty);
+    counters.register("overload_ambiguous_writes_failed", () -> counts.doubtful);
+    counters.register("overload_state_changes", () -> counts.changes);
     return storm;
   }
 
@@ -247,7 +247,7 @@
    * rest.
    */
   private void beat() {
-    agenda.add(clock.now() + Clock.BEAT, this::beat);
+    agenda.schedule(clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::beat);
   }
 
   private void set(long delay, Runnable task) {
@@ -262,12 +262,15 @@
 
     @Override
     public void listing(ListReader.Listing listing) {
-      counters.add(listing.whole() ? Counters.Count.LISTS_WHOLE : Counters.Count.LISTS_CHANGED);
+      counters.increment(
+          listing.whole()
+              ? Counters.Counter.ENDPOINT_LISTS_REPLACED
+              : Counters.Counter.ENDPOINT_LISTS_UPDATED);
       if (listing.whole()) {
-        router.listed(listing.places(), listing.partials(), false);
+        router.endpointsReplaced(listing.places(), listing.partials(), false);
         list.countDown();
       } else {
-        router.listChanged(listing.places(), listing.partials());
+        router.endpointsUpdated(listing.places(), listing.partials());
       }
       if (listing.faults().isEmpty()) {
         well();
@@ -275,14 +278,14 @@
     }
 
     @Override
-    public void leaving(List<Router.Partial> hosts) {
-      counters.add(Counters.Count.LISTS_CHANGED);
-      router.listChanged(List.of(), hosts);
+    public void leaving(List<RequestDispatcher.PartialEndpoint> hosts) {
+      counters.increment(Counters.Counter.ENDPOINT_LISTS_UPDATED);
+      router.endpointsUpdated(List.of(), hosts);
     }
 
     @Override
     public void unchanged() {
-      counters.add(Counters.Count.LISTS_CHECKED);
+      counters.increment(Counters.Counter.ENDPOINT_LISTS_UNCHANGED);
       well();
     }
 
@@ -295,13 +298,13 @@
 
     @Override
     public void failed(String why) {
-      router.listFailed();
+      router.endpointRefreshFailed();
       say("discovery " + why);
     }
 
     @Override
     public void unread(String fault) {
-      counters.add(Counters.Count.LISTS_UNREAD);
+      counters.increment(Counters.Counter.ENDPOINT_LISTS_MALFORMED);
       say("discovery writes what cannot be read, the rest counts: " + fault);
     }
 
@@ -329,12 +332,12 @@
     loop.execute(
         () -> {
           stopping = true;
-          Logger.info("stopping with {} accesses open", router.openAccesses());
+          Logger.info("stopping with {} accesses open", router.unansweredRequests());
           // Told while this process stood still it was told at any moment of that, and its end is
           // counted from there.
-          long told = clock.cameAt(HOOK);
+          long told = clock.earliestArrival(HOOK);
           last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
-          router.closing(last);
+          router.shuttingDown(last);
           clients.closing();
           serveOn(told + CLOSES);
         });
@@ -352,11 +355,11 @@
    * asked.
    */
   private void serveOn(long earliest) {
-    long at = Math.max(earliest, last - LAST_ACCESS - PAUSES * clock.longestPause());
+    long at = Math.max(earliest, last - LAST_ACCESS - PAUSES * clock.recentLongestPause());
     if (clock.now() >= at) {
       finish();
     } else {
-      agenda.add(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
+      agenda.schedule(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
     }
   }
 
@@ -364,7 +367,7 @@
     clients.finish();
     // All have their answers by then; a moment more lets them be written, and connections end.
     if (clients.open() > 0 && clock.now() < last + LOOK) {
-      agenda.add(clock.now() + LOOK, this::finish);
+      agenda.schedule(clock.now() + LOOK, this::finish);
       return;
     }
     clients.close();
--- a/router/src/main/java/rushwood/wire/ClientProtocol.java
+++ b/router/src/main/java/rushwood/wire/ClientProtocol.java
@@ -5,13 +5,13 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import rushwood.state.Client;
+import rushwood.dispatch.ClientResponder;
 
 /**
  * The client side of the protocol, fed what a client writes. One statement at a time: what follows
  * waits unread until the answer is out, as it does at a database.
  */
-final class ClientProtocol implements Client {
+final class ClientProtocol implements ClientResponder {
   /** What the protocol needs of its connection and of the router. */
   interface Session {
     boolean ready();
@@ -250,14 +250,14 @@
   // ---- answers
 
   @Override
-  public void fulfilled(ByteBuf row) {
+  public void sendResult(ByteBuf row) {
     ByteBuf ready = allocator.buffer(6);
     Messages.ready(ready);
     answer(Unpooled.wrappedBuffer(row, ready));
   }
 
   @Override
-  public void turnedBack(long advice) {
+  public void sendRejection(long advice) {
     if (advice > 0) {
       session.booked();
     }
@@ -270,7 +270,7 @@
   }
 
   @Override
-  public void givenUp() {
+  public void sendFailure() {
     answerWith("58000", "given up: it may have run", null);
   }
 
--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -15,11 +15,11 @@
 import java.util.random.RandomGenerator;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
-import rushwood.state.Agenda;
-import rushwood.state.Clock;
-import rushwood.state.Counters;
-import rushwood.state.Counters.Count;
-import rushwood.state.Router;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.Counters.Counter;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.RequestDispatcher;
+import rushwood.dispatch.TimerQueue;
 import rushwood.storm.Door;
 import rushwood.storm.Sockets;
 
@@ -68,9 +68,9 @@
   private final Map<Long, Handler> keys =
       new HashMap<>(); // looked up alone; each handler removes its own
   private final RandomGenerator chance;
-  private final Router router;
-  private final Clock clock;
-  private final Agenda agenda;
+  private final RequestDispatcher router;
+  private final EventLoopClock clock;
+  private final TimerQueue agenda;
   private final Counters counters;
   private final List<RequestClass> products;
   private final Door door;
@@ -86,9 +86,9 @@
    * and the chance from which the keys of sessions are drawn.
    */
   public Clients(
-      Router router,
-      Clock clock,
-      Agenda agenda,
+      RequestDispatcher router,
+      EventLoopClock clock,
+      TimerQueue agenda,
       Counters counters,
       List<RequestClass> products,
       Door door,
@@ -111,9 +111,9 @@
    * Ends what is silent, half written or unread for long: such connections would fill the house.
    */
   private void look() {
-    agenda.add(clock.now() + LOOK, this::look);
+    agenda.schedule(clock.now() + LOOK, this::look);
     List.copyOf(open).stream()
-        .filter(each -> !counters.safely(each::look))
+        .filter(each -> !counters.runSafely(each::look))
         .forEach(each -> each.channel.close());
     List.copyOf(ended).forEach(each -> each.lookAtEnd(clock.now()));
     sweep();
@@ -134,19 +134,19 @@
       refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
       return;
     }
-    counters.add(Count.CLIENTS_ACCEPTED);
+    counters.increment(Counter.CLIENTS_ACCEPTED);
     channel.pipeline().addLast(new Handler(channel));
     sockets.clients(open.size());
     sweep();
     if (door.isOverfull() && !settling) {
       settling = true;
-      agenda.add(clock.now() + READ_FIRST, this::settle);
+      agenda.schedule(clock.now() + READ_FIRST, this::settle);
     }
   }
 
   /** One that has no place: it can read why. */
   private void refuse(Channel channel, String code, String why, String wait) {
-    counters.add(Count.CLIENTS_REFUSED);
+    counters.increment(Counter.CLIENTS_REFUSED);
     ByteBuf out = channel.alloc().buffer(128);
     Messages.error(out, true, code, why, wait);
     Lingering refused = new Lingering(channel);
@@ -245,15 +245,15 @@
     }
 
     private void makeRoom() {
-      counters.add(Count.CLIENTS_IDLED);
+      counters.increment(Counter.CLIENTS_EVICTED);
       if (!heard) {
-        counters.add(Count.CLIENTS_IDLED_UNHEARD);
+        counters.increment(Counter.CLIENTS_EVICTED_UNANSWERED);
       }
       end();
     }
 
     private void findNoRoom() {
-      counters.add(Count.CLIENTS_REFUSED);
+      counters.increment(Counter.CLIENTS_REFUSED);
       protocol.refuse("53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
     }
 
@@ -313,7 +313,7 @@
      */
     private void goOn() {
       later = false;
-      if (!counters.safely(this::proceed)) {
+      if (!counters.runSafely(this::proceed)) {
         channel.close(); // what it holds must not wait for more to come
       }
     }
@@ -329,14 +329,14 @@
       protocol.resume();
       weigh();
       if (tooMuch && !protocol.isWaiting() && !isEnding()) {
-        counters.add(Count.CLIENTS_REFUSED);
+        counters.increment(Counter.CLIENTS_REFUSED);
         protocol.refuse("53300", "too much was written ahead of its answers", null);
       } else if (held > MOST_HELD
           && protocol.waiting() > MOST_WAITING
           && protocol.isOwing()
           && !isEnding()) {
         // An access that is open keeps its place: only what is half written can be refused.
-        counters.add(Count.CLIENTS_REFUSED);
+        counters.increment(Counter.CLIENTS_REFUSED);
         protocol.refuse("53300", "memory is short", null);
       }
       stand();
@@ -351,7 +351,7 @@
       if (!channel.isWritable() && lastWord <= now - OWES) {
         channel.close();
       } else if (protocol.isOwing() && owesFrom <= now - OWES) {
-        counters.add(Count.CLIENTS_TIMED_OUT);
+        counters.increment(Counter.CLIENTS_TIMED_OUT);
         protocol.refuse("08P01", "the message did not come in time", null);
       }
     }
@@ -387,11 +387,11 @@
         keys.remove(key);
         door.leave(place);
         sockets.clients(open.size());
-        counters.add(Count.CLIENTS_CLOSED);
+        counters.increment(Counter.CLIENTS_CLOSED);
         weigh();
         protocol.closed();
         if (access != null) {
-          router.left(access);
+          router.clientDisconnected(access);
         }
       }
     }
@@ -405,19 +405,19 @@
     public void cancel(long other) {
       Handler at = keys.get(other);
       if (at != null && at.protocol.isWaiting()) {
-        router.left(at.access);
+        router.clientDisconnected(at.access);
         at.protocol.cancelled();
       }
     }
 
     @Override
     public void left() {
-      router.left(access);
+      router.clientDisconnected(access);
     }
 
     @Override
     public boolean ready() {
-      return router.hasList();
+      return router.hasEndpoints();
     }
 
     @Override
@@ -427,8 +427,8 @@
         statement.release();
         throw new Fault("53300", "memory is short: trying again is harmless", false);
       }
-      boolean twice = router.isTaken(statement.id());
-      if (twice || !router.knows(statement.group())) {
+      boolean twice = router.isRequestIdInUse(statement.id());
+      if (twice || !router.hasGroup(statement.group())) {
         statement.release();
         throw new Fault("22023", twice ? "the id is not new" : "the cluster is unknown", false);
       }
@@ -437,13 +437,13 @@
       access = statement.id();
       asked = text.readableBytes();
       told = false;
-      router.arrived(statement, protocol);
+      router.requestReceived(statement, protocol);
     }
 
     @Override
     public int counters(ByteBuf out) {
       int[] rows = new int[1];
-      counters.each(
+      counters.forEach(
           (name, value) -> {
             Messages.row(out, name, Long.toString(value));
             rows[0]++;
@@ -453,11 +453,11 @@
 
     @Override
     public void rejected(Fault fault) {
-      counters.add(Count.STATEMENTS_REJECTED);
+      counters.increment(Counter.STATEMENTS_REJECTED);
       boolean ours = fault.state.equals("53300") || fault.state.equals("57P03");
       if (!ours && ++rejected > REJECTED) {
         paused = true;
-        agenda.add(
+        agenda.schedule(
             clock.now() + PAUSE,
             () -> {
               paused = false;
--- a/router/src/main/java/rushwood/wire/Discovery.java
+++ b/router/src/main/java/rushwood/wire/Discovery.java
@@ -24,10 +24,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
+import rushwood.dispatch.TimerQueue;
 import rushwood.follow.Following;
-import rushwood.state.Agenda;
-import rushwood.state.Clock;
-import rushwood.state.Router.Partial;
 
 /**
  * Makes the calls for the host list and reads what they bring; when to call is {@link Following}'s
@@ -40,7 +40,7 @@
     void listing(ListReader.Listing listing);
 
     /** Of what cannot be read or believed, the hosts that leave. */
-    void leaving(List<Partial> hosts);
+    void leaving(List<PartialEndpoint> hosts);
 
     /** An ask brought nothing that is not held already. */
     void unchanged();
@@ -55,14 +55,14 @@
   private static final String PATH = "/registry/instances";
 
   private final EventLoop loop;
-  private final Clock clock;
-  private final Agenda agenda;
+  private final EventLoopClock clock;
+  private final TimerQueue agenda;
   private final Events events;
   private final Following following;
   private final Map<Integer, Call> calls = new HashMap<>();
   private InetSocketAddress address;
   private long heldSum; // of the last whole list that counts
-  private Agenda.Entry wake;
+  private TimerQueue.ScheduledTask wake;
 
   /**
    * With the time within which sends to a leaving host end, and the version of the list that is
@@ -71,8 +71,8 @@
   public Discovery(
       EventLoop loop,
       InetSocketAddress address,
-      Clock clock,
-      Agenda agenda,
+      EventLoopClock clock,
+      TimerQueue agenda,
       long grace,
       long version,
       RandomGenerator chance,
@@ -101,7 +101,7 @@
   public void close() {
     following.stop();
     if (wake != null) {
-      wake.callOff();
+      wake.cancel();
     }
   }
 
@@ -147,9 +147,9 @@
     @Override
     public void wake(long at) {
       if (wake != null) {
-        wake.callOff();
+        wake.cancel();
       }
-      wake = agenda.add(at, () -> following.woken(clock.now()));
+      wake = agenda.schedule(at, () -> following.woken(clock.now()));
     }
   }
 
@@ -234,7 +234,7 @@
       }
     }
 
-    private void leaving(List<Partial> hosts) {
+    private void leaving(List<PartialEndpoint> hosts) {
       if (!hosts.isEmpty()) {
         events.leaving(hosts);
       }
--- a/router/src/main/java/rushwood/wire/HostLinks.java
+++ b/router/src/main/java/rushwood/wire/HostLinks.java
@@ -14,11 +14,11 @@
 import java.net.NoRouteToHostException;
 import java.net.SocketAddress;
 import java.util.function.Function;
-import rushwood.state.Counters;
-import rushwood.state.Link;
+import rushwood.dispatch.BackendConnection;
+import rushwood.dispatch.Counters;
 
 /** Opens connections to hosts; reads and writes for {@link HostProtocol}. */
-public final class HostLinks implements Link.Opener {
+public final class HostLinks implements BackendConnection.Connector {
   private static final String PROBE = "SHOW gauges";
 
   private final Bootstrap bootstrap;
@@ -56,7 +56,7 @@
   }
 
   @Override
-  public Link open(InetSocketAddress to, Link.Events events) {
+  public BackendConnection connect(InetSocketAddress to, BackendConnection.Listener events) {
     Handler handler = new Handler(events);
     handler.channel =
         bootstrap
@@ -79,14 +79,14 @@
     return handler;
   }
 
-  private final class Handler extends ChannelInboundHandlerAdapter implements Link {
+  private final class Handler extends ChannelInboundHandlerAdapter implements BackendConnection {
     private final HostProtocol protocol;
     private Channel channel;
     private boolean accepted;
     private boolean written;
     private boolean over;
 
-    Handler(Link.Events events) {
+    Handler(BackendConnection.Listener events) {
       protocol = new HostProtocol(allocator, events);
     }
 
@@ -101,7 +101,7 @@
       if (over) {
         ((ByteBuf) message).release();
       } else if (!protocol.feed((ByteBuf) message) && !over) {
-        counters.add(Counters.Count.HOST_FAULTS);
+        counters.increment(Counters.Counter.BACKEND_PROTOCOL_ERRORS);
         end();
       }
     }
@@ -109,7 +109,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
       if (!over && !protocol.settle()) {
-        counters.add(Counters.Count.HOST_SURPLUS);
+        counters.increment(Counters.Counter.BACKEND_EXCESS_DATA);
         end();
       }
     }
@@ -133,19 +133,19 @@
     }
 
     @Override
-    public void ask(ByteBuf statement, boolean probe) {
+    public void send(ByteBuf statement, boolean probe) {
       written = false;
       protocol.asked(probe);
       channel.writeAndFlush(statement).addListener(done -> written |= done.isSuccess());
     }
 
     @Override
-    public boolean written() {
+    public boolean isStatementWritten() {
       return written;
     }
 
     @Override
-    public boolean open() {
+    public boolean isOpen() {
       return !over && channel.isActive() && protocol.usable();
     }
 
--- a/router/src/main/java/rushwood/wire/HostProtocol.java
+++ b/router/src/main/java/rushwood/wire/HostProtocol.java
@@ -7,8 +7,8 @@
 import java.util.regex.Pattern;
 import rushwood.api.AttemptOutcome;
 import rushwood.api.LoadReport;
-import rushwood.state.HostAnswer;
-import rushwood.state.Link;
+import rushwood.dispatch.BackendConnection;
+import rushwood.dispatch.BackendResponse;
 
 /** The host side of the protocol, fed what a host writes. */
 final class HostProtocol {
@@ -29,7 +29,7 @@
   private static final Pattern CODE = Pattern.compile("[0-9A-Z]{5}");
 
   private final ByteBufAllocator allocator;
-  private final Link.Events events;
+  private final BackendConnection.Listener events;
   private final Frames frames;
   private State state = State.OPENING;
   private boolean probing;
@@ -42,7 +42,7 @@
   private long position;
   private LoadReport report;
 
-  HostProtocol(ByteBufAllocator allocator, Link.Events events) {
+  HostProtocol(ByteBufAllocator allocator, BackendConnection.Listener events) {
     this.allocator = allocator;
     this.events = events;
     frames = new Frames(allocator, HostProtocol::longest);
@@ -114,7 +114,7 @@
     }
     boolean surplus = frames.waiting() > 0;
     state = surplus ? State.ENDED : State.IDLE;
-    events.answered(answer(), !surplus);
+    events.responseReceived(answer(), !surplus);
     return !surplus;
   }
 
@@ -224,8 +224,8 @@
     }
     if (state == State.OPENING) {
       state = State.ENDED;
-      events.answered(
-          HostAnswer.of(
+      events.responseReceived(
+          BackendResponse.withoutRow(
               code.equals("53300") ? AttemptOutcome.OVERLOADED : AttemptOutcome.CONNECT_FAILED),
           false);
     } else if (state == State.ASKED && end == null) {
@@ -247,7 +247,7 @@
     }
     if (state == State.OPENING) {
       state = State.IDLE;
-      events.opened();
+      events.connected();
     } else if (state == State.ASKED && end != null) {
       state = State.ANSWERED;
     } else {
@@ -255,13 +255,13 @@
     }
   }
 
-  private HostAnswer answer() {
+  private BackendResponse answer() {
     if (probing && value != null) {
       report = Gauges.read(value);
     }
     ByteBuf whole = row;
     row = null;
-    return new HostAnswer(end, whole, primary, position, report);
+    return new BackendResponse(end, whole, primary, position, report);
   }
 
   /**
@@ -273,13 +273,13 @@
     state = State.ENDED;
     frames.close();
     if ((was == State.ASKED || was == State.ANSWERED) && end != null) {
-      events.answered(answer(), false);
+      events.responseReceived(answer(), false);
     } else if (was == State.ASKED && spoilt) {
       dropRow();
-      events.answered(HostAnswer.of(AttemptOutcome.MALFORMED), false);
+      events.responseReceived(BackendResponse.withoutRow(AttemptOutcome.MALFORMED), false);
     } else if (was != State.ENDED) {
       dropRow();
-      events.broken(accepted);
+      events.connectionLost(accepted);
     }
   }
 
--- a/router/src/main/java/rushwood/wire/ListReader.java
+++ b/router/src/main/java/rushwood/wire/ListReader.java
@@ -18,8 +18,8 @@
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.ZoneId;
-import rushwood.state.Router.Partial;
-import rushwood.state.Router.Place;
+import rushwood.dispatch.RequestDispatcher.EndpointAddress;
+import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
 
 /**
  * The host list as discovery writes it: JSON objects one after the other, laid out in any way, in
@@ -39,11 +39,11 @@
       boolean whole,
       boolean known,
       long sum,
-      List<Place> places,
-      List<Partial> partials,
+      List<EndpointAddress> places,
+      List<PartialEndpoint> partials,
       List<String> faults) {
     /** Of all this, the hosts that leave. */
-    List<Partial> leaving() {
+    List<PartialEndpoint> leaving() {
       return leavingOf(places, partials);
     }
   }
@@ -51,15 +51,15 @@
   /** What was written is no list; what could be read of it until there is in {@code partials}. */
   public static final class Unreadable extends Exception {
     private static final long serialVersionUID = 1L;
-    private final transient List<Partial> partials;
+    private final transient List<PartialEndpoint> partials;
 
-    private Unreadable(String why, List<Partial> partials) {
+    private Unreadable(String why, List<PartialEndpoint> partials) {
       super(why);
       this.partials = partials;
     }
 
     /** Hosts that leave, by what was read before. */
-    public List<Partial> partials() {
+    public List<PartialEndpoint> partials() {
       return partials;
     }
   }
@@ -86,8 +86,8 @@
   private boolean escaped;
   private boolean entries; // within the list of entries
   private long sum;
-  private List<Place> places = new ArrayList<>();
-  private List<Partial> partials = new ArrayList<>();
+  private List<EndpointAddress> places = new ArrayList<>();
+  private List<PartialEndpoint> partials = new ArrayList<>();
   private List<String> faults = new ArrayList<>();
 
   /** Entries as they were written, one after the other. */
@@ -314,7 +314,7 @@
       places.add(place(host));
     } catch (IllegalArgumentException e) {
       fault(e.getMessage());
-      Partial partial = partial(host);
+      PartialEndpoint partial = partial(host);
       if (partial != null) {
         partials.add(partial);
       }
@@ -370,26 +370,29 @@
 
   private Unreadable unreadable(String why) {
     readEntries();
-    Partial cut = entries ? cut() : null;
+    PartialEndpoint cut = entries ? cut() : null;
     if (cut != null) {
       partials.add(cut);
     }
-    List<Partial> leaving = leavingOf(places, partials);
+    List<PartialEndpoint> leaving = leavingOf(places, partials);
     begin();
     depth = 0;
     return new Unreadable(why, leaving);
   }
 
-  private static List<Partial> leavingOf(List<Place> places, List<Partial> partials) {
+  private static List<PartialEndpoint> leavingOf(
+      List<EndpointAddress> places, List<PartialEndpoint> partials) {
     return Stream.concat(
             partials.stream(),
-            places.stream().map(Place::host).map(host -> new Partial(host.id(), host.state())))
+            places.stream()
+                .map(EndpointAddress::endpoint)
+                .map(host -> new PartialEndpoint(host.id(), host.state())))
         .filter(each -> each.state() != null && each.state() != Endpoint.State.READY)
         .toList();
   }
 
   /** What an entry that breaks off says up to its last whole field. */
-  private Partial cut() {
+  private PartialEndpoint cut() {
     String json = written.rest();
     int end = json.lastIndexOf(',');
     try {
@@ -425,14 +428,14 @@
     return reader.listing(list);
   }
 
-  private static Place place(JsonObject host) {
+  private static EndpointAddress place(JsonObject host) {
     Endpoint.State state = state(text(host, "state"));
     double weight = number(host, "weight", 1);
     if (!(weight > 0)) {
       throw bad("weight");
     }
     boolean primary = host.has("part") && text(host, "part").equals("master");
-    return new Place(
+    return new EndpointAddress(
         new Endpoint(
             new HostId(text(host, "id")),
             new GroupId((int) number(host, "cell", -1)),
@@ -457,7 +460,7 @@
   }
 
   /** Which host it is, if that much can be read, and its state if that can be. */
-  private static Partial partial(JsonObject host) {
+  private static PartialEndpoint partial(JsonObject host) {
     HostId id;
     try {
       id = new HostId(text(host, "id"));
@@ -465,9 +468,9 @@
       return null;
     }
     try {
-      return new Partial(id, state(text(host, "state")));
+      return new PartialEndpoint(id, state(text(host, "state")));
     } catch (IllegalArgumentException e) {
-      return new Partial(id, null);
+      return new PartialEndpoint(id, null);
     }
   }
 
--- a/router/src/main/java/rushwood/wire/SqlStatement.java
+++ b/router/src/main/java/rushwood/wire/SqlStatement.java
@@ -12,7 +12,7 @@
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
 import rushwood.api.SessionId;
-import rushwood.state.Statement;
+import rushwood.dispatch.Statement;
 
 /** A client's statement and the comment at its end; passed on unchanged but for the time in it. */
 final class SqlStatement implements Statement {
@@ -198,7 +198,7 @@
   }
 
   @Override
-  public Request access(long now, long cameAt, long last) {
+  public Request toRequest(long now, long cameAt, long last) {
     boolean session = write || product.consistency() == RequestClass.Consistency.READ_YOUR_WRITES;
     long sinceWrite = after == 0 ? 0 : Math.max(1, now - after);
     return new Request(
@@ -213,7 +213,7 @@
   }
 
   @Override
-  public ByteBuf message(long millis) {
+  public ByteBuf toMessage(long millis) {
     String time = Long.toString(millis);
     int from = text.readerIndex();
     int length = text.readableBytes() - (timeTo - timeFrom) + time.length() + 1;
--- a/router/src/test/java/rushwood/state/AgendaTest.java
+++ b/router/src/test/java/rushwood/dispatch/TimerQueueTest.java
@@ -1,4 +1,4 @@
-package rushwood.state;
+package rushwood.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,22 +6,22 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class AgendaTest {
+class TimerQueueTest {
   private static final long MS = 1_000_000L;
 
   private final List<Runnable> turnEnds = new ArrayList<>();
   private final List<String> done = new ArrayList<>();
   private final List<Long> delays = new ArrayList<>();
   private long time;
-  private Runnable set;
+  private Runnable timerTask;
   private final Counters counters = new Counters();
-  private final Clock clock = new Clock(() -> time, turnEnds::add);
-  private final Agenda agenda =
-      new Agenda(
+  private final EventLoopClock clock = new EventLoopClock(() -> time, turnEnds::add);
+  private final TimerQueue timers =
+      new TimerQueue(
           clock,
           (delay, task) -> {
             delays.add(delay);
-            set = task;
+            timerTask = task;
           },
           counters);
 
@@ -30,17 +30,17 @@
     turnEnds.forEach(Runnable::run);
     turnEnds.clear();
     time = at;
-    Runnable task = set;
-    set = null;
+    Runnable task = timerTask;
+    timerTask = null;
     task.run();
   }
 
   @Test
   void inOrderAndEqualTimesAsTheyCame() {
-    agenda.add(30 * MS, () -> done.add("c"));
-    agenda.add(10 * MS, () -> done.add("a"));
-    agenda.add(10 * MS, () -> done.add("b"));
-    agenda.add(20 * MS, () -> done.add("off")).callOff();
+    timers.schedule(30 * MS, () -> done.add("c"));
+    timers.schedule(10 * MS, () -> done.add("a"));
+    timers.schedule(10 * MS, () -> done.add("b"));
+    timers.schedule(20 * MS, () -> done.add("off")).cancel();
     turn(10 * MS);
     assertEquals(List.of("a", "b"), done);
     assertEquals(20 * MS, delays.get(delays.size() - 1), "what was called off sets no timer");
@@ -53,29 +53,29 @@
    */
   @Test
   void afterAPauseTheSocketsComeFirst() {
-    Agenda.Entry expiry = agenda.add(10 * MS, () -> done.add("expired"));
-    agenda.add(10 * MS, () -> done.add("other"));
+    TimerQueue.ScheduledTask expiry = timers.schedule(10 * MS, () -> done.add("expired"));
+    timers.schedule(10 * MS, () -> done.add("other"));
     turn(500 * MS);
     assertEquals(List.of(), done);
     assertEquals(0, delays.get(delays.size() - 1));
-    expiry.callOff(); // its answer was read in between
+    expiry.cancel(); // its answer was read in between
     turn(501 * MS);
     assertEquals(List.of("other"), done);
   }
 
   @Test
   void aTaskThatFailsStopsNothing() {
-    agenda.add(
+    timers.schedule(
         10 * MS,
         () -> {
           throw new IllegalStateException("on purpose");
         });
-    agenda.add(10 * MS, () -> done.add("beside"));
-    agenda.add(11 * MS, () -> done.add("next"));
+    timers.schedule(10 * MS, () -> done.add("beside"));
+    timers.schedule(11 * MS, () -> done.add("next"));
     turn(10 * MS);
     turn(11 * MS);
     assertEquals(List.of("beside", "next"), done);
-    assertEquals(1, counters.get(Counters.Count.EXCEPTIONS_CAUGHT));
+    assertEquals(1, counters.get(Counters.Counter.EXCEPTIONS_CAUGHT));
   }
 
   @Test
--- a/router/src/test/java/rushwood/lifecycle/ClientGoneTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ClientGoneTest.java
@@ -53,7 +53,7 @@
     Client stays = client();
     assertEquals("T D C Z", stays.answer(id(READ, "first")));
     announce(entry("a", primary, "Terminating"), entry("b", replica, "Terminating"));
-    while (!counters(stays).contains("lists_changed=1")) {
+    while (!counters(stays).contains("endpoint_lists_updated=1")) {
       Thread.sleep(5);
     }
     replica.seen.clear();
@@ -63,7 +63,7 @@
 
   private void awaitTaken(int accesses) throws Exception {
     String counters = "";
-    while (!counters.contains("accesses_taken=" + accesses + " ")) {
+    while (!counters.contains("requests_received=" + accesses + " ")) {
       try (Client looks = new Client(port)) {
         counters = counters(looks);
       }
@@ -218,7 +218,7 @@
   }
 
   private static int taken(Client client) throws IOException {
-    return Integer.parseInt(counters(client).replaceAll(".*accesses_taken=(\\d+) .*", "$1"));
+    return Integer.parseInt(counters(client).replaceAll(".*requests_received=(\\d+) .*", "$1"));
   }
 
   /**
--- a/router/src/test/java/rushwood/lifecycle/ClosesTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ClosesTest.java
@@ -207,7 +207,7 @@
         pause(i % 5);
       }
       String counters = counters(client);
-      assertTrue(counters.contains("accesses_given_up=0 "), counters);
+      assertTrue(counters.contains("requests_failed=0 "), counters);
     }
   }
 
--- a/router/src/test/java/rushwood/lifecycle/RehearsalTest.java
+++ b/router/src/test/java/rushwood/lifecycle/RehearsalTest.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import rushwood.state.Counters;
-import rushwood.state.Counters.Count;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.Counters.Counter;
 
 class RehearsalTest {
   /**
@@ -31,11 +31,11 @@
                 Config.read(Map.of("NODE_CONFIG", file.toString())), group, group.next(), allocator)
             .play();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    assertTrue(counters.get(Count.ACCESSES_FULFILLED) > 0);
-    assertTrue(counters.get(Count.ACCESSES_TURNED_BACK) > 0);
-    assertTrue(counters.get(Count.CONNECTIONS_REUSED) > 0);
-    assertEquals(0, counters.get(Count.INVARIANTS_BROKEN));
-    assertEquals(0, counters.get(Count.STATEMENTS_REJECTED));
+    assertTrue(counters.get(Counter.REQUESTS_SUCCEEDED) > 0);
+    assertTrue(counters.get(Counter.REQUESTS_REJECTED) > 0);
+    assertTrue(counters.get(Counter.CONNECTIONS_REUSED) > 0);
+    assertEquals(0, counters.get(Counter.INVARIANTS_VIOLATED));
+    assertEquals(0, counters.get(Counter.STATEMENTS_REJECTED));
     assertEquals(0, allocator.metric().usedHeapMemory(), "buffers are kept");
   }
 }
--- a/router/src/test/java/rushwood/lifecycle/ServiceTest.java
+++ b/router/src/test/java/rushwood/lifecycle/ServiceTest.java
@@ -39,13 +39,13 @@
       assertEquals("T D C Z", client.read());
       registry.close();
       String counters = "";
-      while (!counters.contains("lists_whole=2")) {
+      while (!counters.contains("endpoint_lists_replaced=2")) {
         counters = counters(client);
       }
       replica.seen.clear();
       assertEquals("T D C Z", client.answer(id(READ, "r3")));
       assertEquals(List.of(), List.copyOf(replica.seen), "it drains, as the new list says");
-      assertTrue(counters(client).contains("configs_taken=1 configs_refused=1"));
+      assertTrue(counters(client).contains("configs_applied=1 configs_rejected=1"));
       Files.writeString(config, Files.readString(config).replace("256", "300"));
       hangUp();
       logged("limits.sockets takes a restart");
@@ -108,8 +108,8 @@
         assertEquals("T D C Z", client.answer(id(READ, "r" + i)));
       }
       String counters = counters(client);
-      assertTrue(!counters.contains("shots_unsent=0 "), counters);
-      assertTrue(counters.contains("shots_unreached=0 "), counters);
+      assertTrue(!counters.contains("attempts_not_sent=0 "), counters);
+      assertTrue(counters.contains("attempts_connect_failed=0 "), counters);
     }
     assertEquals(List.of(), log.stream().filter(line -> line.contains("DOWN")).toList());
   }
@@ -121,7 +121,7 @@
       registry.changes.add("");
       registry.changes.add(list(false, entry("b", replica, "Terminating")));
       String counters = "";
-      while (!counters.contains("lists_changed=1")) {
+      while (!counters.contains("endpoint_lists_updated=1")) {
         counters = counters(client);
       }
       replica.seen.clear();
@@ -171,7 +171,7 @@
       assertEquals("T D C Z", busy.read());
       assertTrue(busy.ended());
     }
-    assertTrue(logged("counters").contains("accesses_fulfilled=3"));
+    assertTrue(logged("counters").contains("requests_succeeded=3"));
     assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
   }
 
--- a/router/src/test/java/rushwood/wire/ClientProtocolTest.java
+++ b/router/src/test/java/rushwood/wire/ClientProtocolTest.java
@@ -38,7 +38,7 @@
       new SqlStatement(text, Bytes.PRODUCTS).release();
       accesses.add(text.toString(StandardCharsets.UTF_8));
       if (atOnce) {
-        protocol.fulfilled(Bytes.buffer(Bytes.row("v")));
+        protocol.sendResult(Bytes.buffer(Bytes.row("v")));
       }
     }
 
@@ -225,17 +225,17 @@
     connection.feed(Bytes.startup(), Bytes.query(READ), Bytes.query(READ), Bytes.query(READ));
     assertEquals(WELCOME, connection.types());
     assertEquals(1, connection.accesses.size());
-    connection.protocol.turnedBack(250_000_000);
+    connection.protocol.sendRejection(250_000_000);
     assertEquals("E(53300) Z", connection.types());
-    connection.protocol.givenUp();
+    connection.protocol.sendFailure();
     assertEquals("", connection.types(), "a second answer to the same access");
     connection.turn();
     assertEquals(2, connection.accesses.size());
-    connection.protocol.givenUp();
+    connection.protocol.sendFailure();
     connection.turn();
     assertEquals("E(58000) Z", connection.types());
     connection.protocol.closed();
-    connection.protocol.fulfilled(Bytes.buffer(Bytes.row("v")));
+    connection.protocol.sendResult(Bytes.buffer(Bytes.row("v")));
     assertEquals("", connection.types(), "an answer to a client that has left");
   }
 
@@ -244,7 +244,7 @@
     Connection connection = new Connection();
     connection.atOnce = false;
     connection.feed(Bytes.startup(), Bytes.query(READ));
-    connection.protocol.turnedBack(250_000_000);
+    connection.protocol.sendRejection(250_000_000);
     assertTrue(connection.out.toString(StandardCharsets.UTF_8).contains("D250\0"));
     connection.protocol.closed();
   }
@@ -259,11 +259,11 @@
     byte[] second = Bytes.query(READ);
     busy.feed(Bytes.startup(), Bytes.query(READ), Arrays.copyOf(second, 9));
     busy.protocol.finish();
-    busy.protocol.givenUp();
+    busy.protocol.sendFailure();
     busy.turn();
     assertEquals(false, busy.closed, "an access is half read");
     busy.feed(Arrays.copyOfRange(second, 9, second.length));
-    busy.protocol.givenUp();
+    busy.protocol.sendFailure();
     busy.turn();
     assertTrue(busy.closed);
     assertEquals(WELCOME + " E(58000) Z E(58000) Z", busy.types());
--- a/router/src/test/java/rushwood/wire/HostProtocolTest.java
+++ b/router/src/test/java/rushwood/wire/HostProtocolTest.java
@@ -11,8 +11,8 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import rushwood.state.HostAnswer;
-import rushwood.state.Link;
+import rushwood.dispatch.BackendConnection;
+import rushwood.dispatch.BackendResponse;
 
 class HostProtocolTest {
   private static final byte[] TOLD =
@@ -23,27 +23,27 @@
           Bytes.ready());
 
   /** A connection that has come up and been asked, unless told otherwise. */
-  private static final class Host implements Link.Events {
+  private static final class Host implements BackendConnection.Listener {
     final HostProtocol protocol = new HostProtocol(Bytes.ALLOCATOR, this);
     final List<String> events = new ArrayList<>();
-    HostAnswer answer;
+    BackendResponse answer;
     byte[] row;
     boolean usable = true;
 
     @Override
-    public void opened() {
+    public void connected() {
       events.add("opened");
     }
 
     @Override
-    public void answered(HostAnswer told, boolean again) {
-      events.add(told.end() + (again ? " again" : ""));
+    public void responseReceived(BackendResponse told, boolean again) {
+      events.add(told.outcome() + (again ? " again" : ""));
       answer = told;
       row = told.row() == null ? null : Bytes.take(told.row());
     }
 
     @Override
-    public void broken(boolean accepted) {
+    public void connectionLost(boolean accepted) {
       events.add("broken");
     }
 
--- a/router/src/test/java/rushwood/wire/ListReaderTest.java
+++ b/router/src/test/java/rushwood/wire/ListReaderTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.Test;
 import rushwood.api.Endpoint;
 import rushwood.api.HostId;
-import rushwood.state.Router.Partial;
-import rushwood.state.Router.Place;
+import rushwood.dispatch.RequestDispatcher.EndpointAddress;
+import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
 
 class ListReaderTest {
   private static final String HOST =
@@ -26,7 +26,8 @@
   private static final String OTHER =
       "{\"id\":\"s-2\",\"addr\":\"10.1.0.19:6432\",\"zone\":\"}]\\\"\",\"cell\":3,"
           + "\"state\":\"Ready\"}";
-  private static final Partial DRAINS = new Partial(new HostId("s-1"), Endpoint.State.DRAINING);
+  private static final PartialEndpoint DRAINS =
+      new PartialEndpoint(new HostId("s-1"), Endpoint.State.DRAINING);
 
   @AfterEach
   void released() {
@@ -80,8 +81,8 @@
                   listings.get(0).places().isEmpty(),
                   listings.get(0).faults().isEmpty()));
           assertEquals(43, listings.get(1).version());
-          Place place = listings.get(1).places().get(0);
-          Endpoint host = place.host();
+          EndpointAddress place = listings.get(1).places().get(0);
+          Endpoint host = place.endpoint();
           assertEquals("/10.1.0.18:6432", place.address().toString());
           assertEquals("s-1", host.id().value());
           assertEquals(3, host.group().value());
@@ -89,7 +90,7 @@
           assertEquals(1767225600123_000_000L, host.startedAt());
           assertEquals(true, host.primary());
           assertEquals(Endpoint.State.DRAINING, host.state());
-          assertEquals("}]\"", listings.get(1).places().get(1).host().zone().value());
+          assertEquals("}]\"", listings.get(1).places().get(1).endpoint().zone().value());
         });
   }
 
@@ -119,11 +120,11 @@
   void aBadEntryAmongGoodOnes() throws ListReader.Unreadable {
     entry(
         "state has the unknown word Sleeping",
-        new Partial(new HostId("s-1"), null),
+        new PartialEndpoint(new HostId("s-1"), null),
         HOST.replace("Terminating", "Sleeping"));
     entry(
         "state is missing or cannot be read",
-        new Partial(new HostId("s-1"), null),
+        new PartialEndpoint(new HostId("s-1"), null),
         HOST.replace("\"Terminating\"", "null"));
     entry("addr is missing or cannot be read", DRAINS, HOST.replace("10.1.0.18:6432", "a.name:1"));
     entry("addr is missing or cannot be read", DRAINS, HOST.replace(":6432", ":99999"));
@@ -136,11 +137,11 @@
     entry("servers has what is no entry", null, HOST.replace("\"state\"", "\"state\"7"));
   }
 
-  private static void entry(String fault, Partial partial, String bad)
+  private static void entry(String fault, PartialEndpoint partial, String bad)
       throws ListReader.Unreadable {
     for (String text : List.of(OTHER + "," + bad, bad + "," + OTHER)) {
       ListReader.Listing listing = read(list(1, true, text)).get(0);
-      assertEquals("s-2", listing.places().get(0).host().id().value());
+      assertEquals("s-2", listing.places().get(0).endpoint().id().value());
       assertEquals(1, listing.places().size());
       assertEquals(List.of(fault), listing.faults());
       assertEquals(partial == null ? List.of() : List.of(partial), listing.partials());
@@ -215,7 +216,7 @@
     assertEquals(2, one(text, -1, sum).places().size());
     assertEquals(
         Endpoint.State.READY,
-        one(text.replace("Terminating", "Ready"), 41, sum).places().get(0).host().state());
+        one(text.replace("Terminating", "Ready"), 41, sum).places().get(0).endpoint().state());
     assertEquals(DRAINS, one(text.replace("Ready", "Gone"), 41, sum).leaving().get(0));
     assertEquals(2, one(text.replaceFirst("41", "42"), 41, sum).places().size());
   }
--- a/router/src/test/java/rushwood/wire/SqlStatementTest.java
+++ b/router/src/test/java/rushwood/wire/SqlStatementTest.java
@@ -41,7 +41,7 @@
             "SELECT val FROM state WHERE uid = 's7' "
                 + "/* id=9b1f,c=mine,t=acme,d=480,cluster=2,after=1767225600123,r=1 */");
     long now = 1767225601000L * MS;
-    Request access = statement.access(now, now - 100 * MS, Long.MAX_VALUE);
+    Request access = statement.toRequest(now, now - 100 * MS, Long.MAX_VALUE);
     assertEquals("9b1f", access.id().value());
     assertEquals("mine", access.requestClass().name());
     assertEquals("s7", access.session().value());
@@ -50,7 +50,7 @@
     assertEquals(877 * MS, access.sinceLastWriteNanos());
     assertEquals(
         now + 9,
-        statement.access(now, now, now + 9).deadline(),
+        statement.toRequest(now, now, now + 9).deadline(),
         "no longer than this router is there");
     statement.release();
   }
@@ -58,8 +58,8 @@
   @Test
   void readsWithoutSessionsNameNone() throws Fault {
     SqlStatement statement = read(Bytes.read("a", ",d=480"));
-    assertNull(statement.access(0, 0, 1).session());
-    assertEquals(0, statement.access(0, 0, 1).sinceLastWriteNanos());
+    assertNull(statement.toRequest(0, 0, 1).session());
+    assertEquals(0, statement.toRequest(0, 0, 1).sinceLastWriteNanos());
     statement.release();
   }
 
@@ -67,7 +67,7 @@
   void onlyTheTimeChanges() throws Fault {
     for (String time : new String[] {"7", "480", "12000"}) {
       SqlStatement statement = read(Bytes.write("a", ",d=480,after=5"));
-      byte[] message = Bytes.take(statement.message(Long.parseLong(time)));
+      byte[] message = Bytes.take(statement.toMessage(Long.parseLong(time)));
       assertArrayEquals(Bytes.query(Bytes.write("a", ",d=" + time + ",after=5")), message);
       statement.release();
     }
