Rename rushwood.storm to rushwood.overload, with its types and members

Need: the code is read by engineers who know the field's terms, not our former ones (docs/glossary.md). Change: OverloadController, OverloadDetector, RetryAfterSchedule, RetryBudget, ConnectBackoff, DescriptorBudget, ConnectionAdmission and their members. The keys storm.* of deploy/rushwood.json stay.

--- a/cli/src/main/java/rushwood/cli/Lab.java
+++ b/cli/src/main/java/rushwood/cli/Lab.java
@@ -20,7 +20,7 @@
 import rushwood.lab.load.SocketRun;
 import rushwood.lab.report.Reports;
 import rushwood.lab.virt.VirtualRun;
-import rushwood.storm.StormSettings;
+import rushwood.overload.OverloadSettings;
 
 /** The laboratory: experiments on loopback. */
 @Command(
@@ -121,7 +121,8 @@
       Map<String, Result> results = new LinkedHashMap<>();
       for (int each : routers.isEmpty() ? List.of(read.allRouters()) : routers) {
         Experiment sized = read.with(each);
-        results.put(each + " routers, with", new VirtualRun(sized, StormSettings.DEFAULT).play());
+        results.put(
+            each + " routers, with", new VirtualRun(sized, OverloadSettings.DEFAULT).play());
         results.put(each + " routers, without", new VirtualRun(sized, null).play());
       }
       report.tell(read.name(), results);
--- a/lab/src/main/java/rushwood/lab/load/StormCost.java
+++ b/lab/src/main/java/rushwood/lab/load/StormCost.java
@@ -27,12 +27,12 @@
 import rushwood.api.RoutingPolicy;
 import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.OverloadController;
+import rushwood.overload.OverloadSettings;
+import rushwood.overload.RepeatSketch;
+import rushwood.overload.RetryAfterSchedule;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.storm.Calendar;
-import rushwood.storm.Dials;
-import rushwood.storm.Repeats;
-import rushwood.storm.Storm;
-import rushwood.storm.StormSettings;
 
 /**
  * What the storm module costs an access: the decisions behind it against the decisions alone, and
@@ -80,8 +80,8 @@
           1000 * MS,
           10_000 * MS);
 
-  private final Repeats repeats = new Repeats(1 << 14, 1000 * MS);
-  private final Calendar calendar = new Calendar(500 * MS);
+  private final RepeatSketch repeats = new RepeatSketch(1 << 14, 1000 * MS);
+  private final RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
   private RoutingPolicy alone;
   private RoutingPolicy behind;
   private long now = 1_000_000 * MS;
@@ -123,10 +123,10 @@
             new Nothing(),
             OverloadSignals.withoutOverloadControl(SETTINGS));
     behind =
-        new Storm(
+        new OverloadController(
             SETTINGS,
-            StormSettings.DEFAULT,
-            new Dials(new SplittableRandom(1), true),
+            OverloadSettings.DEFAULT,
+            new ConnectBackoff(new SplittableRandom(1), true),
             new Nothing(),
             (crowd, outlet) ->
                 new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), outlet, crowd));
@@ -136,7 +136,7 @@
           List.of(new Endpoint(HOST, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
           true);
     }
-    calendar.expect(1000);
+    calendar.setExpectedRate(1000);
   }
 
   private void access(RoutingPolicy decisions) {
@@ -171,6 +171,6 @@
   @Benchmark
   public long booking() {
     now += MS;
-    return calendar.book(now, 1, true, 0, 500 * MS).away();
+    return calendar.reserve(now, 1, true, 0, 500 * MS).waitNanos();
   }
 }
--- a/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
+++ b/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
@@ -34,10 +34,10 @@
 import rushwood.lab.model.Manners;
 import rushwood.lifecycle.BadConfig;
 import rushwood.lifecycle.Config;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.OverloadController;
+import rushwood.overload.OverloadSettings;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.storm.Dials;
-import rushwood.storm.Storm;
-import rushwood.storm.StormSettings;
 
 /**
  * Plays an experiment in virtual time with any number of routers, each with decisions of its own
@@ -56,7 +56,7 @@
   private final RoutingSettings settings;
   private final Map<HostId, Host> hosts = new LinkedHashMap<>();
   private final List<Router> routers = new ArrayList<>();
-  private final StormSettings storm;
+  private final OverloadSettings storm;
   private final Map<Integer, Integer> backByGroup = new TreeMap<>();
   private int waiting;
   private int fulfilled;
@@ -81,7 +81,7 @@
   }
 
   /** With the storm module as set, or with the decisions alone if that is null. */
-  public VirtualRun(Experiment experiment, StormSettings storm) throws BadConfig {
+  public VirtualRun(Experiment experiment, OverloadSettings storm) throws BadConfig {
     this.experiment = experiment;
     this.storm = storm;
     settings = Config.settings(RouterSettings.json(experiment).toString());
@@ -272,18 +272,19 @@
   private final class Router implements PolicyActions {
     private final Map<RequestId, Open> opens = new HashMap<>();
     private final Deque<Runnable> calls = new ArrayDeque<>();
-    private final Dials paced;
+    private final ConnectBackoff paced;
     private final RoutingPolicy decisions;
     private boolean telling;
     private long wakeAt = Long.MAX_VALUE;
 
     Router(long seed) {
-      paced = new Dials(new SplittableRandom(~seed), storm != null && storm.paceDials());
+      paced =
+          new ConnectBackoff(new SplittableRandom(~seed), storm != null && storm.connectBackoff());
       SplittableRandom chance = new SplittableRandom(seed);
       decisions =
           storm == null
               ? new DefaultRoutingPolicy(settings, chance, this)
-              : new Storm(
+              : new OverloadController(
                   settings,
                   storm,
                   paced,
@@ -335,13 +336,13 @@
       shots++;
       Host host = hosts.get(to);
       if (!host.model.isUp()) {
-        if (paced.may(to, events.now())) {
+        if (paced.isAttemptAllowed(to, events.now())) {
           dials++;
-          paced.begun(to);
+          paced.attemptStarted(to);
           events.at(
               events.now() + 2 * WAY,
               () -> {
-                paced.failed(to, events.now());
+                paced.attemptFailed(to, events.now());
                 shot.end(AttemptOutcome.CONNECT_FAILED);
               });
         } else {
@@ -349,8 +350,8 @@
         }
         return;
       }
-      paced.begun(to);
-      paced.opened(to);
+      paced.attemptStarted(to);
+      paced.attemptSucceeded(to);
       host.out.add(shot);
       events.at(events.now() + timeOut, () -> shot.end(AttemptOutcome.TIMED_OUT));
       events.at(events.now() + WAY, () -> reach(host, shot));
@@ -460,7 +461,7 @@
 
     @Override
     public void log(String line) {
-      if (line.startsWith("storm at router")) {
+      if (line.startsWith("overload at router")) {
         result.count("changes of weather", events.now() - START, 1);
       }
     }
--- a/lab/src/test/java/rushwood/lab/StormsTest.java
+++ b/lab/src/test/java/rushwood/lab/StormsTest.java
@@ -16,7 +16,7 @@
 import rushwood.lab.report.Reports;
 import rushwood.lab.virt.VirtualRun;
 import rushwood.lifecycle.BadConfig;
-import rushwood.storm.StormSettings;
+import rushwood.overload.OverloadSettings;
 
 /**
  * The hard cases of storms, played by the laboratory: in virtual time with and without the module,
@@ -28,7 +28,7 @@
   }
 
   private static Result with(Experiment experiment) throws BadConfig {
-    return new VirtualRun(experiment, StormSettings.DEFAULT).play();
+    return new VirtualRun(experiment, OverloadSettings.DEFAULT).play();
   }
 
   private static Result without(Experiment experiment) throws BadConfig {
--- a/router/src/main/java/rushwood/dispatch/ConnectionPool.java
+++ b/router/src/main/java/rushwood/dispatch/ConnectionPool.java
@@ -139,11 +139,11 @@
       connection.writeOrDefer();
       return true;
     }
-    if (!exchange.isProbe() && !settings.backoff().may(exchange.host, clock.now())) {
+    if (!exchange.isProbe() && !settings.backoff().isAttemptAllowed(exchange.host, clock.now())) {
       counters.increment(Counter.CONNECTS_SUPPRESSED);
       return false;
     }
-    if (openConnections >= settings.descriptors().forHosts() && !closeOldestIdle()) {
+    if (openConnections >= settings.descriptors().maxBackends() && !closeOldestIdle()) {
       return false;
     }
     counters.increment(Counter.CONNECTIONS_OPENED);
@@ -215,7 +215,7 @@
 
   private void adjustOpenConnections(int delta) {
     openConnections += delta;
-    settings.descriptors().hosts(openConnections, clock.now());
+    settings.descriptors().setOpenBackends(openConnections, clock.now());
   }
 
   void closeAllIdle() {
@@ -248,7 +248,7 @@
 
     private void connect(Exchange firstExchange) {
       assign(firstExchange);
-      settings.backoff().begun(hostId);
+      settings.backoff().attemptStarted(hostId);
       connectTimeout =
           timers.schedule(clock.now() + settings.connectTimeoutNanos(), this::connectTimedOut);
       backend = connector.connect(address, this);
@@ -309,7 +309,7 @@
     }
 
     private void connectTimedOut() {
-      settings.backoff().failed(hostId, clock.now());
+      settings.backoff().attemptFailed(hostId, clock.now());
       counters.increment(Counter.CONNECTIONS_FAILED);
       close();
       completeExchange(BackendResponse.withoutRow(AttemptOutcome.CONNECT_FAILED));
@@ -318,7 +318,7 @@
     @Override
     public void connected() {
       connectTimeout.cancel();
-      settings.backoff().opened(hostId);
+      settings.backoff().attemptSucceeded(hostId);
       if (exchange != null) {
         writeOrDefer();
       } else {
@@ -346,7 +346,7 @@
       boolean connected = !connectTimeout.cancel();
       if (!connected) {
         counters.increment(Counter.CONNECTIONS_FAILED);
-        settings.backoff().failed(hostId, clock.now());
+        settings.backoff().attemptFailed(hostId, clock.now());
       }
       if (awaitingResponse && idleBeforeUseNanos > MIN_IDLE_NANOS) {
         maxIdleNanos = Math.min(maxIdleNanos, Math.max(MIN_IDLE_NANOS, idleBeforeUseNanos / 2));
@@ -395,7 +395,7 @@
         adjustOpenConnections(-1);
         counters.increment(Counter.CONNECTIONS_CLOSED);
         if (connectTimeout.cancel()) {
-          settings.backoff().calledOff(hostId);
+          settings.backoff().attemptCancelled(hostId);
         }
         if (backend != null) {
           backend.close();
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -25,8 +25,8 @@
 import rushwood.api.RequestId;
 import rushwood.api.RoutingPolicy;
 import rushwood.dispatch.Counters.Counter;
-import rushwood.storm.Dials;
-import rushwood.storm.Sockets;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.DescriptorBudget;
 
 /**
  * Carries the calls of the network to the decisions and what they decide back to the network.
@@ -48,8 +48,8 @@
    * never sent to, and within which time sends to a leaving host have to end.
    */
   public record ConnectionSettings(
-      Sockets descriptors,
-      Dials backoff,
+      DescriptorBudget descriptors,
+      ConnectBackoff backoff,
       long connectTimeoutNanos,
       long hostIdleTimeoutNanos,
       boolean isRemovalBinding,
--- a/router/src/main/java/rushwood/lifecycle/Operator.java
+++ b/router/src/main/java/rushwood/lifecycle/Operator.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import rushwood.storm.StormSettings;
+import rushwood.overload.OverloadSettings;
 
 /**
  * The settings that the operator owns: the file that RUSHWOOD_SETTINGS names, else
@@ -17,9 +17,9 @@
  * gets each log line as JSON, null for lines on standard output. deploy/rushwood.schema.json
  * describes it; here it is checked without a library.
  */
-public record Operator(StormSettings storm, String jsonLog) {
+public record Operator(OverloadSettings storm, String jsonLog) {
   private static final String DEFAULT = "deploy/rushwood.json";
-  public static final Operator NONE = new Operator(StormSettings.DEFAULT, null);
+  public static final Operator NONE = new Operator(OverloadSettings.DEFAULT, null);
 
   public static Operator read(Map<String, String> environment) throws BadConfig {
     String named = environment.get("RUSHWOOD_SETTINGS");
@@ -45,14 +45,14 @@
     known("storm.", storm, List.of("calendar", "pace_dials", "repeats", "repeats_floor", "doubts"));
     JsonObject log = part(json, "log");
     known("log.", log, List.of("format", "file"));
-    StormSettings otherwise = StormSettings.DEFAULT;
+    OverloadSettings otherwise = OverloadSettings.DEFAULT;
     return new Operator(
-        new StormSettings(
-            flag(storm, "storm.calendar", otherwise.calendar()),
-            flag(storm, "storm.pace_dials", otherwise.paceDials()),
-            number(storm, "storm.repeats", otherwise.repeats(), 10),
-            number(storm, "storm.repeats_floor", otherwise.repeatsFloor(), 1e6),
-            flag(storm, "storm.doubts", otherwise.doubts())),
+        new OverloadSettings(
+            flag(storm, "storm.calendar", otherwise.retryAfterSchedule()),
+            flag(storm, "storm.pace_dials", otherwise.connectBackoff()),
+            number(storm, "storm.repeats", otherwise.retriesPerFirstAttempt(), 10),
+            number(storm, "storm.repeats_floor", otherwise.minRetriesPerSecond(), 1e6),
+            flag(storm, "storm.doubts", otherwise.failAmbiguousWrites())),
         json(log));
   }
 
--- a/router/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/router/src/main/java/rushwood/lifecycle/Rehearsal.java
@@ -32,12 +32,12 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.DescriptorBudget;
+import rushwood.overload.OverloadController;
+import rushwood.overload.OverloadSettings;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.storm.Dials;
-import rushwood.storm.Door;
-import rushwood.storm.Sockets;
-import rushwood.storm.Storm;
-import rushwood.storm.StormSettings;
 import rushwood.wire.Clients;
 import rushwood.wire.HostLinks;
 import rushwood.wire.RehearsedPeers;
@@ -107,8 +107,8 @@
             address -> at("h"),
             allocator,
             counters);
-    Dials dials = new Dials(new SplittableRandom(config.seed()), true);
-    Sockets sockets = new Sockets(CLIENTS * 5);
+    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(config.seed()), true);
+    DescriptorBudget sockets = new DescriptorBudget(CLIENTS * 5);
     router =
         new RequestDispatcher(
             clock,
@@ -121,9 +121,9 @@
             () -> {},
             line -> {},
             out ->
-                new Storm(
+                new OverloadController(
                     config.settings(),
-                    StormSettings.DEFAULT,
+                    OverloadSettings.DEFAULT,
                     dials,
                     out,
                     (crowd, outlet) ->
@@ -139,7 +139,7 @@
             agenda,
             counters,
             products,
-            new Door(CLIENTS, 0),
+            new ConnectionAdmission(CLIENTS, 0),
             sockets,
             () -> 0,
             new SplittableRandom(config.seed()));
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/lifecycle/Service.java
@@ -21,11 +21,11 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.DescriptorBudget;
+import rushwood.overload.OverloadController;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.storm.Dials;
-import rushwood.storm.Door;
-import rushwood.storm.Sockets;
-import rushwood.storm.Storm;
 import rushwood.wire.Clients;
 import rushwood.wire.Discovery;
 import rushwood.wire.HostLinks;
@@ -77,7 +77,7 @@
   private TimerQueue agenda;
   private Lines lines;
   private RequestDispatcher router;
-  private Storm storm;
+  private OverloadController storm;
   private Clients clients;
   private Discovery discovery;
   private InetSocketAddress followed;
@@ -164,8 +164,9 @@
             known == null ? 0 : Math.max(0, known.version()),
             new SplittableRandom(config.seed() + 1),
             new ListEvents());
-    Sockets sockets = new Sockets(config.sockets() - OWN_SOCKETS);
-    Dials dials = new Dials(new SplittableRandom(~config.seed()), operator.storm().paceDials());
+    DescriptorBudget sockets = new DescriptorBudget(config.sockets() - OWN_SOCKETS);
+    ConnectBackoff dials =
+        new ConnectBackoff(new SplittableRandom(~config.seed()), operator.storm().connectBackoff());
     router =
         new RequestDispatcher(
             clock,
@@ -190,9 +191,10 @@
             agenda,
             counters,
             config.settings().requestClasses(),
-            new Door(sockets.forClients(clock.now()), config.settings().maxRetryAfterNanos()),
+            new ConnectionAdmission(
+                sockets.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
             sockets,
-            () -> storm.adviseAtDoor(clock.now()),
+            () -> storm.retryAfterForRefusedConnection(clock.now()),
             new SplittableRandom(config.seed() + 2));
     if (known != null) {
       known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
@@ -204,9 +206,9 @@
     return null;
   }
 
-  private Storm storm(Dials dials, PolicyActions out) {
+  private OverloadController storm(ConnectBackoff dials, PolicyActions out) {
     storm =
-        new Storm(
+        new OverloadController(
             config.settings(),
             operator.storm(),
             dials,
@@ -214,14 +216,14 @@
             (crowd, outlet) ->
                 new DefaultRoutingPolicy(
                     config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
-    Storm.Counts counts = storm.counts();
-    counters.register("overload_repeated_requests", () -> counts.repeats);
-    counters.register("overload_returned_as_advised", () -> counts.returned);
-    counters.register("overload_reserved", () -> counts.booked);
-    counters.register("overload_unreserved", () -> counts.unbooked);
-    counters.register("overload_retries_denied", () -> counts.budgetEmpty);
-    counters.register("overload_ambiguous_writes_failed", () -> counts.doubtful);
-    counters.register("overload_state_changes", () -> counts.changes);
+    OverloadController.OverloadCounts counts = storm.counts();
+    counters.register("overload_repeated_requests", () -> counts.repeatedRequests);
+    counters.register("overload_returned_as_advised", () -> counts.returnedAsAdvised);
+    counters.register("overload_reserved", () -> counts.reserved);
+    counters.register("overload_unreserved", () -> counts.unreserved);
+    counters.register("overload_retries_denied", () -> counts.retriesDenied);
+    counters.register("overload_ambiguous_writes_failed", () -> counts.ambiguousWritesFailed);
+    counters.register("overload_state_changes", () -> counts.stateChanges);
     return storm;
   }
 
--- a/router/src/main/java/rushwood/storm/Repeats.java
+++ b/router/src/main/java/rushwood/overload/RepeatSketch.java
@@ -1,4 +1,4 @@
-package rushwood.storm;
+package rushwood.overload;
 
 import java.util.Arrays;
 
@@ -7,81 +7,81 @@
  * turns. The count is never too low for the last span and at most two spans old; it is too high
  * only where marks share a cell in every row.
  */
-public final class Repeats {
+public final class RepeatSketch {
   // All four must collide: with a third as many marks as a row has cells 0.7% of those that never
   // came are seen.
   private static final int ROWS = 4;
 
-  private final byte[][] now = new byte[ROWS][];
-  private final byte[][] before = new byte[ROWS][];
+  private final byte[][] current = new byte[ROWS][];
+  private final byte[][] previous = new byte[ROWS][];
   private final int mask;
-  private final long span;
-  private long turnAt;
+  private final long spanNanos;
+  private long rotateAt;
 
   /**
    * With the cells of a row, a power of two, and for how long a mark is remembered at the least.
    */
-  public Repeats(int cells, long span) {
+  public RepeatSketch(int cells, long span) {
     if (Integer.bitCount(cells) != 1) {
       throw new IllegalArgumentException("cells must be a power of two");
     }
     mask = cells - 1;
-    this.span = span;
+    this.spanNanos = span;
     for (int i = 0; i < ROWS; i++) {
-      now[i] = new byte[cells];
-      before[i] = new byte[cells];
+      current[i] = new byte[cells];
+      previous[i] = new byte[cells];
     }
   }
 
   /** Bytes held, always. */
-  public long bytes() {
+  public long memoryBytes() {
     return 2L * ROWS * (mask + 1);
   }
 
   /** How often that mark was added lately, 254 at the most. */
-  public int count(long mark, long at) {
-    turn(at);
-    int late = 255;
-    int old = 255;
-    long mixed = mix(mark);
+  public int count(long fingerprint, long now) {
+    rotate(now);
+    int currentCount = 255;
+    int previousCount = 255;
+    long mixed = mix(fingerprint);
     for (int i = 0; i < ROWS; i++) {
       int cell = cell(mixed, i);
-      late = Math.min(late, now[i][cell] & 255);
-      old = Math.min(old, before[i][cell] & 255);
+      currentCount = Math.min(currentCount, current[i][cell] & 255);
+      previousCount = Math.min(previousCount, previous[i][cell] & 255);
     }
-    return Math.min(254, late + old);
+    return Math.min(254, currentCount + previousCount);
   }
 
-  public void add(long mark, long at) {
-    turn(at);
-    long mixed = mix(mark);
-    int late = 254;
+  public void add(long fingerprint, long now) {
+    rotate(now);
+    long mixed = mix(fingerprint);
+    int currentCount = 254;
     for (int i = 0; i < ROWS; i++) {
-      late = Math.min(late, now[i][cell(mixed, i)] & 255);
+      currentCount = Math.min(currentCount, current[i][cell(mixed, i)] & 255);
     }
-    int next = Math.min(254, late + 1);
+    int next = Math.min(254, currentCount + 1);
     for (int i = 0;
         i < ROWS;
         i++) { // only what is not counted yet: cells shared with others rise less
       int cell = cell(mixed, i);
-      now[i][cell] = (byte) Math.max(now[i][cell] & 255, next);
+      current[i][cell] = (byte) Math.max(current[i][cell] & 255, next);
     }
   }
 
-  private void turn(long at) {
-    if (turnAt == 0) {
-      turnAt = at + span;
+  private void rotate(long now) {
+    if (rotateAt == 0) {
+      rotateAt = now + spanNanos;
     }
-    for (int turns = 0; at >= turnAt && turns < 2; turns++) {
+    for (int turns = 0; now >= rotateAt && turns < 2; turns++) {
       for (int i = 0; i < ROWS; i++) {
-        byte[] empty = before[i];
-        before[i] = now[i];
+        byte[] empty = previous[i];
+        previous[i] = current[i];
         Arrays.fill(empty, (byte) 0);
-        now[i] = empty;
+        current[i] = empty;
       }
-      turnAt += span;
+      rotateAt += spanNanos;
     }
-    turnAt = at >= turnAt ? at + span : turnAt;
+    rotateAt = now >= rotateAt ? now + spanNanos : rotateAt;
   }
 
   private int cell(long mixed, int row) {
@@ -89,8 +89,8 @@
   }
 
   /** Spreads a mark over all its bits: the last steps of SplitMix64. */
-  static long mix(long mark) {
-    long bits = mark + 0x9e3779b97f4a7c15L;
+  static long mix(long fingerprint) {
+    long bits = fingerprint + 0x9e3779b97f4a7c15L;
     bits = (bits ^ bits >>> 30) * 0xbf58476d1ce4e5b9L;
     bits = (bits ^ bits >>> 27) * 0x94d049bb133111ebL;
     return bits ^ bits >>> 31;
--- a/router/src/main/java/rushwood/storm/package-info.java
+++ b/router/src/main/java/rushwood/overload/package-info.java
@@ -3,4 +3,4 @@
  * passed in, chance is seeded. The decisions ask it through rushwood.api.Crowd, the network code
  * asks it at the door and before dialling.
  */
-package rushwood.storm;
+package rushwood.overload;
--- a/router/src/main/java/rushwood/wire/Clients.java
+++ b/router/src/main/java/rushwood/wire/Clients.java
@@ -20,8 +20,8 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
-import rushwood.storm.Door;
-import rushwood.storm.Sockets;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.DescriptorBudget;
 
 /** The connections of clients; reads and writes for {@link ClientProtocol}. */
 public final class Clients extends ChannelInitializer<Channel> {
@@ -73,8 +73,8 @@
   private final TimerQueue agenda;
   private final Counters counters;
   private final List<RequestClass> products;
-  private final Door door;
-  private final Sockets sockets;
+  private final ConnectionAdmission door;
+  private final DescriptorBudget sockets;
   private final LongSupplier comeBack;
   private boolean settling;
   private int accepted;
@@ -91,8 +91,8 @@
       TimerQueue agenda,
       Counters counters,
       List<RequestClass> products,
-      Door door,
-      Sockets sockets,
+      ConnectionAdmission door,
+      DescriptorBudget sockets,
       LongSupplier comeBack,
       RandomGenerator chance) {
     this.router = router;
@@ -122,23 +122,23 @@
   @Override
   protected void initChannel(Channel channel) {
     channel.config().setRecvByteBufAllocator(READS_ALL);
-    door.most(sockets.forClients(clock.now()));
+    door.setMaxConnections(sockets.maxClients(clock.now()));
     if (ending) {
-      if (open() >= door.most() + MARGIN) {
+      if (open() >= door.maxConnections() + MARGIN) {
         channel.close();
       } else {
         refuse(channel, "57P03", "this router ends", null);
       }
       return;
-    } else if (door.open() >= door.most() + MARGIN && !makeRoom()) {
+    } else if (door.openConnections() >= door.maxConnections() + MARGIN && !makeRoom()) {
       refuse(channel, "53300", "too many connections", ClientProtocol.millis(comeBack.getAsLong()));
       return;
     }
     counters.increment(Counter.CLIENTS_ACCEPTED);
     channel.pipeline().addLast(new Handler(channel));
-    sockets.clients(open.size());
+    sockets.setOpenClients(open.size());
     sweep();
-    if (door.isOverfull() && !settling) {
+    if (door.isOverLimit() && !settling) {
       settling = true;
       agenda.schedule(clock.now() + READ_FIRST, this::settle);
     }
@@ -167,17 +167,17 @@
 
   /** Those go that rest in vain, where clients ask once and stay. */
   private void sweep() {
-    for (Door.Place goes = door.restsInVain(clock.now());
+    for (ConnectionAdmission.AdmittedConnection goes = door.idleToClose(clock.now());
         goes != null;
-        goes = door.restsInVain(clock.now())) {
-      ((Handler) goes.guest()).makeRoom();
+        goes = door.idleToClose(clock.now())) {
+      ((Handler) goes.owner()).makeRoom();
     }
   }
 
   private boolean makeRoom() {
-    Door.Place goes = door.next(clock.now());
+    ConnectionAdmission.AdmittedConnection goes = door.connectionToClose(clock.now());
     if (goes != null) {
-      ((Handler) goes.guest()).makeRoom();
+      ((Handler) goes.owner()).makeRoom();
     }
     return goes != null;
   }
@@ -188,13 +188,13 @@
    */
   private void settle() {
     settling = false;
-    while (door.isOverfull() && makeRoom()) {
+    while (door.isOverLimit() && makeRoom()) {
       continue;
     }
-    for (Door.Place newest = door.newest();
-        door.isOverfull() && newest != null;
-        newest = door.newest()) {
-      ((Handler) newest.guest()).findNoRoom();
+    for (ConnectionAdmission.AdmittedConnection newest = door.newestWithoutRequest();
+        door.isOverLimit() && newest != null;
+        newest = door.newestWithoutRequest()) {
+      ((Handler) newest.owner()).findNoRoom();
     }
   }
 
@@ -211,7 +211,7 @@
 
   /** The end is near: a connection that closes now cannot be opened anew here. */
   public void closing() {
-    door.closing();
+    door.startShutdown();
   }
 
   /** Closes each connection as soon as no access is in it. */
@@ -235,7 +235,7 @@
     private boolean later; // asked for in this turn
     private boolean welcomed;
     private boolean heard; // it has had an answer
-    private final Door.Place place = door.enter(this, lastWord);
+    private final ConnectionAdmission.AdmittedConnection place = door.admit(this, lastWord);
 
     Handler(Channel channel) {
       super(channel);
@@ -271,13 +271,15 @@
     /** What it does now, for the door. */
     private void stand() {
       boolean between = protocol.isBetween();
-      door.stands(
+      door.setState(
           place,
           !between
-              ? Door.Standing.BUSY
+              ? ConnectionAdmission.ConnectionState.BUSY
               : !heard
-                  ? Door.Standing.UNHEARD
-                  : told ? Door.Standing.BOOKED : Door.Standing.RESTING,
+                  ? ConnectionAdmission.ConnectionState.NEW
+                  : told
+                      ? ConnectionAdmission.ConnectionState.AWAITING_RETRY
+                      : ConnectionAdmission.ConnectionState.IDLE,
           clock.now());
     }
 
@@ -385,8 +387,8 @@
     private void gone() {
       if (open.remove(this)) {
         keys.remove(key);
-        door.leave(place);
-        sockets.clients(open.size());
+        door.remove(place);
+        sockets.setOpenClients(open.size());
         counters.increment(Counter.CLIENTS_CLOSED);
         weigh();
         protocol.closed();
@@ -433,7 +435,7 @@
         throw new Fault("22023", twice ? "the id is not new" : "the cluster is unknown", false);
       }
       rejected = 0;
-      door.asked(access != null);
+      door.recordRequest(access != null);
       access = statement.id();
       asked = text.readableBytes();
       told = false;
--- a/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
+++ b/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
@@ -23,8 +23,8 @@
 import rushwood.api.RoutingPolicy;
 import rushwood.api.ZoneId;
 import rushwood.dispatch.Counters.Counter;
-import rushwood.storm.Dials;
-import rushwood.storm.Sockets;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.DescriptorBudget;
 import rushwood.wire.Bytes;
 
 /** The router with links, a clock and decisions that the test plays. */
@@ -200,8 +200,8 @@
             timers,
             counters,
             new RequestDispatcher.ConnectionSettings(
-                new Sockets(5),
-                new Dials(new SplittableRandom(1), true),
+                new DescriptorBudget(5),
+                new ConnectBackoff(new SplittableRandom(1), true),
                 250 * NANOS_PER_MILLI,
                 30_000 * NANOS_PER_MILLI,
                 goneBinds,
--- a/router/src/test/java/rushwood/storm/StormTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerTest.java
@@ -1,4 +1,4 @@
-package rushwood.storm;
+package rushwood.overload;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -23,7 +23,7 @@
 import rushwood.policy.DefaultRoutingPolicy;
 
 /** The module with the decisions behind it. */
-class StormTest {
+class OverloadControllerTest {
   private static final long MS = 1_000_000L;
   private static final RequestClass PAY =
       new RequestClass(
@@ -68,30 +68,30 @@
           1000 * MS,
           10_000 * MS);
 
-  private final List<String> heard = new ArrayList<>();
-  private Storm storm;
+  private final List<String> recorded = new ArrayList<>();
+  private OverloadController controller;
   private long now = 1_000_000 * MS;
-  private int ids;
+  private int nextId;
 
-  private final class Heard implements PolicyActions {
+  private final class RecordingActions implements PolicyActions {
     @Override
     public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
-      heard.add("send " + access + " " + host);
+      recorded.add("send " + access + " " + host);
     }
 
     @Override
     public void cancel(RequestId access, int shot) {
-      heard.add("withdraw " + access);
+      recorded.add("withdraw " + access);
     }
 
     @Override
     public void reject(RequestId access, long advice) {
-      heard.add("back " + access + " " + advice / MS);
+      recorded.add("back " + access + " " + advice / MS);
     }
 
     @Override
     public void fail(RequestId access) {
-      heard.add("up " + access);
+      recorded.add("up " + access);
     }
 
     @Override
@@ -105,18 +105,18 @@
 
     @Override
     public void log(String line) {
-      heard.add(line);
+      recorded.add(line);
     }
   }
 
   private void start(boolean doubts, int groups) {
-    Dials dials = new Dials(new SplittableRandom(1), true);
-    storm =
-        new Storm(
+    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(1), true);
+    controller =
+        new OverloadController(
             SETTINGS,
-            new StormSettings(true, true, 0.2, 10, doubts),
+            new OverloadSettings(true, true, 0.2, 10, doubts),
             dials,
-            new Heard(),
+            new RecordingActions(),
             (crowd, outlet) ->
                 new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(2), outlet, crowd));
     List<Endpoint> list = new ArrayList<>();
@@ -131,12 +131,12 @@
               true,
               Endpoint.State.READY));
     }
-    storm.endpointsReplaced(now, list, true);
+    controller.endpointsReplaced(now, list, true);
   }
 
   private String arrive(RequestClass product, int group, long mark) {
-    String id = "a" + ids++;
-    storm.requestReceived(
+    String id = "a" + nextId++;
+    controller.requestReceived(
         now,
         new Request(
             new RequestId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
@@ -144,7 +144,7 @@
   }
 
   private void answer(String id, int group, AttemptOutcome end, boolean over) {
-    storm.attemptFinished(
+    controller.attemptFinished(
         now,
         new AttemptResult(
             new RequestId(id),
@@ -163,65 +163,65 @@
    * that may have.
    */
   @Test
-  void paymentNeverDoubles() {
+  void ambiguousWriteIsNotExecutedAgain() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
     assertEquals(
         List.of("send " + first + " h0"),
-        heard.stream().filter(each -> each.startsWith("send")).toList());
-    storm.clientDisconnected(now, new RequestId(first));
-    heard.clear();
+        recorded.stream().filter(each -> each.startsWith("send")).toList());
+    controller.clientDisconnected(now, new RequestId(first));
+    recorded.clear();
     now += 100 * MS;
     String second = arrive(PAY, 0, 77);
-    assertEquals(List.of("up " + second), heard);
-    assertEquals(1, storm.counts().doubtful);
+    assertEquals(List.of("up " + second), recorded);
+    assertEquals(1, controller.counts().ambiguousWritesFailed);
     answer(first, 0, AttemptOutcome.TIMED_OUT, true);
     String third = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("up " + third), "running out proves nothing");
+    assertTrue(recorded.contains("up " + third), "running out proves nothing");
     String other = arrive(PAY, 0, 78);
-    assertTrue(heard.contains("send " + other + " h0"), "another payment is not held up");
+    assertTrue(recorded.contains("send " + other + " h0"), "another payment is not held up");
     now += 5100 * MS;
     String late = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("send " + late + " h0"), "nobody comes back for it so late");
+    assertTrue(recorded.contains("send " + late + " h0"), "nobody comes back for it so late");
   }
 
   /** Proof that it never ran ends the doubt. */
   @Test
-  void proofEndsDoubt() {
+  void refusalByEndpointEndsAmbiguity() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
-    storm.clientDisconnected(now, new RequestId(first));
+    controller.clientDisconnected(now, new RequestId(first));
     answer(first, 0, AttemptOutcome.OVERLOADED, true);
     now += 100 * MS; // a host that refuses rests
     String second = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("send " + second + " h0"), heard.toString());
+    assertTrue(recorded.contains("send " + second + " h0"), recorded.toString());
   }
 
   /**
    * Two of one mark at once: that the one was fulfilled, or never ran, says nothing of the other.
    */
   @Test
-  void doubtIsItsOwn() {
+  void successOfAnotherRequestDoesNotEndAmbiguity() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
     String second = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("send " + second + " h0"), heard.toString());
-    storm.clientDisconnected(now, new RequestId(first));
+    assertTrue(recorded.contains("send " + second + " h0"), recorded.toString());
+    controller.clientDisconnected(now, new RequestId(first));
     answer(second, 0, AttemptOutcome.SUCCESS, true);
     String third = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("up " + third), "the first may still run");
+    assertTrue(recorded.contains("up " + third), "the first may still run");
   }
 
   @Test
-  void twoDoubtsOfOneMark() {
+  void twoAmbiguousWritesOfOneFingerprint() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
     String second = arrive(PAY, 0, 77);
-    storm.clientDisconnected(now, new RequestId(first));
-    storm.clientDisconnected(now, new RequestId(second));
+    controller.clientDisconnected(now, new RequestId(first));
+    controller.clientDisconnected(now, new RequestId(second));
     answer(second, 0, AttemptOutcome.OVERLOADED, true);
     now += 100 * MS;
-    assertTrue(heard.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
+    assertTrue(recorded.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
   }
 
   /**
@@ -229,39 +229,39 @@
    * wait.
    */
   @Test
-  void whatIsOverdueIsForgotten() {
+  void overdueRequestsAreRemoved() {
     start(false, 1);
     for (int i = 0; i < 100; i++) {
       arrive(ANY, 7, i + 1); // of a group without hosts
     }
-    assertEquals(100, storm.open());
+    assertEquals(100, controller.trackedRequestCount());
     now += 2100 * MS; // their outer limit is a second; the decisions are not woken
-    storm.clientDisconnected(now, new RequestId("another"));
-    assertEquals(0, storm.open());
+    controller.clientDisconnected(now, new RequestId("another"));
+    assertEquals(0, controller.trackedRequestCount());
   }
 
   /** Fulfilled is no doubt: the same club pays the same key again. */
   @Test
-  void fulfilledIsNoDoubt() {
+  void successfulWriteIsNotAmbiguous() {
     start(true, 1);
     String first = arrive(PAY, 0, 77);
     answer(first, 0, AttemptOutcome.SUCCESS, true);
     String second = arrive(PAY, 0, 77);
-    assertTrue(heard.contains("send " + second + " h0"));
+    assertTrue(recorded.contains("send " + second + " h0"));
   }
 
   /** Who is told to return is known when it does, and stands before who came meanwhile. */
   @Test
-  void whoReturnsIsServedFirst() {
+  void requestsReturningAsAdvisedAreServedFirst() {
     start(false, 1);
     List<String> sent = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
       sent.add(arrive(ANY, 0, 1000 + i));
     }
     now += 700 * MS; // half of their time: the parked go back
-    storm.timerFired(now);
-    List<String> back = heard.stream().filter(each -> each.startsWith("back")).toList();
-    assertTrue(back.size() > 20, heard.toString());
+    controller.timerFired(now);
+    List<String> back = recorded.stream().filter(each -> each.startsWith("back")).toList();
+    assertTrue(back.size() > 20, recorded.toString());
     for (String each :
         back.subList(0, back.size() - 1)) { // with the last one nobody waits here any more
       long wait = Long.parseLong(each.split(" ")[2]);
@@ -271,13 +271,13 @@
     now += 100 * MS;
     String returns =
         arrive(ANY, 0, 1000 + Integer.parseInt(back.get(0).split(" ")[1].substring(1)));
-    assertEquals(1, storm.counts().returned);
-    heard.clear();
+    assertEquals(1, controller.counts().returnedAsAdvised);
+    recorded.clear();
     String out = sent.get(0);
     answer(out, 0, AttemptOutcome.SUCCESS, true);
     assertEquals(
         "send " + returns + " h0",
-        heard.stream()
+        recorded.stream()
             .filter(each -> each.startsWith("send"))
             .findFirst()
             .orElse("none, " + fresh + " waits"));
@@ -285,29 +285,30 @@
 
   /** One group storms: the other one's state, budget and waits are untouched. */
   @Test
-  void theCalmGroupStaysCalm() {
+  void overloadOfOneGroupLeavesOthersNormal() {
     start(false, 2);
     for (int round = 0; round < 60; round++) {
       for (int i = 0; i < 20; i++) {
         String id = arrive(ANY, 0, 1 + i);
-        storm.clientDisconnected(now, new RequestId(id));
-        if (heard.contains("send " + id + " h0")) {
+        controller.clientDisconnected(now, new RequestId(id));
+        if (recorded.contains("send " + id + " h0")) {
           answer(id, 0, AttemptOutcome.TIMED_OUT, true);
         }
       }
       String calm = arrive(ANY, 1, 10_000 + round);
       answer(calm, 1, AttemptOutcome.SUCCESS, true);
       now += 50 * MS;
-      storm.timerFired(now);
+      controller.timerFired(now);
     }
-    assertEquals(Weather.State.STORM, storm.state(new GroupId(0)), heard.toString());
-    assertEquals(Weather.State.CALM, storm.state(new GroupId(1)));
-    assertTrue(storm.canRetry(now, new GroupId(1)));
+    assertEquals(
+        OverloadDetector.State.OVERLOADED, controller.state(new GroupId(0)), recorded.toString());
+    assertEquals(OverloadDetector.State.NORMAL, controller.state(new GroupId(1)));
+    assertTrue(controller.canRetry(now, new GroupId(1)));
     for (int i = 0; i < 100; i++) {
-      storm.attemptSent(now, new GroupId(0), true);
+      controller.attemptSent(now, new GroupId(0), true);
     }
-    assertFalse(storm.canRetry(now, new GroupId(0)));
-    assertTrue(storm.canRetry(now, new GroupId(1)));
+    assertFalse(controller.canRetry(now, new GroupId(0)));
+    assertTrue(controller.canRetry(now, new GroupId(1)));
   }
 
   /**
@@ -315,19 +316,21 @@
    * answer.
    */
   @Test
-  void hotKeysAreNoRepeats() {
+  void requestsForHotKeysAreNotRepeats() {
     start(false, 1);
     for (int i = 0; i < 1000; i++) {
       String id = arrive(ANY, 0, 7);
       if (i % 20 == 0) {
-        storm.clientDisconnected(now, new RequestId(id));
+        controller.clientDisconnected(now, new RequestId(id));
         answer(id, 0, AttemptOutcome.CANCELLED, true);
       } else {
         answer(id, 0, AttemptOutcome.SUCCESS, true);
       }
       now += 2 * MS;
     }
-    assertTrue(storm.counts().repeats <= 50, storm.counts().repeats + " of 50 that had no answer");
-    assertEquals(Weather.State.CALM, storm.state());
+    assertTrue(
+        controller.counts().repeatedRequests <= 50,
+        controller.counts().repeatedRequests + " of 50 that had no answer");
+    assertEquals(OverloadDetector.State.NORMAL, controller.state());
   }
 }
--- a/router/src/test/java/rushwood/storm/WeatherTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
@@ -1,4 +1,4 @@
-package rushwood.storm;
+package rushwood.overload;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
  * Plays the scenarios of storms: so many ticks of so much of each, and the state that is to come of
  * it.
  */
-class WeatherTest {
+class OverloadDetectorTest {
   @TestFactory
   List<DynamicTest> scenarios() throws IOException {
     List<DynamicTest> tests = new ArrayList<>();
@@ -33,7 +33,7 @@
   }
 
   private static void play(Path file) throws IOException {
-    Weather weather = new Weather();
+    OverloadDetector weather = new OverloadDetector();
     int number = 0;
     for (String line : Files.readAllLines(file)) {
       number++;
@@ -43,7 +43,7 @@
       } else if (words[0].equals("for")) {
         for (int i = 0; i < Integer.parseInt(words[1]); i++) {
           for (int at = 2; at < words.length; at += 2) {
-            add(weather.tally(), words[at], Integer.parseInt(words[at + 1]));
+            add(weather.tickCounts(), words[at], Integer.parseInt(words[at + 1]));
           }
           weather.tick();
         }
@@ -53,12 +53,12 @@
     }
   }
 
-  private static void add(Weather.Tally tally, String what, int count) {
+  private static void add(OverloadDetector.TickCounts tally, String what, int count) {
     switch (what) {
       case "arrivals" -> tally.arrivals += count;
       case "repeats" -> tally.repeats += count;
       case "refused" -> tally.refused += count;
-      case "done" -> tally.done += count;
+      case "done" -> tally.completed += count;
       default -> throw new IllegalArgumentException(what);
     }
   }
--- a/router/src/test/java/rushwood/storm/StructuresTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadStructuresTest.java
@@ -1,4 +1,4 @@
-package rushwood.storm;
+package rushwood.overload;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,17 +11,17 @@
 import rushwood.api.HostId;
 
 /** What the storm module keeps, against plain structures and at its bounds. */
-class StructuresTest {
+class OverloadStructuresTest {
   private static final long MS = 1_000_000L;
-  private static final HostId A = new HostId("a");
+  private static final HostId ENDPOINT = new HostId("a");
 
   /**
    * Never fewer than an exact map has within the span; too many for one mark in a hundred at the
    * most.
    */
   @Test
-  void sketchAgainstMap() {
-    Repeats sketch = new Repeats(1 << 14, 1000 * MS);
+  void sketchNeverCountsFewerThanExactMap() {
+    RepeatSketch sketch = new RepeatSketch(1 << 14, 1000 * MS);
     Map<Long, Integer> exact = new HashMap<>();
     SplittableRandom chance = new SplittableRandom(3);
     for (int i = 0; i < 10_000; i++) {
@@ -37,15 +37,15 @@
       over += seen > is ? 1 : 0;
     }
     assertTrue(over < 100_000 / 100, over + " marks seen too often");
-    assertEquals(1 << 17, sketch.bytes());
+    assertEquals(1 << 17, sketch.memoryBytes());
     assertTrue(
         sketch.count(exact.keySet().iterator().next(), 1600 * MS) > 0, "one span later still");
     assertEquals(0, sketch.count(exact.keySet().iterator().next(), 2700 * MS), "and then no more");
   }
 
   @Test
-  void sketchTurnsAfterLongRest() {
-    Repeats sketch = new Repeats(64, 100 * MS);
+  void sketchIsEmptyAfterLongPauseAndSaturates() {
+    RepeatSketch sketch = new RepeatSketch(64, 100 * MS);
     sketch.add(1, 0);
     assertEquals(1, sketch.count(1, 150 * MS));
     assertEquals(0, sketch.count(1, 100_000 * MS));
@@ -57,9 +57,9 @@
 
   /** A full bucket forgets what is over first; memory stays what it is. */
   @Test
-  void marksAtTheirBound() {
-    Marks marks = new Marks(16);
-    long bytes = marks.bytes();
+  void cacheKeepsLatestExpiryWithinFixedMemory() {
+    FingerprintCache marks = new FingerprintCache(16);
+    long bytes = marks.memoryBytes();
     for (long mark = 1; mark <= 10_000; mark++) {
       marks.put(mark, mark * MS, mark, 0);
     }
@@ -76,33 +76,34 @@
     assertEquals(5, marks.get(10_000, 0));
     marks.remove(10_000);
     assertEquals(-1, marks.get(10_000, 0));
-    assertEquals(bytes, marks.bytes());
+    assertEquals(bytes, marks.memoryBytes());
   }
 
   /**
    * Nothing told is longer than allowed, and no slot is promised to more than are expected to fit.
    */
   @Test
-  void calendarBooksWhatFits() {
-    Calendar calendar = new Calendar(500 * MS);
-    calendar.expect(1000); // ten a slot
+  void scheduleReservesUpToCapacity() {
+    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
+    calendar.setExpectedRate(1000); // ten a slot
     int[] slots = new int[51];
     int booked = 0;
     for (int i = 0; i < 1000; i++) {
-      Calendar.Place place = calendar.book(0, 1, true, 0, 500 * MS);
-      assertTrue(place.away() > 0 && place.away() <= 500 * MS);
-      if (place.booked()) {
+      RetryAfterSchedule.Reservation place = calendar.reserve(0, 1, true, 0, 500 * MS);
+      assertTrue(place.waitNanos() > 0 && place.waitNanos() <= 500 * MS);
+      if (place.reserved()) {
         booked++;
-        slots[(int) (place.away() / Calendar.SLOT)]++;
+        slots[(int) (place.waitNanos() / RetryAfterSchedule.SLOT_NANOS)]++;
       }
     }
     assertEquals(500, booked, "fifty slots of ten");
     for (int count : slots) {
       assertTrue(count <= 10);
     }
-    assertFalse(calendar.book(0, 1, true, 0, 500 * MS).booked());
+    assertFalse(calendar.reserve(0, 1, true, 0, 500 * MS).reserved());
     assertTrue(
-        calendar.book(200 * MS, 1, true, 0, 500 * MS).booked(), "slots that passed are used again");
+        calendar.reserve(200 * MS, 1, true, 0, 500 * MS).reserved(),
+        "slots that passed are used again");
   }
 
   /**
@@ -110,42 +111,43 @@
    * the others.
    */
   @Test
-  void calendarIsFair() {
-    Calendar calendar = new Calendar(500 * MS);
-    calendar.expect(1000);
-    assertTrue(calendar.book(0, 1, true, 300, 500 * MS).away() >= 300 * MS);
-    assertFalse(calendar.book(0, 1, true, 600, 500 * MS).booked());
-    assertFalse(calendar.book(0, 1, true, 300, 200 * MS).booked(), "its client has left by then");
-    Calendar low = new Calendar(100 * MS);
-    low.expect(1000);
+  void scheduleSharesCapacityByPriorityAndGroup() {
+    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
+    calendar.setExpectedRate(1000);
+    assertTrue(calendar.reserve(0, 1, true, 300, 500 * MS).waitNanos() >= 300 * MS);
+    assertFalse(calendar.reserve(0, 1, true, 600, 500 * MS).reserved());
+    assertFalse(
+        calendar.reserve(0, 1, true, 300, 200 * MS).reserved(), "its client has left by then");
+    RetryAfterSchedule low = new RetryAfterSchedule(100 * MS);
+    low.setExpectedRate(1000);
     int booked = 0;
-    while (low.book(0, 1, false, 0, 100 * MS).booked()) {
+    while (low.reserve(0, 1, false, 0, 100 * MS).reserved()) {
       booked++;
     }
     assertEquals(70, booked, "seven of ten places in each of ten slots");
-    Calendar two = new Calendar(100 * MS);
-    two.expect(1000);
-    two.book(0, 2, true, 0, 100 * MS);
+    RetryAfterSchedule two = new RetryAfterSchedule(100 * MS);
+    two.setExpectedRate(1000);
+    two.reserve(0, 2, true, 0, 100 * MS);
     booked = 0;
-    while (two.book(0, 1, true, 0, 100 * MS).booked()) {
+    while (two.reserve(0, 1, true, 0, 100 * MS).reserved()) {
       booked++;
     }
     assertEquals(50, booked);
-    assertTrue(two.book(0, 2, true, 0, 100 * MS).booked(), "there is room for the other");
+    assertTrue(two.reserve(0, 2, true, 0, 100 * MS).reserved(), "there is room for the other");
   }
 
   /** Slow hosts: a place in every fourth slot. */
   @Test
-  void calendarOfFewPlaces() {
-    Calendar calendar = new Calendar(500 * MS);
-    calendar.expect(25);
+  void scheduleWithLessThanOneReservationPerSlot() {
+    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
+    calendar.setExpectedRate(25);
     int booked = 0;
-    while (calendar.book(0, 1, true, 0, 500 * MS).booked()) {
+    while (calendar.reserve(0, 1, true, 0, 500 * MS).reserved()) {
       booked++;
     }
     assertTrue(booked >= 12 && booked <= 13, booked + " in half a second of 25 a second");
-    Calendar none = new Calendar(500 * MS);
-    assertEquals(500 * MS, none.book(0, 1, true, 0, 500 * MS).away());
+    RetryAfterSchedule none = new RetryAfterSchedule(500 * MS);
+    assertEquals(500 * MS, none.reserve(0, 1, true, 0, 500 * MS).waitNanos());
   }
 
   /**
@@ -153,42 +155,42 @@
    * way.
    */
   @Test
-  void dialsArePaced() {
-    Dials dials = new Dials(new SplittableRandom(9), true);
+  void connectAttemptsAreLimitedAfterFailures() {
+    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(9), true);
     int attempts = 0;
     for (long at = 0; at < 10_000 * MS; at += MS) {
       for (int i = 0; i < 20; i++) {
-        if (dials.may(A, at)) {
-          dials.begun(A);
+        if (dials.isAttemptAllowed(ENDPOINT, at)) {
+          dials.attemptStarted(ENDPOINT);
           attempts++;
-          dials.failed(A, at);
+          dials.attemptFailed(ENDPOINT, at);
         }
       }
     }
     assertTrue(attempts > 15 && attempts < 50, attempts + " in ten seconds");
     long at = 11_000 * MS;
-    assertTrue(dials.may(A, at));
-    dials.begun(A);
-    assertFalse(dials.may(A, at), "one at a time");
-    dials.opened(A);
-    dials.begun(A);
-    assertTrue(dials.may(A, at), "it is well: as many as are wanted");
-    dials.forget(A);
-    dials.failed(A, at);
-    assertEquals(0, dials.known(), "what ends late of one forgotten leaves nothing");
+    assertTrue(dials.isAttemptAllowed(ENDPOINT, at));
+    dials.attemptStarted(ENDPOINT);
+    assertFalse(dials.isAttemptAllowed(ENDPOINT, at), "one at a time");
+    dials.attemptSucceeded(ENDPOINT);
+    dials.attemptStarted(ENDPOINT);
+    assertTrue(dials.isAttemptAllowed(ENDPOINT, at), "it is well: as many as are wanted");
+    dials.forget(ENDPOINT);
+    dials.attemptFailed(ENDPOINT, at);
+    assertEquals(0, dials.endpointCount(), "what ends late of one forgotten leaves nothing");
   }
 
   /** Further shots never outgrow their share of the first ones by more than the floor. */
   @Test
-  void budgetHolds() {
-    Budget budget = new Budget(0.2, 10);
+  void retriesStayWithinBudget() {
+    RetryBudget budget = new RetryBudget(0.2, 10);
     int further = 0;
     for (int i = 0; i < 10_000; i++) {
       long at = i * MS;
-      budget.first(at);
+      budget.recordFirstAttempt(at);
       for (int j = 0; j < 3; j++) {
-        if (budget.allows(at)) {
-          budget.further(at);
+        if (budget.isRetryAllowed(at)) {
+          budget.recordRetry(at);
           further++;
         }
       }
