--- a/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
+++ b/lab/src/main/java/rushwood/lab/virt/VirtualRun.java
@@ -26,14 +26,14 @@
 import rushwood.api.RoutingPolicy;
 import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
+import rushwood.config.InvalidConfigException;
+import rushwood.config.RouterConfig;
 import rushwood.lab.load.Experiment;
 import rushwood.lab.load.Result;
 import rushwood.lab.load.RouterSettings;
 import rushwood.lab.model.HostModel;
 import rushwood.lab.model.Ledger;
 import rushwood.lab.model.Manners;
-import rushwood.lifecycle.BadConfig;
-import rushwood.lifecycle.Config;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.OverloadController;
 import rushwood.overload.OverloadSettings;
@@ -81,10 +81,10 @@
   }
 
   /** With the storm module as set, or with the decisions alone if that is null. */
-  public VirtualRun(Experiment experiment, OverloadSettings storm) throws BadConfig {
+  public VirtualRun(Experiment experiment, OverloadSettings storm) throws InvalidConfigException {
     this.experiment = experiment;
     this.storm = storm;
-    settings = Config.settings(RouterSettings.json(experiment).toString());
+    settings = RouterConfig.settings(RouterSettings.json(experiment).toString());
     result = new Result(experiment.name());
     int seed = 0;
     for (Experiment.Host each : experiment.hosts()) {
--- a/lab/src/test/java/rushwood/lab/StormsTest.java
+++ b/lab/src/test/java/rushwood/lab/StormsTest.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import rushwood.config.InvalidConfigException;
 import rushwood.lab.load.Experiment;
 import rushwood.lab.load.Result;
 import rushwood.lab.load.SocketRun;
 import rushwood.lab.report.Reports;
 import rushwood.lab.virt.VirtualRun;
-import rushwood.lifecycle.BadConfig;
 import rushwood.overload.OverloadSettings;
 
 /**
@@ -27,11 +27,11 @@
     return Experiment.read(Path.of("experiments", name + ".json"));
   }
 
-  private static Result with(Experiment experiment) throws BadConfig {
+  private static Result with(Experiment experiment) throws InvalidConfigException {
     return new VirtualRun(experiment, OverloadSettings.DEFAULT).play();
   }
 
-  private static Result without(Experiment experiment) throws BadConfig {
+  private static Result without(Experiment experiment) throws InvalidConfigException {
     return new VirtualRun(experiment, null).play();
   }
 
@@ -44,7 +44,7 @@
    * vain.
    */
   @Test
-  void coldAndAgain() throws IOException, BadConfig {
+  void coldAndAgain() throws IOException, InvalidConfigException {
     Result with = with(read("cold-again"));
     assertEquals(1, figure(with, "share_fulfilled"));
     assertEquals(0, figure(with, "falls"));
@@ -60,7 +60,7 @@
    * not.
    */
   @Test
-  void bookedReturns() throws IOException, BadConfig {
+  void bookedReturns() throws IOException, InvalidConfigException {
     Result with = with(read("long-waits"));
     Result without = without(read("long-waits"));
     assertEquals(1, figure(with, "share_fulfilled"));
@@ -70,7 +70,7 @@
 
   /** One group storms: nobody of the other one is turned back. */
   @Test
-  void calmGroupBesideAStorm() throws IOException, BadConfig {
+  void calmGroupBesideAStorm() throws IOException, InvalidConfigException {
     Result with = with(read("two-groups"));
     assertTrue(figure(with, "turned_back_of_group_0") > 1000);
     assertFalse(with.figures().containsKey("turned_back_of_group_1"));
@@ -78,7 +78,7 @@
 
   /** An honest peak of twice the usual load: no storm is seen, nobody is turned back. */
   @Test
-  void honestPeak() throws IOException, BadConfig {
+  void honestPeak() throws IOException, InvalidConfigException {
     Result with = with(read("honest-peak"));
     assertEquals(1, figure(with, "share_fulfilled"));
     assertEquals(0, figure(with, "turned_back"));
@@ -90,7 +90,7 @@
    * itself.
    */
   @Test
-  void noMetastableState() throws IOException, BadConfig {
+  void noMetastableState() throws IOException, InvalidConfigException {
     Result with = with(read("hosts-hang"));
     assertEquals(1, figure(with, "share_fulfilled"));
     List<Double> goodput = with.lines().get("goodput").steps();
@@ -104,7 +104,7 @@
   }
 
   @Test
-  void sameSeedSameRun() throws IOException, BadConfig {
+  void sameSeedSameRun() throws IOException, InvalidConfigException {
     String once = Reports.json(with(read("primary-dies-2000").with(3)));
     assertEquals(once, Reports.json(with(read("primary-dies-2000").with(3))));
   }
--- a/router/src/main/java/rushwood/adapter/Decimal.java
+++ b/router/src/main/java/rushwood/config/DecimalSeconds.java
@@ -1,19 +1,20 @@
-package rushwood.adapter;
+package rushwood.config;
 
 import java.util.function.Supplier;
+import rushwood.simulator.MalformedMessageException;
 
 /** Seconds written as decimals, to and from whole nanoseconds. */
-final class Decimal {
-  private static final long SECOND = 1_000_000_000L;
+public final class DecimalSeconds {
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-  private Decimal() {}
+  private DecimalSeconds() {}
 
-  static long nanos(String text, Supplier<BadLine> bad) {
+  public static long parseNanos(String text, Supplier<MalformedMessageException> bad) {
     int length = text.length();
     int at = length > 0 && text.charAt(0) == '-' ? 1 : 0;
     long whole = 0;
     long part = 0;
-    long unit = SECOND;
+    long unit = NANOS_PER_SECOND;
     boolean point = false;
     boolean plain = at < length && length < 18;
     for (int i = at; plain && i < length; i++) {
@@ -30,13 +31,13 @@
       }
     }
     if (!plain || whole > 9_000_000_000L) {
-      return Math.round(number(text, bad) * SECOND);
+      return Math.round(parseNumber(text, bad) * NANOS_PER_SECOND);
     }
-    long nanos = whole * SECOND + part;
+    long nanos = whole * NANOS_PER_SECOND + part;
     return at == 1 ? -nanos : nanos;
   }
 
-  static double number(String text, Supplier<BadLine> bad) {
+  public static double parseNumber(String text, Supplier<MalformedMessageException> bad) {
     try {
       double value = Double.parseDouble(text);
       if (Double.isFinite(value)) {
@@ -49,7 +50,7 @@
   }
 
   /** Writes a time as seconds to the microsecond, rounded up. */
-  static void write(StringBuilder out, long nanos) {
+  public static void appendSeconds(StringBuilder out, long nanos) {
     long micros = Math.floorDiv(nanos + 999, 1000);
     if (micros < 0) {
       out.append('-');
--- a/router/src/main/java/rushwood/lifecycle/BadConfig.java
+++ b/router/src/main/java/rushwood/config/InvalidConfigException.java
@@ -1,10 +1,10 @@
-package rushwood.lifecycle;
+package rushwood.config;
 
 /** A configuration that cannot be used; the message names the field. */
-public final class BadConfig extends Exception {
+public final class InvalidConfigException extends Exception {
   private static final long serialVersionUID = 1L;
 
-  BadConfig(String field, String why) {
+  InvalidConfigException(String field, String why) {
     super(field + " " + why);
   }
 }
--- a/router/src/main/java/rushwood/lifecycle/Config.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.config;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -13,96 +13,102 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import rushwood.adapter.BadLine;
-import rushwood.adapter.Conf;
 import rushwood.api.RoutingSettings;
+import rushwood.simulator.MalformedMessageException;
 import rushwood.wire.ListReader;
 
 /**
  * What a router is told at start. Times in nanoseconds; {@code known} is null if no list was held,
  * {@code grace} is the time within which sends to a leaving host have to end.
  */
-public record Config(
+public record RouterConfig(
     String name,
-    InetSocketAddress listen,
-    InetSocketAddress discovery,
+    InetSocketAddress listenAddress,
+    InetSocketAddress discoveryAddress,
     long seed,
-    int sockets,
-    ListReader.Listing known,
+    int maxSockets,
+    ListReader.Listing lastKnownEndpoints,
     RoutingSettings settings,
-    long openWithin,
-    long idleFor,
-    long longestOuterLimit,
-    long grace) {
-  private static final String GRACE = "rules.drain_grace";
-  private static final long SHORTEST_GRACE =
+    long connectTimeoutNanos,
+    long idleTimeoutNanos,
+    long maxRequestTimeoutNanos,
+    long drainGraceNanos) {
+  private static final String DRAIN_GRACE = "rules.drain_grace";
+  private static final long DEFAULT_DRAIN_GRACE_NANOS =
       250_000_000L; // where none is set: the shortest of any deployment known
 
   /**
    * A new file that replaces the one read at start: what the variables said then does not outrank
    * it.
    */
-  public static Config reread(Map<String, String> environment) throws BadConfig {
-    Map<String, String> left = new HashMap<>(environment);
-    left.remove("NODE_DISCOVERY");
-    return read(left);
+  public static RouterConfig readForReload(Map<String, String> environment)
+      throws InvalidConfigException {
+    Map<String, String> remaining = new HashMap<>(environment);
+    remaining.remove("NODE_DISCOVERY");
+    return read(remaining);
   }
 
   /**
    * What differs in a new file but takes a restart, by its fields. The seed and the list are new
    * with each.
    */
-  List<String> fixed(Config next) {
+  public List<String> fieldsRequiringRestart(RouterConfig next) {
     List<String> fields = new ArrayList<>();
-    note(fields, "name", name, next.name);
-    note(fields, "listen", listen, next.listen);
-    note(fields, "limits.sockets", sockets, next.sockets);
-    note(
+    addIfChanged(fields, "name", name, next.name);
+    addIfChanged(fields, "listen", listenAddress, next.listenAddress);
+    addIfChanged(fields, "limits.sockets", maxSockets, next.maxSockets);
+    addIfChanged(
         fields,
         "settings",
-        List.of(settings, openWithin, idleFor),
-        List.of(next.settings, next.openWithin, next.idleFor));
+        List.of(settings, connectTimeoutNanos, idleTimeoutNanos),
+        List.of(next.settings, next.connectTimeoutNanos, next.idleTimeoutNanos));
     return fields;
   }
 
-  private static void note(List<String> fields, String field, Object is, Object next) {
-    if (!is.equals(next)) {
+  private static void addIfChanged(List<String> fields, String field, Object current, Object next) {
+    if (!current.equals(next)) {
       fields.add(field);
     }
   }
 
   /** Reads the file that NODE_CONFIG names; the other variables come before what it says. */
-  public static Config read(Map<String, String> environment) throws BadConfig {
+  public static RouterConfig read(Map<String, String> environment) throws InvalidConfigException {
     String file = environment.get("NODE_CONFIG");
     if (file == null || file.isEmpty()) {
-      throw new BadConfig("NODE_CONFIG", "is missing");
+      throw new InvalidConfigException("NODE_CONFIG", "is missing");
     }
     JsonObject json;
     try {
       json = JsonParser.parseString(Files.readString(Path.of(file))).getAsJsonObject();
     } catch (IOException | InvalidPathException e) {
-      throw new BadConfig("NODE_CONFIG", "names a file that cannot be read: " + e.getMessage());
+      throw new InvalidConfigException(
+          "NODE_CONFIG", "names a file that cannot be read: " + e.getMessage());
     } catch (RuntimeException e) {
-      throw new BadConfig("NODE_CONFIG", "names a file that is no JSON object");
+      throw new InvalidConfigException("NODE_CONFIG", "names a file that is no JSON object");
     }
     Map<String, String> pairs = new LinkedHashMap<>();
     flatten("", object(json, "settings"), pairs);
     try {
-      Conf conf = new Conf(pairs, (field, why) -> new BadLine("settings." + field + " " + why));
-      return new Config(
+      SettingsDecoder decoder =
+          new SettingsDecoder(
+              pairs,
+              (field, why) -> new MalformedMessageException("settings." + field + " " + why));
+      return new RouterConfig(
           text(environment, json, "NODE_NAME", "name"),
           address(environment, json, "NODE_LISTEN", "listen"),
           address(environment, json, "NODE_DISCOVERY", "discovery"),
           seed(json),
-          sockets(json),
-          known(json),
-          conf.settings(),
-          conf.time("limits.dial_timeout"),
-          conf.time("limits.conn_idle"),
-          conf.longestOuterLimit(),
-          pairs.containsKey(GRACE) ? Math.max(0, conf.time(GRACE)) : SHORTEST_GRACE);
-    } catch (BadLine e) {
-      throw bad(e);
+          maxSockets(json),
+          lastKnownEndpoints(json),
+          decoder.decodeSettings(),
+          decoder.nanos("limits.dial_timeout"),
+          decoder.nanos("limits.conn_idle"),
+          decoder.maxRequestTimeoutNanos(),
+          pairs.containsKey(DRAIN_GRACE)
+              ? Math.max(0, decoder.nanos(DRAIN_GRACE))
+              : DEFAULT_DRAIN_GRACE_NANOS);
+    } catch (MalformedMessageException e) {
+      throw invalidConfig(e);
     }
   }
 
@@ -110,7 +116,7 @@
    * What this router held before serves until the list comes: of a bad one what can be read, never
    * no start.
    */
-  private static ListReader.Listing known(JsonObject json) {
+  private static ListReader.Listing lastKnownEndpoints(JsonObject json) {
     JsonElement known = json.get("known");
     return known == null || known.isJsonNull()
         ? null
@@ -138,11 +144,11 @@
 
   private static void flattenList(String path, JsonElement list, Map<String, String> pairs) {
     int count = 0;
-    StringBuilder plain = new StringBuilder();
+    StringBuilder joined = new StringBuilder();
     boolean objects = false;
     for (JsonElement each : list.getAsJsonArray()) {
       if (each.isJsonPrimitive()) {
-        plain.append(count == 0 ? "" : ",").append(each.getAsString());
+        joined.append(count == 0 ? "" : ",").append(each.getAsString());
       } else {
         objects = true;
         flatten(path + "." + count, each, pairs);
@@ -150,73 +156,74 @@
       count++;
     }
     pairs.put(
-        objects ? path + ".count" : path, objects ? Integer.toString(count) : plain.toString());
+        objects ? path + ".count" : path, objects ? Integer.toString(count) : joined.toString());
   }
 
   /** The decisions' part of the object "settings" of a configuration. */
-  public static RoutingSettings settings(String json) throws BadConfig {
+  public static RoutingSettings settings(String json) throws InvalidConfigException {
     Map<String, String> pairs = new LinkedHashMap<>();
     flatten("", JsonParser.parseString(json), pairs);
     try {
-      return new Conf(pairs, (field, why) -> new BadLine("settings." + field + " " + why))
-          .settings();
-    } catch (BadLine e) {
-      throw bad(e);
+      return new SettingsDecoder(
+              pairs, (field, why) -> new MalformedMessageException("settings." + field + " " + why))
+          .decodeSettings();
+    } catch (MalformedMessageException e) {
+      throw invalidConfig(e);
     }
   }
 
-  private static BadConfig bad(BadLine line) {
+  private static InvalidConfigException invalidConfig(MalformedMessageException line) {
     int space = line.getMessage().indexOf(' ');
-    return new BadConfig(
+    return new InvalidConfigException(
         line.getMessage().substring(0, space), line.getMessage().substring(space + 1));
   }
 
-  private static JsonObject object(JsonObject json, String field) throws BadConfig {
+  private static JsonObject object(JsonObject json, String field) throws InvalidConfigException {
     JsonElement value = json.get(field);
     if (value == null || !value.isJsonObject()) {
-      throw new BadConfig(field, "is missing or no object");
+      throw new InvalidConfigException(field, "is missing or no object");
     }
     return value.getAsJsonObject();
   }
 
   private static String text(
       Map<String, String> environment, JsonObject json, String variable, String field)
-      throws BadConfig {
-    String given = environment.get(variable);
-    if (given != null && !given.isEmpty()) {
-      return given;
+      throws InvalidConfigException {
+    String override = environment.get(variable);
+    if (override != null && !override.isEmpty()) {
+      return override;
     }
     JsonElement value = json.get(field);
     if (value == null || !value.isJsonPrimitive() || value.getAsString().isEmpty()) {
-      throw new BadConfig(field, "is missing");
+      throw new InvalidConfigException(field, "is missing");
     }
     return value.getAsString();
   }
 
   private static InetSocketAddress address(
       Map<String, String> environment, JsonObject json, String variable, String field)
-      throws BadConfig {
+      throws InvalidConfigException {
     try {
       return ListReader.address(text(environment, json, variable, field));
     } catch (IllegalArgumentException e) {
-      throw new BadConfig(field, "is no address");
+      throw new InvalidConfigException(field, "is no address");
     }
   }
 
-  private static long seed(JsonObject json) throws BadConfig {
+  private static long seed(JsonObject json) throws InvalidConfigException {
     try {
       return Long.parseUnsignedLong(text(Map.of(), json, "", "seed"), 16);
     } catch (NumberFormatException e) {
-      throw new BadConfig("seed", "is no hexadecimal number");
+      throw new InvalidConfigException("seed", "is no hexadecimal number");
     }
   }
 
-  private static int sockets(JsonObject json) throws BadConfig {
+  private static int maxSockets(JsonObject json) throws InvalidConfigException {
     JsonElement value = object(json, "limits").get("sockets");
     try {
       return value.getAsInt();
     } catch (RuntimeException e) {
-      throw new BadConfig("limits.sockets", "is missing or no number");
+      throw new InvalidConfigException("limits.sockets", "is missing or no number");
     }
   }
 }
--- a/router/src/main/java/rushwood/lifecycle/Reload.java
+++ b/router/src/main/java/rushwood/server/ConfigReloader.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import java.lang.reflect.Proxy;
 import java.util.Map;
@@ -6,6 +6,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
+import rushwood.config.InvalidConfigException;
+import rushwood.config.RouterConfig;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.Counters.Counter;
 import rushwood.dispatch.EventLoopClock;
@@ -15,37 +17,37 @@
  * Reads the configuration again on SIGHUP, beside the event loop; what comes of it is told on the
  * loop.
  */
-public final class Reload {
-  private static final long AGAIN =
+public final class ConfigReloader {
+  private static final long RETRY_INTERVAL_NANOS =
       500_000_000L; // until a file that cannot be read is looked at again
-  private static final int MOST =
+  private static final int MAX_ATTEMPTS =
       20; // looks: a file that is bad for ten seconds is not being written
 
   private final Map<String, String> environment;
-  private final Executor loop;
+  private final Executor eventLoop;
   private final EventLoopClock clock;
-  private final TimerQueue agenda;
+  private final TimerQueue timerQueue;
   private final Counters counters;
   private final Consumer<String> log;
-  private final Consumer<Config> taken;
+  private final Consumer<RouterConfig> onConfigAccepted;
   private ExecutorService reader;
-  private int signals;
+  private int signalCount;
 
-  Reload(
+  ConfigReloader(
       Map<String, String> environment,
-      Executor loop,
+      Executor eventLoop,
       EventLoopClock clock,
-      TimerQueue agenda,
+      TimerQueue timerQueue,
       Counters counters,
       Consumer<String> log,
-      Consumer<Config> taken) {
+      Consumer<RouterConfig> onConfigAccepted) {
     this.environment = environment;
-    this.loop = loop;
+    this.eventLoop = eventLoop;
     this.clock = clock;
-    this.agenda = agenda;
+    this.timerQueue = timerQueue;
     this.counters = counters;
     this.log = log;
-    this.taken = taken;
+    this.onConfigAccepted = onConfigAccepted;
   }
 
   /**
@@ -53,51 +55,51 @@
    * comes before there is a router is kept for it, as that has read its configuration then and may
    * have read the old one.
    */
-  public static final class Signal {
-    private Runnable heard;
-    private boolean waits;
+  public static final class HangUpSignal {
+    private Runnable receiver;
+    private boolean pending;
 
-    private synchronized void came() {
-      if (heard == null) {
-        waits = true;
+    private synchronized void received() {
+      if (receiver == null) {
+        pending = true;
       } else {
-        heard.run();
+        receiver.run();
       }
     }
 
-    private synchronized void goesTo(Runnable listener) {
-      heard = listener;
-      if (waits) {
-        waits = false;
-        heard.run();
+    private synchronized void forwardTo(Runnable listener) {
+      receiver = listener;
+      if (pending) {
+        pending = false;
+        receiver.run();
       }
     }
   }
 
   /** By name: the compiler warns of such classes. */
-  public static Signal hear() throws ReflectiveOperationException {
-    Signal into = new Signal();
+  public static HangUpSignal installHangUpHandler() throws ReflectiveOperationException {
+    HangUpSignal hangUpSignal = new HangUpSignal();
     Class<?> signal = Class.forName("sun.misc.Signal");
     Class<?> handler = Class.forName("sun.misc.SignalHandler");
-    Object heard =
+    Object proxy =
         Proxy.newProxyInstance(
             handler.getClassLoader(),
             new Class<?>[] {handler},
-            (proxy, method, arguments) -> {
-              into.came();
+            (instance, method, arguments) -> {
+              hangUpSignal.received();
               return null;
             });
     signal
         .getMethod("handle", signal, handler)
-        .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), heard);
-    return into;
+        .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+    return hangUpSignal;
   }
 
-  void listen(Signal hangUp) {
-    hangUp.goesTo(() -> loop.execute(this::asked));
+  void startListening(HangUpSignal hangUpSignal) {
+    hangUpSignal.forwardTo(() -> eventLoop.execute(this::onHangUp));
   }
 
-  private void asked() {
+  private void onHangUp() {
     if (reader == null) {
       reader =
           Executors.newSingleThreadExecutor(
@@ -107,23 +109,23 @@
                 return thread;
               });
     }
-    signals++;
-    read(signals, 1, "");
+    signalCount++;
+    read(signalCount, 1, "");
   }
 
   /** One reader: what a later signal found is never replaced by what an earlier one did. */
-  private void read(int signal, int look, String last) {
+  private void read(int signal, int attempt, String lastReason) {
     reader.execute(
         () -> {
           try {
-            Config config = Config.reread(environment);
-            loop.execute(
+            RouterConfig config = RouterConfig.readForReload(environment);
+            eventLoop.execute(
                 () -> {
                   counters.increment(Counter.CONFIGS_APPLIED);
-                  taken.accept(config);
+                  onConfigAccepted.accept(config);
                 });
-          } catch (BadConfig e) {
-            loop.execute(() -> refused(signal, look, last, e.getMessage()));
+          } catch (InvalidConfigException e) {
+            eventLoop.execute(() -> onRejected(signal, attempt, lastReason, e.getMessage()));
           }
         });
   }
@@ -132,17 +134,17 @@
    * It may be half written or moved into place this moment: the old one stays, and it is looked at
    * again.
    */
-  private void refused(int signal, int look, String last, String why) {
-    if (!why.equals(last)) {
+  private void onRejected(int signal, int attempt, String lastReason, String reason) {
+    if (!reason.equals(lastReason)) {
       counters.increment(Counter.CONFIGS_REJECTED);
-      log.accept("the new configuration is not taken: " + why);
+      log.accept("the new configuration is not taken: " + reason);
     }
-    if (signal == signals && look < MOST) {
-      agenda.schedule(
-          clock.now() + AGAIN,
+    if (signal == signalCount && attempt < MAX_ATTEMPTS) {
+      timerQueue.schedule(
+          clock.now() + RETRY_INTERVAL_NANOS,
           () -> {
-            if (signal == signals) {
-              read(signal, look + 1, why);
+            if (signal == signalCount) {
+              read(signal, attempt + 1, reason);
             }
           });
     }
--- a/router/src/main/java/rushwood/lifecycle/WholeMillis.java
+++ b/router/src/main/java/rushwood/server/MillisecondWaitStrategy.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
@@ -12,80 +12,81 @@
  * again for up to half a millisecond, as fast as it can. A router has a hundred due times a second
  * and part of a core. Harm: what is due comes up to a millisecond late.
  */
-final class WholeMillis implements IoHandler {
-  private static final long HALF = 500_000; // what the library adds before it cuts off
-  private static final long LONG = Long.MAX_VALUE / 2;
+final class MillisecondWaitStrategy implements IoHandler {
+  private static final long HALF_MILLISECOND_NANOS =
+      500_000; // what the library adds before it cuts off
+  private static final long NO_DEADLINE_NANOS = Long.MAX_VALUE / 2;
 
-  private final IoHandler inner;
+  private final IoHandler delegate;
 
-  private WholeMillis(IoHandler inner) {
-    this.inner = inner;
+  private MillisecondWaitStrategy(IoHandler delegate) {
+    this.delegate = delegate;
   }
 
-  static IoHandlerFactory of(IoHandlerFactory factory) {
-    return executor -> new WholeMillis(factory.newHandler(executor));
+  static IoHandlerFactory wrap(IoHandlerFactory factory) {
+    return executor -> new MillisecondWaitStrategy(factory.newHandler(executor));
   }
 
-  private record Rounded(IoHandlerContext inner) implements IoHandlerContext {
+  private record RoundedUpContext(IoHandlerContext delegate) implements IoHandlerContext {
     @Override
     public boolean canBlock() {
-      return inner.canBlock();
+      return delegate.canBlock();
     }
 
     @Override
     public long delayNanos(long now) {
-      long delay = inner.delayNanos(now);
-      return delay <= 0 || delay > LONG ? delay : delay + HALF - 1;
+      long delay = delegate.delayNanos(now);
+      return delay <= 0 || delay > NO_DEADLINE_NANOS ? delay : delay + HALF_MILLISECOND_NANOS - 1;
     }
 
     @Override
     public long deadlineNanos() {
-      return inner.deadlineNanos();
+      return delegate.deadlineNanos();
     }
 
     @Override
     public void reportActiveIoTime(long nanos) {
-      inner.reportActiveIoTime(nanos);
+      delegate.reportActiveIoTime(nanos);
     }
 
     @Override
     public boolean shouldReportActiveIoTime() {
-      return inner.shouldReportActiveIoTime();
+      return delegate.shouldReportActiveIoTime();
     }
   }
 
   @Override
   public void initialize() {
-    inner.initialize();
+    delegate.initialize();
   }
 
   @Override
   public int run(IoHandlerContext context) {
-    return inner.run(new Rounded(context));
+    return delegate.run(new RoundedUpContext(context));
   }
 
   @Override
   public void prepareToDestroy() {
-    inner.prepareToDestroy();
+    delegate.prepareToDestroy();
   }
 
   @Override
   public void destroy() {
-    inner.destroy();
+    delegate.destroy();
   }
 
   @Override
   public IoRegistration register(IoHandle handle) throws Exception {
-    return inner.register(handle);
+    return delegate.register(handle);
   }
 
   @Override
   public void wakeup() {
-    inner.wakeup();
+    delegate.wakeup();
   }
 
   @Override
   public boolean isCompatible(Class<? extends IoHandle> type) {
-    return inner.isCompatible(type);
+    return delegate.isCompatible(type);
   }
 }
--- a/router/src/main/java/rushwood/lifecycle/Service.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import rushwood.api.PolicyActions;
+import rushwood.config.OperatorSettings;
+import rushwood.config.RouterConfig;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
@@ -32,70 +34,74 @@
 import rushwood.wire.ListReader;
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
-public final class Service {
+public final class RouterServer {
   // The program's files, the loop, the listener, discovery: 30; and clients that the door lets in
   // or that linger.
-  private static final int OWN_SOCKETS = 54;
-  private static final long SECOND = 1_000_000_000L;
+  private static final int RESERVED_SOCKETS = 54;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
   // A planned restart ends us no earlier than the longest deadline, 3 s of it at most, and 0.7 s
   // more after SIGTERM,
   // however soon we leave: until then clients are served on the connections they have, as the front
   // sends those that
   // lose theirs here for seconds still (closed after 0.55 s, half of the tries of two routers
   // failed meanwhile).
-  private static final long STAYS = 3 * SECOND;
-  private static final long STAYS_MORE = 700 * SECOND / 1000;
+  private static final long STAYS = 3 * NANOS_PER_SECOND;
+  private static final long STAYS_MORE = 700 * NANOS_PER_SECOND / 1000;
   private static final long LAST_ANSWER =
-      SECOND / 5; // before that end: a stall, and the time to exit
+      NANOS_PER_SECOND / 5; // before that end: a stall, and the time to exit
   private static final long LAST_ACCESS =
-      SECOND * 3 / 10; // before the last answer: most are answered in less
+      NANOS_PER_SECOND * 3 / 10; // before the last answer: most are answered in less
   // A process that stands still at its end leaves what came meanwhile without an answer. One that
   // did lately may again:
   // it takes its last access earlier by twice as long, but not before new connections have stopped
   // coming, after 0.4 s;
   // what comes in the first 0.7 s is not lost. Harm: its clients find no router for longer.
   private static final int PAUSES = 2;
-  private static final long CLOSES = SECOND * 55 / 100; // after SIGTERM, at the earliest
+  private static final long CLOSES = NANOS_PER_SECOND * 55 / 100; // after SIGTERM, at the earliest
   private static final long HOOK =
-      SECOND / 10; // from SIGTERM to the event loop: two threads start, on part of a core
-  private static final long LOOK = SECOND / 20; // between looks at whether all is answered
+      NANOS_PER_SECOND / 10; // from SIGTERM to the event loop: two threads start, on part of a core
+  private static final long LOOK =
+      NANOS_PER_SECOND / 20; // between looks at whether all is answered
   private static final long LIST_WITHIN =
-      SECOND; // of a start: the agent is on this machine and answers at once
+      NANOS_PER_SECOND; // of a start: the agent is on this machine and answers at once
   private static final int BACKLOG = 512; // connections that come while the process stands still
 
-  private final Config config;
-  private final Operator operator;
+  private final RouterConfig config;
+  private final OperatorSettings operatorSettings;
   private final Map<String, String> environment;
-  private final Reload.Signal hangUp;
-  private final MultiThreadIoEventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, WholeMillis.of(NioIoHandler.newFactory()));
-  private final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+  private final ConfigReloader.HangUpSignal hangUpSignal;
+  private final MultiThreadIoEventLoopGroup eventLoopGroup =
+      new MultiThreadIoEventLoopGroup(1, MillisecondWaitStrategy.wrap(NioIoHandler.newFactory()));
+  private final SingleThreadEventLoop eventLoop = (SingleThreadEventLoop) eventLoopGroup.next();
   private final Counters counters = new Counters();
-  private final CountDownLatch list = new CountDownLatch(1);
-  private final CountDownLatch ended = new CountDownLatch(1);
+  private final CountDownLatch firstListReceived = new CountDownLatch(1);
+  private final CountDownLatch stopped = new CountDownLatch(1);
   private EventLoopClock clock;
-  private TimerQueue agenda;
-  private Lines lines;
-  private RequestDispatcher router;
+  private TimerQueue timerQueue;
+  private RateLimitedLogger logger;
+  private RequestDispatcher dispatcher;
   private OverloadController storm;
-  private Clients clients;
-  private Discovery discovery;
-  private InetSocketAddress followed;
+  private Clients frontend;
+  private Discovery discoveryClient;
+  private InetSocketAddress discoveryAddress;
   private boolean stopping;
-  private volatile boolean ends; // told to, at any moment of its life
+  private volatile boolean stopRequested; // told to, at any moment of its life
   private Channel listener;
-  private long last;
+  private long lastAnswerDeadline;
   private Future<?> timer;
 
   /**
    * With the environment that names the configuration's file, which is read again on SIGHUP, and
    * what hears that.
    */
-  public Service(
-      Config config, Operator operator, Map<String, String> environment, Reload.Signal hangUp) {
-    this.hangUp = hangUp;
+  public RouterServer(
+      RouterConfig config,
+      OperatorSettings operatorSettings,
+      Map<String, String> environment,
+      ConfigReloader.HangUpSignal hangUpSignal) {
+    this.hangUpSignal = hangUpSignal;
     this.config = config;
-    this.operator = operator;
+    this.operatorSettings = operatorSettings;
     this.environment = environment;
   }
 
@@ -103,9 +109,9 @@
    * Starts it; returns once clients are listened to, or never will be as it was told to end before.
    */
   public void start() throws Exception {
-    new Rehearsal(config, group, loop, ByteBufAllocator.DEFAULT).play();
-    loop.submit(this::assemble).get();
-    awaitList();
+    new Warmup(config, eventLoopGroup, eventLoop, ByteBufAllocator.DEFAULT).run();
+    eventLoop.submit(this::assemble).get();
+    awaitEndpointList();
     listen();
   }
 
@@ -114,18 +120,18 @@
    * have come.
    */
   private synchronized void listen() throws InterruptedException {
-    if (ends) {
+    if (stopRequested) {
       return;
     }
     ServerBootstrap server =
         new ServerBootstrap()
-            .group(group)
+            .group(eventLoopGroup)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(clients);
-    listener = server.bind(config.listen()).sync().channel();
+            .childHandler(frontend);
+    listener = server.bind(config.listenAddress()).sync().channel();
     Logger.info("{} serves at {}", config.name(), listener.localAddress());
   }
 
@@ -133,89 +139,104 @@
    * No client meets a list from before: hosts that it calls ready may have left. Without an agent
    * it has to do.
    */
-  private void awaitList() throws InterruptedException {
-    if (!list.await(LIST_WITHIN, TimeUnit.NANOSECONDS)) {
+  private void awaitEndpointList() throws InterruptedException {
+    if (!firstListReceived.await(LIST_WITHIN, TimeUnit.NANOSECONDS)) {
       Logger.warn("no list came: this router starts with the one that it held");
     }
   }
 
   private Void assemble() throws ReflectiveOperationException {
-    clock = EventLoopClock.system(loop::executeAfterEventLoopIteration);
-    agenda = new TimerQueue(clock, this::set, counters);
-    beat();
-    lines = new Lines(clock);
+    clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
+    timerQueue = new TimerQueue(clock, this::scheduleTimer, counters);
+    scheduleHeartbeat();
+    logger = new RateLimitedLogger(clock);
     counters.onException(
         thrown ->
-            lines.say(
+            logger.log(
                 "caught "
                     + thrown
                     + " at "
                     + List.of(thrown.getStackTrace()).stream().limit(3).toList()));
-    HostLinks links = new HostLinks(loop, ByteBufAllocator.DEFAULT, counters);
-    followed = config.discovery();
-    ListReader.Listing known = config.known();
-    discovery =
+    HostLinks backendConnector = new HostLinks(eventLoop, ByteBufAllocator.DEFAULT, counters);
+    discoveryAddress = config.discoveryAddress();
+    ListReader.Listing lastKnownEndpoints = config.lastKnownEndpoints();
+    discoveryClient =
         new Discovery(
-            loop,
-            followed,
+            eventLoop,
+            discoveryAddress,
             clock,
-            agenda,
-            config.grace(),
-            known == null ? 0 : Math.max(0, known.version()),
+            timerQueue,
+            config.drainGraceNanos(),
+            lastKnownEndpoints == null ? 0 : Math.max(0, lastKnownEndpoints.version()),
             new SplittableRandom(config.seed() + 1),
-            new ListEvents());
-    DescriptorBudget sockets = new DescriptorBudget(config.sockets() - OWN_SOCKETS);
-    ConnectBackoff dials =
-        new ConnectBackoff(new SplittableRandom(~config.seed()), operator.storm().connectBackoff());
-    router =
+            new EndpointListEvents());
+    DescriptorBudget descriptorBudget =
+        new DescriptorBudget(config.maxSockets() - RESERVED_SOCKETS);
+    ConnectBackoff connectBackoff =
+        new ConnectBackoff(
+            new SplittableRandom(~config.seed()), operatorSettings.overload().connectBackoff());
+    dispatcher =
         new RequestDispatcher(
             clock,
-            agenda,
+            timerQueue,
             counters,
             new RequestDispatcher.ConnectionSettings(
-                sockets,
-                dials,
-                config.openWithin(),
-                config.idleFor(),
+                descriptorBudget,
+                connectBackoff,
+                config.connectTimeoutNanos(),
+                config.idleTimeoutNanos(),
                 config.settings().isRemovalBinding(),
-                config.grace()),
-            links,
-            links::probe,
+                config.drainGraceNanos()),
+            backendConnector,
+            backendConnector::probe,
             () -> {},
-            lines::say, // the list is followed unasked
-            outlet -> storm(dials, outlet));
-    clients =
+            logger::log, // the list is followed unasked
+            observedActions -> storm(connectBackoff, observedActions));
+    frontend =
         new Clients(
-            router,
+            dispatcher,
             clock,
-            agenda,
+            timerQueue,
             counters,
             config.settings().requestClasses(),
             new ConnectionAdmission(
-                sockets.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
-            sockets,
+                descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
+            descriptorBudget,
             () -> storm.retryAfterForRefusedConnection(clock.now()),
             new SplittableRandom(config.seed() + 2));
-    if (known != null) {
-      known.faults().forEach(fault -> lines.say("the list held from before: " + fault));
+    if (lastKnownEndpoints != null) {
+      lastKnownEndpoints
+          .faults()
+          .forEach(fault -> logger.log("the list held from before: " + fault));
     }
-    router.endpointsReplaced(known == null ? List.of() : known.places(), true);
-    discovery.follow();
-    new Reload(environment, loop, clock, agenda, counters, lines::say, this::reloaded)
-        .listen(hangUp);
+    dispatcher.endpointsReplaced(
+        lastKnownEndpoints == null ? List.of() : lastKnownEndpoints.places(), true);
+    discoveryClient.follow();
+    new ConfigReloader(
+            environment,
+            eventLoop,
+            clock,
+            timerQueue,
+            counters,
+            logger::log,
+            this::onConfigReloaded)
+        .startListening(hangUpSignal);
     return null;
   }
 
-  private OverloadController storm(ConnectBackoff dials, PolicyActions out) {
+  private OverloadController storm(ConnectBackoff connectBackoff, PolicyActions actions) {
     storm =
         new OverloadController(
             config.settings(),
-            operator.storm(),
-            dials,
-            out,
-            (crowd, outlet) ->
+            operatorSettings.overload(),
+            connectBackoff,
+            actions,
+            (overloadSignals, observedActions) ->
                 new DefaultRoutingPolicy(
-                    config.settings(), new SplittableRandom(config.seed()), outlet, crowd));
+                    config.settings(),
+                    new SplittableRandom(config.seed()),
+                    observedActions,
+                    overloadSignals));
     OverloadController.OverloadCounts counts = storm.counts();
     counters.register("overload_repeated_requests", () -> counts.repeatedRequests);
     counters.register("overload_returned_as_advised", () -> counts.returnedAsAdvised);
@@ -230,17 +251,17 @@
   /**
    * Only where the list comes from can change while it runs; the same address again says nothing.
    */
-  private void reloaded(Config next) {
+  private void onConfigReloaded(RouterConfig next) {
     if (stopping) {
       return;
     }
     config
-        .fixed(next)
-        .forEach(field -> lines.say("the new configuration's " + field + " takes a restart"));
-    if (!next.discovery().equals(followed)) {
-      followed = next.discovery();
-      lines.say("discovery is at " + followed);
-      discovery.move(followed);
+        .fieldsRequiringRestart(next)
+        .forEach(field -> logger.log("the new configuration's " + field + " takes a restart"));
+    if (!next.discoveryAddress().equals(discoveryAddress)) {
+      discoveryAddress = next.discoveryAddress();
+      logger.log("discovery is at " + discoveryAddress);
+      discoveryClient.move(discoveryAddress);
     }
   }
 
@@ -248,18 +269,19 @@
    * Turns come this often even while nothing happens, so that the clock can tell a pause from a
    * rest.
    */
-  private void beat() {
-    agenda.schedule(clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::beat);
+  private void scheduleHeartbeat() {
+    timerQueue.schedule(
+        clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::scheduleHeartbeat);
   }
 
-  private void set(long delay, Runnable task) {
+  private void scheduleTimer(long delay, Runnable task) {
     if (timer != null) {
       timer.cancel(false);
     }
-    timer = loop.schedule(task, delay, TimeUnit.NANOSECONDS);
+    timer = eventLoop.schedule(task, delay, TimeUnit.NANOSECONDS);
   }
 
-  private final class ListEvents implements Discovery.Events {
+  private final class EndpointListEvents implements Discovery.Events {
     private String trouble = "";
 
     @Override
@@ -269,10 +291,10 @@
               ? Counters.Counter.ENDPOINT_LISTS_REPLACED
               : Counters.Counter.ENDPOINT_LISTS_UPDATED);
       if (listing.whole()) {
-        router.endpointsReplaced(listing.places(), listing.partials(), false);
-        list.countDown();
+        dispatcher.endpointsReplaced(listing.places(), listing.partials(), false);
+        firstListReceived.countDown();
       } else {
-        router.endpointsUpdated(listing.places(), listing.partials());
+        dispatcher.endpointsUpdated(listing.places(), listing.partials());
       }
       if (listing.faults().isEmpty()) {
         well();
@@ -282,7 +304,7 @@
     @Override
     public void leaving(List<RequestDispatcher.PartialEndpoint> hosts) {
       counters.increment(Counters.Counter.ENDPOINT_LISTS_UPDATED);
-      router.endpointsUpdated(List.of(), hosts);
+      dispatcher.endpointsUpdated(List.of(), hosts);
     }
 
     @Override
@@ -294,13 +316,13 @@
     private void well() {
       if (!trouble.isEmpty()) {
         trouble = "";
-        lines.say("discovery answers again");
+        logger.log("discovery answers again");
       }
     }
 
     @Override
     public void failed(String why) {
-      router.endpointRefreshFailed();
+      dispatcher.endpointRefreshFailed();
       say("discovery " + why);
     }
 
@@ -314,7 +336,7 @@
     private void say(String line) {
       if (!line.equals(trouble)) {
         trouble = line;
-        lines.say(line);
+        logger.log(line);
       }
     }
   }
@@ -324,27 +346,31 @@
    * blocks till then.
    */
   public void stop() {
-    ends = true;
+    stopRequested = true;
     synchronized (this) {
       if (listener == null) {
         Logger.info("stopping before it serves");
         return;
       }
     }
-    loop.execute(
+    eventLoop.execute(
         () -> {
           stopping = true;
-          Logger.info("stopping with {} accesses open", router.unansweredRequests());
+          Logger.info("stopping with {} accesses open", dispatcher.unansweredRequests());
           // Told while this process stood still it was told at any moment of that, and its end is
           // counted from there.
-          long told = clock.earliestArrival(HOOK);
-          last = told + Math.min(config.longestOuterLimit(), STAYS) + STAYS_MORE - LAST_ANSWER;
-          router.shuttingDown(last);
-          clients.closing();
-          serveOn(told + CLOSES);
+          long signalledAt = clock.earliestArrival(HOOK);
+          lastAnswerDeadline =
+              signalledAt
+                  + Math.min(config.maxRequestTimeoutNanos(), STAYS)
+                  + STAYS_MORE
+                  - LAST_ANSWER;
+          dispatcher.shuttingDown(lastAnswerDeadline);
+          frontend.closing();
+          serveOn(signalledAt + CLOSES);
         });
     try {
-      ended.await();
+      stopped.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -357,26 +383,27 @@
    * asked.
    */
   private void serveOn(long earliest) {
-    long at = Math.max(earliest, last - LAST_ACCESS - PAUSES * clock.recentLongestPause());
+    long at =
+        Math.max(earliest, lastAnswerDeadline - LAST_ACCESS - PAUSES * clock.recentLongestPause());
     if (clock.now() >= at) {
       finish();
     } else {
-      agenda.schedule(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
+      timerQueue.schedule(Math.min(at, clock.now() + LOOK), () -> serveOn(earliest));
     }
   }
 
   private void finish() {
-    clients.finish();
+    frontend.finish();
     // All have their answers by then; a moment more lets them be written, and connections end.
-    if (clients.open() > 0 && clock.now() < last + LOOK) {
-      agenda.schedule(clock.now() + LOOK, this::finish);
+    if (frontend.open() > 0 && clock.now() < lastAnswerDeadline + LOOK) {
+      timerQueue.schedule(clock.now() + LOOK, this::finish);
       return;
     }
-    clients.close();
+    frontend.close();
     listener.close();
-    discovery.close();
-    router.close();
+    discoveryClient.close();
+    dispatcher.close();
     Logger.info("counters {}", counters);
-    ended.countDown();
+    stopped.countDown();
   }
 }
--- a/router/src/main/java/rushwood/lifecycle/Rehearsal.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -28,6 +28,7 @@
 import rushwood.api.HostId;
 import rushwood.api.RequestClass;
 import rushwood.api.ZoneId;
+import rushwood.config.RouterConfig;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
@@ -47,45 +48,46 @@
  * that it has itself, over sockets in the file system: cold code costs a whole core in the first
  * second, and on part of a core clients would wait past their time for it.
  */
-final class Rehearsal {
-  private static final int CLIENTS = 12; // at once: some park, as in a busy second
-  private static final int HOSTS = 4;
-  private static final int MOST =
+final class Warmup {
+  private static final int CLIENT_COUNT = 12; // at once: some park, as in a busy second
+  private static final int BACKEND_COUNT = 4;
+  private static final int MAX_REQUESTS =
       6000; // accesses: the compiler takes a method after 200 calls, rare ones too
-  private static final long LONGEST =
+  private static final long MAX_DURATION_NANOS =
       900_000_000; // nanoseconds: more made restarts longer than it saved
-  private static final long LOOK = 10_000_000;
+  private static final long POLL_INTERVAL_NANOS = 10_000_000;
 
-  private final Config config;
+  private final RouterConfig config;
   private final EventLoopGroup group;
-  private final SingleThreadEventLoop loop;
+  private final SingleThreadEventLoop eventLoop;
   private final ByteBufAllocator allocator;
-  private final List<RequestClass> products;
+  private final List<RequestClass> requestClasses;
   private final Counters counters = new Counters();
   private final List<Channel> channels = new ArrayList<>();
   private final ChannelGroup peers;
-  private final CompletableFuture<Counters> played = new CompletableFuture<>();
+  private final CompletableFuture<Counters> finished = new CompletableFuture<>();
   private Path folder;
-  private RequestDispatcher router;
+  private RequestDispatcher dispatcher;
   private Future<?> timer;
-  private int asked;
-  private boolean over;
+  private int requestCount;
+  private boolean isOver;
 
-  Rehearsal(Config config, EventLoopGroup group, EventLoop loop, ByteBufAllocator allocator) {
+  Warmup(
+      RouterConfig config, EventLoopGroup group, EventLoop eventLoop, ByteBufAllocator allocator) {
     this.config = config;
     this.group = group;
-    this.loop = (SingleThreadEventLoop) loop;
+    this.eventLoop = (SingleThreadEventLoop) eventLoop;
     this.allocator = allocator;
-    peers = new DefaultChannelGroup(loop);
-    products = config.settings().requestClasses();
+    peers = new DefaultChannelGroup(eventLoop);
+    requestClasses = config.settings().requestClasses();
   }
 
   /** What came of it, for whoever wants to know that it still does something. */
-  Counters play() throws Exception {
+  Counters run() throws Exception {
     folder = Files.createTempDirectory("rehearsal");
     try {
-      loop.submit(this::begin).get();
-      return played.get();
+      eventLoop.submit(this::start).get();
+      return finished.get();
     } finally {
       Files.deleteIfExists(folder.resolve("c"));
       Files.deleteIfExists(folder.resolve("h"));
@@ -93,68 +95,73 @@
     }
   }
 
-  private UnixDomainSocketAddress at(String name) {
+  private UnixDomainSocketAddress socketAddress(String name) {
     return UnixDomainSocketAddress.of(folder.resolve(name));
   }
 
-  private void begin() {
-    long end = System.nanoTime() + LONGEST;
-    EventLoopClock clock = EventLoopClock.system(loop::executeAfterEventLoopIteration);
-    TimerQueue agenda = new TimerQueue(clock, this::set, counters);
-    HostLinks links =
+  private void start() {
+    long end = System.nanoTime() + MAX_DURATION_NANOS;
+    EventLoopClock clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
+    TimerQueue timerQueue = new TimerQueue(clock, this::scheduleTimer, counters);
+    HostLinks backendConnector =
         new HostLinks(
-            new Bootstrap().group(loop).channel(NioDomainSocketChannel.class),
-            address -> at("h"),
+            new Bootstrap().group(eventLoop).channel(NioDomainSocketChannel.class),
+            address -> socketAddress("h"),
             allocator,
             counters);
-    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(config.seed()), true);
-    DescriptorBudget sockets = new DescriptorBudget(CLIENTS * 5);
-    router =
+    ConnectBackoff connectBackoff = new ConnectBackoff(new SplittableRandom(config.seed()), true);
+    DescriptorBudget descriptorBudget = new DescriptorBudget(CLIENT_COUNT * 5);
+    dispatcher =
         new RequestDispatcher(
             clock,
-            agenda,
+            timerQueue,
             counters,
             new RequestDispatcher.ConnectionSettings(
-                sockets, dials, config.openWithin(), config.idleFor(), true, config.grace()),
-            links,
-            links::probe,
+                descriptorBudget,
+                connectBackoff,
+                config.connectTimeoutNanos(),
+                config.idleTimeoutNanos(),
+                true,
+                config.drainGraceNanos()),
+            backendConnector,
+            backendConnector::probe,
             () -> {},
             line -> {},
-            out ->
+            actions ->
                 new OverloadController(
                     config.settings(),
                     OverloadSettings.DEFAULT,
-                    dials,
-                    out,
-                    (crowd, outlet) ->
+                    connectBackoff,
+                    actions,
+                    (overloadSignals, observedActions) ->
                         new DefaultRoutingPolicy(
                             config.settings(),
                             new SplittableRandom(config.seed()),
-                            outlet,
-                            crowd)));
-    Clients clients =
+                            observedActions,
+                            overloadSignals)));
+    Clients frontend =
         new Clients(
-            router,
+            dispatcher,
             clock,
-            agenda,
+            timerQueue,
             counters,
-            products,
-            new ConnectionAdmission(CLIENTS, 0),
-            sockets,
+            requestClasses,
+            new ConnectionAdmission(CLIENT_COUNT, 0),
+            descriptorBudget,
             () -> 0,
             new SplittableRandom(config.seed()));
-    router.endpointsReplaced(places(), true);
+    dispatcher.endpointsReplaced(endpoints(), true);
     listen(
         "h",
         new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
             peers.add(channel);
-            channel.pipeline().addLast(new RehearsedPeers.Host(asked));
+            channel.pipeline().addLast(new RehearsedPeers.Host(requestCount));
           }
         });
-    listen("c", clients);
-    look(end);
+    listen("c", frontend);
+    awaitEnd(end);
   }
 
   private void listen(String name, ChannelHandler handler) {
@@ -163,10 +170,10 @@
             .group(group)
             .channel(NioServerDomainSocketChannel.class)
             .childHandler(handler)
-            .bind(at(name))
+            .bind(socketAddress(name))
             .addListener(
                 bound -> {
-                  for (int i = 0; i < CLIENTS && name.equals("c"); i++) {
+                  for (int i = 0; i < CLIENT_COUNT && name.equals("c"); i++) {
                     connect();
                   }
                 })
@@ -174,21 +181,21 @@
   }
 
   private void connect() {
-    if (!over) {
+    if (!isOver) {
       peers.add(
           new Bootstrap()
-              .group(loop)
+              .group(eventLoop)
               .channel(NioDomainSocketChannel.class)
-              .handler(new RehearsedPeers.Client(this::statement, this::connect))
-              .connect(at("c"))
+              .handler(new RehearsedPeers.Client(this::nextStatement, this::connect))
+              .connect(socketAddress("c"))
               .channel());
     }
   }
 
-  private List<RequestDispatcher.EndpointAddress> places() {
-    List<RequestDispatcher.EndpointAddress> places = new ArrayList<>();
-    for (int i = 0; i < HOSTS; i++) {
-      places.add(
+  private List<RequestDispatcher.EndpointAddress> endpoints() {
+    List<RequestDispatcher.EndpointAddress> endpoints = new ArrayList<>();
+    for (int i = 0; i < BACKEND_COUNT; i++) {
+      endpoints.add(
           new RequestDispatcher.EndpointAddress(
               new Endpoint(
                   new HostId("h" + i),
@@ -200,37 +207,44 @@
                   Endpoint.State.READY),
               new InetSocketAddress(0)));
     }
-    return places;
+    return endpoints;
   }
 
-  private String statement() {
-    RequestClass product = products.get(asked++ % products.size());
-    boolean tooLate = asked % 16 == 0;
+  private String nextStatement() {
+    RequestClass requestClass = requestClasses.get(requestCount++ % requestClasses.size());
+    boolean isTooLate = requestCount % 16 == 0;
     String comment =
-        "/* id=" + asked + ",c=" + product.name() + ",d=" + (tooLate ? 1 : 2000) + ",cluster=0 */";
-    return product.consistency() == RequestClass.Consistency.WRITE
+        "/* id="
+            + requestCount
+            + ",c="
+            + requestClass.name()
+            + ",d="
+            + (isTooLate ? 1 : 2000)
+            + ",cluster=0 */";
+    return requestClass.consistency() == RequestClass.Consistency.WRITE
         ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
         : "SELECT val FROM state WHERE uid = 'k' " + comment;
   }
 
-  private void set(long delay, Runnable task) {
+  private void scheduleTimer(long delay, Runnable task) {
     if (timer != null) {
       timer.cancel(false);
     }
-    timer = over ? null : loop.schedule(task, delay, TimeUnit.NANOSECONDS);
+    timer = isOver ? null : eventLoop.schedule(task, delay, TimeUnit.NANOSECONDS);
   }
 
-  private void look(long end) {
-    if (asked < MOST && System.nanoTime() < end) {
-      loop.schedule(() -> look(end), LOOK, TimeUnit.NANOSECONDS);
+  private void awaitEnd(long end) {
+    if (requestCount < MAX_REQUESTS && System.nanoTime() < end) {
+      eventLoop.schedule(() -> awaitEnd(end), POLL_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
       return;
     }
-    over = true;
+    isOver = true;
     timer.cancel(false);
     channels.forEach(Channel::close);
-    router.close();
+    dispatcher.close();
     peers.close(); // our ends of both sides: left open they kept two dozen descriptors for good
     // What closing brings is over a turn or two later.
-    loop.schedule(() -> played.complete(counters), 2 * LOOK, TimeUnit.NANOSECONDS);
+    eventLoop.schedule(
+        () -> finished.complete(counters), 2 * POLL_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
   }
 }
--- a/router/src/main/java/rushwood/lifecycle/package-info.java
+++ b/router/src/main/java/rushwood/server/package-info.java
@@ -1,2 +1,2 @@
 /** Start and stop: configuration, the event loop, readiness, SIGTERM. */
-package rushwood.lifecycle;
+package rushwood.server;
--- a/router/src/main/java/rushwood/adapter/BadLine.java
+++ b/router/src/main/java/rushwood/simulator/MalformedMessageException.java
@@ -1,10 +1,10 @@
-package rushwood.adapter;
+package rushwood.simulator;
 
 /** A line that cannot be read; the message names the line and the field. */
-public final class BadLine extends RuntimeException {
+public final class MalformedMessageException extends RuntimeException {
   private static final long serialVersionUID = 1L;
 
-  public BadLine(String message) {
+  public MalformedMessageException(String message) {
     super(message);
   }
 }
--- a/router/src/main/java/rushwood/adapter/package-info.java
+++ b/router/src/main/java/rushwood/simulator/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The bench's wire before the decisions: decodes lines into calls, encodes what they do into lines.
  */
-package rushwood.adapter;
+package rushwood.simulator;
--- /dev/null
+++ b/router/src/test/java/rushwood/config/OperatorSettingsTest.java
@@ -0,0 +1,42 @@
+package rushwood.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class OperatorSettingsTest {
+  private static void assertInvalid(String text, String message) {
+    assertEquals(
+        message,
+        assertThrows(InvalidConfigException.class, () -> OperatorSettings.parse(text))
+            .getMessage());
+  }
+
+  @Test
+  void errorsNameTheInvalidField() throws Exception {
+    assertInvalid("[", "rushwood.json is no JSON object");
+    assertInvalid("{\"strom\":{}}", "strom is no setting");
+    assertInvalid("{\"storm\":{\"x\":1}}", "storm.x is no setting");
+    assertInvalid("{\"storm\":[]}", "storm is no object");
+    assertInvalid("{\"storm\":{\"calendar\":1}}", "storm.calendar is neither true nor false");
+    assertInvalid("{\"storm\":{\"repeats\":-1}}", "storm.repeats is no number from 0 to 10");
+    assertInvalid("{\"log\":{\"format\":\"xml\"}}", "log.format is neither lines nor json");
+    assertInvalid("{\"log\":{\"format\":\"json\"}}", "log.file is missing");
+    assertInvalid("{\"log\":{\"file\":\"a\"}}", "log.file goes with the format json only");
+    assertEquals(OperatorSettings.DEFAULTS, OperatorSettings.parse("{}"));
+    assertEquals(
+        "a",
+        OperatorSettings.parse("{\"log\":{\"format\":\"json\",\"file\":\"a\"}}").jsonLogFile());
+    assertEquals(
+        OperatorSettings.DEFAULTS,
+        OperatorSettings.parse(Files.readString(Path.of("../deploy/rushwood.json"))));
+    assertThrows(
+        InvalidConfigException.class,
+        () -> OperatorSettings.read(Map.of("RUSHWOOD_SETTINGS", "/nowhere")));
+    assertEquals(OperatorSettings.DEFAULTS, OperatorSettings.read(Map.of()));
+  }
+}
--- a/router/src/test/java/rushwood/lifecycle/ClosesTest.java
+++ b/router/src/test/java/rushwood/server/ConnectionCloseTest.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,13 +16,13 @@
 import rushwood.wire.Bytes;
 
 /** Connections that end, from either side, in the moment in which something is on its way. */
-class ClosesTest extends RunningRouter {
-  private static final int SERVED =
+class ConnectionCloseTest extends RouterProcessFixture {
+  private static final int SERVED_RESPONSE_LENGTH =
       Bytes.join(Bytes.welcome(), new byte[] {'I', 0, 0, 0, 4}, Bytes.ready()).length;
   private static final byte[] TERMINATE = Bytes.message('X', new byte[0]);
 
   /** All that comes up to the end; a reset in place of the end fails. */
-  private static byte[] toTheEnd(Socket socket) throws IOException {
+  private static byte[] readToEnd(Socket socket) throws IOException {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     InputStream in = socket.getInputStream();
     byte[] some = new byte[8192];
@@ -34,7 +34,7 @@
 
   private Socket connect() throws IOException {
     Socket socket = new Socket("127.0.0.1", port);
-    socket.setSoTimeout(PATIENCE);
+    socket.setSoTimeout(TIMEOUT_MILLIS);
     return socket;
   }
 
@@ -42,10 +42,10 @@
    * All of it is here before any of it is read: what the router ends on the way it ends over unread
    * bytes.
    */
-  private void writeUnread(Client client, byte[] bytes) throws Exception {
-    signal("STOP");
+  private void writeWhileSuspended(TestClient client, byte[] bytes) throws Exception {
+    sendSignal("STOP");
     client.socket.getOutputStream().write(bytes);
-    signal("CONT");
+    sendSignal("CONT");
   }
 
   /**
@@ -53,35 +53,35 @@
    * nothing is sent on.
    */
   @Test
-  void moreBehindTheEnd() throws Exception {
+  void dataAfterTerminateMessage() throws Exception {
     byte[] more = Bytes.query(Bytes.write("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
     for (int i = 0; i < 5; i++) {
-      try (Client client = new Client(port)) {
-        assertEquals("T D C Z", client.answer(id(READ, "r" + i)));
-        writeUnread(client, Bytes.join(Bytes.query(""), TERMINATE, more, more, more));
-        assertEquals("I Z", Bytes.types(toTheEnd(client.socket)));
+      try (TestClient client = new TestClient(port)) {
+        assertEquals("T D C Z", client.query(withId(READ_STATEMENT, "r" + i)));
+        writeWhileSuspended(client, Bytes.join(Bytes.query(""), TERMINATE, more, more, more));
+        assertEquals("I Z", Bytes.types(readToEnd(client.socket)));
       }
     }
-    assertEquals(0, seen("behind"));
+    assertEquals(0, countReceived("behind"));
   }
 
   /** The same behind a fault of its own, which it can read. */
   @Test
-  void moreBehindAFault() throws Exception {
+  void dataAfterProtocolError() throws Exception {
     byte[] more = Bytes.query(Bytes.write("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
     for (int i = 0; i < 5; i++) {
-      try (Client client = new Client(port)) {
-        writeUnread(
+      try (TestClient client = new TestClient(port)) {
+        writeWhileSuspended(
             client, Bytes.join(Bytes.query(""), new byte[] {'?', 0, 0, 0, 4}, more, more, more));
-        assertEquals("I Z E(08P01)", Bytes.types(toTheEnd(client.socket)));
+        assertEquals("I Z E(08P01)", Bytes.types(readToEnd(client.socket)));
       }
     }
-    assertEquals(0, seen("behind"));
+    assertEquals(0, countReceived("behind"));
   }
 
-  private long seen(String id) {
-    List<String> all = new ArrayList<>(primary.seen);
-    all.addAll(replica.seen);
+  private long countReceived(String id) {
+    List<String> all = new ArrayList<>(primary.receivedStatements);
+    all.addAll(replica.receivedStatements);
     return all.stream().filter(each -> each.contains("id=" + id)).count();
   }
 
@@ -90,22 +90,22 @@
    * is not.
    */
   @Test
-  void noRoom() throws Exception {
+  void connectionsBeyondTheLimit() throws Exception {
     List<Socket> sockets = new ArrayList<>();
     try {
       for (int i = 0; i < 230; i++) {
         sockets.add(connect());
         sockets.get(i).getOutputStream().write(Bytes.join(Bytes.startup(), Bytes.query("")));
       }
-      int told = 0;
+      int refused = 0;
       for (Socket each : sockets) {
-        String types = Bytes.types(each.getInputStream().readNBytes(SERVED));
-        told += types.endsWith("E(53300)") ? 1 : 0;
+        String types = Bytes.types(each.getInputStream().readNBytes(SERVED_RESPONSE_LENGTH));
+        refused += types.endsWith("E(53300)") ? 1 : 0;
         assertTrue(
             types.isEmpty() || types.equals("R S S S S S K Z I Z") || types.endsWith("E(53300)"),
             types);
       }
-      assertTrue(told > 0, "some found no room, and could read it");
+      assertTrue(refused > 0, "some found no room, and could read it");
     } finally {
       for (Socket each : sockets) {
         each.close();
@@ -118,21 +118,21 @@
    * ends.
    */
   @Test
-  void tooMuchAhead() throws Exception {
-    replica.answer =
+  void pipeliningBeyondTheLimit() throws Exception {
+    replica.responder =
         statement -> {
           pause(400);
           return Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
         };
     byte[] much =
         Bytes.query(Bytes.write("ahead", ",d=900").replace("9f03", "9f".repeat(64 << 10)));
-    try (Client client = new Client(port)) {
-      client.ask(id(READ, "r1"));
+    try (TestClient client = new TestClient(port)) {
+      client.send(withId(READ_STATEMENT, "r1"));
       OutputStream out = client.socket.getOutputStream();
       for (int i = 0; i < 24; i++) {
         out.write(much); // three times what is kept
       }
-      String types = Bytes.types(toTheEnd(client.socket));
+      String types = Bytes.types(readToEnd(client.socket));
       assertTrue(types.startsWith("T D C Z ") && types.endsWith(" E(53300)"), types);
     }
   }
@@ -142,41 +142,43 @@
    * of it.
    */
   @Test
-  void muchAheadByMany() throws Exception {
+  void pipeliningByManyClients() throws Exception {
     byte[] much = Bytes.query(Bytes.write("ahead", ",d=900").replace("9f03", "9f".repeat(60_000)));
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     for (int i = 0; i < 8; i++) {
       all.writeBytes(much);
     }
-    List<Client> clients = new ArrayList<>();
-    try (Client stays = new Client(port)) {
+    List<TestClient> clients = new ArrayList<>();
+    try (TestClient staying = new TestClient(port)) {
       for (int i = 0; i < 60; i++) {
-        clients.add(new Client(port));
+        clients.add(new TestClient(port));
       }
-      signal("STOP");
-      for (Client each : clients) {
-        Standin.thread(() -> each.socket.getOutputStream().write(all.toByteArray()));
+      sendSignal("STOP");
+      for (TestClient each : clients) {
+        StandInServer.startThread(() -> each.socket.getOutputStream().write(all.toByteArray()));
       }
       Thread.sleep(500);
-      signal("CONT");
+      sendSignal("CONT");
       for (int i = 0; i < 20; i++) {
-        String answer = stays.answer(id(READ, "r" + i));
+        String answer = staying.query(withId(READ_STATEMENT, "r" + i));
         assertTrue(answer.equals("T D C Z") || answer.equals("E(53300) Z"), answer);
       }
       Thread.sleep(300);
-      String counters = counters(stays);
+      String counters = readCounters(staying);
       assertTrue(
           counters.contains("exceptions_caught=0 ") && !counters.contains("clients_refused=0 "),
           counters);
-      assertEquals("T D C Z", stays.answer(id(READ, "last")));
+      assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "last")));
     } finally {
-      for (Client each : clients) {
+      for (TestClient each : clients) {
         each.close();
       }
     }
     assertEquals(
         List.of(),
-        log.stream().filter(each -> each.contains("OutOf") || each.contains("WARN")).toList());
+        processOutput.stream()
+            .filter(each -> each.contains("OutOf") || each.contains("WARN"))
+            .toList());
   }
 
   private static void pause(long millis) {
@@ -192,21 +194,21 @@
    * line on it.
    */
   @Test
-  void whileAHostsConnectionRests() throws Exception {
+  void idleBackendConnectionEnds() throws Exception {
     byte[] row = Bytes.join(Bytes.row("v"), Bytes.parameter("part", "master"), Bytes.ready());
     byte[] half = Bytes.join(row, new byte[] {'N', 0, 0});
-    try (Client client = new Client(port)) {
+    try (TestClient client = new TestClient(port)) {
       for (int i = 0; i < 60; i++) {
         boolean halfLine = i % 2 == 0;
-        primary.stays = halfLine;
-        primary.answer = statement -> halfLine ? half : row;
-        assertEquals("T D C Z", client.answer(Bytes.write("w" + i, ",d=900")), "write " + i);
+        primary.keepsConnectionOpen = halfLine;
+        primary.responder = statement -> halfLine ? half : row;
+        assertEquals("T D C Z", client.query(Bytes.write("w" + i, ",d=900")), "write " + i);
         if (!halfLine) {
-          primary.cut();
+          primary.closeConnections();
         }
         pause(i % 5);
       }
-      String counters = counters(client);
+      String counters = readCounters(client);
       assertTrue(counters.contains("requests_failed=0 "), counters);
     }
   }
@@ -216,30 +218,33 @@
    * again.
    */
   @Test
-  void resetUnderAWrite() throws Exception {
+  void backendResetDuringWrite() throws Exception {
     byte[] none =
         Bytes.join(Bytes.error("25006"), Bytes.parameter("part", "replica"), Bytes.ready());
     byte[] row = Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
-    replica.answer = statement -> statement.startsWith("INSERT") ? none : row;
+    replica.responder = statement -> statement.startsWith("INSERT") ? none : row;
     byte[] report = Bytes.join(Bytes.row("x0=1,x1=1"), Bytes.ready());
-    primary.answer =
+    primary.responder =
         statement -> statement.startsWith("SHOW") ? report : new byte[0]; // and the connection ends
-    int begun = 0;
-    try (Client client = new Client(port)) {
+    int started = 0;
+    try (TestClient client = new TestClient(port)) {
       for (int i = 0; i < 10; i++) {
-        String answer = client.answer(Bytes.write("w" + i, ",d=900"));
-        long ran = primary.seen.stream().filter(each -> each.contains("id=w")).count() - begun;
-        begun += ran;
+        String answer = client.query(Bytes.write("w" + i, ",d=900"));
+        long executions =
+            primary.receivedStatements.stream().filter(each -> each.contains("id=w")).count()
+                - started;
+        started += executions;
         assertTrue(
-            ran == 1 && answer.equals("E(58000) Z") || ran == 0 && answer.equals("E(53300) Z"),
-            "sent " + ran + " times and answered " + answer);
+            executions == 1 && answer.equals("E(58000) Z")
+                || executions == 0 && answer.equals("E(53300) Z"),
+            "sent " + executions + " times and answered " + answer);
         for (int more = 0; more < 20; more++) { // probes are a share of what it is asked
-          client.answer(id(READ, "r" + i + "-" + more));
+          client.query(withId(READ_STATEMENT, "r" + i + "-" + more));
         }
         Thread.sleep(600); // and then the host is tried again
       }
     }
-    assertTrue(begun > 1, "it was tried again: " + begun);
+    assertTrue(started > 1, "it was tried again: " + started);
   }
 
   /**
@@ -247,44 +252,44 @@
    * slots come back.
    */
   @Test
-  void cutAnswers() throws Exception {
+  void truncatedBackendResponses() throws Exception {
     byte[] row = Bytes.row("value");
     byte[] whole = Bytes.join(row, Bytes.parameter("part", "replica"), Bytes.ready());
     byte[] noEnd = Arrays.copyOf(row, row.length - 14); // its completion is missing
     byte[] half = Arrays.copyOf(row, row.length - 16); // and the end of its value
     String read = Bytes.read("ID", ",d=400");
     int count = 0;
-    for (byte[] cut : List.of(half, noEnd)) {
-      for (boolean stays : new boolean[] {false, true}) {
-        for (Host each : List.of(primary, replica)) {
-          each.stays = stays;
-          each.answer = statement -> cut;
+    for (byte[] truncated : List.of(half, noEnd)) {
+      for (boolean keepsOpen : new boolean[] {false, true}) {
+        for (StandInBackend each : List.of(primary, replica)) {
+          each.keepsConnectionOpen = keepsOpen;
+          each.responder = statement -> truncated;
         }
-        List<Client> clients = new ArrayList<>();
+        List<TestClient> clients = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
-          clients.add(new Client(port));
-          clients.get(i).ask(id(read, "cut" + count++));
+          clients.add(new TestClient(port));
+          clients.get(i).send(withId(read, "cut" + count++));
         }
-        for (Client each : clients) {
-          assertTrue(each.read().startsWith("E("), "no value");
+        for (TestClient each : clients) {
+          assertTrue(each.readResponse().startsWith("E("), "no value");
           each.close();
         }
       }
     }
-    primary.stays = false;
-    replica.stays = false;
-    primary.answer = statement -> whole;
-    replica.answer = statement -> whole;
+    primary.keepsConnectionOpen = false;
+    replica.keepsConnectionOpen = false;
+    primary.responder = statement -> whole;
+    replica.responder = statement -> whole;
     Thread.sleep(600);
     for (int i = 0; i < 30; i++) {
-      try (Client client = new Client(port)) {
-        assertEquals("T D C Z", client.answer(id(READ, "whole" + i)));
+      try (TestClient client = new TestClient(port)) {
+        assertEquals("T D C Z", client.query(withId(READ_STATEMENT, "whole" + i)));
       }
     }
   }
 
   @Test
-  void aHalfStartupThenTheEnd() throws Exception {
+  void connectionClosedDuringStartup() throws Exception {
     for (byte[] start : List.of(new byte[0], new byte[] {0, 0}, Bytes.startup())) {
       try (Socket socket = connect()) {
         socket.getOutputStream().write(start);
@@ -292,8 +297,8 @@
         new DataInputStream(socket.getInputStream()).readAllBytes();
       }
     }
-    try (Client client = new Client(port)) {
-      assertEquals("T D C Z", client.answer(id(READ, "r")));
+    try (TestClient client = new TestClient(port)) {
+      assertEquals("T D C Z", client.query(withId(READ_STATEMENT, "r")));
     }
   }
 }
--- a/router/src/test/java/rushwood/lifecycle/RunningRouter.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -31,34 +31,34 @@
 /**
  * A router in a process of its own, with stand-in hosts, discovery and clients of ours on loopback.
  */
-abstract class RunningRouter {
-  static final int PATIENCE = 20_000; // ms until a test that hangs fails
-  static final String READ = Bytes.read("ID", ",d=900");
+abstract class RouterProcessFixture {
+  static final int TIMEOUT_MILLIS = 20_000; // ms until a test that hangs fails
+  static final String READ_STATEMENT = Bytes.read("ID", ",d=900");
 
   /** Accepts connections and serves each on a thread. */
-  abstract static class Standin implements Closeable {
+  abstract static class StandInServer implements Closeable {
     final ServerSocket socket;
-    private final List<Socket> open = new ArrayList<>();
+    private final List<Socket> openSockets = new ArrayList<>();
 
-    Standin() throws IOException {
+    StandInServer() throws IOException {
       socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-      thread(
+      startThread(
           () -> {
             while (true) {
               Socket next = socket.accept();
-              synchronized (open) {
-                open.add(next);
+              synchronized (openSockets) {
+                openSockets.add(next);
               }
-              thread(() -> serve(next));
+              startThread(() -> serve(next));
             }
           });
     }
 
-    interface Job {
+    interface ThrowingTask {
       void run() throws IOException, InterruptedException;
     }
 
-    static void thread(Job job) {
+    static void startThread(ThrowingTask job) {
       Thread thread =
           new Thread(
               () -> {
@@ -75,59 +75,59 @@
     abstract void serve(Socket client) throws IOException, InterruptedException;
 
     /** Ends all connections that are open. */
-    void cut() throws IOException {
-      synchronized (open) {
-        for (Socket each : open) {
+    void closeConnections() throws IOException {
+      synchronized (openSockets) {
+        for (Socket each : openSockets) {
           each.close();
         }
-        open.clear();
+        openSockets.clear();
       }
     }
 
     @Override
     public void close() throws IOException {
       socket.close();
-      cut();
+      closeConnections();
     }
   }
 
   /**
    * A host; what it answers can be changed, and an answer that does not end with ready is cut off.
    */
-  static final class Host extends Standin {
-    final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+  static final class StandInBackend extends StandInServer {
+    final BlockingQueue<String> receivedStatements = new LinkedBlockingQueue<>();
     final String role;
-    volatile Function<String, byte[]> answer;
-    volatile boolean resets;
-    volatile boolean stays; // also behind an answer that does not end
-    volatile CountDownLatch welcomes =
+    volatile Function<String, byte[]> responder;
+    volatile boolean resetsConnections;
+    volatile boolean keepsConnectionOpen; // also behind an answer that does not end
+    volatile CountDownLatch startupGate =
         new CountDownLatch(0); // new connections come up once it is at zero
 
-    Host(String role) throws IOException {
+    StandInBackend(String role) throws IOException {
       this.role = role;
-      answer =
+      responder =
           statement -> Bytes.join(Bytes.row(role), Bytes.parameter("part", role), Bytes.ready());
     }
 
     @Override
     void serve(Socket client) throws IOException, InterruptedException {
-      if (resets) {
+      if (resetsConnections) {
         client.setSoLinger(true, 0);
         client.close();
         return;
       }
       DataInputStream in = new DataInputStream(client.getInputStream());
       in.readNBytes(in.readInt() - 4);
-      welcomes.await();
+      startupGate.await();
       client.getOutputStream().write(Bytes.welcome());
       while (true) {
         in.readByte();
         byte[] text = in.readNBytes(in.readInt() - 4);
         String statement = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
-        seen.add(statement);
-        byte[] answered = answer.apply(statement);
-        client.getOutputStream().write(answered);
-        if (!stays && (answered.length < 6 || answered[answered.length - 6] != 'Z')) {
+        receivedStatements.add(statement);
+        byte[] response = responder.apply(statement);
+        client.getOutputStream().write(response);
+        if (!keepsConnectionOpen && (response.length < 6 || response[response.length - 6] != 'Z')) {
           client.close();
           return;
         }
@@ -136,13 +136,13 @@
   }
 
   /** Discovery: the whole list, then a watch that tells what the test puts in. */
-  static final class Registry extends Standin {
-    volatile int stalls; // calls that are taken and never answered, from now on
-    final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
-    final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
-    volatile String list;
+  static final class StandInDiscovery extends StandInServer {
+    volatile int unansweredCalls; // calls that are taken and never answered, from now on
+    final BlockingQueue<String> watchEvents = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> requestedPaths = new LinkedBlockingQueue<>();
+    volatile String endpointList;
 
-    Registry() throws IOException {}
+    StandInDiscovery() throws IOException {}
 
     @Override
     void serve(Socket client) throws IOException, InterruptedException {
@@ -152,48 +152,52 @@
         return; // given up before it was asked
       }
       String path = line.split(" ")[1];
-      asked.add(path);
-      if (stalls > 0) {
-        stalls--;
+      requestedPaths.add(path);
+      if (unansweredCalls > 0) {
+        unansweredCalls--;
         return;
       }
       OutputStream out = client.getOutputStream();
       if (!path.contains("follow")) {
         out.write(
-            ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).getBytes());
+            ("HTTP/1.1 200 OK\r\nContent-Length: "
+                    + endpointList.length()
+                    + "\r\n\r\n"
+                    + endpointList)
+                .getBytes());
         return;
       }
       out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
       while (true) {
-        String change = changes.take() + "\n";
+        String change = watchEvents.take() + "\n";
         out.write((Integer.toHexString(change.length()) + "\r\n" + change + "\r\n").getBytes());
       }
     }
   }
 
   /** A client connection that has said hello. */
-  static final class Client implements Closeable {
+  static final class TestClient implements Closeable {
     final Socket socket;
-    byte[] key; // by which what runs here can be cancelled
+    byte[] cancelKey; // by which what runs here can be cancelled
 
-    Client(int port) throws IOException {
+    TestClient(int port) throws IOException {
       socket = new Socket("127.0.0.1", port);
-      socket.setSoTimeout(PATIENCE);
+      socket.setSoTimeout(TIMEOUT_MILLIS);
       socket.getOutputStream().write(Bytes.startup());
-      assertEquals("R S S S S S K Z", read());
+      assertEquals("R S S S S S K Z", readResponse());
     }
 
-    void ask(String statement) throws IOException {
+    void send(String statement) throws IOException {
       socket.getOutputStream().write(Bytes.query(statement));
     }
 
-    String answer(String statement) throws IOException {
-      ask(statement);
-      return read();
+    String query(String statement) throws IOException {
+      send(statement);
+      return readResponse();
     }
 
     /** Messages up to ready. */
-    String read() throws IOException {
+    String readResponse() throws IOException {
       ByteArrayOutputStream all = new ByteArrayOutputStream();
       DataInputStream in = new DataInputStream(socket.getInputStream());
       byte type;
@@ -201,12 +205,12 @@
         type = in.readByte();
         byte[] body = in.readNBytes(in.readInt() - 4);
         all.writeBytes(Bytes.message((char) type, body));
-        key = type == 'K' ? body : key;
+        cancelKey = type == 'K' ? body : cancelKey;
       } while (type != 'Z');
       return Bytes.types(all.toByteArray());
     }
 
-    boolean ended() throws IOException {
+    boolean isEnded() throws IOException {
       return socket.getInputStream().read() < 0;
     }
 
@@ -217,32 +221,34 @@
   }
 
   @TempDir Path folder;
-  Host primary;
-  Host replica;
-  Registry registry;
+  StandInBackend primary;
+  StandInBackend replica;
+  StandInDiscovery discovery;
   Process process;
-  final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+  final BlockingQueue<String> processOutput = new LinkedBlockingQueue<>();
   int port;
-  int version = 40;
+  int listVersion = 40;
 
   @BeforeEach
-  void start() throws Exception {
-    prepare();
-    launch();
-    String line = logged("serves at");
+  void startRouter() throws Exception {
+    startStandIns();
+    launchProcess();
+    String line = awaitLogLine("serves at");
     port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
   }
 
-  void prepare() throws Exception {
-    primary = new Host("master");
-    replica = new Host("replica");
-    registry = new Registry();
-    registry.list = list(true, entry("a", primary, "Ready"), entry("b", replica, "Ready"));
-    configure(registry);
+  void startStandIns() throws Exception {
+    primary = new StandInBackend("master");
+    replica = new StandInBackend("replica");
+    discovery = new StandInDiscovery();
+    discovery.endpointList =
+        endpointListJson(
+            true, endpointJson("a", primary, "Ready"), endpointJson("b", replica, "Ready"));
+    writeConfig(discovery);
   }
 
   /** Starts the process; it does not serve yet. */
-  void launch() throws Exception {
+  void launchProcess() throws Exception {
     ProcessBuilder builder =
         new ProcessBuilder(
                 System.getProperty("java.home") + "/bin/java",
@@ -259,58 +265,58 @@
                 "serve")
             .redirectErrorStream(true);
     builder.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
-    builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + registry.socket.getLocalPort());
+    builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + discovery.socket.getLocalPort());
     process = builder.start();
-    Standin.thread(() -> process.inputReader().lines().forEach(log::add));
+    StandInServer.startThread(() -> process.inputReader().lines().forEach(processOutput::add));
   }
 
   /** Of the configuration. */
-  String settings() {
-    return ConfigTest.SETTINGS;
+  String settingsJson() {
+    return RouterConfigTest.VALID_SETTINGS;
   }
 
   /** Where it listens; 0 for anywhere. */
-  int wanted() {
+  int listenPort() {
     return 0;
   }
 
-  Path configure(Registry at) throws IOException {
+  Path writeConfig(StandInDiscovery discovery) throws IOException {
     return Files.writeString(
         folder.resolve("config.json"),
         "{\"name\":\"n0\",\"seed\":\"7\","
             + "\"listen\":\"127.0.0.1:"
-            + wanted()
+            + listenPort()
             + "\",\"discovery\":\"127.0.0.1:"
-            + at.socket.getLocalPort()
+            + discovery.socket.getLocalPort()
             + "\",\"limits\":{\"sockets\":256},\"known\":"
-            + at.list
+            + discovery.endpointList
             + ",\"settings\":"
-            + settings()
+            + settingsJson()
             + "}");
   }
 
-  void hangUp() throws Exception {
-    signal("HUP");
+  void sendHangUp() throws Exception {
+    sendSignal("HUP");
   }
 
-  void signal(String name) throws Exception {
+  void sendSignal(String name) throws Exception {
     assertEquals(
         0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
   }
 
   @AfterEach
-  void stop() throws Exception {
+  void stopRouter() throws Exception {
     process.toHandle().destroyForcibly(); // leaves its output open
-    assertTrue(process.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
-    assertEquals(List.of(), log.stream().filter(line -> line.contains("LEAK")).toList());
-    registry.close();
+    assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    assertEquals(List.of(), processOutput.stream().filter(line -> line.contains("LEAK")).toList());
+    discovery.close();
     primary.close();
     replica.close();
   }
 
-  String list(boolean whole, String... entries) {
+  String endpointListJson(boolean whole, String... entries) {
     return "{\"version\":"
-        + ++version
+        + ++listVersion
         + ",\"full\":"
         + whole
         + ",\"servers\":["
@@ -319,22 +325,22 @@
   }
 
   /** Discovery has it from now on: a watch brings it, and so does the whole list. */
-  void announce(String... entries) {
-    String change = list(false, entries);
-    registry.list = change.replace("\"full\":false", "\"full\":true");
-    registry.changes.add(change);
+  void publishEndpoints(String... entries) {
+    String change = endpointListJson(false, entries);
+    discovery.endpointList = change.replace("\"full\":false", "\"full\":true");
+    discovery.watchEvents.add(change);
   }
 
-  static String entry(String id, Host host, String state) {
+  static String endpointJson(String id, StandInBackend backend, String state) {
     return "{\"id\":\""
         + id
         + "\",\"addr\":\"127.0.0.1:"
-        + host.socket.getLocalPort()
+        + backend.socket.getLocalPort()
         + "\",\"cell\":2,"
         + "\"state\":\""
         + state
         + "\",\"weight\":1.0,\"part\":\""
-        + host.role
+        + backend.role
         + "\"}";
   }
 
@@ -342,40 +348,41 @@
    * The whole list was asked for, as often as it took, and then a watch on what changes after that
    * version.
    */
-  static void watched(Registry at, int version) throws InterruptedException {
-    String next = take(at.asked);
+  static void awaitWatchRequest(StandInDiscovery discovery, int version)
+      throws InterruptedException {
+    String next = takeNext(discovery.requestedPaths);
     while (next.equals("/registry/instances")) {
-      next = take(at.asked);
+      next = takeNext(discovery.requestedPaths);
     }
     assertEquals("/registry/instances?follow=1&since=" + version, next);
   }
 
-  String logged(String part) throws InterruptedException {
-    for (String line = take(log); ; line = take(log)) {
-      if (line.contains(part)) {
+  String awaitLogLine(String text) throws InterruptedException {
+    for (String line = takeNext(processOutput); ; line = takeNext(processOutput)) {
+      if (line.contains(text)) {
         return line;
       }
     }
   }
 
-  static String take(BlockingQueue<String> from) throws InterruptedException {
-    String next = from.poll(PATIENCE, TimeUnit.MILLISECONDS);
+  static String takeNext(BlockingQueue<String> from) throws InterruptedException {
+    String next = from.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     assertTrue(next != null, "nothing came");
     return next;
   }
 
   /** The next statement of a client that a host saw. */
-  static String statement(Host host) throws InterruptedException {
-    String next = take(host.seen);
-    return next.startsWith("SHOW") ? statement(host) : next;
+  static String nextStatement(StandInBackend backend) throws InterruptedException {
+    String next = takeNext(backend.receivedStatements);
+    return next.startsWith("SHOW") ? nextStatement(backend) : next;
   }
 
-  static String id(String statement, String id) {
+  static String withId(String statement, String id) {
     return statement.replace("ID", id);
   }
 
-  static String counters(Client client) throws IOException {
-    client.ask("SHOW counters");
+  static String readCounters(TestClient client) throws IOException {
+    client.send("SHOW counters");
     StringBuilder text = new StringBuilder();
     DataInputStream in = new DataInputStream(client.socket.getInputStream());
     byte type;
--- a/router/src/test/java/rushwood/lifecycle/RehearsalTest.java
+++ b/router/src/test/java/rushwood/server/WarmupTest.java
@@ -1,4 +1,4 @@
-package rushwood.lifecycle;
+package rushwood.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,23 +13,27 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import rushwood.config.RouterConfig;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.Counters.Counter;
 
-class RehearsalTest {
+class WarmupTest {
   /**
    * A rehearsal in which nothing is fulfilled or parked would leave the code cold, and nobody would
    * see it.
    */
   @Test
-  void reachesWhatARealStartReaches(@TempDir Path folder) throws Exception {
-    Path file = Files.writeString(folder.resolve("config.json"), ConfigTest.GOOD);
+  void runsTheCodeOfRealRequests(@TempDir Path folder) throws Exception {
+    Path file = Files.writeString(folder.resolve("config.json"), RouterConfigTest.VALID_CONFIG);
     UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     Counters counters =
-        new Rehearsal(
-                Config.read(Map.of("NODE_CONFIG", file.toString())), group, group.next(), allocator)
-            .play();
+        new Warmup(
+                RouterConfig.read(Map.of("NODE_CONFIG", file.toString())),
+                group,
+                group.next(),
+                allocator)
+            .run();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     assertTrue(counters.get(Counter.REQUESTS_SUCCEEDED) > 0);
     assertTrue(counters.get(Counter.REQUESTS_REJECTED) > 0);
