--- a/router/src/main/java/rushwood/config/RouterConfig.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -14,8 +14,8 @@
 import java.util.List;
 import java.util.Map;
 import rushwood.api.RoutingSettings;
+import rushwood.protocol.ListReader;
 import rushwood.simulator.MalformedMessageException;
-import rushwood.wire.ListReader;
 
 /**
  * What a router is told at start. Times in nanoseconds; {@code known} is null if no list was held,
--- a/router/src/main/java/rushwood/wire/HostLinks.java
+++ b/router/src/main/java/rushwood/net/BackendConnector.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -16,17 +16,19 @@
 import java.util.function.Function;
 import rushwood.dispatch.BackendConnection;
 import rushwood.dispatch.Counters;
+import rushwood.protocol.BackendProtocol;
+import rushwood.protocol.MessageWriter;
 
 /** Opens connections to hosts; reads and writes for {@link HostProtocol}. */
-public final class HostLinks implements BackendConnection.Connector {
-  private static final String PROBE = "SHOW gauges";
+public final class BackendConnector implements BackendConnection.Connector {
+  private static final String LOAD_REPORT_QUERY = "SHOW gauges";
 
   private final Bootstrap bootstrap;
-  private final Function<InetSocketAddress, SocketAddress> where;
+  private final Function<InetSocketAddress, SocketAddress> toSocketAddress;
   private final ByteBufAllocator allocator;
   private final Counters counters;
 
-  public HostLinks(EventLoop loop, ByteBufAllocator allocator, Counters counters) {
+  public BackendConnector(EventLoop loop, ByteBufAllocator allocator, Counters counters) {
     // Who waits decides how long: the pool closes what does not come up.
     this(
         new Bootstrap()
@@ -40,94 +42,95 @@
   }
 
   /** With sockets of another kind, and where on those an address is. */
-  public HostLinks(
+  public BackendConnector(
       Bootstrap bootstrap,
-      Function<InetSocketAddress, SocketAddress> where,
+      Function<InetSocketAddress, SocketAddress> toSocketAddress,
       ByteBufAllocator allocator,
       Counters counters) {
     this.bootstrap = bootstrap.option(ChannelOption.ALLOCATOR, allocator);
-    this.where = where;
+    this.toSocketAddress = toSocketAddress;
     this.allocator = allocator;
     this.counters = counters;
   }
 
-  public ByteBuf probe() {
-    return Messages.query(allocator, PROBE);
+  public ByteBuf probeStatement() {
+    return MessageWriter.queryMessage(allocator, LOAD_REPORT_QUERY);
   }
 
   @Override
   public BackendConnection connect(InetSocketAddress to, BackendConnection.Listener events) {
-    Handler handler = new Handler(events);
-    handler.channel =
+    ChannelConnection connection = new ChannelConnection(events);
+    connection.channel =
         bootstrap
             .clone()
-            .handler(handler)
-            .connect(where.apply(to))
+            .handler(connection)
+            .connect(toSocketAddress.apply(to))
             .addListener(
                 connected -> {
                   if (!connected.isSuccess()) {
                     // Reset at once it was accepted all the same: a host that is gone refuses, or
                     // says nothing.
                     Throwable cause = connected.cause();
-                    handler.accepted =
+                    connection.accepted =
                         !(cause instanceof ConnectException
                             || cause instanceof NoRouteToHostException);
-                    handler.end();
+                    connection.connectionLost();
                   }
                 })
             .channel();
-    return handler;
+    return connection;
   }
 
-  private final class Handler extends ChannelInboundHandlerAdapter implements BackendConnection {
-    private final HostProtocol protocol;
+  private final class ChannelConnection extends ChannelInboundHandlerAdapter
+      implements BackendConnection {
+    private final BackendProtocol protocol;
     private Channel channel;
     private boolean accepted;
     private boolean written;
-    private boolean over;
+    private boolean closed;
 
-    Handler(BackendConnection.Listener events) {
-      protocol = new HostProtocol(allocator, events);
+    ChannelConnection(BackendConnection.Listener events) {
+      protocol = new BackendProtocol(allocator, events);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
       accepted = true;
-      context.writeAndFlush(Messages.startup(allocator));
+      context.writeAndFlush(MessageWriter.startupMessage(allocator));
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      if (over) {
+      if (closed) {
         ((ByteBuf) message).release();
-      } else if (!protocol.feed((ByteBuf) message) && !over) {
+      } else if (!protocol.feed((ByteBuf) message) && !closed) {
         counters.increment(Counters.Counter.BACKEND_PROTOCOL_ERRORS);
-        end();
+        connectionLost();
       }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-      if (!over && !protocol.settle()) {
+      if (!closed && !protocol.completeRead()) {
         counters.increment(Counters.Counter.BACKEND_EXCESS_DATA);
-        end();
+        connectionLost();
       }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      end();
+      connectionLost();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      end();
+      connectionLost();
     }
 
-    private void end() {
-      if (!over) {
-        over = true;
-        protocol.ended(accepted);
+    private void connectionLost() {
+      if (!closed) {
+        closed = true;
+        protocol.connectionLost(accepted);
         channel.close();
       }
     }
@@ -135,7 +138,7 @@
     @Override
     public void send(ByteBuf statement, boolean probe) {
       written = false;
-      protocol.asked(probe);
+      protocol.beginStatement(probe);
       channel.writeAndFlush(statement).addListener(done -> written |= done.isSuccess());
     }
 
@@ -146,14 +149,14 @@
 
     @Override
     public boolean isOpen() {
-      return !over && channel.isActive() && protocol.usable();
+      return !closed && channel.isActive() && protocol.isUsable();
     }
 
     @Override
     public void close() {
-      if (!over) {
-        over = true;
-        protocol.closed();
+      if (!closed) {
+        closed = true;
+        protocol.close();
         channel.close();
       }
     }
--- a/router/src/main/java/rushwood/wire/Lingering.java
+++ b/router/src/main/java/rushwood/net/LingeringClose.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,39 +13,39 @@
  * is read and dropped until the other side ends too, for a while and up to a bound. Nothing that is
  * read then is ever taken for a statement.
  */
-class Lingering extends ChannelInboundHandlerAdapter {
-  private static final long WRITES =
+class LingeringClose extends ChannelInboundHandlerAdapter {
+  private static final long WRITE_TIMEOUT_NANOS =
       2_400_000_000L; // the longest for the other side to read what is written
-  private static final long LINGERS =
+  private static final long LINGER_NANOS =
       1_000_000_000L; // then, for it to end: many times any way there and back
-  private static final int READS = 1 << 20; // bytes read on meanwhile
+  private static final int MAX_DISCARDED_BYTES = 1 << 20; // bytes read on meanwhile
 
   final Channel channel;
-  private long endsBy;
-  private int discarded;
-  private boolean ending;
-  private boolean written;
+  private long deadline;
+  private int discardedBytes;
+  private boolean lingering;
+  private boolean outputShutDown;
 
-  Lingering(Channel channel) {
+  LingeringClose(Channel channel) {
     this.channel = channel;
   }
 
-  final boolean isEnding() {
-    return ending;
+  final boolean isLingering() {
+    return lingering;
   }
 
   /** With what tells the time of the turn in which all is written. */
-  final void hangUp(long now) {
-    ending = true;
-    endsBy = now + WRITES;
+  final void startLingering(long now) {
+    lingering = true;
+    deadline = now + WRITE_TIMEOUT_NANOS;
     channel.config().setAutoRead(true);
     channel
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
         .addListener(
             done -> {
-              if (done.isSuccess() && channel instanceof DuplexChannel both) {
-                written = true;
-                both.shutdownOutput();
+              if (done.isSuccess() && channel instanceof DuplexChannel duplex) {
+                outputShutDown = true;
+                duplex.shutdownOutput();
               } else {
                 channel.close();
               }
@@ -53,20 +53,20 @@
   }
 
   /** Closes it once its time is over. */
-  final void lookAtEnd(long now) {
-    if (written) {
-      written = false;
-      endsBy = now + LINGERS;
+  final void checkDeadline(long now) {
+    if (outputShutDown) {
+      outputShutDown = false;
+      deadline = now + LINGER_NANOS;
     }
-    if (now >= endsBy) {
+    if (now >= deadline) {
       channel.close();
     }
   }
 
   final void discard(ByteBuf in) {
-    discarded += in.readableBytes();
+    discardedBytes += in.readableBytes();
     in.release();
-    if (discarded > READS) {
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
       channel.close();
     }
   }
--- a/router/src/main/java/rushwood/wire/Discovery.java
+++ b/router/src/main/java/rushwood/protocol/Discovery.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.protocol;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
--- a/router/src/main/java/rushwood/wire/ListReader.java
+++ b/router/src/main/java/rushwood/protocol/ListReader.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.protocol;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -23,15 +23,15 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
+import rushwood.net.BackendConnector;
+import rushwood.net.FrontendServer;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.DescriptorBudget;
 import rushwood.overload.OverloadController;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.wire.Clients;
-import rushwood.wire.Discovery;
-import rushwood.wire.HostLinks;
-import rushwood.wire.ListReader;
+import rushwood.protocol.Discovery;
+import rushwood.protocol.ListReader;
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
 public final class RouterServer {
@@ -81,7 +81,7 @@
   private RateLimitedLogger logger;
   private RequestDispatcher dispatcher;
   private OverloadController storm;
-  private Clients frontend;
+  private FrontendServer frontend;
   private Discovery discoveryClient;
   private InetSocketAddress discoveryAddress;
   private boolean stopping;
@@ -157,7 +157,8 @@
                     + thrown
                     + " at "
                     + List.of(thrown.getStackTrace()).stream().limit(3).toList()));
-    HostLinks backendConnector = new HostLinks(eventLoop, ByteBufAllocator.DEFAULT, counters);
+    BackendConnector backendConnector =
+        new BackendConnector(eventLoop, ByteBufAllocator.DEFAULT, counters);
     discoveryAddress = config.discoveryAddress();
     ListReader.Listing lastKnownEndpoints = config.lastKnownEndpoints();
     discoveryClient =
@@ -188,12 +189,12 @@
                 config.settings().isRemovalBinding(),
                 config.drainGraceNanos()),
             backendConnector,
-            backendConnector::probe,
+            backendConnector::probeStatement,
             () -> {},
             logger::log, // the list is followed unasked
             observedActions -> storm(connectBackoff, observedActions));
     frontend =
-        new Clients(
+        new FrontendServer(
             dispatcher,
             clock,
             timerQueue,
@@ -366,7 +367,7 @@
                   + STAYS_MORE
                   - LAST_ANSWER;
           dispatcher.shuttingDown(lastAnswerDeadline);
-          frontend.closing();
+          frontend.shuttingDown();
           serveOn(signalledAt + CLOSES);
         });
     try {
@@ -393,9 +394,9 @@
   }
 
   private void finish() {
-    frontend.finish();
+    frontend.drain();
     // All have their answers by then; a moment more lets them be written, and connections end.
-    if (frontend.open() > 0 && clock.now() < lastAnswerDeadline + LOOK) {
+    if (frontend.openConnections() > 0 && clock.now() < lastAnswerDeadline + LOOK) {
       timerQueue.schedule(clock.now() + LOOK, this::finish);
       return;
     }
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -33,15 +33,15 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
+import rushwood.net.BackendConnector;
+import rushwood.net.FrontendServer;
+import rushwood.net.WarmupPeers;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.DescriptorBudget;
 import rushwood.overload.OverloadController;
 import rushwood.overload.OverloadSettings;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.wire.Clients;
-import rushwood.wire.HostLinks;
-import rushwood.wire.RehearsedPeers;
 
 /**
  * Plays accesses through a router of its own before the real one is ready, from clients to hosts
@@ -103,8 +103,8 @@
     long end = System.nanoTime() + MAX_DURATION_NANOS;
     EventLoopClock clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
     TimerQueue timerQueue = new TimerQueue(clock, this::scheduleTimer, counters);
-    HostLinks backendConnector =
-        new HostLinks(
+    BackendConnector backendConnector =
+        new BackendConnector(
             new Bootstrap().group(eventLoop).channel(NioDomainSocketChannel.class),
             address -> socketAddress("h"),
             allocator,
@@ -124,7 +124,7 @@
                 true,
                 config.drainGraceNanos()),
             backendConnector,
-            backendConnector::probe,
+            backendConnector::probeStatement,
             () -> {},
             line -> {},
             actions ->
@@ -139,8 +139,8 @@
                             new SplittableRandom(config.seed()),
                             observedActions,
                             overloadSignals)));
-    Clients frontend =
-        new Clients(
+    FrontendServer frontend =
+        new FrontendServer(
             dispatcher,
             clock,
             timerQueue,
@@ -157,7 +157,7 @@
           @Override
           protected void initChannel(Channel channel) {
             peers.add(channel);
-            channel.pipeline().addLast(new RehearsedPeers.Host(requestCount));
+            channel.pipeline().addLast(new WarmupPeers.Backend(requestCount));
           }
         });
     listen("c", frontend);
@@ -186,7 +186,7 @@
           new Bootstrap()
               .group(eventLoop)
               .channel(NioDomainSocketChannel.class)
-              .handler(new RehearsedPeers.Client(this::nextStatement, this::connect))
+              .handler(new WarmupPeers.Client(this::nextStatement, this::connect))
               .connect(socketAddress("c"))
               .channel());
     }
--- a/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
+++ b/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
@@ -25,7 +25,7 @@
 import rushwood.dispatch.Counters.Counter;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.DescriptorBudget;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /** The router with links, a clock and decisions that the test plays. */
 class RequestDispatcherTest {
@@ -66,7 +66,7 @@
     }
 
     void respond(AttemptOutcome outcome) {
-      ByteBuf row = outcome == AttemptOutcome.SUCCESS ? Bytes.buffer(new byte[] {1}) : null;
+      ByteBuf row = outcome == AttemptOutcome.SUCCESS ? TestMessages.buffer(new byte[] {1}) : null;
       listener.responseReceived(new BackendResponse(outcome, row, null, -1, LoadReport.NONE), true);
     }
   }
@@ -129,7 +129,7 @@
     public Request toRequest(long now, long cameAt, long last) {
       return new Request(
           X,
-          Bytes.PRODUCTS.get(0),
+          TestMessages.REQUEST_CLASSES.get(0),
           null,
           new GroupId(1),
           Math.min(last, cameAt + 400 * NANOS_PER_MILLI),
@@ -138,7 +138,7 @@
 
     @Override
     public ByteBuf toMessage(long millis) {
-      return Bytes.buffer(new byte[(int) millis]);
+      return TestMessages.buffer(new byte[(int) millis]);
     }
 
     @Override
@@ -210,7 +210,7 @@
               connections.add(new FakeConnection(events));
               return connections.get(connections.size() - 1);
             },
-            () -> Bytes.buffer(new byte[0]),
+            () -> TestMessages.buffer(new byte[0]),
             () -> recorded.add("subscribed"),
             recorded::add,
             each -> {
@@ -231,7 +231,7 @@
 
   @AfterEach
   void released() {
-    Bytes.allReleased();
+    TestMessages.assertAllReleased();
     assertEquals(0, counters.get(Counter.INVARIANTS_VIOLATED));
   }
 
--- /dev/null
+++ b/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
@@ -0,0 +1,259 @@
+package rushwood.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import rushwood.dispatch.BackendConnection;
+import rushwood.dispatch.BackendResponse;
+
+class BackendProtocolTest {
+  private static final byte[] STATUS_AND_READY =
+      TestMessages.concat(
+          TestMessages.parameterStatus("part", "replica"),
+          TestMessages.parameterStatus("caught_up_to", "1767225600123"),
+          TestMessages.parameterStatus("gauges", "x0=1767225600.5,x1=1,queue=3"),
+          TestMessages.readyForQuery());
+
+  /** A connection that has come up and been asked, unless told otherwise. */
+  private static final class TestBackend implements BackendConnection.Listener {
+    final BackendProtocol protocol = new BackendProtocol(TestMessages.ALLOCATOR, this);
+    final List<String> events = new ArrayList<>();
+    BackendResponse response;
+    byte[] row;
+    boolean usable = true;
+
+    @Override
+    public void connected() {
+      events.add("opened");
+    }
+
+    @Override
+    public void responseReceived(BackendResponse received, boolean again) {
+      events.add(received.outcome() + (again ? " again" : ""));
+      response = received;
+      row = received.row() == null ? null : TestMessages.readAndRelease(received.row());
+    }
+
+    @Override
+    public void connectionLost(boolean accepted) {
+      events.add("broken");
+    }
+
+    TestBackend feed(byte[]... parts) {
+      return feed(List.of(TestMessages.buffer(TestMessages.concat(parts))));
+    }
+
+    TestBackend feed(List<ByteBuf> parts) {
+      for (ByteBuf part : parts) {
+        if (usable) {
+          usable = protocol.feed(part) && protocol.completeRead();
+        } else {
+          part.release();
+        }
+      }
+      if (!usable) {
+        protocol.connectionLost(true);
+      }
+      return this;
+    }
+  }
+
+  private static TestBackend statementSent(boolean probe) {
+    TestBackend backend = new TestBackend().feed(TestMessages.startupResponse());
+    assertEquals(List.of("opened"), backend.events);
+    backend.events.clear();
+    backend.protocol.beginStatement(probe);
+    return backend;
+  }
+
+  @AfterEach
+  void released() {
+    TestMessages.assertAllReleased();
+  }
+
+  /**
+   * The outcome of what a host writes, however it is cut; a connection that ends after it if not
+   * usable.
+   */
+  private static void check(String expected, byte[]... written) {
+    TestMessages.forEachFragmentation(
+        TestMessages.concat(written),
+        pieces -> {
+          TestBackend backend = statementSent(false).feed(pieces);
+          assertEquals(List.of(expected), backend.events);
+          backend.protocol.close();
+        });
+  }
+
+  @Test
+  void rowIsPassedOnToTheByte() {
+    byte[] row = TestMessages.rowResponse("value");
+    TestMessages.forEachFragmentation(
+        TestMessages.concat(row, STATUS_AND_READY),
+        pieces -> {
+          TestBackend backend = statementSent(false).feed(pieces);
+          assertEquals(List.of("FULFILLED again"), backend.events);
+          assertArrayEquals(row, backend.row);
+          assertEquals(Boolean.FALSE, backend.response.primary());
+          assertEquals(1767225600123_000_000L, backend.response.position());
+          assertEquals(1767225600.5e9, backend.response.report().position());
+          assertEquals(Boolean.TRUE, backend.response.report().primary());
+        });
+  }
+
+  @Test
+  void outcomeTable() {
+    check("BEHIND again", TestMessages.errorResponse("25006"), STATUS_AND_READY);
+    check("BEHIND again", TestMessages.errorResponse("72000"), STATUS_AND_READY);
+    check("ERROR again", TestMessages.errorResponse("XX000"), STATUS_AND_READY);
+    check("ERROR again", TestMessages.errorResponse("08P01"), TestMessages.readyForQuery());
+    check("OVERFULL again", TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
+  }
+
+  @Test
+  void whatIsNoAnswerBreaksTheConnection() {
+    check("SPOILT", TestMessages.readyForQuery());
+    check("FULFILLED", TestMessages.rowResponse("v"), TestMessages.rowResponse("v"));
+    check("SPOILT", TestMessages.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
+    check("SPOILT", TestMessages.message('T', new byte[] {0, 2}));
+    check("SPOILT", TestMessages.message('S', new byte[] {'a'}));
+    check("SPOILT", TestMessages.message('E', "SERROR\0C53300\0".getBytes()));
+    check("SPOILT", TestMessages.message('E', "SERROR\0C!\0\0".getBytes()));
+    check("SPOILT", TestMessages.startupResponse());
+  }
+
+  /** Told at the head of a message: the rest of it may never come. */
+  @Test
+  void whatCannotBeReadIsToldAtOnce() {
+    check("SPOILT", new byte[] {'?'});
+    check("SPOILT", new byte[] {'D', (byte) 0xb2, -48, 94, 0});
+    check("SPOILT", new byte[] {'Z', 0, 0, 0, 6});
+    check("FULFILLED", TestMessages.rowResponse("v"), new byte[] {'Z', 0, 0, 0, 4});
+  }
+
+  /** Hosts hold values far above those that clients may write. */
+  @Test
+  void largeValues() {
+    TestBackend backend =
+        statementSent(false)
+            .feed(TestMessages.rowResponse("v".repeat(600_000)), TestMessages.readyForQuery());
+    assertEquals(List.of("FULFILLED again"), backend.events);
+  }
+
+  /** Lengths within a row that do not fit it, to the byte. */
+  @Test
+  void lengthsThatDoNotFit() {
+    byte[] row = TestMessages.rowResponse("value");
+    for (int at : new int[] {4, 6, 33, 35, 39, 49}) {
+      for (int by : new int[] {1, 2, 127}) {
+        byte[] spoilt = row.clone();
+        spoilt[at] += by;
+        TestBackend backend = statementSent(false).feed(spoilt, TestMessages.readyForQuery());
+        assertTrue(backend.row == null, "passed on with byte " + at + " spoilt");
+        backend.protocol.close();
+      }
+    }
+  }
+
+  @Test
+  void endsInMidRow() {
+    byte[] row = TestMessages.rowResponse("value");
+    for (int cut = 0; cut < row.length; cut++) {
+      TestBackend backend = statementSent(false).feed(Arrays.copyOf(row, cut));
+      backend.protocol.connectionLost(true);
+      assertEquals(List.of("broken"), backend.events);
+    }
+  }
+
+  @Test
+  void anEndAfterAWholeAnswerTakesNothingBack() {
+    TestBackend whole = statementSent(false).feed(TestMessages.rowResponse("v"));
+    whole.protocol.connectionLost(true);
+    assertEquals(List.of("FULFILLED"), whole.events);
+    TestBackend error = statementSent(false).feed(TestMessages.errorResponse("53300"));
+    error.protocol.connectionLost(true);
+    assertEquals(List.of("OVERFULL"), error.events);
+  }
+
+  @Test
+  void openingRefused() {
+    TestBackend full = new TestBackend().feed(TestMessages.errorResponse("53300"));
+    assertEquals(List.of("OVERFULL"), full.events);
+    TestBackend down = new TestBackend().feed(TestMessages.errorResponse("57P03"));
+    assertEquals(List.of("UNREACHED"), down.events);
+    TestBackend password =
+        new TestBackend().feed(TestMessages.message('R', new byte[] {0, 0, 0, 3}));
+    assertEquals(List.of("broken"), password.events);
+  }
+
+  @Test
+  void anAnswerNobodyAskedForBreaksTheConnection() {
+    TestBackend backend =
+        statementSent(false).feed(TestMessages.rowResponse("v"), TestMessages.readyForQuery());
+    backend.feed(TestMessages.rowResponse("w"));
+    assertEquals(List.of("FULFILLED again", "broken"), backend.events);
+  }
+
+  /** A second copy or noise in the same read never becomes the answer to the next statement. */
+  @Test
+  void surplusEndsTheUseOfAConnection() {
+    for (byte[] surplus :
+        List.of(TestMessages.rowResponse("v"), new byte[] {0}, TestMessages.readyForQuery())) {
+      TestBackend backend =
+          statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY, surplus);
+      assertEquals(List.of("FULFILLED"), backend.events);
+      assertEquals(Boolean.FALSE, backend.response.primary());
+    }
+    TestBackend half = statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY);
+    half.feed(new byte[] {'S', 0});
+    assertEquals(false, half.protocol.isUsable());
+    half.protocol.close();
+  }
+
+  @Test
+  void oneUseTellsNothingOfTheNext() {
+    TestBackend backend =
+        statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY);
+    backend.protocol.beginStatement(false);
+    backend.feed(TestMessages.rowResponse("w"), TestMessages.readyForQuery());
+    assertNull(backend.response.primary());
+    assertEquals(-1, backend.response.position());
+    assertEquals(true, Double.isNaN(backend.response.report().position()));
+  }
+
+  @Test
+  void probeTellsTheReport() {
+    TestBackend backend =
+        statementSent(true)
+            .feed(TestMessages.rowResponse("x0=12.5,x1=0"), TestMessages.readyForQuery());
+    assertEquals(List.of("FULFILLED again"), backend.events);
+    assertEquals(12.5e9, backend.response.report().position());
+    assertEquals(Boolean.FALSE, backend.response.report().primary());
+    TestBackend bad =
+        statementSent(true)
+            .feed(TestMessages.rowResponse("x0=,x1,=,;x0=1e999"), TestMessages.readyForQuery());
+    assertEquals(true, Double.isNaN(bad.response.report().position()));
+    TestBackend cut =
+        statementSent(true)
+            .feed(
+                TestMessages.message('T', new byte[] {0, 1}),
+                TestMessages.message('D', new byte[] {0, 1, 0, 0, 1, 0}));
+    assertEquals(List.of("SPOILT"), cut.events);
+  }
+
+  @Test
+  void closedByUsNothingIsTold() {
+    TestBackend backend = statementSent(false).feed(TestMessages.rowResponse("v"));
+    backend.protocol.close();
+    backend.protocol.connectionLost(true);
+    assertEquals(List.of(), backend.events);
+  }
+}
--- /dev/null
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -0,0 +1,295 @@
+package rushwood.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class FrontendProtocolTest {
+  private static final String WELCOME = "R S S S S S K Z";
+  private static final String READ = TestMessages.readStatement("a", ",d=480");
+
+  /** Answers each access by its text, at once or when told. */
+  private static final class TestConnection implements FrontendProtocol.Callbacks {
+    final ByteBuf out = TestMessages.ALLOCATOR.heapBuffer();
+    final List<String> submitted = new ArrayList<>();
+    final FrontendProtocol protocol = new FrontendProtocol(TestMessages.ALLOCATOR, this);
+    boolean ready = true;
+    boolean answersAtOnce = true;
+    boolean closed;
+    boolean left;
+    long cancelledKey;
+    boolean booked;
+    boolean resume;
+
+    @Override
+    public boolean isReady() {
+      return ready;
+    }
+
+    @Override
+    public void submit(ByteBuf text) throws ProtocolException {
+      new SqlStatement(text, TestMessages.REQUEST_CLASSES).release();
+      submitted.add(text.toString(StandardCharsets.UTF_8));
+      if (answersAtOnce) {
+        protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
+      }
+    }
+
+    @Override
+    public int writeCounters(ByteBuf rows) {
+      MessageWriter.writeDataRow(rows, "one", "1");
+      return 1;
+    }
+
+    @Override
+    public void statementRejected(ProtocolException fault) {}
+
+    @Override
+    public void write(ByteBuf written) {
+      out.writeBytes(written);
+      written.release();
+    }
+
+    @Override
+    public void retryAfterAnnounced() {
+      booked = true;
+    }
+
+    @Override
+    public void close() {
+      closed = true;
+    }
+
+    @Override
+    public long cancelKey() {
+      return 0x100000002L;
+    }
+
+    @Override
+    public void cancelRequest(long key) {
+      cancelledKey = key;
+    }
+
+    @Override
+    public void clientTerminated() {
+      left = true;
+    }
+
+    @Override
+    public void resumeLater() {
+      resume = true;
+    }
+
+    TestConnection feed(List<ByteBuf> parts) {
+      for (ByteBuf part : parts) {
+        if (closed) {
+          part.release(); // as the driver does
+        } else {
+          protocol.feed(part);
+          runTurn();
+        }
+      }
+      return this;
+    }
+
+    TestConnection feed(byte[]... parts) {
+      return feed(List.of(TestMessages.buffer(TestMessages.concat(parts))));
+    }
+
+    void runTurn() {
+      while (resume && !closed) {
+        resume = false;
+        protocol.resume();
+      }
+    }
+
+    /** What was written since the last look. */
+    String writtenTypes() {
+      byte[] bytes = new byte[out.readableBytes()];
+      out.readBytes(bytes);
+      return TestMessages.messageTypes(bytes);
+    }
+  }
+
+  @AfterEach
+  void released() {
+    TestMessages.assertAllReleased();
+  }
+
+  private static void check(String expected, boolean closes, byte[]... parts) {
+    TestMessages.forEachFragmentation(
+        TestMessages.concat(parts),
+        pieces -> {
+          TestConnection connection = new TestConnection().feed(pieces);
+          assertEquals(expected, connection.writtenTypes());
+          assertEquals(closes, connection.closed);
+          connection.protocol.connectionClosed();
+        });
+  }
+
+  @Test
+  void startupFollowedByQueries() {
+    check(
+        WELCOME + " T D C Z I Z T D C Z",
+        false,
+        TestMessages.startup(),
+        TestMessages.query(READ),
+        TestMessages.query(" ; "),
+        TestMessages.query(READ));
+  }
+
+  @Test
+  void encryptionIsDeclinedAndTheClientGoesOn() {
+    byte[] asked = TestMessages.startup(80877103, "");
+    TestMessages.forEachFragmentation(
+        TestMessages.concat(asked, TestMessages.startup()),
+        pieces -> {
+          TestConnection connection = new TestConnection().feed(pieces);
+          assertEquals('N', connection.out.readByte());
+          assertEquals(WELCOME, connection.writtenTypes());
+          connection.protocol.connectionClosed();
+        });
+  }
+
+  @Test
+  void otherOpenings() {
+    check("", true, TestMessages.startup(80877102, "12345678"));
+    check("E(0A000)", true, TestMessages.startup(2 << 16, "\0"));
+    check(
+        "v " + WELCOME,
+        false,
+        TestMessages.startup(MessageWriter.PROTOCOL_VERSION + 2, "user\0client\0\0"));
+    check("E(08P01)", true, new byte[] {0, 0, 0, 5, 0});
+    check("E(08P01)", true, "GET / HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
+  }
+
+  @Test
+  void extendedQueriesAreSkippedUpToTheirSync() {
+    check(
+        WELCOME + " E(0A000) Z T D C Z",
+        false,
+        TestMessages.startup(),
+        TestMessages.message('P', new byte[9]),
+        TestMessages.message('B', new byte[9]),
+        TestMessages.message('E', new byte[9]),
+        TestMessages.message('H', new byte[0]),
+        TestMessages.query("SELECT 1"),
+        TestMessages.message('S', new byte[0]),
+        TestMessages.query(READ));
+  }
+
+  @Test
+  void framingThatIsLostEndsTheConnection() {
+    check(WELCOME + " E(08P01)", true, TestMessages.startup(), new byte[] {'Q', 0, 0, 0, 3});
+    check(WELCOME + " E(08P01)", true, TestMessages.startup(), new byte[] {'Q', 127, 0, 0, 0});
+    check(
+        WELCOME + " E(08P01)",
+        true,
+        TestMessages.startup(),
+        TestMessages.message('?', new byte[0]));
+    check(
+        WELCOME,
+        true,
+        TestMessages.startup(),
+        TestMessages.message('X', new byte[0]),
+        TestMessages.query(READ));
+  }
+
+  @Test
+  void badStatementsReachNoHost() {
+    for (String statement :
+        List.of("SELECT 1", "DROP TABLE state", "SELECT val /* id=1", READ + " x")) {
+      TestConnection connection =
+          new TestConnection()
+              .feed(
+                  TestMessages.startup(), TestMessages.query(statement), TestMessages.query(READ));
+      assertEquals(WELCOME + " E(42601) Z T D C Z", connection.writtenTypes());
+      assertEquals(List.of(READ), connection.submitted);
+    }
+    check(
+        WELCOME + " E(08P01) Z",
+        false,
+        TestMessages.startup(),
+        TestMessages.message('Q', new byte[] {'S'}));
+  }
+
+  @Test
+  void notReadyAnswersNoEmptyQuery() {
+    TestConnection connection = new TestConnection();
+    connection.ready = false;
+    assertEquals(
+        WELCOME + " E(57P03) Z",
+        connection.feed(TestMessages.startup(), TestMessages.query("")).writtenTypes());
+    connection.ready = true;
+    assertEquals("I Z", connection.feed(TestMessages.query("")).writtenTypes());
+  }
+
+  @Test
+  void countersAreShown() {
+    check(
+        WELCOME + " T D C Z", false, TestMessages.startup(), TestMessages.query("show counters;"));
+  }
+
+  /** Each access waits for the answer of the one before; each has one answer, of its own kind. */
+  @Test
+  void oneAnswerEachInOrder() {
+    TestConnection connection = new TestConnection();
+    connection.answersAtOnce = false;
+    connection.feed(
+        TestMessages.startup(),
+        TestMessages.query(READ),
+        TestMessages.query(READ),
+        TestMessages.query(READ));
+    assertEquals(WELCOME, connection.writtenTypes());
+    assertEquals(1, connection.submitted.size());
+    connection.protocol.sendRejection(250_000_000);
+    assertEquals("E(53300) Z", connection.writtenTypes());
+    connection.protocol.sendFailure();
+    assertEquals("", connection.writtenTypes(), "a second answer to the same access");
+    connection.runTurn();
+    assertEquals(2, connection.submitted.size());
+    connection.protocol.sendFailure();
+    connection.runTurn();
+    assertEquals("E(58000) Z", connection.writtenTypes());
+    connection.protocol.connectionClosed();
+    connection.protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
+    assertEquals("", connection.writtenTypes(), "an answer to a client that has left");
+  }
+
+  @Test
+  void adviceStandsInTheDetail() {
+    TestConnection connection = new TestConnection();
+    connection.answersAtOnce = false;
+    connection.feed(TestMessages.startup(), TestMessages.query(READ));
+    connection.protocol.sendRejection(250_000_000);
+    assertTrue(connection.out.toString(StandardCharsets.UTF_8).contains("D250\0"));
+    connection.protocol.connectionClosed();
+  }
+
+  @Test
+  void finishingClosesBetweenAccessesOnly() {
+    TestConnection idle = new TestConnection().feed(TestMessages.startup());
+    idle.protocol.drain();
+    assertTrue(idle.closed);
+    TestConnection busy = new TestConnection();
+    busy.answersAtOnce = false;
+    byte[] second = TestMessages.query(READ);
+    busy.feed(TestMessages.startup(), TestMessages.query(READ), Arrays.copyOf(second, 9));
+    busy.protocol.drain();
+    busy.protocol.sendFailure();
+    busy.runTurn();
+    assertEquals(false, busy.closed, "an access is half read");
+    busy.feed(Arrays.copyOfRange(second, 9, second.length));
+    busy.protocol.sendFailure();
+    busy.runTurn();
+    assertTrue(busy.closed);
+    assertEquals(WELCOME + " E(58000) Z E(58000) Z", busy.writtenTypes());
+  }
+}
--- a/router/src/test/java/rushwood/wire/ListReaderTest.java
+++ b/router/src/test/java/rushwood/protocol/ListReaderTest.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -31,7 +31,7 @@
 
   @AfterEach
   void released() {
-    Bytes.allReleased();
+    TestMessages.assertAllReleased();
   }
 
   private static String list(int version, boolean whole, String hosts) {
@@ -59,11 +59,12 @@
   }
 
   private static List<ListReader.Listing> read(String text) throws ListReader.Unreadable {
-    return read(new ListReader(), List.of(Bytes.buffer(text.getBytes(StandardCharsets.UTF_8))));
+    return read(
+        new ListReader(), List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))));
   }
 
   private static void checked(String text) {
-    Bytes.everyWay(
+    TestMessages.forEachFragmentation(
         text.getBytes(StandardCharsets.UTF_8),
         parts -> {
           List<ListReader.Listing> listings;
@@ -158,7 +159,9 @@
     assertEquals(false, listing.whole());
     assertEquals(2, listing.faults().size());
     listing =
-        read(new ListReader(true, -1, 0), List.of(Bytes.buffer("{\"version\":3}".getBytes())))
+        read(
+                new ListReader(true, -1, 0),
+                List.of(TestMessages.buffer("{\"version\":3}".getBytes())))
             .get(0);
     assertEquals(false, listing.whole(), "without entries it does not say that there are none");
   }
@@ -225,7 +228,7 @@
       throws ListReader.Unreadable {
     return read(
             new ListReader(true, held, sum),
-            List.of(Bytes.buffer(text.getBytes(StandardCharsets.UTF_8))))
+            List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))))
         .get(0);
   }
 
--- a/router/src/test/java/rushwood/wire/Bytes.java
+++ b/router/src/test/java/rushwood/protocol/TestMessages.java
@@ -1,4 +1,4 @@
-package rushwood.wire;
+package rushwood.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -13,9 +13,9 @@
 import rushwood.api.RequestClass;
 
 /** Writes and reads messages for the tests, and keeps count of buffers that are not given back. */
-public final class Bytes {
+public final class TestMessages {
   public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
-  public static final List<RequestClass> PRODUCTS =
+  public static final List<RequestClass> REQUEST_CLASSES =
       List.of(
           new RequestClass(
               "pass",
@@ -48,53 +48,53 @@
               0,
               0));
 
-  private static final List<ByteBuf> GIVEN = new ArrayList<>();
+  private static final List<ByteBuf> ALLOCATED = new ArrayList<>();
 
-  private Bytes() {}
+  private TestMessages() {}
 
   public static ByteBuf buffer(byte[] bytes) {
     ByteBuf buffer = ALLOCATOR.buffer(bytes.length).writeBytes(bytes);
-    GIVEN.add(buffer);
+    ALLOCATED.add(buffer);
     return buffer;
   }
 
   /** Fails if a buffer that was handed out since the last call was not released. */
-  public static void allReleased() {
-    GIVEN.forEach(each -> assertEquals(0, each.refCnt(), "a buffer is kept"));
-    GIVEN.clear();
+  public static void assertAllReleased() {
+    ALLOCATED.forEach(each -> assertEquals(0, each.refCnt(), "a buffer is kept"));
+    ALLOCATED.clear();
   }
 
-  public static byte[] join(byte[]... parts) {
+  public static byte[] concat(byte[]... parts) {
     ByteBuf out = ALLOCATOR.heapBuffer();
     for (byte[] part : parts) {
       out.writeBytes(part);
     }
-    return take(out);
+    return readAndRelease(out);
   }
 
-  static byte[] take(ByteBuf from) {
+  public static byte[] readAndRelease(ByteBuf from) {
     byte[] bytes = new byte[from.readableBytes()];
     from.readBytes(bytes);
     from.release();
     return bytes;
   }
 
-  static byte[] written(Consumer<ByteBuf> writer) {
+  public static byte[] bytesWrittenBy(Consumer<ByteBuf> writer) {
     ByteBuf out = ALLOCATOR.heapBuffer();
     writer.accept(out);
-    return take(out);
+    return readAndRelease(out);
   }
 
   public static byte[] message(char type, byte[] body) {
-    return written(out -> out.writeByte(type).writeInt(4 + body.length).writeBytes(body));
+    return bytesWrittenBy(out -> out.writeByte(type).writeInt(4 + body.length).writeBytes(body));
   }
 
   public static byte[] query(String text) {
     return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
   }
 
-  static byte[] startup(int code, String rest) {
-    return written(
+  public static byte[] startup(int code, String rest) {
+    return bytesWrittenBy(
         out ->
             out.writeInt(8 + rest.length())
                 .writeInt(code)
@@ -102,35 +102,35 @@
   }
 
   public static byte[] startup() {
-    return startup(Messages.VERSION, "user\0client\0database\0core\0\0");
+    return startup(MessageWriter.PROTOCOL_VERSION, "user\0client\0database\0core\0\0");
   }
 
-  public static byte[] welcome() {
-    return written(out -> Messages.welcome(out, 0));
+  public static byte[] startupResponse() {
+    return bytesWrittenBy(out -> MessageWriter.writeStartupResponse(out, 0));
   }
 
-  public static byte[] ready() {
-    return written(Messages::ready);
+  public static byte[] readyForQuery() {
+    return bytesWrittenBy(MessageWriter::writeReadyForQuery);
   }
 
-  public static byte[] parameter(String name, String value) {
+  public static byte[] parameterStatus(String name, String value) {
     return message('S', (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8));
   }
 
-  public static byte[] error(String code) {
-    return written(out -> Messages.error(out, false, code, "no", null));
+  public static byte[] errorResponse(String code) {
+    return bytesWrittenBy(out -> MessageWriter.writeErrorResponse(out, false, code, "no", null));
   }
 
-  public static byte[] row(String value) {
-    return written(
+  public static byte[] rowResponse(String value) {
+    return bytesWrittenBy(
         out -> {
-          Messages.columns(out, "val");
-          Messages.row(out, value);
-          Messages.complete(out, "SELECT 1");
+          MessageWriter.writeRowDescription(out, "val");
+          MessageWriter.writeDataRow(out, value);
+          MessageWriter.writeCommandComplete(out, "SELECT 1");
         });
   }
 
-  public static String read(String id, String more) {
+  public static String readStatement(String id, String more) {
     return "SELECT val FROM state WHERE uid = 'k1' /* id="
         + id
         + ",c=pass,t=acme,cluster=2"
@@ -138,7 +138,7 @@
         + " */";
   }
 
-  public static String write(String id, String more) {
+  public static String writeStatement(String id, String more) {
     return "INSERT INTO state (uid, val) VALUES ('k1', '\\x9f03') RETURNING val /* id="
         + id
         + ",c=pay,t=acme,cluster=2"
@@ -147,7 +147,7 @@
   }
 
   /** The types of whole messages, an error's with its code: "T D C E(53300) Z". */
-  public static String types(byte[] bytes) {
+  public static String messageTypes(byte[] bytes) {
     StringBuilder types = new StringBuilder();
     for (int at = 0; at < bytes.length; ) {
       char type = (char) bytes[at];
@@ -167,15 +167,15 @@
   }
 
   /** Hands the bytes over in one piece, then byte by byte, then cut in two at every place. */
-  static void everyWay(byte[] bytes, Consumer<List<ByteBuf>> play) {
-    play.accept(List.of(buffer(bytes)));
+  public static void forEachFragmentation(byte[] bytes, Consumer<List<ByteBuf>> test) {
+    test.accept(List.of(buffer(bytes)));
     List<ByteBuf> single = new ArrayList<>();
     for (byte each : bytes) {
       single.add(buffer(new byte[] {each}));
     }
-    play.accept(single);
+    test.accept(single);
     for (int cut = 1; cut < bytes.length; cut++) {
-      play.accept(
+      test.accept(
           List.of(
               buffer(Arrays.copyOf(bytes, cut)),
               buffer(Arrays.copyOfRange(bytes, cut, bytes.length))));
--- a/router/src/test/java/rushwood/server/ClientDisconnectTest.java
+++ b/router/src/test/java/rushwood/server/ClientDisconnectTest.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /**
  * Nothing begins for a client that has gone. Where its access waits no host is in service, or its
@@ -20,7 +20,7 @@
  */
 class ClientDisconnectTest extends RouterProcessFixture {
   private static final String LONG_READ =
-      Bytes.read("ID", ",d=8000"); // half of it is its time in the line
+      TestMessages.readStatement("ID", ",d=8000"); // half of it is its time in the line
   private static final int DISCONNECT_MILLIS =
       150; // ms, over the 100 within which an attempt may still begin
   private static final int CLIENT_COUNT = 50;
@@ -120,7 +120,7 @@
   @Test
   void terminateMessage() throws Exception {
     disconnectWhileQueued(
-        client -> client.socket.getOutputStream().write(Bytes.message('X', new byte[0])));
+        client -> client.socket.getOutputStream().write(TestMessages.message('X', new byte[0])));
   }
 
   /** Behind statements that it had written ahead. */
@@ -132,17 +132,19 @@
                 .socket
                 .getOutputStream()
                 .write(
-                    Bytes.join(
-                        Bytes.query(withId(LONG_READ, "gone-next")),
-                        Bytes.query(""),
-                        Bytes.message('X', new byte[0]))));
+                    TestMessages.concat(
+                        TestMessages.query(withId(LONG_READ, "gone-next")),
+                        TestMessages.query(""),
+                        TestMessages.message('X', new byte[0]))));
   }
 
   /** It wrote more ahead than is kept, and its end stands behind that. */
   @Test
   void connectionClosedAfterMoreThanIsBuffered() throws Exception {
     byte[] much =
-        Bytes.query(Bytes.write("gone-next", ",d=900").replace("9f03", "9f".repeat(60_000)));
+        TestMessages.query(
+            TestMessages.writeStatement("gone-next", ",d=900")
+                .replace("9f03", "9f".repeat(60_000)));
     int[] count = new int[1];
     disconnectWhileQueued(
         client -> {
@@ -157,7 +159,9 @@
   private void sendCancelRequest(byte[] key) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      socket.getOutputStream().write(Bytes.join(new byte[] {0, 0, 0, 16, 4, -46, 22, 46}, key));
+      socket
+          .getOutputStream()
+          .write(TestMessages.concat(new byte[] {0, 0, 0, 16, 4, -46, 22, 46}, key));
       assertEquals(-1, socket.getInputStream().read(), "it is not answered");
     }
   }
@@ -199,7 +203,8 @@
         List.<ClientAction>of(
             TestClient::close,
             client -> sendCancelRequest(client.cancelKey),
-            client -> client.socket.getOutputStream().write(Bytes.message('X', new byte[0])))) {
+            client ->
+                client.socket.getOutputStream().write(TestMessages.message('X', new byte[0])))) {
       CountDownLatch connectionsOpen = new CountDownLatch(1);
       replica.startupGate = connectionsOpen;
       primary.startupGate = connectionsOpen;
@@ -243,7 +248,9 @@
       try (Socket unaccepted = new Socket("127.0.0.1", port)) {
         unaccepted
             .getOutputStream()
-            .write(Bytes.join(Bytes.startup(), Bytes.query(withId(LONG_READ, "gone" + i))));
+            .write(
+                TestMessages.concat(
+                    TestMessages.startup(), TestMessages.query(withId(LONG_READ, "gone" + i))));
       }
     }
     Thread.sleep(DISCONNECT_MILLIS);
@@ -264,13 +271,16 @@
           } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
           }
-          return Bytes.join(Bytes.row("v"), Bytes.parameter("part", "master"), Bytes.ready());
+          return TestMessages.concat(
+              TestMessages.rowResponse("v"),
+              TestMessages.parameterStatus("part", "master"),
+              TestMessages.readyForQuery());
         };
     TestClient staying = connectClient();
     List<TestClient> waiting = new ArrayList<>();
     for (int i = 0; i < CLIENT_COUNT; i++) {
       waiting.add(connectClient());
-      waiting.get(i).send(Bytes.write("gone" + i, ",d=4000"));
+      waiting.get(i).send(TestMessages.writeStatement("gone" + i, ",d=4000"));
     }
     awaitAcceptedRequests(CLIENT_COUNT);
     Thread.sleep(DISCONNECT_MILLIS);
--- a/router/src/test/java/rushwood/server/ConnectionCloseTest.java
+++ b/router/src/test/java/rushwood/server/ConnectionCloseTest.java
@@ -13,13 +13,17 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /** Connections that end, from either side, in the moment in which something is on its way. */
 class ConnectionCloseTest extends RouterProcessFixture {
   private static final int SERVED_RESPONSE_LENGTH =
-      Bytes.join(Bytes.welcome(), new byte[] {'I', 0, 0, 0, 4}, Bytes.ready()).length;
-  private static final byte[] TERMINATE = Bytes.message('X', new byte[0]);
+      TestMessages.concat(
+              TestMessages.startupResponse(),
+              new byte[] {'I', 0, 0, 0, 4},
+              TestMessages.readyForQuery())
+          .length;
+  private static final byte[] TERMINATE = TestMessages.message('X', new byte[0]);
 
   /** All that comes up to the end; a reset in place of the end fails. */
   private static byte[] readToEnd(Socket socket) throws IOException {
@@ -54,12 +58,15 @@
    */
   @Test
   void dataAfterTerminateMessage() throws Exception {
-    byte[] more = Bytes.query(Bytes.write("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
+    byte[] more =
+        TestMessages.query(
+            TestMessages.writeStatement("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
     for (int i = 0; i < 5; i++) {
       try (TestClient client = new TestClient(port)) {
         assertEquals("T D C Z", client.query(withId(READ_STATEMENT, "r" + i)));
-        writeWhileSuspended(client, Bytes.join(Bytes.query(""), TERMINATE, more, more, more));
-        assertEquals("I Z", Bytes.types(readToEnd(client.socket)));
+        writeWhileSuspended(
+            client, TestMessages.concat(TestMessages.query(""), TERMINATE, more, more, more));
+        assertEquals("I Z", TestMessages.messageTypes(readToEnd(client.socket)));
       }
     }
     assertEquals(0, countReceived("behind"));
@@ -68,12 +75,16 @@
   /** The same behind a fault of its own, which it can read. */
   @Test
   void dataAfterProtocolError() throws Exception {
-    byte[] more = Bytes.query(Bytes.write("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
+    byte[] more =
+        TestMessages.query(
+            TestMessages.writeStatement("behind", ",d=900").replace("9f03", "9f".repeat(60_000)));
     for (int i = 0; i < 5; i++) {
       try (TestClient client = new TestClient(port)) {
         writeWhileSuspended(
-            client, Bytes.join(Bytes.query(""), new byte[] {'?', 0, 0, 0, 4}, more, more, more));
-        assertEquals("I Z E(08P01)", Bytes.types(readToEnd(client.socket)));
+            client,
+            TestMessages.concat(
+                TestMessages.query(""), new byte[] {'?', 0, 0, 0, 4}, more, more, more));
+        assertEquals("I Z E(08P01)", TestMessages.messageTypes(readToEnd(client.socket)));
       }
     }
     assertEquals(0, countReceived("behind"));
@@ -95,11 +106,15 @@
     try {
       for (int i = 0; i < 230; i++) {
         sockets.add(connect());
-        sockets.get(i).getOutputStream().write(Bytes.join(Bytes.startup(), Bytes.query("")));
+        sockets
+            .get(i)
+            .getOutputStream()
+            .write(TestMessages.concat(TestMessages.startup(), TestMessages.query("")));
       }
       int refused = 0;
       for (Socket each : sockets) {
-        String types = Bytes.types(each.getInputStream().readNBytes(SERVED_RESPONSE_LENGTH));
+        String types =
+            TestMessages.messageTypes(each.getInputStream().readNBytes(SERVED_RESPONSE_LENGTH));
         refused += types.endsWith("E(53300)") ? 1 : 0;
         assertTrue(
             types.isEmpty() || types.equals("R S S S S S K Z I Z") || types.endsWith("E(53300)"),
@@ -122,17 +137,21 @@
     replica.responder =
         statement -> {
           pause(400);
-          return Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
+          return TestMessages.concat(
+              TestMessages.rowResponse("v"),
+              TestMessages.parameterStatus("part", "replica"),
+              TestMessages.readyForQuery());
         };
     byte[] much =
-        Bytes.query(Bytes.write("ahead", ",d=900").replace("9f03", "9f".repeat(64 << 10)));
+        TestMessages.query(
+            TestMessages.writeStatement("ahead", ",d=900").replace("9f03", "9f".repeat(64 << 10)));
     try (TestClient client = new TestClient(port)) {
       client.send(withId(READ_STATEMENT, "r1"));
       OutputStream out = client.socket.getOutputStream();
       for (int i = 0; i < 24; i++) {
         out.write(much); // three times what is kept
       }
-      String types = Bytes.types(readToEnd(client.socket));
+      String types = TestMessages.messageTypes(readToEnd(client.socket));
       assertTrue(types.startsWith("T D C Z ") && types.endsWith(" E(53300)"), types);
     }
   }
@@ -143,7 +162,9 @@
    */
   @Test
   void pipeliningByManyClients() throws Exception {
-    byte[] much = Bytes.query(Bytes.write("ahead", ",d=900").replace("9f03", "9f".repeat(60_000)));
+    byte[] much =
+        TestMessages.query(
+            TestMessages.writeStatement("ahead", ",d=900").replace("9f03", "9f".repeat(60_000)));
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     for (int i = 0; i < 8; i++) {
       all.writeBytes(much);
@@ -195,14 +216,19 @@
    */
   @Test
   void idleBackendConnectionEnds() throws Exception {
-    byte[] row = Bytes.join(Bytes.row("v"), Bytes.parameter("part", "master"), Bytes.ready());
-    byte[] half = Bytes.join(row, new byte[] {'N', 0, 0});
+    byte[] row =
+        TestMessages.concat(
+            TestMessages.rowResponse("v"),
+            TestMessages.parameterStatus("part", "master"),
+            TestMessages.readyForQuery());
+    byte[] half = TestMessages.concat(row, new byte[] {'N', 0, 0});
     try (TestClient client = new TestClient(port)) {
       for (int i = 0; i < 60; i++) {
         boolean halfLine = i % 2 == 0;
         primary.keepsConnectionOpen = halfLine;
         primary.responder = statement -> halfLine ? half : row;
-        assertEquals("T D C Z", client.query(Bytes.write("w" + i, ",d=900")), "write " + i);
+        assertEquals(
+            "T D C Z", client.query(TestMessages.writeStatement("w" + i, ",d=900")), "write " + i);
         if (!halfLine) {
           primary.closeConnections();
         }
@@ -220,16 +246,24 @@
   @Test
   void backendResetDuringWrite() throws Exception {
     byte[] none =
-        Bytes.join(Bytes.error("25006"), Bytes.parameter("part", "replica"), Bytes.ready());
-    byte[] row = Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
+        TestMessages.concat(
+            TestMessages.errorResponse("25006"),
+            TestMessages.parameterStatus("part", "replica"),
+            TestMessages.readyForQuery());
+    byte[] row =
+        TestMessages.concat(
+            TestMessages.rowResponse("v"),
+            TestMessages.parameterStatus("part", "replica"),
+            TestMessages.readyForQuery());
     replica.responder = statement -> statement.startsWith("INSERT") ? none : row;
-    byte[] report = Bytes.join(Bytes.row("x0=1,x1=1"), Bytes.ready());
+    byte[] report =
+        TestMessages.concat(TestMessages.rowResponse("x0=1,x1=1"), TestMessages.readyForQuery());
     primary.responder =
         statement -> statement.startsWith("SHOW") ? report : new byte[0]; // and the connection ends
     int started = 0;
     try (TestClient client = new TestClient(port)) {
       for (int i = 0; i < 10; i++) {
-        String answer = client.query(Bytes.write("w" + i, ",d=900"));
+        String answer = client.query(TestMessages.writeStatement("w" + i, ",d=900"));
         long executions =
             primary.receivedStatements.stream().filter(each -> each.contains("id=w")).count()
                 - started;
@@ -253,11 +287,13 @@
    */
   @Test
   void truncatedBackendResponses() throws Exception {
-    byte[] row = Bytes.row("value");
-    byte[] whole = Bytes.join(row, Bytes.parameter("part", "replica"), Bytes.ready());
+    byte[] row = TestMessages.rowResponse("value");
+    byte[] whole =
+        TestMessages.concat(
+            row, TestMessages.parameterStatus("part", "replica"), TestMessages.readyForQuery());
     byte[] noEnd = Arrays.copyOf(row, row.length - 14); // its completion is missing
     byte[] half = Arrays.copyOf(row, row.length - 16); // and the end of its value
-    String read = Bytes.read("ID", ",d=400");
+    String read = TestMessages.readStatement("ID", ",d=400");
     int count = 0;
     for (byte[] truncated : List.of(half, noEnd)) {
       for (boolean keepsOpen : new boolean[] {false, true}) {
@@ -290,7 +326,7 @@
 
   @Test
   void connectionClosedDuringStartup() throws Exception {
-    for (byte[] start : List.of(new byte[0], new byte[] {0, 0}, Bytes.startup())) {
+    for (byte[] start : List.of(new byte[0], new byte[] {0, 0}, TestMessages.startup())) {
       try (Socket socket = connect()) {
         socket.getOutputStream().write(start);
         socket.shutdownOutput();
--- a/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
+++ b/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /**
  * What discovery has and could tell counts 6 s later, with a grace of 15 s too: a start as well as
@@ -18,7 +18,7 @@
  */
 class EndpointUpdateDeadlineTest extends RouterProcessFixture {
   private static final long MAX_UPDATE_MILLIS = 6000; // ms
-  private static final String READ = Bytes.read("ID", ",d=900");
+  private static final String READ = TestMessages.readStatement("ID", ",d=900");
 
   private StandInBackend newBackend;
   private int requestCount;
@@ -136,7 +136,7 @@
     try (TestClient client = connectClient()) {
       for (int i = 0; i < 300; i++) {
         Socket socket = new Socket("127.0.0.1", port);
-        socket.getOutputStream().write(Bytes.startup());
+        socket.getOutputStream().write(TestMessages.startup());
         idle.add(socket);
       }
       discovery.closeConnections();
--- a/router/src/test/java/rushwood/server/GracefulShutdownTest.java
+++ b/router/src/test/java/rushwood/server/GracefulShutdownTest.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /**
  * SIGTERM and SIGHUP at any moment of a process: each request that was taken has its whole answer.
@@ -70,10 +70,14 @@
       }
       socket
           .getOutputStream()
-          .write(Bytes.join(Bytes.startup(), Bytes.query(withId(READ_STATEMENT, "r" + i))));
+          .write(
+              TestMessages.concat(
+                  TestMessages.startup(), TestMessages.query(withId(READ_STATEMENT, "r" + i))));
       long signalledAt = terminate();
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      assertEquals("R S S S S S K Z T D C Z", Bytes.types(socket.getInputStream().readAllBytes()));
+      assertEquals(
+          "R S S S S S K Z T D C Z",
+          TestMessages.messageTypes(socket.getInputStream().readAllBytes()));
       socket.close();
       assertExitsInTime(signalledAt);
     }
@@ -133,7 +137,10 @@
             } catch (InterruptedException e) {
               Thread.currentThread().interrupt();
             }
-            return Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
+            return TestMessages.concat(
+                TestMessages.rowResponse("v"),
+                TestMessages.parameterStatus("part", "replica"),
+                TestMessages.readyForQuery());
           };
       primary.responder = replica.responder;
       waiting.send(withId(READ_STATEMENT, "r2").replace("d=900", "d=3000"));
@@ -172,7 +179,10 @@
           } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
           }
-          return Bytes.join(Bytes.row("v"), Bytes.parameter("part", "replica"), Bytes.ready());
+          return TestMessages.concat(
+              TestMessages.rowResponse("v"),
+              TestMessages.parameterStatus("part", "replica"),
+              TestMessages.readyForQuery());
         };
     primary.responder = replica.responder;
     List<TestClient> idle = new ArrayList<>();
@@ -190,7 +200,7 @@
       for (int i = 0; i < 4; i++) {
         pipelining.send(withId(READ_STATEMENT, "slow-ahead" + i).replace("d=900", "d=5000"));
       }
-      byte[] statement = Bytes.query(withId(READ_STATEMENT, "half"));
+      byte[] statement = TestMessages.query(withId(READ_STATEMENT, "half"));
       halfWritten.socket.getOutputStream().write(statement, 0, 30);
       silent.socket.getOutputStream().write(statement, 0, 30);
       Thread.sleep(100);
@@ -239,7 +249,7 @@
                   for (int next = 0; ; next++) {
                     String id = name + next + ",";
                     unanswered.add(id);
-                    client.send(Bytes.read(name + next, ",d=900"));
+                    client.send(TestMessages.readStatement(name + next, ",d=900"));
                     client.readResponse();
                     unanswered.remove(id);
                   }
@@ -279,7 +289,7 @@
       sendSignal("CONT");
       client.send(withId(READ_STATEMENT, "r2").replace("d=900", "d=5000"));
       byte[] rest = client.socket.getInputStream().readAllBytes();
-      String answered = Bytes.types(rest);
+      String answered = TestMessages.messageTypes(rest);
       assertTrue(
           answered.equals("T D C Z")
               || answered.isEmpty() && !replica.receivedStatements.toString().contains("id=r2,"),
--- a/router/src/test/java/rushwood/server/RouterProcessFixture.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -26,14 +26,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /**
  * A router in a process of its own, with stand-in hosts, discovery and clients of ours on loopback.
  */
 abstract class RouterProcessFixture {
   static final int TIMEOUT_MILLIS = 20_000; // ms until a test that hangs fails
-  static final String READ_STATEMENT = Bytes.read("ID", ",d=900");
+  static final String READ_STATEMENT = TestMessages.readStatement("ID", ",d=900");
 
   /** Accepts connections and serves each on a thread. */
   abstract static class StandInServer implements Closeable {
@@ -106,7 +106,11 @@
     StandInBackend(String role) throws IOException {
       this.role = role;
       responder =
-          statement -> Bytes.join(Bytes.row(role), Bytes.parameter("part", role), Bytes.ready());
+          statement ->
+              TestMessages.concat(
+                  TestMessages.rowResponse(role),
+                  TestMessages.parameterStatus("part", role),
+                  TestMessages.readyForQuery());
     }
 
     @Override
@@ -119,7 +123,7 @@
       DataInputStream in = new DataInputStream(client.getInputStream());
       in.readNBytes(in.readInt() - 4);
       startupGate.await();
-      client.getOutputStream().write(Bytes.welcome());
+      client.getOutputStream().write(TestMessages.startupResponse());
       while (true) {
         in.readByte();
         byte[] text = in.readNBytes(in.readInt() - 4);
@@ -183,12 +187,12 @@
     TestClient(int port) throws IOException {
       socket = new Socket("127.0.0.1", port);
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      socket.getOutputStream().write(Bytes.startup());
+      socket.getOutputStream().write(TestMessages.startup());
       assertEquals("R S S S S S K Z", readResponse());
     }
 
     void send(String statement) throws IOException {
-      socket.getOutputStream().write(Bytes.query(statement));
+      socket.getOutputStream().write(TestMessages.query(statement));
     }
 
     String query(String statement) throws IOException {
@@ -204,10 +208,10 @@
       do {
         type = in.readByte();
         byte[] body = in.readNBytes(in.readInt() - 4);
-        all.writeBytes(Bytes.message((char) type, body));
+        all.writeBytes(TestMessages.message((char) type, body));
         cancelKey = type == 'K' ? body : cancelKey;
       } while (type != 'Z');
-      return Bytes.types(all.toByteArray());
+      return TestMessages.messageTypes(all.toByteArray());
     }
 
     boolean isEnded() throws IOException {
--- a/router/src/test/java/rushwood/server/RouterServerTest.java
+++ b/router/src/test/java/rushwood/server/RouterServerTest.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
-import rushwood.wire.Bytes;
+import rushwood.protocol.TestMessages;
 
 /** The whole program in a process of its own, with stand-in hosts and discovery on loopback. */
 class RouterServerTest extends RouterProcessFixture {
@@ -69,9 +69,10 @@
           withId(READ_STATEMENT, "r1").replaceAll("d=\\d+", ""), seen.replaceAll("d=\\d+", ""));
       int waits = Integer.parseInt(seen.replaceAll(".*d=(\\d+).*", "$1"));
       assertTrue(waits > 400 && waits < 900, seen);
-      assertEquals("T D C Z", client.query(Bytes.write("w1", ",d=900")));
+      assertEquals("T D C Z", client.query(TestMessages.writeStatement("w1", ",d=900")));
       assertTrue(nextStatement(primary).startsWith("INSERT"));
-      String longest = Bytes.write("w2", ",d=900").replace("9f03", "9f".repeat(64 << 10));
+      String longest =
+          TestMessages.writeStatement("w2", ",d=900").replace("9f03", "9f".repeat(64 << 10));
       assertEquals("T D C Z", client.query(longest));
       assertEquals(longest.length(), nextStatement(primary).length(), 3);
       assertEquals(
@@ -83,23 +84,28 @@
 
   @Test
   void rejectsWhenBackendIsOverloaded() throws Exception {
-    byte[] full = Bytes.join(Bytes.error("53300"), Bytes.ready());
+    byte[] full =
+        TestMessages.concat(TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
     primary.responder = statement -> full;
     try (TestClient client = new TestClient(port)) {
-      assertEquals("E(53300) Z", client.query(Bytes.write("w1", ",d=300")));
+      assertEquals("E(53300) Z", client.query(TestMessages.writeStatement("w1", ",d=300")));
     }
   }
 
   /** An end in mid-row proves nothing: a write is given up, a read goes on to the other host. */
   @Test
   void backendDisconnectsInMidRow() throws Exception {
-    byte[] row = Bytes.row("value");
-    primary.responder = statement -> Bytes.message('T', new byte[] {0, 1});
-    replica.responder = statement -> Bytes.message('T', new byte[] {0, 1});
+    byte[] row = TestMessages.rowResponse("value");
+    primary.responder = statement -> TestMessages.message('T', new byte[] {0, 1});
+    replica.responder = statement -> TestMessages.message('T', new byte[] {0, 1});
     try (TestClient client = new TestClient(port)) {
-      assertEquals("E(58000) Z", client.query(Bytes.write("w1", ",d=900")));
+      assertEquals("E(58000) Z", client.query(TestMessages.writeStatement("w1", ",d=900")));
       primary.responder =
-          statement -> Bytes.join(row, Bytes.parameter("part", "master"), Bytes.ready());
+          statement ->
+              TestMessages.concat(
+                  row,
+                  TestMessages.parameterStatus("part", "master"),
+                  TestMessages.readyForQuery());
       assertEquals("T D C Z", client.query(withId(READ_STATEMENT, "r1")));
     }
   }
@@ -169,9 +175,10 @@
       process.toHandle().destroy(); // leaves its output open
       awaitLogLine("stopping");
       try (TestClient late = new TestClient(port)) {
-        late.send(Bytes.write("w1", ",d=900"));
+        late.send(TestMessages.writeStatement("w1", ",d=900"));
         assertEquals("T D C Z", late.readResponse());
-        assertEquals("T D C Z", idle.query(Bytes.write("w2", ",d=900")), "it serves on");
+        assertEquals(
+            "T D C Z", idle.query(TestMessages.writeStatement("w2", ",d=900")), "it serves on");
         assertTrue(late.isEnded());
       }
       assertTrue(idle.isEnded());
@@ -302,8 +309,8 @@
         List.of(
             "GET / HTTP/1.1\r\n\r\n".getBytes(),
             new byte[] {0, 0, 0, 8, 4, -46, 22, 46},
-            Bytes.join(Bytes.startup(), new byte[] {'Q', -1, -1, -1, -1}),
-            Bytes.startup())) {
+            TestMessages.concat(TestMessages.startup(), new byte[] {'Q', -1, -1, -1, -1}),
+            TestMessages.startup())) {
       try (Socket socket = new Socket("127.0.0.1", port)) {
         socket.getOutputStream().write(bytes);
       }
