Rename follow to discovery, fleet to membership, with types and members

Need: the code is read by engineers who know the field's terms, not our former ones (docs/glossary.md). Change: EndpointRefreshPolicy, EndpointListParser, DiscoveryClient; GossipReports, MembershipUpdate, DatagramCodec, PeerMessage. Bytes on the wire and JSON keys stay.

--- a/router/src/main/java/rushwood/config/RouterConfig.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -14,7 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import rushwood.api.RoutingSettings;
-import rushwood.protocol.ListReader;
+import rushwood.discovery.EndpointListParser;
 import rushwood.simulator.MalformedMessageException;
 
 /**
@@ -27,7 +27,7 @@
     InetSocketAddress discoveryAddress,
     long seed,
     int maxSockets,
-    ListReader.Listing lastKnownEndpoints,
+    EndpointListParser.EndpointList lastKnownEndpoints,
     RoutingSettings settings,
     long connectTimeoutNanos,
     long idleTimeoutNanos,
@@ -116,11 +116,12 @@
    * What this router held before serves until the list comes: of a bad one what can be read, never
    * no start.
    */
-  private static ListReader.Listing lastKnownEndpoints(JsonObject json) {
+  private static EndpointListParser.EndpointList lastKnownEndpoints(JsonObject json) {
     JsonElement known = json.get("known");
     return known == null || known.isJsonNull()
         ? null
-        : ListReader.read(known.isJsonObject() ? known.getAsJsonObject() : new JsonObject());
+        : EndpointListParser.decode(
+            known.isJsonObject() ? known.getAsJsonObject() : new JsonObject());
   }
 
   /** Nested objects and lists as the pairs of path and value that the simulator's wire has. */
@@ -204,7 +205,7 @@
       Map<String, String> environment, JsonObject json, String variable, String field)
       throws InvalidConfigException {
     try {
-      return ListReader.address(text(environment, json, variable, field));
+      return EndpointListParser.parseAddress(text(environment, json, variable, field));
     } catch (IllegalArgumentException e) {
       throw new InvalidConfigException(field, "is no address");
     }
--- a/router/src/main/java/rushwood/protocol/Discovery.java
+++ b/router/src/main/java/rushwood/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package rushwood.protocol;
+package rushwood.discovery;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -27,91 +27,90 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
 import rushwood.dispatch.TimerQueue;
-import rushwood.follow.Following;
 
 /**
  * Makes the calls for the host list and reads what they bring; when to call is {@link Following}'s
  * word.
  */
-public final class Discovery {
+public final class DiscoveryClient {
   /** Where the list and its troubles go. */
-  public interface Events {
+  public interface Listener {
     /** All of it counts. */
-    void listing(ListReader.Listing listing);
+    void listReceived(EndpointListParser.EndpointList list);
 
     /** Of what cannot be read or believed, the hosts that leave. */
-    void leaving(List<PartialEndpoint> hosts);
+    void endpointsLeaving(List<PartialEndpoint> endpoints);
 
     /** An ask brought nothing that is not held already. */
-    void unchanged();
+    void listUnchanged();
 
     /** A call ended, was silent or brought what cannot be read. */
-    void failed(String why);
+    void requestFailed(String reason);
 
     /** A listing counts but for this part of it. */
-    void unread(String fault);
+    void problemFound(String problem);
   }
 
   private static final String PATH = "/registry/instances";
 
   private final EventLoop loop;
   private final EventLoopClock clock;
-  private final TimerQueue agenda;
-  private final Events events;
-  private final Following following;
-  private final Map<Integer, Call> calls = new HashMap<>();
+  private final TimerQueue timers;
+  private final Listener listener;
+  private final EndpointRefreshPolicy refreshPolicy;
+  private final Map<Integer, DiscoveryRequest> openRequests = new HashMap<>();
   private InetSocketAddress address;
-  private long heldSum; // of the last whole list that counts
-  private TimerQueue.ScheduledTask wake;
+  private long cachedChecksum; // of the last whole list that counts
+  private TimerQueue.ScheduledTask wakeup;
 
   /**
    * With the time within which sends to a leaving host end, and the version of the list that is
    * held, 0 for none.
    */
-  public Discovery(
+  public DiscoveryClient(
       EventLoop loop,
       InetSocketAddress address,
       EventLoopClock clock,
-      TimerQueue agenda,
-      long grace,
+      TimerQueue timers,
+      long drainGrace,
       long version,
-      RandomGenerator chance,
-      Events events) {
+      RandomGenerator random,
+      Listener listener) {
     this.loop = loop;
     this.address = address;
     this.clock = clock;
-    this.agenda = agenda;
-    this.events = events;
-    following = new Following(grace, version, chance, new Calls());
+    this.timers = timers;
+    this.listener = listener;
+    refreshPolicy = new EndpointRefreshPolicy(drainGrace, version, random, new HttpTransport());
   }
 
-  public void follow() {
-    following.start(clock.now());
+  public void start() {
+    refreshPolicy.start(clock.now());
   }
 
   /**
    * Goes on at another address at once; that the old one ends is no failure, and its versions say
    * nothing.
    */
-  public void move(InetSocketAddress to) {
-    address = to;
-    following.moved(clock.now());
+  public void changeAddress(InetSocketAddress newAddress) {
+    address = newAddress;
+    refreshPolicy.addressChanged(clock.now());
   }
 
   public void close() {
-    following.stop();
-    if (wake != null) {
-      wake.cancel();
+    refreshPolicy.stop();
+    if (wakeup != null) {
+      wakeup.cancel();
     }
   }
 
-  private final class Calls implements Following.Calls {
+  private final class HttpTransport implements EndpointRefreshPolicy.Transport {
     @Override
-    public void open(int number, boolean watch, long since) {
-      Call next = new Call(number, watch, since);
-      calls.put(number, next);
+    public void open(int requestNumber, boolean watch, long sinceVersion) {
+      DiscoveryRequest request = new DiscoveryRequest(requestNumber, watch, sinceVersion);
+      openRequests.put(requestNumber, request);
       // A call that does not come up is closed when its time is over.
-      next.channel =
+      request.channel =
           new Bootstrap()
               .group(loop)
               .channel(NioSocketChannel.class)
@@ -120,66 +119,68 @@
                   new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                      channel.pipeline().addLast(new HttpClientCodec(), next);
+                      channel.pipeline().addLast(new HttpClientCodec(), request);
                     }
                   })
               .connect(address)
               .addListener(
-                  done -> {
-                    if (!done.isSuccess()) {
-                      next.fail("cannot be reached");
+                  connected -> {
+                    if (!connected.isSuccess()) {
+                      request.fail("cannot be reached");
                     }
                   })
               .channel();
     }
 
     @Override
-    public void close(int number, boolean silent) {
-      Call call = calls.remove(number);
-      if (call != null) {
-        call.end();
-        if (silent) {
-          events.failed("is silent");
+    public void close(int requestNumber, boolean timedOut) {
+      DiscoveryRequest request = openRequests.remove(requestNumber);
+      if (request != null) {
+        request.close();
+        if (timedOut) {
+          listener.requestFailed("is silent");
         }
       }
     }
 
     @Override
-    public void wake(long at) {
-      if (wake != null) {
-        wake.cancel();
+    public void scheduleWakeup(long at) {
+      if (wakeup != null) {
+        wakeup.cancel();
       }
-      wake = agenda.schedule(at, () -> following.woken(clock.now()));
+      wakeup = timers.schedule(at, () -> refreshPolicy.timerFired(clock.now()));
     }
   }
 
-  private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+  private final class DiscoveryRequest extends SimpleChannelInboundHandler<HttpObject> {
     private final int number;
     private final boolean watch;
-    private final long since;
-    private final ListReader reader;
+    private final long sinceVersion;
+    private final EndpointListParser parser;
     private Channel channel;
-    private boolean over;
+    private boolean closed;
 
-    Call(int number, boolean watch, long since) {
+    DiscoveryRequest(int number, boolean watch, long sinceVersion) {
       this.number = number;
       this.watch = watch;
-      this.since = since;
-      reader = new ListReader(!watch, following.held(), heldSum);
+      this.sinceVersion = sinceVersion;
+      parser = new EndpointListParser(!watch, refreshPolicy.skippableVersion(), cachedChecksum);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-      String path = watch ? PATH + "?follow=1&since=" + since : PATH;
-      DefaultFullHttpRequest get =
+      String path = watch ? PATH + "?follow=1&since=" + sinceVersion : PATH;
+      DefaultFullHttpRequest request =
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-      get.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-      context.writeAndFlush(get);
+      request
+          .headers()
+          .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+      context.writeAndFlush(request);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-      if (over) {
+      if (closed) {
         return;
       }
       if (message.decoderResult().isFailure()) {
@@ -194,69 +195,69 @@
 
     private void read(ByteBuf content, boolean last) {
       try {
-        ListReader.Listing listing = reader.next(content);
-        while (listing != null && !over) {
-          take(listing);
-          listing = reader.next(content);
+        EndpointListParser.EndpointList list = parser.next(content);
+        while (list != null && !closed) {
+          accept(list);
+          list = parser.next(content);
         }
-        if (last && !over) {
-          reader.end();
+        if (last && !closed) {
+          parser.finish();
         }
-      } catch (ListReader.Unreadable e) {
-        leaving(e.partials());
+      } catch (EndpointListParser.UnreadableListException e) {
+        reportLeaving(e.leavingEndpoints());
         fail("writes what cannot be read: " + e.getMessage());
         return;
       }
-      if (!over) {
-        following.heard(clock.now(), number, reader.isBetween());
+      if (!closed) {
+        refreshPolicy.dataReceived(clock.now(), number, parser.isBetweenLists());
       }
-      if (last && !over) {
+      if (last && !closed) {
         if (watch) {
           fail("ended the watch");
         } else {
-          following.done(clock.now(), number);
+          refreshPolicy.responseCompleted(clock.now(), number);
         }
       }
     }
 
-    private void take(ListReader.Listing listing) {
-      listing.faults().forEach(events::unread);
-      Following.Verdict counts =
-          following.listing(
-              clock.now(), number, listing.whole(), listing.version(), listing.faults().isEmpty());
-      if (counts == Following.Verdict.LEAVING_HOSTS) {
-        leaving(listing.leaving());
-      } else if (listing.known()) {
-        events.unchanged();
+    private void accept(EndpointListParser.EndpointList list) {
+      list.problems().forEach(listener::problemFound);
+      EndpointRefreshPolicy.Acceptance acceptance =
+          refreshPolicy.listReceived(
+              clock.now(), number, list.complete(), list.version(), list.problems().isEmpty());
+      if (acceptance == EndpointRefreshPolicy.Acceptance.LEAVING_ENDPOINTS) {
+        reportLeaving(list.leavingEndpoints());
+      } else if (list.unchanged()) {
+        listener.listUnchanged();
       } else {
-        heldSum = listing.whole() ? listing.sum() : heldSum;
-        events.listing(listing);
+        cachedChecksum = list.complete() ? list.checksum() : cachedChecksum;
+        listener.listReceived(list);
       }
     }
 
-    private void leaving(List<PartialEndpoint> hosts) {
-      if (!hosts.isEmpty()) {
-        events.leaving(hosts);
+    private void reportLeaving(List<PartialEndpoint> endpoints) {
+      if (!endpoints.isEmpty()) {
+        listener.endpointsLeaving(endpoints);
       }
     }
 
     /** Closed by us. An answer that was half read says what it said so far. */
-    private void end() {
-      over = true;
+    private void close() {
+      closed = true;
       if (channel != null) {
         channel.close();
       }
       try {
-        reader.end();
-      } catch (ListReader.Unreadable e) {
-        leaving(e.partials());
+        parser.finish();
+      } catch (EndpointListParser.UnreadableListException e) {
+        reportLeaving(e.leavingEndpoints());
       }
     }
 
-    private void fail(String why) {
-      if (!over) {
-        events.failed(why);
-        following.failed(clock.now(), number);
+    private void fail(String reason) {
+      if (!closed) {
+        listener.requestFailed(reason);
+        refreshPolicy.requestFailed(clock.now(), number);
       }
     }
 
--- a/router/src/main/java/rushwood/fleet/MemberId.java
+++ b/router/src/main/java/rushwood/membership/MemberId.java
@@ -1,4 +1,4 @@
-package rushwood.fleet;
+package rushwood.membership;
 
 /**
  * A router of the tier, by the IPv4 address and port that its peers send to: six bytes on the wire.
--- a/router/src/main/java/rushwood/fleet/MemberState.java
+++ b/router/src/main/java/rushwood/membership/MemberState.java
@@ -1,4 +1,4 @@
-package rushwood.fleet;
+package rushwood.membership;
 
 /**
  * What a member is in a view. At one incarnation a later state in this order beats an earlier one;
@@ -11,7 +11,7 @@
   LEFT;
 
   /** Whether it is sent to: probed, asked to relay, counted in the view's size. */
-  public boolean isThere() {
+  public boolean isActive() {
     return this == ALIVE || this == SUSPECT;
   }
 }
--- a/router/src/main/java/rushwood/fleet/Message.java
+++ b/router/src/main/java/rushwood/membership/PeerMessage.java
@@ -1,4 +1,4 @@
-package rushwood.fleet;
+package rushwood.membership;
 
 import java.util.List;
 
@@ -7,14 +7,19 @@
  * number; {@code PING_REQ} asks its receiver to ping {@code target} and pass the ack back. {@code
  * incarnation} is the sender's own.
  */
-public record Message(Kind kind, long incarnation, int number, MemberId target, List<News> news) {
+public record PeerMessage(
+    Kind kind,
+    long incarnation,
+    int sequenceNumber,
+    MemberId target,
+    List<MembershipUpdate> updates) {
   public enum Kind {
     PING,
     ACK,
     PING_REQ
   }
 
-  public Message {
-    news = List.copyOf(news);
+  public PeerMessage {
+    updates = List.copyOf(updates);
   }
 }
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -19,6 +19,8 @@
 import rushwood.api.PolicyActions;
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
+import rushwood.discovery.DiscoveryClient;
+import rushwood.discovery.EndpointListParser;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
@@ -30,8 +32,6 @@
 import rushwood.overload.DescriptorBudget;
 import rushwood.overload.OverloadController;
 import rushwood.policy.DefaultRoutingPolicy;
-import rushwood.protocol.Discovery;
-import rushwood.protocol.ListReader;
 
 /** One running router: puts its parts together on one event loop, and ends them in order. */
 public final class RouterServer {
@@ -82,7 +82,7 @@
   private RequestDispatcher dispatcher;
   private OverloadController storm;
   private FrontendServer frontend;
-  private Discovery discoveryClient;
+  private DiscoveryClient discoveryClient;
   private InetSocketAddress discoveryAddress;
   private boolean stopping;
   private volatile boolean stopRequested; // told to, at any moment of its life
@@ -160,9 +160,9 @@
     BackendConnector backendConnector =
         new BackendConnector(eventLoop, ByteBufAllocator.DEFAULT, counters);
     discoveryAddress = config.discoveryAddress();
-    ListReader.Listing lastKnownEndpoints = config.lastKnownEndpoints();
+    EndpointListParser.EndpointList lastKnownEndpoints = config.lastKnownEndpoints();
     discoveryClient =
-        new Discovery(
+        new DiscoveryClient(
             eventLoop,
             discoveryAddress,
             clock,
@@ -207,12 +207,12 @@
             new SplittableRandom(config.seed() + 2));
     if (lastKnownEndpoints != null) {
       lastKnownEndpoints
-          .faults()
+          .problems()
           .forEach(fault -> logger.log("the list held from before: " + fault));
     }
     dispatcher.endpointsReplaced(
-        lastKnownEndpoints == null ? List.of() : lastKnownEndpoints.places(), true);
-    discoveryClient.follow();
+        lastKnownEndpoints == null ? List.of() : lastKnownEndpoints.endpoints(), true);
+    discoveryClient.start();
     new ConfigReloader(
             environment,
             eventLoop,
@@ -262,7 +262,7 @@
     if (!next.discoveryAddress().equals(discoveryAddress)) {
       discoveryAddress = next.discoveryAddress();
       logger.log("discovery is at " + discoveryAddress);
-      discoveryClient.move(discoveryAddress);
+      discoveryClient.changeAddress(discoveryAddress);
     }
   }
 
@@ -282,34 +282,34 @@
     timer = eventLoop.schedule(task, delay, TimeUnit.NANOSECONDS);
   }
 
-  private final class EndpointListEvents implements Discovery.Events {
+  private final class EndpointListEvents implements DiscoveryClient.Listener {
     private String trouble = "";
 
     @Override
-    public void listing(ListReader.Listing listing) {
+    public void listReceived(EndpointListParser.EndpointList listing) {
       counters.increment(
-          listing.whole()
+          listing.complete()
               ? Counters.Counter.ENDPOINT_LISTS_REPLACED
               : Counters.Counter.ENDPOINT_LISTS_UPDATED);
-      if (listing.whole()) {
-        dispatcher.endpointsReplaced(listing.places(), listing.partials(), false);
+      if (listing.complete()) {
+        dispatcher.endpointsReplaced(listing.endpoints(), listing.partialEndpoints(), false);
         firstListReceived.countDown();
       } else {
-        dispatcher.endpointsUpdated(listing.places(), listing.partials());
+        dispatcher.endpointsUpdated(listing.endpoints(), listing.partialEndpoints());
       }
-      if (listing.faults().isEmpty()) {
+      if (listing.problems().isEmpty()) {
         well();
       }
     }
 
     @Override
-    public void leaving(List<RequestDispatcher.PartialEndpoint> hosts) {
+    public void endpointsLeaving(List<RequestDispatcher.PartialEndpoint> hosts) {
       counters.increment(Counters.Counter.ENDPOINT_LISTS_UPDATED);
       dispatcher.endpointsUpdated(List.of(), hosts);
     }
 
     @Override
-    public void unchanged() {
+    public void listUnchanged() {
       counters.increment(Counters.Counter.ENDPOINT_LISTS_UNCHANGED);
       well();
     }
@@ -322,13 +322,13 @@
     }
 
     @Override
-    public void failed(String why) {
+    public void requestFailed(String why) {
       dispatcher.endpointRefreshFailed();
       say("discovery " + why);
     }
 
     @Override
-    public void unread(String fault) {
+    public void problemFound(String fault) {
       counters.increment(Counters.Counter.ENDPOINT_LISTS_MALFORMED);
       say("discovery writes what cannot be read, the rest counts: " + fault);
     }
--- /dev/null
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -0,0 +1,288 @@
+package rushwood.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import rushwood.api.Endpoint;
+import rushwood.api.HostId;
+import rushwood.dispatch.RequestDispatcher.EndpointAddress;
+import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
+import rushwood.protocol.TestMessages;
+
+class EndpointListParserTest {
+  private static final String DRAINING_ENTRY =
+      "{\"id\":\"s-1\",\"addr\":\"10.1.0.18:6432\",\"zone\":\"a\",\"cell\":3,"
+          + "\"state\":\"Terminating\",\"weight\":1.5,\"started_ms\":1767225600123,\"part\":\"master\"}";
+  private static final String READY_ENTRY =
+      "{\"id\":\"s-2\",\"addr\":\"10.1.0.19:6432\",\"zone\":\"}]\\\"\",\"cell\":3,"
+          + "\"state\":\"Ready\"}";
+  private static final PartialEndpoint DRAINING_ENDPOINT =
+      new PartialEndpoint(new HostId("s-1"), Endpoint.State.DRAINING);
+
+  @AfterEach
+  void assertBuffersReleased() {
+    TestMessages.assertAllReleased();
+  }
+
+  private static String list(int version, boolean complete, String entries) {
+    return "{\"version\":" + version + ",\"full\":" + complete + ",\"servers\":[" + entries + "]}";
+  }
+
+  private static String indented(String json) {
+    return new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(json));
+  }
+
+  private static List<EndpointListParser.EndpointList> parse(
+      EndpointListParser parser, List<ByteBuf> parts)
+      throws EndpointListParser.UnreadableListException {
+    List<EndpointListParser.EndpointList> lists = new ArrayList<>();
+    try {
+      for (ByteBuf part : parts) {
+        for (EndpointListParser.EndpointList next = parser.next(part);
+            next != null;
+            next = parser.next(part)) {
+          lists.add(next);
+        }
+      }
+      parser.finish();
+    } finally {
+      parts.forEach(ByteBuf::release);
+    }
+    return lists;
+  }
+
+  private static List<EndpointListParser.EndpointList> parse(String text)
+      throws EndpointListParser.UnreadableListException {
+    return parse(
+        new EndpointListParser(),
+        List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))));
+  }
+
+  private static void assertParsedHoweverSplit(String text) {
+    TestMessages.forEachFragmentation(
+        text.getBytes(StandardCharsets.UTF_8),
+        parts -> {
+          List<EndpointListParser.EndpointList> lists;
+          try {
+            lists = parse(new EndpointListParser(), parts);
+          } catch (EndpointListParser.UnreadableListException e) {
+            throw new AssertionError(e);
+          }
+          assertEquals(2, lists.size());
+          assertEquals(41, lists.get(0).version());
+          assertEquals(
+              List.of(true, true, true),
+              List.of(
+                  lists.get(0).complete(),
+                  lists.get(0).endpoints().isEmpty(),
+                  lists.get(0).problems().isEmpty()));
+          assertEquals(43, lists.get(1).version());
+          EndpointAddress endpoint = lists.get(1).endpoints().get(0);
+          Endpoint host = endpoint.endpoint();
+          assertEquals("/10.1.0.18:6432", endpoint.address().toString());
+          assertEquals("s-1", host.id().value());
+          assertEquals(3, host.group().value());
+          assertEquals(1.5, host.weight());
+          assertEquals(1767225600123_000_000L, host.startedAt());
+          assertEquals(true, host.primary());
+          assertEquals(Endpoint.State.DRAINING, host.state());
+          assertEquals("}]\"", lists.get(1).endpoints().get(1).endpoint().zone().value());
+        });
+  }
+
+  @Test
+  void compactListsSplitAnywhere() {
+    assertParsedHoweverSplit(
+        "\n"
+            + list(41, true, "")
+            + "\r\n\n"
+            + list(43, false, DRAINING_ENTRY + "," + READY_ENTRY)
+            + "\n");
+  }
+
+  /** The layout says nothing: an indented list is the same list, whole or in a watch. */
+  @Test
+  void indentedListsSplitAnywhere() {
+    assertParsedHoweverSplit(
+        "\n"
+            + indented(list(41, true, ""))
+            + "\r\n\n\n"
+            + indented(list(43, false, DRAINING_ENTRY + "," + READY_ENTRY)));
+    assertParsedHoweverSplit(
+        list(41, true, "").replace(":", " :\t")
+            + indented(list(43, false, DRAINING_ENTRY + "," + READY_ENTRY))
+                .replace("\n", "\r\n\r\n"));
+  }
+
+  /**
+   * One bad entry spoils no other; what it says of its host's leaving counts, and its fault names
+   * the field.
+   */
+  @Test
+  void invalidEntryDoesNotSpoilOthers() throws EndpointListParser.UnreadableListException {
+    assertInvalidEntry(
+        "state has the unknown word Sleeping",
+        new PartialEndpoint(new HostId("s-1"), null),
+        DRAINING_ENTRY.replace("Terminating", "Sleeping"));
+    assertInvalidEntry(
+        "state is missing or cannot be read",
+        new PartialEndpoint(new HostId("s-1"), null),
+        DRAINING_ENTRY.replace("\"Terminating\"", "null"));
+    assertInvalidEntry(
+        "addr is missing or cannot be read",
+        DRAINING_ENDPOINT,
+        DRAINING_ENTRY.replace("10.1.0.18:6432", "a.name:1"));
+    assertInvalidEntry(
+        "addr is missing or cannot be read",
+        DRAINING_ENDPOINT,
+        DRAINING_ENTRY.replace(":6432", ":99999"));
+    assertInvalidEntry(
+        "weight is missing or cannot be read",
+        DRAINING_ENDPOINT,
+        DRAINING_ENTRY.replace("1.5", "-1"));
+    assertInvalidEntry(
+        "cell is missing or cannot be read",
+        DRAINING_ENDPOINT,
+        DRAINING_ENTRY.replace("\"cell\":3", "\"cell\":\"x\""));
+    assertInvalidEntry(
+        "id is missing or cannot be read", null, DRAINING_ENTRY.replace("\"s-1\"", "null"));
+    assertInvalidEntry("servers has what is no entry", null, "7");
+    assertInvalidEntry("servers has what is no entry", null, "[" + DRAINING_ENTRY + "]");
+    assertInvalidEntry(
+        "servers has what is no entry", null, DRAINING_ENTRY.replace("\"state\"", "\"state\"7"));
+  }
+
+  private static void assertInvalidEntry(
+      String problem, PartialEndpoint partial, String invalidEntry)
+      throws EndpointListParser.UnreadableListException {
+    for (String text :
+        List.of(READY_ENTRY + "," + invalidEntry, invalidEntry + "," + READY_ENTRY)) {
+      EndpointListParser.EndpointList list = parse(list(1, true, text)).get(0);
+      assertEquals("s-2", list.endpoints().get(0).endpoint().id().value());
+      assertEquals(1, list.endpoints().size());
+      assertEquals(List.of(problem), list.problems());
+      assertEquals(partial == null ? List.of() : List.of(partial), list.partialEndpoints());
+      assertEquals(
+          DRAINING_ENDPOINT.equals(partial) ? List.of(DRAINING_ENDPOINT) : List.of(),
+          list.leavingEndpoints());
+    }
+  }
+
+  /** Where the list has no version or kind its entries count all the same. */
+  @Test
+  void invalidHeaderKeepsEntries() throws EndpointListParser.UnreadableListException {
+    EndpointListParser.EndpointList list = parse("{\"servers\":[" + DRAINING_ENTRY + "]}").get(0);
+    assertEquals(List.of(DRAINING_ENDPOINT), list.leavingEndpoints());
+    assertEquals(-1, list.version());
+    assertEquals(false, list.complete());
+    assertEquals(2, list.problems().size());
+    list =
+        parse(
+                new EndpointListParser(true, -1, 0),
+                List.of(TestMessages.buffer("{\"version\":3}".getBytes())))
+            .get(0);
+    assertEquals(false, list.complete(), "without entries it does not say that there are none");
+  }
+
+  /**
+   * Cut at any byte: a host that leaves is known from the last byte of its state on, in mid-entry
+   * too.
+   */
+  @Test
+  void truncatedListReportsLeavingEndpoints() {
+    for (String complete :
+        List.of(
+            list(9, true, READY_ENTRY + "," + DRAINING_ENTRY),
+            indented(list(9, true, READY_ENTRY + "," + DRAINING_ENTRY)))) {
+      int told = complete.indexOf("Terminating") + "Terminating\",".length();
+      for (int cut = complete.indexOf('{') + 1; cut < complete.length(); cut++) {
+        String part = complete.substring(0, cut);
+        EndpointListParser.UnreadableListException e =
+            assertThrows(EndpointListParser.UnreadableListException.class, () -> parse(part));
+        assertEquals(
+            cut >= told ? List.of(DRAINING_ENDPOINT) : List.of(), e.leavingEndpoints(), part);
+      }
+    }
+  }
+
+  @Test
+  void malformedInputIsRejected() {
+    assertUnreadable("it begins with n", "nonsense");
+    assertUnreadable("it begins with [", "[]");
+    assertUnreadable("no JSON object", "{\"version\":1,:,\"servers\":[" + DRAINING_ENTRY + "]}");
+    assertUnreadable(
+        "a text that does not end",
+        "{\"version\":1,\"full\":true,\"servers\":[" + DRAINING_ENTRY + ",{\"id\":\"a\n\n");
+    assertUnreadable(
+        "an entry longer", "{\"servers\":[" + DRAINING_ENTRY + ",{\"id\":\"" + "x".repeat(20_000));
+    assertUnreadable(
+        "beside servers", "{\"servers\":[" + DRAINING_ENTRY + "],\"more\":\"" + "x".repeat(20_000));
+    assertUnreadable("entries", "{\"servers\":[" + DRAINING_ENTRY + ",{}".repeat(1 << 14));
+  }
+
+  private static void assertUnreadable(String reason, String text) {
+    EndpointListParser.UnreadableListException e =
+        assertThrows(EndpointListParser.UnreadableListException.class, () -> parse(text));
+    assertTrue(e.getMessage().contains(reason), e.getMessage());
+    assertEquals(
+        text.contains("s-1") ? List.of(DRAINING_ENDPOINT) : List.of(), e.leavingEndpoints());
+  }
+
+  /**
+   * The list that is held is not read again, however it is laid out; any other is, of whatever
+   * version.
+   */
+  @Test
+  void cachedListIsNotDecodedAgain() throws EndpointListParser.UnreadableListException {
+    String text = list(41, true, DRAINING_ENTRY + "," + READY_ENTRY);
+    long checksum = parseComplete(text, -1, 0).checksum();
+    for (String same : List.of(text, indented(text), text.replace(",", " ,\n"))) {
+      assertEquals(
+          new EndpointListParser.EndpointList(
+              41, true, true, checksum, List.of(), List.of(), List.of()),
+          parseComplete(same, 41, checksum));
+    }
+    assertEquals(2, parseComplete(text, 40, checksum).endpoints().size());
+    assertEquals(2, parseComplete(text, -1, checksum).endpoints().size());
+    assertEquals(
+        Endpoint.State.READY,
+        parseComplete(text.replace("Terminating", "Ready"), 41, checksum)
+            .endpoints()
+            .get(0)
+            .endpoint()
+            .state());
+    assertEquals(
+        DRAINING_ENDPOINT,
+        parseComplete(text.replace("Ready", "Gone"), 41, checksum).leavingEndpoints().get(0));
+    assertEquals(2, parseComplete(text.replaceFirst("41", "42"), 41, checksum).endpoints().size());
+  }
+
+  private static EndpointListParser.EndpointList parseComplete(
+      String text, long cachedVersion, long checksum)
+      throws EndpointListParser.UnreadableListException {
+    return parse(
+            new EndpointListParser(true, cachedVersion, checksum),
+            List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))))
+        .get(0);
+  }
+
+  @Test
+  void thousandsOfEntries() throws EndpointListParser.UnreadableListException {
+    String entries =
+        IntStream.range(0, 2048)
+            .mapToObj(i -> DRAINING_ENTRY.replace("s-1", "s-" + i))
+            .collect(Collectors.joining(","));
+    assertEquals(2048, parse(indented(list(1, true, entries))).get(0).endpoints().size());
+  }
+}
