--- a/cli/src/main/java/rushwood/cli/Check.java
+++ b/cli/src/main/java/rushwood/cli/CheckCommand.java
@@ -12,7 +12,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import rushwood.lab.load.Experiment;
+import rushwood.testbed.load.Experiment;
 
 /** Checks files without starting anything. */
 @Command(
@@ -20,7 +20,7 @@
     mixinStandardHelpOptions = true,
     description =
         "Checks the operator's settings against their schema, or an experiment of the laboratory.")
-final class Check implements Callable<Integer> {
+final class CheckCommand implements Callable<Integer> {
   @Parameters(arity = "0..*", paramLabel = "FILE", description = "Default: deploy/rushwood.json.")
   private List<Path> files = List.of(Path.of("deploy/rushwood.json"));
 
@@ -38,7 +38,7 @@
       List<String> faults;
       try (InputStream rules = Files.newInputStream(schema)) {
         JsonNode document = mapper.readTree(Files.readString(file));
-        faults = Experiment.faults(document, rules);
+        faults = Experiment.violations(document, rules);
       } catch (IOException e) {
         faults = List.of("cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
       }
--- a/cli/src/main/java/rushwood/cli/Rushwood.java
+++ b/cli/src/main/java/rushwood/cli/Rushwood.java
@@ -15,10 +15,10 @@
     version = "rushwood 0.1.0",
     description = "Routes accesses to a replicated store, and measures how well.",
     subcommands = {
-      Rushwood.Serve.class,
-      Rushwood.Adapter.class,
-      Check.class,
-      Lab.class,
+      Rushwood.ServeCommand.class,
+      Rushwood.AdapterCommand.class,
+      CheckCommand.class,
+      TestbedCommand.class,
       CommandLine.HelpCommand.class
     })
 public final class Rushwood implements Runnable {
@@ -38,16 +38,16 @@
     IExecutionExceptionHandler oneLine =
         (exception, line, parsed) -> {
           line.getErr().println("rushwood: " + exception.getMessage());
-          return exception instanceof Bad ? 2 : 1;
+          return exception instanceof InvalidInputException ? 2 : 1;
         };
     return new CommandLine(new Rushwood()).setExecutionExceptionHandler(oneLine).execute(args);
   }
 
   /** A file or value that cannot be used: one line that names it and the reason. */
-  static final class Bad extends Exception {
+  static final class InvalidInputException extends Exception {
     private static final long serialVersionUID = 1;
 
-    Bad(String message) {
+    InvalidInputException(String message) {
       super(message);
     }
   }
@@ -62,7 +62,7 @@
       mixinStandardHelpOptions = true,
       description =
           "Runs one router, told by NODE_CONFIG; bin/rushwood starts it with the operator's flags.")
-  static final class Serve implements Callable<Integer> {
+  static final class ServeCommand implements Callable<Integer> {
     @Override
     public Integer call() throws Exception {
       rushwood.Main.main(new String[] {"serve"});
@@ -74,7 +74,7 @@
       name = "adapter",
       mixinStandardHelpOptions = true,
       description = "The decisions on the simulator's wire, on standard input and output.")
-  static final class Adapter implements Callable<Integer> {
+  static final class AdapterCommand implements Callable<Integer> {
     @Override
     public Integer call() throws Exception {
       rushwood.Main.main(new String[] {"adapter"});
--- a/cli/src/main/java/rushwood/cli/Lab.java
+++ b/cli/src/main/java/rushwood/cli/TestbedCommand.java
@@ -15,20 +15,20 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import rushwood.lab.load.Experiment;
-import rushwood.lab.load.Result;
-import rushwood.lab.load.SocketRun;
-import rushwood.lab.report.Reports;
-import rushwood.lab.virt.VirtualRun;
 import rushwood.overload.OverloadSettings;
+import rushwood.testbed.load.Experiment;
+import rushwood.testbed.load.ExperimentResult;
+import rushwood.testbed.load.SocketExperiment;
+import rushwood.testbed.report.ReportWriter;
+import rushwood.testbed.simulation.Simulation;
 
 /** The laboratory: experiments on loopback. */
 @Command(
     name = "lab",
     mixinStandardHelpOptions = true,
     description = "Experiments against stand-ins on loopback.",
-    subcommands = {Lab.Run.class, Lab.Virtual.class})
-final class Lab implements Runnable {
+    subcommands = {TestbedCommand.RunCommand.class, TestbedCommand.VirtualCommand.class})
+final class TestbedCommand implements Runnable {
   @Spec private CommandSpec spec;
 
   @Override
@@ -36,11 +36,11 @@
     throw new ParameterException(spec.commandLine(), "a sub-command is missing");
   }
 
-  static Experiment read(Path file) throws Rushwood.Bad {
+  static Experiment readExperiment(Path file) throws Rushwood.InvalidInputException {
     try {
       return Experiment.read(file);
     } catch (IOException e) {
-      throw new Rushwood.Bad(file + ": " + e.getMessage());
+      throw new Rushwood.InvalidInputException(file + ": " + e.getMessage());
     }
   }
 
@@ -49,7 +49,7 @@
       mixinStandardHelpOptions = true,
       description =
           "Plays an experiment on sockets, once for each build or settings file that is compared.")
-  static final class Run implements Callable<Integer> {
+  static final class RunCommand implements Callable<Integer> {
     @Parameters(index = "0", paramLabel = "EXPERIMENT", description = "The experiment's JSON file.")
     private Path experiment;
 
@@ -71,25 +71,27 @@
     @Option(names = "--flag", description = "A flag of the router's virtual machine.")
     private List<String> flags = List.of();
 
-    @Mixin private Report report;
+    @Mixin private ReportOptions report;
 
     @Override
     public Integer call() throws Exception {
-      Experiment read = read(experiment);
-      Map<String, Result> results = new LinkedHashMap<>();
+      Experiment read = readExperiment(experiment);
+      Map<String, ExperimentResult> results = new LinkedHashMap<>();
       for (String jar : jars) {
         for (String each : settings) {
-          Path file = Path.of(after(jar));
+          Path file = Path.of(valueOf(jar));
           if (!Files.exists(file)) {
-            throw new Rushwood.Bad("--jar: " + file + " does not exist");
+            throw new Rushwood.InvalidInputException("--jar: " + file + " does not exist");
           }
-          String label = label(jar) + (settings.size() > 1 ? " " + label(each) : "");
+          String label = labelOf(jar) + (settings.size() > 1 ? " " + labelOf(each) : "");
           results.put(
               label,
-              new SocketRun(read, new SocketRun.Build(file, flags, after(each), cpus)).play());
+              new SocketExperiment(
+                      read, new SocketExperiment.RouterBuild(file, flags, valueOf(each), cpus))
+                  .run());
         }
       }
-      report.tell(read.name(), results);
+      report.write(read.name(), results);
       return 0;
     }
   }
@@ -98,7 +100,7 @@
       name = "virtual",
       mixinStandardHelpOptions = true,
       description = "Plays an experiment in virtual time, with the storm module and without it.")
-  static final class Virtual implements Callable<Integer> {
+  static final class VirtualCommand implements Callable<Integer> {
     @Parameters(index = "0", paramLabel = "EXPERIMENT", description = "The experiment's JSON file.")
     private Path experiment;
 
@@ -113,34 +115,33 @@
         description = "How many times the file's clients there are, hosts' rates too.")
     private int times = 1;
 
-    @Mixin private Report report;
+    @Mixin private ReportOptions report;
 
     @Override
     public Integer call() throws Exception {
-      Experiment read = read(experiment).times(times);
-      Map<String, Result> results = new LinkedHashMap<>();
-      for (int each : routers.isEmpty() ? List.of(read.allRouters()) : routers) {
-        Experiment sized = read.with(each);
-        results.put(
-            each + " routers, with", new VirtualRun(sized, OverloadSettings.DEFAULT).play());
-        results.put(each + " routers, without", new VirtualRun(sized, null).play());
+      Experiment read = readExperiment(experiment).scaledBy(times);
+      Map<String, ExperimentResult> results = new LinkedHashMap<>();
+      for (int each : routers.isEmpty() ? List.of(read.routerCount()) : routers) {
+        Experiment sized = read.withRouters(each);
+        results.put(each + " routers, with", new Simulation(sized, OverloadSettings.DEFAULT).run());
+        results.put(each + " routers, without", new Simulation(sized, null).run());
       }
-      report.tell(read.name(), results);
+      report.write(read.name(), results);
       return 0;
     }
   }
 
-  private static String label(String given) {
+  private static String labelOf(String given) {
     int equals = given.indexOf('=');
     return equals < 0 ? given : given.substring(0, equals);
   }
 
-  private static String after(String given) {
+  private static String valueOf(String given) {
     return given.substring(given.indexOf('=') + 1);
   }
 
   /** Where results go. */
-  static final class Report {
+  static final class ReportOptions {
     @Option(names = "--json", description = "Where the results go as JSON; - for standard output.")
     private String json;
 
@@ -148,10 +149,10 @@
     private Path html;
 
     /** Prints the figures, and writes what was asked for. */
-    void tell(String name, Map<String, Result> results) throws IOException {
+    void write(String name, Map<String, ExperimentResult> results) throws IOException {
       List<String> documents = new ArrayList<>();
-      for (Map.Entry<String, Result> each : results.entrySet()) {
-        documents.add("\"" + each.getKey() + "\": " + Reports.json(each.getValue()));
+      for (Map.Entry<String, ExperimentResult> each : results.entrySet()) {
+        documents.add("\"" + each.getKey() + "\": " + ReportWriter.toJson(each.getValue()));
       }
       String document = "{" + String.join(",\n", documents) + "}\n";
       if ("-".equals(json)) {
@@ -177,7 +178,7 @@
         }
       }
       if (html != null) {
-        Files.writeString(html, Reports.html(name, results));
+        Files.writeString(html, ReportWriter.toHtml(name, results));
       }
     }
   }
--- a/lab/src/main/java/rushwood/lab/load/Experiment.java
+++ b/lab/src/main/java/rushwood/testbed/load/Experiment.java
@@ -1,4 +1,4 @@
-package rushwood.lab.load;
+package rushwood.testbed.load;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -17,8 +17,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import rushwood.lab.model.HostModel;
-import rushwood.lab.model.Manners;
+import rushwood.testbed.model.HostModel;
+import rushwood.testbed.model.RetryBehavior;
 
 /**
  * An experiment as its file has it; times in seconds. What may be left out has the value that its
@@ -31,11 +31,11 @@
     Integer sockets,
     Integer routers,
     JsonNode settings,
-    List<Host> hosts,
-    List<Event> events,
-    List<Crowd> clients) {
+    List<HostSpec> hosts,
+    List<ScheduledEvent> events,
+    List<PopulationSpec> clients) {
   /** A host; what it is made of when warm, and how it starts. */
-  public record Host(
+  public record HostSpec(
       String id,
       int group,
       boolean primary,
@@ -48,24 +48,24 @@
       Double fall,
       double lag,
       boolean tips) {
-    public HostModel.Kind kind() {
-      return new HostModel.Kind(
+    public HostModel.Parameters modelParameters() {
+      return new HostModel.Parameters(
           rate,
-          or(slots, 8),
-          or(queue, 32),
-          or(coldFrom, 0.15),
-          nanos(or(cold, 14.0)),
-          or(tipMultiple, 4.0),
-          nanos(or(fall, 1.0)),
+          orDefault(slots, 8),
+          orDefault(queue, 32),
+          orDefault(coldFrom, 0.15),
+          nanos(orDefault(cold, 14.0)),
+          orDefault(tipMultiple, 4.0),
+          nanos(orDefault(fall, 1.0)),
           nanos(lag));
     }
   }
 
   /** Something that happens to a host, or to the list or the router where it names none. */
-  public record Event(double at, String what, String host) {}
+  public record ScheduledEvent(double at, String what, String host) {}
 
   /** Clients of one kind, one access each, that come evenly over a time. */
-  public record Crowd(
+  public record PopulationSpec(
       int count,
       String product,
       int group,
@@ -75,11 +75,11 @@
       String manners,
       double outer,
       boolean stays) {
-    public Manners comesBack() {
-      return Manners.valueOf(manners.toUpperCase(Locale.ROOT));
+    public RetryBehavior retryBehavior() {
+      return RetryBehavior.valueOf(manners.toUpperCase(Locale.ROOT));
     }
 
-    public boolean writes() {
+    public boolean isWrite() {
       return product.equals("pay") || product.equals("mark");
     }
   }
@@ -87,7 +87,7 @@
   private static final ObjectMapper MAPPER =
       JsonMapper.builder().propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE).build();
 
-  private static <T> T or(T value, T otherwise) {
+  private static <T> T orDefault(T value, T otherwise) {
     return value != null ? value : otherwise;
   }
 
@@ -95,34 +95,34 @@
     return Math.round(seconds * 1e9);
   }
 
-  public int mostSockets() {
-    return or(sockets, 8000);
+  public int maxSockets() {
+    return orDefault(sockets, 8000);
   }
 
-  public int allRouters() {
-    return or(routers, 1);
+  public int routerCount() {
+    return orDefault(routers, 1);
   }
 
   /** The same with that many routers. */
-  public Experiment with(int number) {
+  public Experiment withRouters(int number) {
     return new Experiment(name, seed, lasts, sockets, number, settings, hosts, events, clients);
   }
 
   /**
    * The same with so many times the clients, and hosts that much faster with that many more slots.
    */
-  public Experiment times(int factor) {
-    List<Host> larger =
+  public Experiment scaledBy(int factor) {
+    List<HostSpec> larger =
         hosts.stream()
             .map(
                 each ->
-                    new Host(
+                    new HostSpec(
                         each.id(),
                         each.group(),
                         each.primary(),
                         each.rate() * factor,
-                        or(each.slots(), 8) * factor,
-                        or(each.queue(), 32) * factor,
+                        orDefault(each.slots(), 8) * factor,
+                        orDefault(each.queue(), 32) * factor,
                         each.coldFrom(),
                         each.cold(),
                         each.tipMultiple(),
@@ -130,11 +130,11 @@
                         each.lag(),
                         each.tips()))
             .toList();
-    List<Crowd> more =
+    List<PopulationSpec> more =
         clients.stream()
             .map(
                 each ->
-                    new Crowd(
+                    new PopulationSpec(
                         each.count() * factor,
                         each.product(),
                         each.group(),
@@ -148,9 +148,9 @@
     return new Experiment(name, seed, lasts, sockets, routers, settings, larger, events, more);
   }
 
-  public List<Event> allEvents() {
-    return or(events, List.<Event>of()).stream()
-        .sorted(Comparator.comparingDouble(Event::at))
+  public List<ScheduledEvent> eventsInOrder() {
+    return orDefault(events, List.<ScheduledEvent>of()).stream()
+        .sorted(Comparator.comparingDouble(ScheduledEvent::at))
         .toList();
   }
 
@@ -158,7 +158,7 @@
    * What is wrong with a document by a schema of this class path, one line each, in order; none if
    * it fits.
    */
-  public static List<String> faults(JsonNode document, InputStream schema) {
+  public static List<String> violations(JsonNode document, InputStream schema) {
     JsonSchema read =
         JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schema);
     Set<ValidationMessage> messages = read.validate(document);
@@ -177,7 +177,7 @@
     try {
       JsonNode document = MAPPER.readTree(text);
       try (InputStream schema = Experiment.class.getResourceAsStream("/experiment.schema.json")) {
-        List<String> faults = faults(document, schema);
+        List<String> faults = violations(document, schema);
         if (!faults.isEmpty()) {
           throw new IOException(faults.get(0));
         }
--- a/lab/src/main/java/rushwood/lab/load/StormCost.java
+++ b/lab/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -1,4 +1,4 @@
-package rushwood.lab.load;
+package rushwood.testbed.load;
 
 import java.util.List;
 import java.util.SplittableRandom;
@@ -44,11 +44,11 @@
 @Fork(1)
 @Warmup(iterations = 2, time = 1)
 @Measurement(iterations = 3, time = 1)
-public class StormCost {
+public class OverloadBenchmark {
   private static final long MS = 1_000_000L;
-  private static final HostId HOST = new HostId("a");
+  private static final HostId ENDPOINT = new HostId("a");
   private static final GroupId GROUP = new GroupId(1);
-  private static final RequestClass ANY =
+  private static final RequestClass REQUEST_CLASS =
       new RequestClass(
           "any",
           0,
@@ -62,7 +62,7 @@
   private static final RoutingSettings SETTINGS =
       new RoutingSettings(
           1,
-          List.of(ANY),
+          List.of(REQUEST_CLASS),
           false,
           RoutingSettings.LaggingReadBehavior.REJECTS,
           false,
@@ -80,15 +80,15 @@
           1000 * MS,
           10_000 * MS);
 
-  private final RepeatSketch repeats = new RepeatSketch(1 << 14, 1000 * MS);
-  private final RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
-  private RoutingPolicy alone;
-  private RoutingPolicy behind;
+  private final RepeatSketch repeatSketch = new RepeatSketch(1 << 14, 1000 * MS);
+  private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule(500 * MS);
+  private RoutingPolicy policyAlone;
+  private RoutingPolicy policyWithOverloadControl;
   private long now = 1_000_000 * MS;
-  private long number;
+  private long nextRequestNumber;
 
   /** Hears everything and does nothing. */
-  private static final class Nothing implements PolicyActions {
+  private static final class IgnoredActions implements PolicyActions {
     @Override
     public void send(RequestId access, HostId host, long timeOut, long beginWithin) {}
 
@@ -116,61 +116,61 @@
 
   @Setup
   public void start() {
-    alone =
+    policyAlone =
         new DefaultRoutingPolicy(
             SETTINGS,
             new SplittableRandom(1),
-            new Nothing(),
+            new IgnoredActions(),
             OverloadSignals.withoutOverloadControl(SETTINGS));
-    behind =
+    policyWithOverloadControl =
         new OverloadController(
             SETTINGS,
             OverloadSettings.DEFAULT,
             new ConnectBackoff(new SplittableRandom(1), true),
-            new Nothing(),
+            new IgnoredActions(),
             (crowd, outlet) ->
                 new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), outlet, crowd));
-    for (RoutingPolicy each : List.of(alone, behind)) {
+    for (RoutingPolicy each : List.of(policyAlone, policyWithOverloadControl)) {
       each.endpointsReplaced(
           now,
-          List.of(new Endpoint(HOST, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
+          List.of(new Endpoint(ENDPOINT, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
           true);
     }
-    calendar.setExpectedRate(1000);
+    retryAfterSchedule.setExpectedRate(1000);
   }
 
-  private void access(RoutingPolicy decisions) {
+  private void handleOneRequest(RoutingPolicy decisions) {
     now += MS;
-    RequestId id = new RequestId(Long.toString(number++));
+    RequestId id = new RequestId(Long.toString(nextRequestNumber++));
     decisions.requestReceived(
-        now, new Request(id, ANY, null, GROUP, now + 1000 * MS, 0, number, 0));
+        now, new Request(id, REQUEST_CLASS, null, GROUP, now + 1000 * MS, 0, nextRequestNumber, 0));
     decisions.attemptFinished(
         now,
         new AttemptResult(
-            id, 0, HOST, AttemptOutcome.SUCCESS, MS, true, null, -1, LoadReport.NONE));
+            id, 0, ENDPOINT, AttemptOutcome.SUCCESS, MS, true, null, -1, LoadReport.NONE));
     decisions.timerFired(now);
   }
 
   @Benchmark
-  public void decisionsAlone() {
-    access(alone);
+  public void requestThroughPolicyAlone() {
+    handleOneRequest(policyAlone);
   }
 
   @Benchmark
-  public void behindTheModule() {
-    access(behind);
+  public void requestThroughOverloadControl() {
+    handleOneRequest(policyWithOverloadControl);
   }
 
   @Benchmark
-  public int sketch() {
+  public int countRepeat() {
     now += MS / 10;
-    repeats.add(number++ & 4095, now);
-    return repeats.count(number & 4095, now);
+    repeatSketch.add(nextRequestNumber++ & 4095, now);
+    return repeatSketch.count(nextRequestNumber & 4095, now);
   }
 
   @Benchmark
-  public long booking() {
+  public long reserveRetryAfter() {
     now += MS;
-    return calendar.reserve(now, 1, true, 0, 500 * MS).waitNanos();
+    return retryAfterSchedule.reserve(now, 1, true, 0, 500 * MS).waitNanos();
   }
 }
--- a/lab/src/main/java/rushwood/lab/load/Tier.java
+++ b/lab/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -1,4 +1,4 @@
-package rushwood.lab.load;
+package rushwood.testbed.load;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -18,49 +18,49 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import rushwood.lab.model.HostModel;
-import rushwood.lab.net.RouterProcess;
-import rushwood.lab.net.StandinHost;
-import rushwood.lab.net.StandinList;
+import rushwood.testbed.model.HostModel;
+import rushwood.testbed.standin.RouterProcess;
+import rushwood.testbed.standin.StandinDiscovery;
+import rushwood.testbed.standin.StandinHost;
 
 /**
  * Several routers in processes of their own, each with an agent of its own, steady clients at each,
  * and hosts that all share. All but the routers runs on one loop of this process; when each router
  * last sent to each host is kept.
  */
-public final class Tier implements AutoCloseable {
-  private static final String NAME = "127.0.0.1";
-  private static final int RATE = 4000; // a second and host: they are never what is waited for
-  private static final int SOCKETS = 512;
+public final class RouterCluster implements AutoCloseable {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int HOST_RATE = 4000; // a second and host: they are never what is waited for
+  private static final int MAX_SOCKETS = 512;
 
   /** One router with what is its own. */
   public final class Member {
     private final int number;
     private final InetSocketAddress listen;
-    private final StandinList agent;
-    private final Steady clients;
+    private final StandinDiscovery discovery;
+    private final SteadyLoad load;
     private RouterProcess process;
 
     private Member(int number) throws IOException, InterruptedException {
       this.number = number;
       try (ServerSocket free = new ServerSocket(0)) {
-        listen = new InetSocketAddress(NAME, free.getLocalPort());
+        listen = new InetSocketAddress(LOOPBACK, free.getLocalPort());
       }
-      agent = new StandinList(loop);
-      agent.listen();
-      clients = new Steady(name(), loop, listen, "any");
+      discovery = new StandinDiscovery(loop);
+      discovery.listen();
+      load = new SteadyLoad(idPrefix(), loop, listen, "any");
     }
 
-    private String name() {
+    private String idPrefix() {
       return "r" + number + "-";
     }
 
-    public StandinList agent() {
-      return agent;
+    public StandinDiscovery discovery() {
+      return discovery;
     }
 
-    public Steady clients() {
-      return clients;
+    public SteadyLoad load() {
+      return load;
     }
 
     public RouterProcess process() {
@@ -71,46 +71,47 @@
      * Starts its process with that list as the one held before, or none if it is null; returns once
      * it serves.
      */
-    public void start(String known) throws IOException, InterruptedException {
-      configure(agent.address(), known);
+    public void start(String knownEndpoints) throws IOException, InterruptedException {
+      configure(discovery.address(), knownEndpoints);
       process =
           new RouterProcess(
               jar,
               List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"),
-              file(),
+              configFile(),
               "",
               listen,
               "");
     }
 
     /** Writes its configuration with that agent. */
-    public void configure(InetSocketAddress discovery, String known) throws IOException {
+    public void configure(InetSocketAddress discoveryAddress, String knownEndpoints)
+        throws IOException {
       ObjectNode json = JsonNodeFactory.instance.objectNode();
-      json.put("name", "r" + number).put("listen", NAME + ":" + listen.getPort());
-      json.put("discovery", NAME + ":" + discovery.getPort())
+      json.put("name", "r" + number).put("listen", LOOPBACK + ":" + listen.getPort());
+      json.put("discovery", LOOPBACK + ":" + discoveryAddress.getPort())
           .put("seed", Integer.toHexString(number + 1));
-      json.putObject("limits").put("sockets", SOCKETS);
+      json.putObject("limits").put("sockets", MAX_SOCKETS);
       ObjectNode settings = RouterSettings.json(members.size());
-      ((ObjectNode) settings.get("rules")).put("drain_grace", grace);
+      ((ObjectNode) settings.get("rules")).put("drain_grace", drainGraceSeconds);
       json.set("settings", settings);
-      if (known != null) {
-        json.putRawValue("known", new RawValue(known));
+      if (knownEndpoints != null) {
+        json.putRawValue("known", new RawValue(knownEndpoints));
       }
-      Files.writeString(file(), json.toString());
+      Files.writeString(configFile(), json.toString());
     }
 
-    private Path file() {
+    private Path configFile() {
       return folder.resolve("r" + number + ".json");
     }
 
     /** When it last sent to that host, on the clock of {@link Tier#now()}. */
-    public long lastSent(String host) {
-      return lastSent.get(host)[number];
+    public long lastRequestAt(String host) {
+      return lastRequestAt.get(host)[number];
     }
 
     /** How many of its accesses that host was sent. */
-    public long sent(String host) {
-      return sent.get(host)[number];
+    public long requestsSent(String host) {
+      return requestsSent.get(host)[number];
     }
   }
 
@@ -119,46 +120,61 @@
   private final EventLoop loop = (EventLoop) group.next();
   private final Path folder = Files.createTempDirectory("tier");
   private final Path jar;
-  private final double grace;
+  private final double drainGraceSeconds;
   private final List<Member> members = new ArrayList<>();
   private final Map<String, StandinHost> hosts = new LinkedHashMap<>();
-  private final Map<String, long[]> lastSent = new LinkedHashMap<>();
-  private final Map<String, long[]> sent = new LinkedHashMap<>();
+  private final Map<String, long[]> lastRequestAt = new LinkedHashMap<>();
+  private final Map<String, long[]> requestsSent = new LinkedHashMap<>();
 
   /** With the drain grace of the routers' settings, in seconds; the first host is the primary. */
-  public Tier(Path jar, int routers, int hostCount, double grace)
+  public RouterCluster(Path jar, int routers, int hostCount, double drainGraceSeconds)
       throws IOException, InterruptedException {
-    this(jar, routers, hostCount, grace, new HostModel.Kind(RATE, 8, 64, 0.15, 0, 4, 0, 0));
+    this(
+        jar,
+        routers,
+        hostCount,
+        drainGraceSeconds,
+        new HostModel.Parameters(HOST_RATE, 8, 64, 0.15, 0, 4, 0, 0));
   }
 
   /** With hosts of that kind. */
-  public Tier(Path jar, int routers, int hostCount, double grace, HostModel.Kind kind)
+  public RouterCluster(
+      Path jar,
+      int routers,
+      int hostCount,
+      double drainGraceSeconds,
+      HostModel.Parameters parameters)
       throws IOException, InterruptedException {
     this.jar = jar;
-    this.grace = grace;
+    this.drainGraceSeconds = drainGraceSeconds;
     for (int i = 0; i < hostCount; i++) {
       String id = "h" + i;
       StandinHost host =
           new StandinHost(
-              id, new HostModel(kind, i == 0, i), loop, System::nanoTime, (statement, told) -> {});
+              id,
+              new HostModel(parameters, i == 0, i),
+              loop,
+              System::nanoTime,
+              (statement, told) -> {});
       host.listen();
       hosts.put(id, host);
-      lastSent.put(id, new long[routers]);
-      sent.put(id, new long[routers]);
-      host.hears(
+      lastRequestAt.put(id, new long[routers]);
+      requestsSent.put(id, new long[routers]);
+      host.onStatement(
           statement -> {
-            String access = statement.value("id");
-            int router = Integer.parseInt(access.substring(1, access.indexOf('-')));
-            lastSent.get(id)[router] = now();
-            sent.get(id)[router]++;
+            String requestId = statement.commentValue("id");
+            int router = Integer.parseInt(requestId.substring(1, requestId.indexOf('-')));
+            lastRequestAt.get(id)[router] = now();
+            requestsSent.get(id)[router]++;
           });
     }
     for (int i = 0; i < routers; i++) {
       members.add(new Member(i));
     }
-    on(
+    runOnLoop(
         () -> {
-          members.forEach(member -> hosts.keySet().forEach(host -> list(member, host, "Ready")));
+          members.forEach(
+              member -> hosts.keySet().forEach(host -> announce(member, host, "Ready")));
           return null;
         });
   }
@@ -172,7 +188,7 @@
   }
 
   /** Runs that on the loop, where agents, hosts and clients live. */
-  public <T> T on(Callable<T> task) throws InterruptedException {
+  public <T> T runOnLoop(Callable<T> task) throws InterruptedException {
     try {
       return loop.submit(task).get();
     } catch (ExecutionException e) {
@@ -181,20 +197,20 @@
   }
 
   /** A router's agent has it that a host is in that state; on the loop. */
-  public void list(Member member, String host, String state) {
-    member.agent.put(entry(host, host, state));
+  public void announce(Member member, String host, String state) {
+    member.discovery.publish(entry(host, host, state));
   }
 
   /** An entry for an id at that host's address. */
-  public StandinList.Entry entry(String id, String host, String state) {
+  public StandinDiscovery.Entry entry(String id, String host, String state) {
     return entry(id, host, state, 0);
   }
 
-  private StandinList.Entry entry(String id, String host, String state, long startedMillis) {
+  private StandinDiscovery.Entry entry(String id, String host, String state, long startedMillis) {
     StandinHost at = hosts.get(host);
-    return new StandinList.Entry(
+    return new StandinDiscovery.Entry(
         id,
-        NAME + ":" + at.address().getPort(),
+        LOOPBACK + ":" + at.address().getPort(),
         0,
         state,
         1,
@@ -203,12 +219,13 @@
   }
 
   /** Its process has started anew, and all agents have that; on the loop. */
-  public void startAnew(String host) {
-    hosts.get(host).model().start(now());
-    members.forEach(each -> each.agent.put(entry(host, host, "Ready", System.currentTimeMillis())));
+  public void restartHost(String host) {
+    hosts.get(host).model().restart(now());
+    members.forEach(
+        each -> each.discovery.publish(entry(host, host, "Ready", System.currentTimeMillis())));
   }
 
-  public HostModel model(String host) {
+  public HostModel hostModel(String host) {
     return hosts.get(host).model();
   }
 
@@ -218,8 +235,8 @@
       if (member.process != null) {
         member.process.close();
       }
-      member.agent.close();
-      Files.deleteIfExists(member.file());
+      member.discovery.close();
+      Files.deleteIfExists(member.configFile());
     }
     hosts.values().forEach(StandinHost::close);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/lab/src/main/java/rushwood/lab/load/RouterSettings.java
+++ b/lab/src/main/java/rushwood/testbed/load/RouterSettings.java
@@ -1,4 +1,4 @@
-package rushwood.lab.load;
+package rushwood.testbed.load;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -12,7 +12,7 @@
   private RouterSettings() {}
 
   public static ObjectNode json(Experiment experiment) {
-    ObjectNode settings = json(experiment.allRouters());
+    ObjectNode settings = json(experiment.routerCount());
     if (experiment.settings() != null) {
       settings.setAll((ObjectNode) experiment.settings());
     }
@@ -23,10 +23,10 @@
   public static ObjectNode json(int routers) {
     ObjectNode settings = JsonNodeFactory.instance.objectNode();
     ArrayNode classes = settings.putArray("classes");
-    product(classes, "pass", 0.4, 1.5, "repeatable");
-    product(classes, "pay", 0.75, 5, "once");
-    product(classes, "any", 1.0, 5, "repeatable");
-    product(classes, "mark", 0.75, 5, "by_key");
+    addRequestClass(classes, "pass", 0.4, 1.5, "repeatable");
+    addRequestClass(classes, "pay", 0.75, 5, "once");
+    addRequestClass(classes, "any", 1.0, 5, "repeatable");
+    addRequestClass(classes, "mark", 0.75, 5, "by_key");
     settings.put("discovery", "automatic").put("n_instances", routers);
     settings.put("resolution", 0.005);
     ObjectNode domain = settings.putObject("domain");
@@ -55,7 +55,7 @@
     return settings;
   }
 
-  private static void product(
+  private static void addRequestClass(
       ArrayNode classes, String name, double aim, double deadline, String semantics) {
     classes
         .addObject()
--- a/lab/src/main/java/rushwood/lab/load/Steady.java
+++ b/lab/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -1,4 +1,4 @@
-package rushwood.lab.load;
+package rushwood.testbed.load;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -14,78 +14,80 @@
 import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import rushwood.lab.net.Frames;
-import rushwood.lab.net.Statement;
+import rushwood.testbed.standin.MessageCodec;
+import rushwood.testbed.standin.Statement;
 
 /**
  * Clients of one router that ask evenly, on as many connections as it takes; what was asked and
  * answered is counted.
  */
-public final class Steady {
-  private static final int WAITS = 2000; // ms for each answer
+public final class SteadyLoad {
+  private static final int ANSWER_TIMEOUT_MILLIS = 2000; // ms for each answer
 
   private final String name;
   private final EventLoop loop;
-  private final InetSocketAddress to;
-  private final String product;
+  private final InetSocketAddress router;
+  private final String requestClass;
   private final Deque<Connection> idle = new ArrayDeque<>();
-  private ScheduledFuture<?> beat;
-  private long asked;
-  private long fulfilled;
-  private long refused;
-  private long broken;
+  private ScheduledFuture<?> sendTask;
+  private long sent;
+  private long succeeded;
+  private long failed;
+  private long connectionsLost;
 
   /** {@code name} begins the id of each of its accesses. */
-  public Steady(String name, EventLoop loop, InetSocketAddress to, String product) {
+  public SteadyLoad(String name, EventLoop loop, InetSocketAddress router, String requestClass) {
     this.name = name;
     this.loop = loop;
-    this.to = to;
-    this.product = product;
+    this.router = router;
+    this.requestClass = requestClass;
   }
 
-  public void begin(int aSecond) {
-    beat = loop.scheduleAtFixedRate(this::ask, 0, 1_000_000_000L / aSecond, TimeUnit.NANOSECONDS);
+  public void start(int requestsPerSecond) {
+    sendTask =
+        loop.scheduleAtFixedRate(
+            this::sendNext, 0, 1_000_000_000L / requestsPerSecond, TimeUnit.NANOSECONDS);
   }
 
   /** No more is asked; what is open stays. */
   public void pause() {
-    beat.cancel(false);
+    sendTask.cancel(false);
   }
 
-  public long asked() {
-    return asked;
+  public long sent() {
+    return sent;
   }
 
-  public long fulfilled() {
-    return fulfilled;
+  public long succeeded() {
+    return succeeded;
   }
 
   /** Told an error: turned back, given up or not taken. */
-  public long refused() {
-    return refused;
+  public long failed() {
+    return failed;
   }
 
   /** Without an answer when the connection ended, or when it could not be opened. */
-  public long broken() {
-    return broken;
+  public long connectionsLost() {
+    return connectionsLost;
   }
 
-  private void ask() {
+  private void sendNext() {
     Connection connection = idle.poll();
     if (connection == null) {
       connection = new Connection();
-      connection.open();
+      connection.connect();
     }
-    connection.ask();
+    connection.send();
   }
 
-  private final class Connection extends SimpleChannelInboundHandler<Frames.Message> {
+  private final class Connection extends SimpleChannelInboundHandler<MessageCodec.Message> {
     private Channel channel;
-    private boolean up;
-    private boolean waits;
-    private boolean error;
+    private boolean ready;
+    private boolean awaitingAnswer;
+    private boolean errorReceived;
 
-    private void open() {
+    private void connect() {
       new Bootstrap()
           .group(loop)
           .channel(NioSocketChannel.class)
@@ -95,65 +97,69 @@
                 @Override
                 protected void initChannel(Channel made) {
                   channel = made;
-                  made.pipeline().addLast(new Frames(false), Connection.this);
+                  made.pipeline().addLast(new MessageCodec(false), Connection.this);
                 }
               })
-          .connect(to)
+          .connect(router)
           .addListener(
               done -> {
                 if (!done.isSuccess()) {
-                  ended();
+                  connectionEnded();
                 }
               });
     }
 
-    private void ask() {
-      waits = true;
-      error = false;
-      if (up) {
-        write();
+    private void send() {
+      awaitingAnswer = true;
+      errorReceived = false;
+      if (ready) {
+        writeQuery();
       }
     }
 
-    private void write() {
+    private void writeQuery() {
       ByteBuf out = channel.alloc().buffer(256);
-      Frames.write(
-          out, 'Q', Statement.of(false, "k" + asked % 100, name + asked, product, WAITS, 0) + "\0");
-      asked++;
+      MessageCodec.write(
+          out,
+          'Q',
+          Statement.format(
+                  false, "k" + sent % 100, name + sent, requestClass, ANSWER_TIMEOUT_MILLIS, 0)
+              + "\0");
+      sent++;
       channel.writeAndFlush(out);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
       ByteBuf out = context.alloc().buffer(64);
-      Frames.startup(out);
+      MessageCodec.writeStartup(out);
       context.writeAndFlush(out);
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, Frames.Message message) {
+    protected void channelRead0(ChannelHandlerContext context, MessageCodec.Message message) {
       if (message.type() == 'E') {
-        error = true;
-      } else if (message.type() == 'Z' && !up) {
-        up = true;
-        write();
+        errorReceived = true;
+      } else if (message.type() == 'Z' && !ready) {
+        ready = true;
+        writeQuery();
       } else if (message.type() == 'Z') {
-        waits = false;
-        fulfilled += error ? 0 : 1;
-        refused += error ? 1 : 0;
+        awaitingAnswer = false;
+        succeeded += errorReceived ? 0 : 1;
+        failed += errorReceived ? 1 : 0;
         idle.push(this);
       }
     }
 
-    private void ended() {
+    private void connectionEnded() {
       idle.remove(this);
-      broken += waits ? 1 : 0;
-      waits = false;
+      connectionsLost += awaitingAnswer ? 1 : 0;
+      awaitingAnswer = false;
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      ended();
+      connectionEnded();
     }
 
     @Override
--- a/lab/src/main/java/rushwood/lab/load/package-info.java
+++ b/lab/src/main/java/rushwood/testbed/load/package-info.java
@@ -1,2 +1,2 @@
 /** Experiments on sockets: their file, the clients, the run and its result. */
-package rushwood.lab.load;
+package rushwood.testbed.load;
--- a/lab/src/main/java/rushwood/lab/model/Manners.java
+++ b/lab/src/main/java/rushwood/testbed/model/RetryBehavior.java
@@ -1,9 +1,9 @@
-package rushwood.lab.model;
+package rushwood.testbed.model;
 
 import java.util.SplittableRandom;
 
 /** How a client comes back after a try that brought nothing. */
-public enum Manners {
+public enum RetryBehavior {
   /** Waits as told, else a jittered, doubling pause. */
   POLITE,
   /**
@@ -15,21 +15,22 @@
   RUDE;
 
   private static final long MS = 1_000_000L;
-  private static final long FIRST =
+  private static final long FIRST_BACKOFF =
       50 * MS; // of the doubling pause: what client libraries do when told nothing
-  private static final long LONGEST = 2000 * MS;
-  private static final long AT_ONCE = 5 * MS; // a rude one is a loop with a round trip in it
+  private static final long MAX_BACKOFF = 2000 * MS;
+  private static final long IMMEDIATE_DELAY =
+      5 * MS; // a rude one is a loop with a round trip in it
 
   /**
    * Nanoseconds until the next try; {@code told} is 0 if no wait was told, {@code tried} counts
    * from 1.
    */
-  public long pause(int tried, long told, SplittableRandom chance) {
-    long doubling = Math.min(LONGEST, FIRST << Math.min(10, tried - 1));
+  public long retryDelay(int triesMade, long retryAfter, SplittableRandom random) {
+    long doubling = Math.min(MAX_BACKOFF, FIRST_BACKOFF << Math.min(10, triesMade - 1));
     return switch (this) {
-      case POLITE -> told > 0 ? told : doubling / 2 + chance.nextLong(doubling);
+      case POLITE -> retryAfter > 0 ? retryAfter : doubling / 2 + random.nextLong(doubling);
       case ONE_CLOCK -> doubling;
-      case RUDE -> AT_ONCE;
+      case RUDE -> IMMEDIATE_DELAY;
     };
   }
 }
--- a/lab/src/main/java/rushwood/lab/model/Ledger.java
+++ b/lab/src/main/java/rushwood/testbed/model/WriteLedger.java
@@ -1,4 +1,4 @@
-package rushwood.lab.model;
+package rushwood.testbed.model;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -9,10 +9,10 @@
  * what the client means (its own number), not by the id of a try, since a try that is repeated has
  * a new one.
  */
-public final class Ledger {
+public final class WriteLedger {
   private static final class Entry {
-    final Map<String, Integer> runsOfTry = new LinkedHashMap<>();
-    int fulfilled;
+    final Map<String, Integer> executionsByTry = new LinkedHashMap<>();
+    int successes;
     int answers;
   }
 
@@ -23,21 +23,21 @@
   }
 
   /** A host ran that try of that client's write. */
-  public void ran(int client, String tryId) {
-    entry(client).runsOfTry.merge(tryId, 1, Integer::sum);
+  public void recordExecution(int client, String tryId) {
+    entry(client).executionsByTry.merge(tryId, 1, Integer::sum);
   }
 
   /** The client had a final answer for a try. */
-  public void answered(int client, boolean fulfilled) {
+  public void recordAnswer(int client, boolean success) {
     Entry entry = entry(client);
     entry.answers++;
-    entry.fulfilled += fulfilled ? 1 : 0;
+    entry.successes += success ? 1 : 0;
   }
 
   /** Tries that ran more than once: nobody but a router can have done that. */
-  public long doubledTries() {
+  public long duplicatedTries() {
     return entries.values().stream()
-        .flatMap(each -> each.runsOfTry.values().stream())
+        .flatMap(each -> each.executionsByTry.values().stream())
         .filter(runs -> runs > 1)
         .count();
   }
@@ -46,16 +46,17 @@
    * Writes that ran more than once over all tries of their client: the client repeated what may
    * have run.
    */
-  public long doubledWrites() {
+  public long duplicatedWrites() {
     return entries.values().stream()
-        .filter(each -> each.runsOfTry.values().stream().mapToInt(Integer::intValue).sum() > 1)
+        .filter(
+            each -> each.executionsByTry.values().stream().mapToInt(Integer::intValue).sum() > 1)
         .count();
   }
 
   /** Clients that were told that it ran, though no host ran it. */
-  public long untrue() {
+  public long falseSuccesses() {
     return entries.values().stream()
-        .filter(each -> each.fulfilled > 0 && each.runsOfTry.isEmpty())
+        .filter(each -> each.successes > 0 && each.executionsByTry.isEmpty())
         .count();
   }
 }
--- a/lab/src/main/java/rushwood/lab/report/Reports.java
+++ b/lab/src/main/java/rushwood/testbed/report/ReportWriter.java
@@ -1,4 +1,4 @@
-package rushwood.lab.report;
+package rushwood.testbed.report;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -20,31 +20,31 @@
 import org.jfree.chart.JFreeChart;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
-import rushwood.lab.load.Result;
+import rushwood.testbed.load.ExperimentResult;
 
 /**
  * Writes results. Builds or settings that are compared stand side by side, each under its label.
  */
-public final class Reports {
+public final class ReportWriter {
   private static final int WIDTH = 640;
   private static final int HEIGHT = 240;
 
-  private Reports() {}
+  private ReportWriter() {}
 
-  public static String json(Result result) throws JsonProcessingException {
+  public static String toJson(ExperimentResult result) throws JsonProcessingException {
     ObjectNode json = JsonNodeFactory.instance.objectNode();
-    json.put("name", result.name()).put("step_seconds", Result.STEP);
+    json.put("name", result.name()).put("step_seconds", ExperimentResult.STEP_SECONDS);
     ObjectNode figures = json.putObject("figures");
     result.figures().forEach(figures::put);
     ObjectNode counters = json.putObject("counters");
     result.counters().forEach(counters::put);
     ObjectNode lines = json.putObject("lines");
     result
-        .lines()
+        .timeSeries()
         .forEach(
             (name, line) -> {
               ArrayNode steps = lines.putArray(name);
-              line.steps().forEach(steps::add);
+              line.values().forEach(steps::add);
             });
     return JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(json);
   }
@@ -53,7 +53,8 @@
    * A page with a table of figures, a column a result, and a plot for each line that any of them
    * has.
    */
-  public static String html(String title, Map<String, Result> results) throws IOException {
+  public static String toHtml(String title, Map<String, ExperimentResult> results)
+      throws IOException {
     StringBuilder page =
         new StringBuilder("<!doctype html><meta charset=utf-8><title>")
             .append(escape(title))
@@ -62,48 +63,50 @@
             .append(escape(title))
             .append("</h1><table><tr><th>figure");
     results.keySet().forEach(label -> page.append("<th>").append(escape(label)));
-    for (String figure : names(results, Result::figures)) {
-      row(page, figure, results.values().stream().map(each -> each.figures().get(figure)).toList());
+    for (String figure : allNames(results, ExperimentResult::figures)) {
+      appendRow(
+          page, figure, results.values().stream().map(each -> each.figures().get(figure)).toList());
     }
-    for (String counter : names(results, Result::counters)) {
-      row(
+    for (String counter : allNames(results, ExperimentResult::counters)) {
+      appendRow(
           page,
           counter,
           results.values().stream().map(each -> each.counters().get(counter)).toList());
     }
     page.append("</table>");
-    for (String line : names(results, Result::lines)) {
+    for (String line : allNames(results, ExperimentResult::timeSeries)) {
       page.append("<h2>")
           .append(escape(line))
           .append("</h2><img src=\"data:image/png;base64,")
-          .append(Base64.getEncoder().encodeToString(png(line, results)))
+          .append(Base64.getEncoder().encodeToString(plotPng(line, results)))
           .append("\">");
     }
     return page.append('\n').toString();
   }
 
-  private static void row(StringBuilder page, String name, List<? extends Number> values) {
+  private static void appendRow(StringBuilder page, String name, List<? extends Number> values) {
     page.append("<tr><td>").append(escape(name));
     for (Number value : new ArrayList<Number>(values)) {
       page.append("<td>").append(value == null ? "" : String.format("%.4g", value.doubleValue()));
     }
   }
 
-  private static Set<String> names(
-      Map<String, Result> results, Function<Result, Map<String, ?>> of) {
+  private static Set<String> allNames(
+      Map<String, ExperimentResult> results, Function<ExperimentResult, Map<String, ?>> of) {
     Set<String> names = new LinkedHashSet<>();
     results.values().forEach(each -> names.addAll(of.apply(each).keySet()));
     return names;
   }
 
   /** One line of all results over time. */
-  public static byte[] png(String line, Map<String, Result> results) throws IOException {
+  public static byte[] plotPng(String line, Map<String, ExperimentResult> results)
+      throws IOException {
     XYSeriesCollection data = new XYSeriesCollection();
-    for (Map.Entry<String, Result> each : new LinkedHashMap<>(results).entrySet()) {
+    for (Map.Entry<String, ExperimentResult> each : new LinkedHashMap<>(results).entrySet()) {
       XYSeries series = new XYSeries(each.getKey());
-      Result.Line steps = each.getValue().lines().get(line);
-      for (int i = 0; steps != null && i < steps.steps().size(); i++) {
-        series.add(i * Result.STEP, steps.steps().get(i));
+      ExperimentResult.TimeSeries steps = each.getValue().timeSeries().get(line);
+      for (int i = 0; steps != null && i < steps.values().size(); i++) {
+        series.add(i * ExperimentResult.STEP_SECONDS, steps.values().get(i));
       }
       data.addSeries(series);
     }
--- a/lab/src/main/java/rushwood/lab/report/package-info.java
+++ b/lab/src/main/java/rushwood/testbed/report/package-info.java
@@ -1,2 +1,2 @@
 /** Reports: results as JSON, and as an HTML page with plots that sets builds side by side. */
-package rushwood.lab.report;
+package rushwood.testbed.report;
--- a/lab/src/main/java/rushwood/lab/virt/Events.java
+++ b/lab/src/main/java/rushwood/testbed/simulation/EventQueue.java
@@ -1,4 +1,4 @@
-package rushwood.lab.virt;
+package rushwood.testbed.simulation;
 
 import java.util.PriorityQueue;
 
@@ -6,7 +6,7 @@
  * What is to happen, in order of time and then of its making; a run with the same seed is the same
  * run.
  */
-final class Events {
+final class EventQueue {
   private record Event(long at, long order, Runnable task) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
@@ -18,7 +18,7 @@
   private long now;
   private long order;
 
-  Events(long start) {
+  EventQueue(long start) {
     now = start;
   }
 
@@ -26,12 +26,12 @@
     return now;
   }
 
-  void at(long when, Runnable task) {
+  void schedule(long when, Runnable task) {
     events.add(new Event(Math.max(now, when), order++, task));
   }
 
   /** Runs the next one; false if there is none before that time. */
-  boolean next(long end) {
+  boolean runNext(long end) {
     if (events.isEmpty() || events.peek().at() > end) {
       return false;
     }
--- a/lab/src/main/java/rushwood/lab/virt/package-info.java
+++ b/lab/src/main/java/rushwood/testbed/simulation/package-info.java
@@ -2,4 +2,4 @@
  * The laboratory in virtual time: the decisions and the storm module of many routers against models
  * of hosts.
  */
-package rushwood.lab.virt;
+package rushwood.testbed.simulation;
--- a/lab/src/main/java/rushwood/lab/net/Frames.java
+++ b/lab/src/main/java/rushwood/testbed/standin/MessageCodec.java
@@ -1,4 +1,4 @@
-package rushwood.lab.net;
+package rushwood.testbed.standin;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +10,7 @@
  * Cuts what comes into messages of PostgreSQL's protocol 3, and writes some: written apart from the
  * router's own.
  */
-public final class Frames extends ByteToMessageDecoder {
+public final class MessageCodec extends ByteToMessageDecoder {
   /**
    * A message: its type, 0 for the untyped first one, and its contents as text in which a byte is a
    * character.
@@ -29,23 +29,23 @@
     }
   }
 
-  private static final int LONGEST = 1 << 20;
+  private static final int MAX_MESSAGE_LENGTH = 1 << 20;
 
-  private boolean untyped;
+  private boolean expectStartup;
 
   /** {@code server}: the first message has no type. */
-  public Frames(boolean server) {
-    untyped = server;
+  public MessageCodec(boolean server) {
+    expectStartup = server;
   }
 
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
-    int head = untyped ? 0 : 1;
+    int head = expectStartup ? 0 : 1;
     if (in.readableBytes() < head + 4) {
       return;
     }
     int length = in.getInt(in.readerIndex() + head);
-    if (length < 4 || length > LONGEST) {
+    if (length < 4 || length > MAX_MESSAGE_LENGTH) {
       context.close();
       in.skipBytes(in.readableBytes());
       return;
@@ -53,11 +53,11 @@
     if (in.readableBytes() < head + length) {
       return;
     }
-    char type = untyped ? 0 : (char) in.readByte();
+    char type = expectStartup ? 0 : (char) in.readByte();
     in.skipBytes(4);
     out.add(
         new Message(type, in.readCharSequence(length - 4, StandardCharsets.ISO_8859_1).toString()));
-    untyped = false;
+    expectStartup = false;
   }
 
   public static void write(ByteBuf out, char type, String text) {
@@ -67,29 +67,29 @@
     out.writeInt(4 + text.length()).writeCharSequence(text, StandardCharsets.ISO_8859_1);
   }
 
-  public static void startup(ByteBuf out) {
+  public static void writeStartup(ByteBuf out) {
     write(out, (char) 0, "\0\3\0\0user\0client\0database\0core\0\0");
   }
 
-  public static void ready(ByteBuf out) {
+  public static void writeReadyForQuery(ByteBuf out) {
     write(out, 'Z', "I");
   }
 
-  public static void welcome(ByteBuf out) {
+  public static void writeAuthenticationOk(ByteBuf out) {
     write(out, 'R', "\0\0\0\0");
-    ready(out);
+    writeReadyForQuery(out);
   }
 
-  public static void parameter(ByteBuf out, String name, String value) {
+  public static void writeParameterStatus(ByteBuf out, String name, String value) {
     write(out, 'S', name + "\0" + value + "\0");
   }
 
-  public static void error(ByteBuf out, String code) {
+  public static void writeError(ByteBuf out, String code) {
     write(out, 'E', "SERROR\0C" + code + "\0Mno\0\0");
   }
 
   /** One column of one row, and its completion. */
-  public static void row(ByteBuf out, String value) {
+  public static void writeRow(ByteBuf out, String value) {
     write(out, 'T', "\0\1val\0\0\0\0\0\0\0\0\0\0\21\377\377\377\377\377\377\0\0");
     int length = value.length();
     write(
--- a/lab/src/main/java/rushwood/lab/net/RouterProcess.java
+++ b/lab/src/main/java/rushwood/testbed/standin/RouterProcess.java
@@ -1,4 +1,4 @@
-package rushwood.lab.net;
+package rushwood.testbed.standin;
 
 import java.io.File;
 import java.io.IOException;
@@ -16,8 +16,8 @@
  * file.
  */
 public final class RouterProcess implements AutoCloseable {
-  private static final long READY_WITHIN = 20_000; // ms: far above any start seen
-  private static final long ENDS_WITHIN =
+  private static final long START_TIMEOUT_MILLIS = 20_000; // ms: far above any start seen
+  private static final long STOP_TIMEOUT_MILLIS =
       8_000; // ms: it answers for three seconds and a half after SIGTERM
 
   private final Process process;
@@ -52,7 +52,7 @@
   }
 
   private void awaitReady(InetSocketAddress listen) throws IOException, InterruptedException {
-    for (long waited = 0; waited < READY_WITHIN && process.isAlive(); waited += 20) {
+    for (long waited = 0; waited < START_TIMEOUT_MILLIS && process.isAlive(); waited += 20) {
       try {
         new Socket(listen.getAddress(), listen.getPort()).close();
         return;
@@ -68,7 +68,7 @@
   }
 
   /** CPU time so far, in nanoseconds. */
-  public long cpu() {
+  public long cpuNanos() {
     return process.toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
   }
 
@@ -87,9 +87,9 @@
   }
 
   /** Ends it in order; its log. */
-  public String finish() throws IOException, InterruptedException {
+  public String stop() throws IOException, InterruptedException {
     process.destroy();
-    if (!process.waitFor(ENDS_WITHIN, TimeUnit.MILLISECONDS)) {
+    if (!process.waitFor(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
       process.destroyForcibly().waitFor();
     }
     return Files.readString(log);
--- a/lab/src/main/java/rushwood/lab/net/StandinList.java
+++ b/lab/src/main/java/rushwood/testbed/standin/StandinDiscovery.java
@@ -1,4 +1,4 @@
-package rushwood.lab.net;
+package rushwood.testbed.standin;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -35,7 +35,7 @@
  * The discovery agent: the whole list, and a watch that brings each change; silent, indented,
  * broken off or spoilt on order. What it is told on its own loop alone.
  */
-public final class StandinList {
+public final class StandinDiscovery {
   /** An entry as the list has it. */
   public record Entry(
       String id,
@@ -44,8 +44,8 @@
       String state,
       double weight,
       long startedMillis,
-      String part) {
-    private String json() {
+      String role) {
+    private String toJson() {
       return "{\"id\":\""
           + id
           + "\",\"addr\":\""
@@ -59,36 +59,37 @@
           + ",\"started_ms\":"
           + startedMillis
           + ",\"part\":\""
-          + part
+          + role
           + "\"}";
     }
   }
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final int EMPTY_LINES = 2; // seconds between them
+  private static final int HEARTBEAT_SECONDS = 2; // seconds between them
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final EventLoop loop;
   private final ChannelGroup watches;
   private Channel listener;
-  private final ChannelGroup calls;
+  private final ChannelGroup connections;
   private UnaryOperator<String> writes = UnaryOperator.identity();
   private InetSocketAddress address;
   private int version = 1;
   private boolean silent;
   private boolean down;
-  private int asked;
+  private int fullListRequests;
 
-  public StandinList(EventLoop loop) {
+  public StandinDiscovery(EventLoop loop) {
     this.loop = loop;
     watches = new DefaultChannelGroup(loop);
-    calls = new DefaultChannelGroup(loop);
+    connections = new DefaultChannelGroup(loop);
   }
 
   public InetSocketAddress listen() throws InterruptedException {
     bind().sync();
     address = (InetSocketAddress) listener.localAddress();
-    loop.scheduleAtFixedRate(() -> tell("\n"), EMPTY_LINES, EMPTY_LINES, TimeUnit.SECONDS);
+    loop.scheduleAtFixedRate(
+        () -> sendToWatches("\n"), HEARTBEAT_SECONDS, HEARTBEAT_SECONDS, TimeUnit.SECONDS);
     return address;
   }
 
@@ -101,8 +102,8 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    calls.add(channel);
-                    channel.pipeline().addLast(new HttpServerCodec(), new Call());
+                    connections.add(channel);
+                    channel.pipeline().addLast(new HttpServerCodec(), new RequestHandler());
                   }
                 })
             .childOption(ChannelOption.SO_LINGER, 0)
@@ -117,45 +118,45 @@
 
   public void close() {
     listener.close();
-    calls.close();
+    connections.close();
   }
 
   /**
    * What is written, whole lists and changes, is made into something else first; null for what it
    * is.
    */
-  public void writes(UnaryOperator<String> spoilt) {
+  public void rewriteResponses(UnaryOperator<String> spoilt) {
     writes = spoilt == null ? UnaryOperator.identity() : spoilt;
   }
 
   /** The watches that are open now say nothing any more, and stay open. */
-  public void mute() {
+  public void muteWatches() {
     watches.clear();
   }
 
   /** All calls that are open now are reset. */
-  public void reset() {
-    calls.close();
+  public void resetConnections() {
+    connections.close();
   }
 
   /** Down, it takes calls and does not answer; those of that time are never answered. */
-  public void down(boolean is) {
+  public void setUnresponsive(boolean is) {
     down = is;
     silent = is;
   }
 
   /** It is not there: what is open is reset, and new calls are refused. */
-  public void gone(boolean is) {
+  public void setOffline(boolean is) {
     if (is) {
       listener.close();
-      calls.close();
+      connections.close();
     } else {
       bind();
     }
   }
 
   /** The version that it counts on from. */
-  public void version(int number) {
+  public void setVersion(int number) {
     version = number;
   }
 
@@ -164,33 +165,33 @@
   }
 
   /** How often the whole list was asked for. */
-  public int asked() {
-    return asked;
+  public int fullListRequests() {
+    return fullListRequests;
   }
 
   /** Writes that on all watches, as it is. */
-  public void raw(String text) {
+  public void writeRaw(String text) {
     watches.writeAndFlush(
         new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
   }
 
   /** Nothing more is told while it is silent; what changed meanwhile is told by the next change. */
-  public void silent(boolean is) {
+  public void setSilent(boolean is) {
     silent = is;
   }
 
-  public void put(Entry entry) {
+  public void publish(Entry entry) {
     entries.put(entry.id(), entry);
     version++;
-    tell(writes.apply(listing(false, List.of(entry))) + "\n");
+    sendToWatches(writes.apply(listJson(false, List.of(entry))) + "\n");
   }
 
-  public String whole() {
-    return listing(true, List.copyOf(entries.values()));
+  public String fullList() {
+    return listJson(true, List.copyOf(entries.values()));
   }
 
   /** The same laid out over many lines, as some agents write it. */
-  public static String indented(String json) {
+  public static String indent(String json) {
     try {
       return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(MAPPER.readTree(json));
     } catch (JsonProcessingException e) {
@@ -198,30 +199,30 @@
     }
   }
 
-  private String listing(boolean full, List<Entry> listed) {
+  private String listJson(boolean full, List<Entry> listed) {
     return "{\"version\":"
         + version
         + ",\"full\":"
         + full
         + ",\"servers\":["
-        + String.join(",", listed.stream().map(Entry::json).toList())
+        + String.join(",", listed.stream().map(Entry::toJson).toList())
         + "]}";
   }
 
-  private void tell(String line) {
+  private void sendToWatches(String line) {
     if (!silent) {
       watches.writeAndFlush(
           new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
     }
   }
 
-  private final class Call extends SimpleChannelInboundHandler<Object> {
+  private final class RequestHandler extends SimpleChannelInboundHandler<Object> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, Object message) {
       if (!(message instanceof HttpRequest request)) {
         return;
       }
-      asked += request.uri().contains("follow=1") ? 0 : 1;
+      fullListRequests += request.uri().contains("follow=1") ? 0 : 1;
       if (down) {
         return;
       }
@@ -230,7 +231,7 @@
             new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.OK,
-                Unpooled.copiedBuffer(writes.apply(whole()), StandardCharsets.UTF_8));
+                Unpooled.copiedBuffer(writes.apply(fullList()), StandardCharsets.UTF_8));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         context.writeAndFlush(response);
         return;
@@ -241,7 +242,7 @@
       context.write(response);
       context.writeAndFlush(
           new DefaultHttpContent(
-              Unpooled.copiedBuffer(writes.apply(whole()) + "\n", StandardCharsets.UTF_8)));
+              Unpooled.copiedBuffer(writes.apply(fullList()) + "\n", StandardCharsets.UTF_8)));
       watches.add(context.channel());
     }
 
--- a/lab/src/main/java/rushwood/lab/net/StandinHost.java
+++ b/lab/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -1,4 +1,4 @@
-package rushwood.lab.net;
+package rushwood.testbed.standin;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -17,7 +17,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import rushwood.lab.model.HostModel;
+import rushwood.testbed.model.HostModel;
 
 /**
  * A host of the store on a loopback address; all of one laboratory run on one event loop, by one
@@ -32,13 +32,13 @@
   private final EventLoop loop;
   private final LongSupplier clock;
   private final ChannelGroup connections;
-  private final BiConsumer<Statement, Boolean> ran;
+  private final BiConsumer<Statement, Boolean> executionListener;
   private InetSocketAddress address;
   private Channel listener;
-  private long accepted;
-  private long offered;
-  private long overfull;
-  private Consumer<Statement> hears = statement -> {};
+  private long acceptedConnections;
+  private long receivedRequests;
+  private long overloadedReplies;
+  private Consumer<Statement> onStatement = statement -> {};
 
   /** {@code ran} hears of each statement that was done, and whether its answer could be written. */
   public StandinHost(
@@ -46,12 +46,12 @@
       HostModel model,
       EventLoop loop,
       LongSupplier clock,
-      BiConsumer<Statement, Boolean> ran) {
+      BiConsumer<Statement, Boolean> executionListener) {
     this.id = id;
     this.model = model;
     this.loop = loop;
     this.clock = clock;
-    this.ran = ran;
+    this.executionListener = executionListener;
     connections = new DefaultChannelGroup(loop);
   }
 
@@ -68,20 +68,20 @@
   }
 
   /** Who hears of each statement as it comes, whatever becomes of it. */
-  public void hears(Consumer<Statement> listener) {
-    hears = listener;
+  public void onStatement(Consumer<Statement> listener) {
+    onStatement = listener;
   }
 
-  public long accepted() {
-    return accepted;
+  public long acceptedConnections() {
+    return acceptedConnections;
   }
 
-  public long offered() {
-    return offered;
+  public long receivedRequests() {
+    return receivedRequests;
   }
 
-  public long overfull() {
-    return overfull;
+  public long overloadedReplies() {
+    return overloadedReplies;
   }
 
   /** Listens, at the address that it had before if it had one. */
@@ -103,9 +103,9 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    accepted++;
+                    acceptedConnections++;
                     connections.add(channel);
-                    channel.pipeline().addLast(new Frames(true), new Connection());
+                    channel.pipeline().addLast(new MessageCodec(true), new ConnectionHandler());
                   }
                 })
             .bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address);
@@ -114,15 +114,15 @@
   }
 
   /** Its process ends: connections are reset, new ones refused. Called on the loop. */
-  public void die() {
-    model.die();
+  public void crash() {
+    model.crash();
     listener.close();
     connections.close();
   }
 
   /** A new process at the same address. Called on the loop. */
-  public void start() {
-    model.start(clock.getAsLong());
+  public void restart() {
+    model.restart(clock.getAsLong());
     bind();
   }
 
@@ -131,26 +131,26 @@
     connections.close();
   }
 
-  private final class Connection extends SimpleChannelInboundHandler<Frames.Message> {
+  private final class ConnectionHandler extends SimpleChannelInboundHandler<MessageCodec.Message> {
     @Override
-    protected void channelRead0(ChannelHandlerContext context, Frames.Message message) {
+    protected void channelRead0(ChannelHandlerContext context, MessageCodec.Message message) {
       ByteBuf out = context.alloc().buffer(256);
       if (message.type() == 0) {
-        Frames.welcome(out);
+        MessageCodec.writeAuthenticationOk(out);
       } else if (message.type() == 'Q') {
         String text = message.text().substring(0, message.text().length() - 1);
         if (text.startsWith("SHOW")) {
-          gauges(out);
+          writeLoadReport(out);
         } else {
-          ask(context, Statement.of(text), out);
+          handleStatement(context, Statement.parse(text), out);
         }
       } else {
         context.close();
       }
-      write(context, out);
+      writeOrRelease(context, out);
     }
 
-    private void write(ChannelHandlerContext context, ByteBuf out) {
+    private void writeOrRelease(ChannelHandlerContext context, ByteBuf out) {
       if (out.isReadable()) {
         context.writeAndFlush(out);
       } else {
@@ -158,9 +158,9 @@
       }
     }
 
-    private void gauges(ByteBuf out) {
+    private void writeLoadReport(ByteBuf out) {
       long position = model.position(clock.getAsLong()) / MS;
-      Frames.row(
+      MessageCodec.writeRow(
           out,
           "x0="
               + position / 1000
@@ -168,51 +168,55 @@
               + String.format("%03d", position % 1000)
               + ",x1="
               + (model.isPrimary() ? 1 : 0));
-      Frames.ready(out);
+      MessageCodec.writeReadyForQuery(out);
     }
 
-    private void role(ByteBuf out) {
-      Frames.parameter(out, "part", model.isPrimary() ? "master" : "replica");
-      Frames.parameter(out, "caught_up_to", Long.toString(model.position(clock.getAsLong()) / MS));
-      Frames.ready(out);
+    private void writeRoleAndReady(ByteBuf out) {
+      MessageCodec.writeParameterStatus(out, "part", model.isPrimary() ? "master" : "replica");
+      MessageCodec.writeParameterStatus(
+          out, "caught_up_to", Long.toString(model.position(clock.getAsLong()) / MS));
+      MessageCodec.writeReadyForQuery(out);
     }
 
-    private void ask(ChannelHandlerContext context, Statement statement, ByteBuf out) {
-      offered++;
-      hears.accept(statement);
+    private void handleStatement(ChannelHandlerContext context, Statement statement, ByteBuf out) {
+      receivedRequests++;
+      onStatement.accept(statement);
       long now = clock.getAsLong();
-      boolean any = statement.value("c").equals("any");
-      HostModel.Reply reply = model.offer(now, statement.write(), any ? -1 : 500 * MS);
-      int life = model.life();
-      switch (reply.verdict()) {
-        case SILENT -> {
+      boolean eventual = statement.commentValue("c").equals("any");
+      HostModel.OfferResult result = model.offer(now, statement.write(), eventual ? -1 : 500 * MS);
+      int incarnation = model.incarnation();
+      switch (result.status()) {
+        case NO_RESPONSE -> {
           if (!model.isUp()) {
-            die(); // it fell over
+            crash(); // it fell over
           }
         }
-        case OVERFULL -> {
-          overfull++;
-          Frames.error(out, "53300");
-          role(out);
+        case OVERLOADED -> {
+          overloadedReplies++;
+          MessageCodec.writeError(out, "53300");
+          writeRoleAndReady(out);
         }
-        case NOT_PRIMARY, TOO_FAR_BEHIND -> {
-          Frames.error(out, reply.verdict() == HostModel.Verdict.NOT_PRIMARY ? "25006" : "72000");
-          role(out);
+        case NOT_PRIMARY, REPLICA_LAGGING -> {
+          MessageCodec.writeError(
+              out, result.status() == HostModel.OfferStatus.NOT_PRIMARY ? "25006" : "72000");
+          writeRoleAndReady(out);
         }
-        case TAKEN ->
+        case ACCEPTED ->
             loop.schedule(
-                () -> done(context, statement, life), reply.doneAt() - now, TimeUnit.NANOSECONDS);
+                () -> complete(context, statement, incarnation),
+                result.completesAt() - now,
+                TimeUnit.NANOSECONDS);
       }
     }
 
-    private void done(ChannelHandlerContext context, Statement statement, int life) {
-      if (model.life() != life) {
+    private void complete(ChannelHandlerContext context, Statement statement, int incarnation) {
+      if (model.incarnation() != incarnation) {
         return; // the process that worked on it is gone
       }
-      ran.accept(statement, context.channel().isActive());
+      executionListener.accept(statement, context.channel().isActive());
       ByteBuf out = context.alloc().buffer(256);
-      Frames.row(out, statement.key());
-      role(out);
+      MessageCodec.writeRow(out, statement.key());
+      writeRoleAndReady(out);
       context.writeAndFlush(out);
     }
 
--- a/lab/src/main/java/rushwood/lab/net/Statement.java
+++ b/lab/src/main/java/rushwood/testbed/standin/Statement.java
@@ -1,15 +1,15 @@
-package rushwood.lab.net;
+package rushwood.testbed.standin;
 
 /** What a statement says: whether it writes, its key and the values of its comment. */
 public record Statement(boolean write, String key, String text) {
-  public static Statement of(String text) {
+  public static Statement parse(String text) {
     int from = text.indexOf('\'') + 1;
     return new Statement(
         text.startsWith("INSERT"), text.substring(from, text.indexOf('\'', from)), text);
   }
 
   /** A value of the comment, or an empty text. */
-  public String value(String name) {
+  public String commentValue(String name) {
     int comment = text.lastIndexOf("/* ");
     for (String pair : text.substring(comment + 3, text.length() - 3).split(",")) {
       if (pair.startsWith(name + "=")) {
@@ -20,10 +20,10 @@
   }
 
   /** The statement of a client's try. */
-  public static String of(
-      boolean write, String key, String id, String product, long millis, int group) {
+  public static String format(
+      boolean write, String key, String id, String requestClass, long millis, int group) {
     String comment =
-        " /* id=" + id + ",c=" + product + ",t=club,d=" + millis + ",cluster=" + group + " */";
+        " /* id=" + id + ",c=" + requestClass + ",t=club,d=" + millis + ",cluster=" + group + " */";
     return write
         ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x01') RETURNING val" + comment
         : "SELECT val FROM state WHERE uid = '" + key + "'" + comment;
--- a/lab/src/test/java/rushwood/lab/ColdTierTest.java
+++ b/lab/src/test/java/rushwood/testbed/ColdHostClusterTest.java
@@ -1,4 +1,4 @@
-package rushwood.lab;
+package rushwood.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -6,27 +6,27 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.lab.load.Tier;
-import rushwood.lab.load.Tier.Member;
-import rushwood.lab.model.HostModel;
+import rushwood.testbed.load.RouterCluster;
+import rushwood.testbed.load.RouterCluster.Member;
+import rushwood.testbed.model.HostModel;
 
 /**
  * Five router processes and a host that starts anew under them: the sum that they send it stays
  * within what it bears.
  */
-class ColdTierTest {
+class ColdHostClusterTest {
   private static final int ROUTERS = 5;
   private static final int RATE =
       40; // accesses a second and router: three warm hosts do twice that
   private static final String COLD = "h3";
-  private static final HostModel.Kind KIND =
-      new HostModel.Kind(120, 8, 64, 0.15, 14_000_000_000L, 4, 1_000_000_000L, 0);
+  private static final HostModel.Parameters KIND =
+      new HostModel.Parameters(120, 8, 64, 0.15, 14_000_000_000L, 4, 1_000_000_000L, 0);
 
-  private Tier tier;
+  private RouterCluster tier;
 
   @BeforeEach
   void start() throws Exception {
-    tier = new Tier(Path.of("../router/target/rushwood.jar"), ROUTERS, 4, 2, KIND);
+    tier = new RouterCluster(Path.of("../router/target/rushwood.jar"), ROUTERS, 4, 2, KIND);
     startAll();
   }
 
@@ -37,15 +37,15 @@
 
   private void startAll() throws Exception {
     for (Member each : tier.members()) {
-      each.start(tier.on(each.agent()::whole));
+      each.start(tier.runOnLoop(each.discovery()::fullList));
     }
     begin();
   }
 
   private void begin() throws Exception {
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> each.clients().begin(RATE));
+          tier.members().forEach(each -> each.load().start(RATE));
           return null;
         });
   }
@@ -53,8 +53,13 @@
   /** What a window of its first seconds may hold is N accesses and 2 x root of N + 2 of chance. */
   private void bearsIt() throws Exception {
     Thread.sleep(4000);
-    double most = KIND.tipMultiple() * KIND.coldFrom() * KIND.rate() * KIND.tipWindow() / 1e9;
-    double push = tier.on(() -> tier.model(COLD).worstPush());
+    double most =
+        KIND.overloadMultiple()
+            * KIND.coldStartSpeed()
+            * KIND.rate()
+            * KIND.overloadWindowNanos()
+            / 1e9;
+    double push = tier.runOnLoop(() -> tier.hostModel(COLD).worstColdOverload());
     assertTrue(push > 0.05, "it is used: " + push);
     assertTrue(push <= 1 + (2 * Math.sqrt(most) + 2) / most, push + " times what it bears");
   }
@@ -62,9 +67,9 @@
   @Test
   void aHostStartsAnew() throws Exception {
     Thread.sleep(1500);
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.startAnew(COLD);
+          tier.restartHost(COLD);
           return null;
         });
     bearsIt();
@@ -77,10 +82,10 @@
     for (Member each : tier.members()) {
       each.process().signal("KILL");
     }
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> each.clients().pause());
-          tier.startAnew(COLD);
+          tier.members().forEach(each -> each.load().pause());
+          tier.restartHost(COLD);
           return null;
         });
     startAll();
--- a/lab/src/test/java/rushwood/lab/DrainsTest.java
+++ b/lab/src/test/java/rushwood/testbed/EndpointDrainTest.java
@@ -1,4 +1,4 @@
-package rushwood.lab;
+package rushwood.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,22 +12,22 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.lab.load.Tier;
-import rushwood.lab.load.Tier.Member;
-import rushwood.lab.net.StandinList;
+import rushwood.testbed.load.RouterCluster;
+import rushwood.testbed.load.RouterCluster.Member;
+import rushwood.testbed.standin.StandinDiscovery;
 
 /**
  * Hosts announced as leaving get nothing past the grace, whatever becomes of the calls that bring
  * the announcement: three router processes, each with an agent of its own, under steady load.
  */
-class DrainsTest {
+class EndpointDrainTest {
   private static final long MS = 1_000_000L;
   private static final long GRACE = 500; // ms: a short one, with some room for a busy machine
   private static final int RATE = 150; // accesses a second and router
   private static final int PATIENCE = 10_000; // ms until a test that hangs fails
   private static final String LEAVES = "h2";
 
-  private Tier tier;
+  private RouterCluster tier;
 
   /** What is done to the agents when the host is announced. */
   private interface Fault {
@@ -36,9 +36,9 @@
 
   @BeforeEach
   void start() throws Exception {
-    tier = new Tier(Path.of("../router/target/rushwood.jar"), 3, 4, GRACE / 1000.0);
+    tier = new RouterCluster(Path.of("../router/target/rushwood.jar"), 3, 4, GRACE / 1000.0);
     for (Member each : tier.members()) {
-      each.start(tier.on(each.agent()::whole));
+      each.start(tier.runOnLoop(each.discovery()::fullList));
     }
     begin();
     flows();
@@ -50,9 +50,9 @@
   }
 
   private void begin() throws Exception {
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> each.clients().begin(RATE));
+          tier.members().forEach(each -> each.load().start(RATE));
           return null;
         });
   }
@@ -64,7 +64,8 @@
   private void flows() throws Exception {
     long from = tier.now();
     for (int waited = 0; waited < PATIENCE; waited += 10) {
-      if (tier.on(() -> tier.members().stream().allMatch(each -> each.lastSent(LEAVES) > from))) {
+      if (tier.runOnLoop(
+          () -> tier.members().stream().allMatch(each -> each.lastRequestAt(LEAVES) > from))) {
         return;
       }
       Thread.sleep(10);
@@ -73,17 +74,17 @@
   }
 
   private void announce(String state) throws Exception {
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> tier.list(each, LEAVES, state));
+          tier.members().forEach(each -> tier.announce(each, LEAVES, state));
           return null;
         });
   }
 
-  private void all(Consumer<StandinList> change) throws Exception {
-    tier.on(
+  private void all(Consumer<StandinDiscovery> change) throws Exception {
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> change.accept(each.agent()));
+          tier.members().forEach(each -> change.accept(each.discovery()));
           return null;
         });
   }
@@ -96,19 +97,19 @@
   }
 
   private void keptSince(long told) throws Exception {
-    long asked = tier.on(() -> tier.members().get(0).clients().asked());
+    long asked = tier.runOnLoop(() -> tier.members().get(0).load().sent());
     Thread.sleep(GRACE + 300);
     long late =
-        tier.on(
+        tier.runOnLoop(
             () ->
                 tier.members().stream()
-                    .mapToLong(each -> each.lastSent(LEAVES) - told)
+                    .mapToLong(each -> each.lastRequestAt(LEAVES) - told)
                     .max()
                     .orElseThrow());
     assertTrue(
         late < GRACE * MS,
         late / MS + " ms after it was told: " + tier.members().get(0).process().log());
-    assertTrue(tier.on(() -> tier.members().get(0).clients().asked()) > asked, "it serves on");
+    assertTrue(tier.runOnLoop(() -> tier.members().get(0).load().sent()) > asked, "it serves on");
   }
 
   @Test
@@ -125,7 +126,7 @@
     for (int i = 0; i < 2; i++) {
       kept(
           () -> {
-            all(StandinList::mute);
+            all(StandinDiscovery::muteWatches);
             announce("Terminating");
           });
       announce("Ready");
@@ -137,17 +138,17 @@
   void byAWatchThatIsReset() throws Exception {
     kept(
         () -> {
-          all(StandinList::reset);
+          all(StandinDiscovery::resetConnections);
           announce("Terminating");
         });
     announce("Ready");
     flows();
     kept(
         () -> {
-          all(agent -> agent.gone(true));
+          all(agent -> agent.setOffline(true));
           announce("Terminating");
           Thread.sleep(100);
-          all(agent -> agent.gone(false));
+          all(agent -> agent.setOffline(false));
         });
   }
 
@@ -157,28 +158,28 @@
    */
   @Test
   void atTheReturnOfDiscovery() throws Exception {
-    all(agent -> agent.down(true));
+    all(agent -> agent.setUnresponsive(true));
     Thread.sleep(3700);
     announce("Terminating");
-    kept(() -> all(agent -> agent.down(false)));
+    kept(() -> all(agent -> agent.setUnresponsive(false)));
     announce("Ready");
     flows();
-    all(agent -> agent.gone(true));
+    all(agent -> agent.setOffline(true));
     Thread.sleep(2300);
     announce("Terminating");
-    kept(() -> all(agent -> agent.gone(false)));
+    kept(() -> all(agent -> agent.setOffline(false)));
   }
 
   /** Over many lines, whole and in a watch. */
   @Test
   void inAnIndentedList() throws Exception {
-    all(agent -> agent.writes(StandinList::indented));
+    all(agent -> agent.rewriteResponses(StandinDiscovery::indent));
     kept(() -> announce("Terminating"));
     announce("Ready");
     flows();
     kept(
         () -> {
-          all(StandinList::reset);
+          all(StandinDiscovery::resetConnections);
           announce("Terminating");
         });
   }
@@ -187,11 +188,11 @@
   @Test
   void afterSighup() throws Exception {
     Member moved = tier.members().get(0);
-    StandinList other = tier.members().get(1).agent();
-    tier.on(
+    StandinDiscovery other = tier.members().get(1).discovery();
+    tier.runOnLoop(
         () -> {
-          tier.list(tier.members().get(1), LEAVES, "Terminating");
-          tier.list(tier.members().get(2), LEAVES, "Terminating");
+          tier.announce(tier.members().get(1), LEAVES, "Terminating");
+          tier.announce(tier.members().get(2), LEAVES, "Terminating");
           return null;
         });
     moved.configure(other.address(), null);
@@ -206,32 +207,32 @@
   @Test
   void inANewProcess() throws Exception {
     Member member = tier.members().get(0);
-    String known = tier.on(member.agent()::whole);
+    String known = tier.runOnLoop(member.discovery()::fullList);
     member.process().signal("KILL");
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          member.clients().pause();
+          member.load().pause();
           return null;
         });
     announce("Terminating");
     Thread.sleep(200);
-    long before = tier.on(() -> member.sent(LEAVES));
+    long before = tier.runOnLoop(() -> member.requestsSent(LEAVES));
     member.start(known);
     begin();
     Thread.sleep(1000);
-    assertEquals(before, tier.on(() -> member.sent(LEAVES)));
-    assertTrue(tier.on(() -> member.sent("h1")) > 0);
+    assertEquals(before, tier.runOnLoop(() -> member.requestsSent(LEAVES)));
+    assertTrue(tier.runOnLoop(() -> member.requestsSent("h1")) > 0);
   }
 
   /** One entry of hundreds, in an indented list, over a watch that broke. */
   @Test
   void amongHundredsOfHosts() throws Exception {
-    all(agent -> agent.writes(StandinList::indented));
-    tier.on(
+    all(agent -> agent.rewriteResponses(StandinDiscovery::indent));
+    tier.runOnLoop(
         () -> {
           for (Member each : tier.members()) {
             IntStream.range(0, 400)
-                .forEach(i -> each.agent().put(tier.entry("x" + i, "h3", "Ready")));
+                .forEach(i -> each.discovery().publish(tier.entry("x" + i, "h3", "Ready")));
           }
           return null;
         });
@@ -241,7 +242,7 @@
     flows();
     kept(
         () -> {
-          all(StandinList::mute);
+          all(StandinDiscovery::muteWatches);
           announce("Terminating");
         });
   }
@@ -252,9 +253,9 @@
    */
   @Test
   void whileTheProcessStandsStill() throws Exception {
-    tier.on(
+    tier.runOnLoop(
         () -> {
-          tier.members().forEach(each -> each.clients().pause());
+          tier.members().forEach(each -> each.load().pause());
           return null;
         });
     Thread.sleep(100);
@@ -290,9 +291,9 @@
             text -> text.replaceFirst("\"version\":\\d+,", ""),
             text -> text.replaceFirst("\"full\":(true|false),", ""));
     for (UnaryOperator<String> each : spoilt) {
-      all(agent -> agent.writes(each));
+      all(agent -> agent.rewriteResponses(each));
       kept(() -> announce("Terminating"));
-      all(agent -> agent.writes(null));
+      all(agent -> agent.rewriteResponses(null));
       announce("Ready");
       flows();
     }
@@ -318,16 +319,16 @@
             "{\"version\":9,\"full\":true,\"servers\":[" + " ".repeat(1 << 20))) {
       all(
           agent -> {
-            agent.writes(text -> bad);
-            agent.reset();
+            agent.rewriteResponses(text -> bad);
+            agent.resetConnections();
           });
       Thread.sleep(150);
       announce("Terminating");
-      kept(() -> all(agent -> agent.writes(null)));
+      kept(() -> all(agent -> agent.rewriteResponses(null)));
       announce("Ready");
       flows();
     }
-    all(agent -> agent.version(3));
+    all(agent -> agent.setVersion(3));
     kept(() -> announce("Terminating"));
     announce("Ready");
     flows();
--- a/lab/src/test/java/rushwood/lab/StormsTest.java
+++ b/lab/src/test/java/rushwood/testbed/OverloadExperimentTest.java
@@ -1,4 +1,4 @@
-package rushwood.lab;
+package rushwood.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,31 +11,31 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushwood.config.InvalidConfigException;
-import rushwood.lab.load.Experiment;
-import rushwood.lab.load.Result;
-import rushwood.lab.load.SocketRun;
-import rushwood.lab.report.Reports;
-import rushwood.lab.virt.VirtualRun;
 import rushwood.overload.OverloadSettings;
+import rushwood.testbed.load.Experiment;
+import rushwood.testbed.load.ExperimentResult;
+import rushwood.testbed.load.SocketExperiment;
+import rushwood.testbed.report.ReportWriter;
+import rushwood.testbed.simulation.Simulation;
 
 /**
  * The hard cases of storms, played by the laboratory: in virtual time with and without the module,
  * and on sockets.
  */
-class StormsTest {
+class OverloadExperimentTest {
   private static Experiment read(String name) throws IOException {
     return Experiment.read(Path.of("experiments", name + ".json"));
   }
 
-  private static Result with(Experiment experiment) throws InvalidConfigException {
-    return new VirtualRun(experiment, OverloadSettings.DEFAULT).play();
+  private static ExperimentResult with(Experiment experiment) throws InvalidConfigException {
+    return new Simulation(experiment, OverloadSettings.DEFAULT).run();
   }
 
-  private static Result without(Experiment experiment) throws InvalidConfigException {
-    return new VirtualRun(experiment, null).play();
+  private static ExperimentResult without(Experiment experiment) throws InvalidConfigException {
+    return new Simulation(experiment, null).run();
   }
 
-  private static double figure(Result result, String name) {
+  private static double figure(ExperimentResult result, String name) {
     return result.figures().get(name);
   }
 
@@ -45,7 +45,7 @@
    */
   @Test
   void coldAndAgain() throws IOException, InvalidConfigException {
-    Result with = with(read("cold-again"));
+    ExperimentResult with = with(read("cold-again"));
     assertEquals(1, figure(with, "share_fulfilled"));
     assertEquals(0, figure(with, "falls"));
     assertTrue(figure(with, "worst_cold_push") < 1);
@@ -61,8 +61,8 @@
    */
   @Test
   void bookedReturns() throws IOException, InvalidConfigException {
-    Result with = with(read("long-waits"));
-    Result without = without(read("long-waits"));
+    ExperimentResult with = with(read("long-waits"));
+    ExperimentResult without = without(read("long-waits"));
     assertEquals(1, figure(with, "share_fulfilled"));
     assertTrue(figure(without, "share_fulfilled") < 0.97);
     assertTrue(figure(with, "turned_back") < 0.7 * figure(without, "turned_back"));
@@ -71,7 +71,7 @@
   /** One group storms: nobody of the other one is turned back. */
   @Test
   void calmGroupBesideAStorm() throws IOException, InvalidConfigException {
-    Result with = with(read("two-groups"));
+    ExperimentResult with = with(read("two-groups"));
     assertTrue(figure(with, "turned_back_of_group_0") > 1000);
     assertFalse(with.figures().containsKey("turned_back_of_group_1"));
   }
@@ -79,10 +79,10 @@
   /** An honest peak of twice the usual load: no storm is seen, nobody is turned back. */
   @Test
   void honestPeak() throws IOException, InvalidConfigException {
-    Result with = with(read("honest-peak"));
+    ExperimentResult with = with(read("honest-peak"));
     assertEquals(1, figure(with, "share_fulfilled"));
     assertEquals(0, figure(with, "turned_back"));
-    assertFalse(with.lines().containsKey("changes of weather"));
+    assertFalse(with.timeSeries().containsKey("changes of weather"));
   }
 
   /**
@@ -91,22 +91,22 @@
    */
   @Test
   void noMetastableState() throws IOException, InvalidConfigException {
-    Result with = with(read("hosts-hang"));
+    ExperimentResult with = with(read("hosts-hang"));
     assertEquals(1, figure(with, "share_fulfilled"));
-    List<Double> goodput = with.lines().get("goodput").steps();
+    List<Double> goodput = with.timeSeries().get("goodput").values();
     double late = goodput.subList(100, 140).stream().mapToDouble(each -> each).sum() / 4;
     assertTrue(
         late > 0.97 * 800,
         late + " a second of 800 that come, five seconds after the end of the cause");
-    assertTrue(with.lines().containsKey("changes of weather"), "it was seen");
-    List<Double> changes = with.lines().get("changes of weather").steps();
+    assertTrue(with.timeSeries().containsKey("changes of weather"), "it was seen");
+    List<Double> changes = with.timeSeries().get("changes of weather").values();
     assertTrue(changes.size() < 120, "the last change, to calm, within seven seconds of the end");
   }
 
   @Test
   void sameSeedSameRun() throws IOException, InvalidConfigException {
-    String once = Reports.json(with(read("primary-dies-2000").with(3)));
-    assertEquals(once, Reports.json(with(read("primary-dies-2000").with(3))));
+    String once = ReportWriter.toJson(with(read("primary-dies-2000").withRouters(3)));
+    assertEquals(once, ReportWriter.toJson(with(read("primary-dies-2000").withRouters(3))));
   }
 
   @Test
@@ -123,23 +123,23 @@
     }
   }
 
-  private static Result onSockets(String name) throws Exception {
-    return new SocketRun(
+  private static ExperimentResult onSockets(String name) throws Exception {
+    return new SocketExperiment(
             read(name),
-            new SocketRun.Build(
+            new SocketExperiment.RouterBuild(
                 Path.of("../router/target/rushwood.jar"),
                 List.of("-XX:+UseSerialGC", "-Xmx64m"),
                 "",
                 ""))
-        .play();
+        .run();
   }
 
   /** The same while discovery says nothing: roles come from the hosts, and all are served. */
   @Test
   void theListIsSilent() throws Exception {
-    Result result = onSockets("list-silent");
-    assertEquals(1, figure(result, "crowd0.share_fulfilled"), Reports.json(result));
-    assertEquals(1, figure(result, "crowd1.share_fulfilled"), Reports.json(result));
+    ExperimentResult result = onSockets("list-silent");
+    assertEquals(1, figure(result, "crowd0.share_fulfilled"), ReportWriter.toJson(result));
+    assertEquals(1, figure(result, "crowd1.share_fulfilled"), ReportWriter.toJson(result));
     assertEquals(0, figure(result, "doubled_tries") + figure(result, "doubled_writes"));
   }
 
@@ -149,8 +149,8 @@
    */
   @Test
   void stoppedInTheStorm() throws Exception {
-    Result result = onSockets("stopped-in-storm");
-    String all = Reports.json(result);
+    ExperimentResult result = onSockets("stopped-in-storm");
+    String all = ReportWriter.toJson(result);
     assertEquals(0, figure(result, "crowd0.tries_without_answer"), all);
     assertEquals(0, figure(result, "crowd1.in_doubt"), all);
     assertEquals(
@@ -169,16 +169,16 @@
   /** 2,000 clients within a second on sockets while the primary dies and comes back cold. */
   @Test
   void twoThousandOnSockets() throws Exception {
-    Result result =
-        new SocketRun(
+    ExperimentResult result =
+        new SocketExperiment(
                 read("primary-dies-2000"),
-                new SocketRun.Build(
+                new SocketExperiment.RouterBuild(
                     Path.of("../router/target/rushwood.jar"),
                     List.of("-XX:+UseSerialGC", "-Xmx64m"),
                     "",
                     ""))
-            .play();
-    String all = Reports.json(result);
+            .run();
+    String all = ReportWriter.toJson(result);
     for (String crowd : List.of("crowd0", "crowd1")) {
       assertEquals(1, figure(result, crowd + ".share_fulfilled"), all);
       assertEquals(0, figure(result, crowd + ".closed_though_told_to_return"), all);
@@ -192,6 +192,6 @@
         all);
     assertTrue(figure(result, "h1.worst_cold_push") < 1, all);
     assertTrue(result.counters().get("connections_failed") < 50, all);
-    assertTrue(Reports.html("a", Map.of("a", result)).contains("goodput"));
+    assertTrue(ReportWriter.toHtml("a", Map.of("a", result)).contains("goodput"));
   }
 }
