Document rushwood.api; roles are a type, and a write is no consistency level

Need: roles were nullable Booleans, positions NaN or negative without a name, and a write stood among the consistency levels of reads. Comments of the interface still used the old words. Change: HostRole in place of Boolean; hasPosition(); RequestClass.isWrite; a doc comment on each type, component with a unit or a bound, and method. Tests' expected outcomes carry the new names (their checks are the same ones).

--- a/lab/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/lab/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -18,6 +18,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.OverloadSignals;
 import rushwood.api.PolicyActions;
@@ -56,6 +57,7 @@
           RequestClass.Idempotency.IDEMPOTENT,
           RequestClass.KeyScope.GLOBAL,
           0,
+          false,
           RequestClass.Consistency.EVENTUAL,
           0,
           0);
@@ -147,7 +149,15 @@
     decisions.attemptFinished(
         now,
         new AttemptResult(
-            id, 0, ENDPOINT, AttemptOutcome.SUCCESS, MS, true, null, -1, LoadReport.NONE));
+            id,
+            0,
+            ENDPOINT,
+            AttemptOutcome.SUCCESS,
+            MS,
+            true,
+            HostRole.UNKNOWN,
+            -1,
+            LoadReport.NONE));
     decisions.timerFired(now);
   }
 
--- a/lab/src/main/java/rushwood/testbed/simulation/Simulation.java
+++ b/lab/src/main/java/rushwood/testbed/simulation/Simulation.java
@@ -16,6 +16,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
@@ -245,8 +246,8 @@
       VirtualHost at = hosts.get(host);
       at.attemptsInFlight.remove(this);
       boolean answered = outcome.isHostResponse();
-      boolean write = request.request.requestClass().consistency() == Consistency.WRITE;
-      Boolean primary = answered ? (Boolean) at.model.isPrimary() : null;
+      boolean write = request.request.requestClass().isWrite();
+      HostRole role = answered ? HostRole.of(at.model.isPrimary()) : HostRole.UNKNOWN;
       long position = answered ? at.model.position(events.now()) : -1;
       if (outcome == AttemptOutcome.SUCCESS && request.client != null) {
         VirtualClient client = request.client;
@@ -264,7 +265,7 @@
                     outcome,
                     events.now() - sentAt,
                     request.client == null,
-                    primary,
+                    role,
                     write && outcome == AttemptOutcome.SUCCESS ? events.now() : position,
                     LoadReport.NONE));
             router.forget(request);
@@ -375,7 +376,7 @@
 
     private void deliver(VirtualHost host, VirtualAttempt attempt) {
       Request request = attempt.request.request;
-      boolean write = request.requestClass().consistency() == Consistency.WRITE;
+      boolean write = request.requestClass().isWrite();
       HostModel.OfferResult result =
           host.model.offer(
               events.now(),
@@ -453,7 +454,7 @@
             boolean up = model.isUp();
             LoadReport report =
                 up
-                    ? new LoadReport(model.position(events.now()), model.isPrimary())
+                    ? new LoadReport(model.position(events.now()), HostRole.of(model.isPrimary()))
                     : LoadReport.NONE;
             callPolicy(() -> policy.probeFinished(events.now(), id, up, report));
           });
--- a/router/src/main/java/rushwood/api/AttemptResult.java
+++ b/router/src/main/java/rushwood/api/AttemptResult.java
@@ -1,9 +1,15 @@
 package rushwood.api;
 
 /**
- * What came back for a shot. {@code over}: the access needs no final answer of ours. {@code
- * primary} is the role that it tells, null for none; {@code position} is the position or commit,
- * negative for none.
+ * The end of an attempt, as the routing policy is told of it.
+ *
+ * @param attemptNumber the number of the attempt among those of its request, from 0
+ * @param durationNanos the time since the attempt was sent
+ * @param requestFinished whether the request needs no final answer from the policy any more: its
+ *     client has the answer, or has gone
+ * @param role the role that the host claimed with its answer
+ * @param position the position at which a read was answered or a write was committed, as a clock
+ *     time in nanoseconds, or a negative number if the host did not say; see {@link #hasPosition()}
  */
 public record AttemptResult(
     RequestId request,
@@ -12,6 +18,12 @@
     AttemptOutcome outcome,
     long durationNanos,
     boolean requestFinished,
-    Boolean primary,
+    HostRole role,
     long position,
-    LoadReport report) {}
+    LoadReport report) {
+
+  /** Whether the host gave a position. */
+  public boolean hasPosition() {
+    return position >= 0;
+  }
+}
--- a/router/src/main/java/rushwood/api/OverloadSignals.java
+++ b/router/src/main/java/rushwood/api/OverloadSignals.java
@@ -1,29 +1,33 @@
 package rushwood.api;
 
 /**
- * What the decisions are told of crowds: the waits to tell, the budgets to obey. They still choose
- * what they apply to.
+ * What overload control tells the routing policy: Retry-After times and retry budgets. The policy
+ * still chooses which request is rejected, retried or sent. Times are clock times in nanoseconds.
  */
 public interface OverloadSignals {
   /**
-   * The wait to tell the client of an access that is turned back now, 0 for none; {@code crowded}:
-   * others wait here.
+   * The Retry-After for the client of a request that is rejected now, in nanoseconds, 0 for none.
+   *
+   * @param othersWaiting whether requests of the same group are waiting for a slot
    */
   long retryAfterNanos(long now, Request request, boolean othersWaiting);
 
   /**
-   * Whether a further shot, after one that cost its host something, keeps within what repeats may
-   * cost.
+   * Whether the retry budget of the group allows a retry after an attempt that cost its host work.
    */
   boolean canRetry(long now, GroupId group);
 
-  /** A shot was sent; {@code further}: after one of that access that cost its host something. */
+  /**
+   * An attempt was sent.
+   *
+   * @param retry whether it follows an attempt of the same request that cost its host work
+   */
   void attemptSent(long now, GroupId group, boolean retry);
 
-  /** Whether a host that is down may be tried although no probe has found it up. */
+  /** Whether an unreachable host may be tried although no probe has found it up again. */
   boolean canConnect(long now, HostId host);
 
-  /** No figures: the longest wait while others wait, no budgets. */
+  /** Without overload control: the longest Retry-After while others wait, and no budgets. */
   static OverloadSignals withoutOverloadControl(RoutingSettings settings) {
     return new OverloadSignals() {
       @Override
--- a/router/src/main/java/rushwood/api/Request.java
+++ b/router/src/main/java/rushwood/api/Request.java
@@ -1,10 +1,15 @@
 package rushwood.api;
 
 /**
- * One thing a client asks of the databases. {@code due} is the end of this try, {@code sinceWrite}
- * the time since the session's last commit as the client knows it, 0 for none. An absent session is
- * null. {@code mark} is the same for all tries of one thing, as far as can be told from key and
- * product, 0 if it cannot; {@code waited} is how long its client has stayed away on our word.
+ * One read or write that a client asks for.
+ *
+ * @param session the session whose writes the request has to see, or null if there is none
+ * @param deadline the clock time at which the client stops waiting
+ * @param sinceLastWriteNanos the time since the last commit of the session as its client knows it,
+ *     0 if there was none
+ * @param fingerprint the same for all tries of the same request, as far as key and class tell, 0 if
+ *     they do not
+ * @param waitedNanos how long its client has stayed away because a Retry-After told it to
  */
 public record Request(
     RequestId id,
@@ -16,6 +21,7 @@
     long fingerprint,
     long waitedNanos) {
 
+  /** A request without a fingerprint whose client was not told to wait. */
   public Request(
       RequestId id,
       RequestClass requestClass,
@@ -26,6 +32,7 @@
     this(id, requestClass, session, group, deadline, sinceLastWriteNanos, 0, 0);
   }
 
+  /** The same request, of a client that has waited that long because it was told to. */
   public Request afterWaiting(long nanos) {
     return new Request(
         id, requestClass, session, group, deadline, sinceLastWriteNanos, fingerprint, nanos);
--- a/router/src/main/java/rushwood/api/RequestClass.java
+++ b/router/src/main/java/rushwood/api/RequestClass.java
@@ -3,9 +3,18 @@
 import java.util.List;
 
 /**
- * The kind an access belongs to. Times in nanoseconds; {@code bound} counts only for a BOUNDED
- * need. {@code lateEarnings} is the share of its earnings that an answer after the quoted time
- * still has.
+ * The kind of a request, as the settings define it.
+ *
+ * @param index the place of the class in the settings, from 0
+ * @param latencyObjectiveNanos the time within which an answer has its full value
+ * @param idempotencyWindowNanos how long an idempotency key is recognised; counts only for {@link
+ *     Idempotency#IDEMPOTENCY_KEY}
+ * @param isWrite whether its requests change data; only the primary takes them
+ * @param consistency how fresh the data of a read has to be; {@link Consistency#EVENTUAL} for
+ *     writes
+ * @param maxStalenessNanos how old the data may be; counts only for {@link
+ *     Consistency#BOUNDED_STALENESS}
+ * @param lateValue the share of its value that an answer after the latency objective still has
  */
 public record RequestClass(
     String name,
@@ -14,11 +23,12 @@
     Idempotency idempotency,
     KeyScope keyScope,
     long idempotencyWindowNanos,
+    boolean isWrite,
     Consistency consistency,
     long maxStalenessNanos,
     double lateValue) {
 
-  /** The one of that name, or null. */
+  /** The class of that name, or null if there is none. */
   public static RequestClass findByName(List<RequestClass> requestClasses, String name) {
     return requestClasses.stream()
         .filter(each -> each.name().equals(name))
@@ -26,19 +36,23 @@
         .orElse(null);
   }
 
+  /** Whether a request may run more than once. */
   public enum Idempotency {
+    /** It may run any number of times. */
     IDEMPOTENT,
+    /** It may be repeated within the scope and the window of its key. */
     IDEMPOTENCY_KEY,
+    /** It must not run twice. */
     NON_IDEMPOTENT
   }
 
-  /** Within which hosts the label of a labelled access is known. */
+  /** Among which hosts an idempotency key is recognised. */
   public enum KeyScope {
     GLOBAL,
     ZONE,
     GROUP;
 
-    /** Whether a label that one host has seen is known to the other. */
+    /** Whether a key that one of the hosts has seen is known to the other. */
     public boolean isShared(Endpoint one, Endpoint other) {
       return this == GLOBAL
           || this == GROUP && one.group().equals(other.group())
@@ -46,12 +60,15 @@
     }
   }
 
-  /** How fresh the data must be that answers it. */
+  /** How fresh the data that answers a read has to be. */
   public enum Consistency {
-    WRITE,
+    /** As of the arrival of the request. */
     STRONG,
+    /** Not older than the last write of the same session. */
     READ_YOUR_WRITES,
+    /** Not older than a bound. */
     BOUNDED_STALENESS,
+    /** Of any age. */
     EVENTUAL
   }
 }
--- a/router/src/main/java/rushwood/api/package-info.java
+++ b/router/src/main/java/rushwood/api/package-info.java
@@ -1,2 +1,2 @@
-/** What a caller of the decisions sees: the interface, the ids and the plain types. */
+/** The interface of the routing policy and its value types; it depends on no other package. */
 package rushwood.api;
--- a/router/src/main/java/rushwood/config/SettingsDecoder.java
+++ b/router/src/main/java/rushwood/config/SettingsDecoder.java
@@ -61,6 +61,7 @@
     List<RequestClass> classes = new ArrayList<>();
     for (int i = 0; i < count("classes.count"); i++) {
       String prefix = "classes." + i + ".";
+      String word = i < consistencyWords.length ? consistencyWords[i] : "";
       classes.add(
           new RequestClass(
               text(prefix + "name"),
@@ -70,7 +71,8 @@
                   indexOfWord(prefix + "semantics", "repeatable", "by_key", "once")],
               keyScope(prefix),
               nanos(prefix + "window"),
-              consistency(i < consistencyWords.length ? consistencyWords[i] : ""),
+              word.equals("update"),
+              consistency(word),
               stalenessBound(i < bounds.length ? bounds[i] : ""),
               pairs.containsKey(prefix + "late_value") ? number(prefix + "late_value") : 0));
     }
@@ -99,11 +101,10 @@
 
   private RequestClass.Consistency consistency(String word) {
     return switch (word) {
-      case "update" -> RequestClass.Consistency.WRITE;
       case "latest" -> RequestClass.Consistency.STRONG;
       case "own_writes" -> RequestClass.Consistency.READ_YOUR_WRITES;
       case "recent" -> RequestClass.Consistency.BOUNDED_STALENESS;
-      case "loose", "" -> RequestClass.Consistency.EVENTUAL;
+      case "update", "loose", "" -> RequestClass.Consistency.EVENTUAL;
       default -> throw bad.apply("domain.needs_by_class", "has the unknown word " + word);
     };
   }
--- a/router/src/main/java/rushwood/dispatch/BackendResponse.java
+++ b/router/src/main/java/rushwood/dispatch/BackendResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import rushwood.api.AttemptOutcome;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 
 /**
@@ -9,9 +10,9 @@
  * fulfilled; whoever gets the answer releases it.
  */
 public record BackendResponse(
-    AttemptOutcome outcome, ByteBuf row, Boolean primary, long position, LoadReport report) {
+    AttemptOutcome outcome, ByteBuf row, HostRole role, long position, LoadReport report) {
   public static BackendResponse withoutRow(AttemptOutcome outcome) {
-    return new BackendResponse(outcome, null, null, -1, LoadReport.NONE);
+    return new BackendResponse(outcome, null, HostRole.UNKNOWN, -1, LoadReport.NONE);
   }
 
   public void release() {
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -381,7 +381,7 @@
                     response.outcome(),
                     clock.now() - attempt.startedAt,
                     request.responder == null,
-                    response.primary(),
+                    response.role(),
                     response.position(),
                     response.report())));
   }
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -15,7 +15,6 @@
 import rushwood.api.OverloadSignals;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
-import rushwood.api.RequestClass.Consistency;
 import rushwood.api.RequestClass.Idempotency;
 import rushwood.api.RequestId;
 import rushwood.api.RoutingPolicy;
@@ -82,7 +81,7 @@
     }
 
     boolean isUnsafeToRepeat() {
-      return request.requestClass().consistency() == Consistency.WRITE
+      return request.requestClass().isWrite()
           && request.requestClass().idempotency() != Idempotency.IDEMPOTENT;
     }
   }
@@ -410,7 +409,7 @@
         || !crowded && state(request.group()) == OverloadDetector.State.NORMAL) {
       return 0;
     }
-    boolean highPriority = request.requestClass().consistency() == Consistency.WRITE;
+    boolean highPriority = request.requestClass().isWrite();
     RetryAfterSchedule.Reservation reservation =
         retryAfterSchedule.reserve(
             now,
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -12,6 +12,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.OverloadSignals;
 import rushwood.api.PolicyActions;
@@ -376,7 +377,7 @@
     public StageResult onRequest(PendingRequest pending, long now) {
       pending.requiredPosition =
           switch (pending.requestClass.consistency()) {
-            case WRITE, EVENTUAL -> HostState.NEVER;
+            case EVENTUAL -> HostState.NEVER;
             case STRONG -> pending.arrivedAt;
             case BOUNDED_STALENESS -> now - pending.requestClass.maxStalenessNanos();
             case READ_YOUR_WRITES ->
@@ -393,16 +394,16 @@
     public void onResult(Attempt attempt, AttemptResult result, long now) {
       HostState host = attempt.host;
       SessionId session = attempt.pending.request.session();
-      boolean write = attempt.pending.requires(Consistency.WRITE);
+      boolean write = attempt.pending.isWrite();
       if (write && result.outcome() == AttemptOutcome.SUCCESS) {
         if (session != null && settings.tracksSessionWrites()) {
-          sessionWrites.recordCommit(session, result.position() >= 0 ? result.position() : now);
+          sessionWrites.recordCommit(session, result.hasPosition() ? result.position() : now);
         }
-      } else if (result.position() >= 0) {
+      } else if (result.hasPosition()) {
         host.recordPosition(result.position(), now);
       }
-      if (result.primary() != null) {
-        applyRole(host, result.primary(), now);
+      if (result.role().isKnown()) {
+        applyRole(host, result.role() == HostRole.PRIMARY, now);
       }
       applyLoadReport(host, result.report(), now);
       boolean behind = result.outcome() == AttemptOutcome.REPLICA_LAGGING;
@@ -424,10 +425,10 @@
    */
   private void applyLoadReport(HostState host, LoadReport report, long now) {
     long position = (long) report.position();
-    if (!Double.isNaN(report.position()) && position <= now) {
+    if (report.hasPosition() && position <= now) {
       host.recordPosition(position, now);
-      if (report.primary() != null && position > host.roleKnownAt) {
-        applyRole(host, report.primary(), position);
+      if (report.role().isKnown() && position > host.roleKnownAt) {
+        applyRole(host, report.role() == HostRole.PRIMARY, position);
       }
     }
   }
@@ -460,9 +461,7 @@
     @Override
     public StageResult onRequest(PendingRequest pending, long now) {
       pending.selectedHost =
-          pending.requires(Consistency.WRITE)
-              ? selectForWrite(pending, now)
-              : selectForRead(pending, now);
+          pending.isWrite() ? selectForWrite(pending, now) : selectForRead(pending, now);
       if (pending.selectedHost == null) {
         pending.enqueue();
       }
@@ -658,7 +657,7 @@
     if (isTrialDue(host, now)) {
       return pending.requestClass.idempotency() == Idempotency.IDEMPOTENT;
     }
-    boolean readOnPrimary = host.group.primary == host && !pending.requires(Consistency.WRITE);
+    boolean readOnPrimary = host.group.primary == host && !pending.isWrite();
     double limit = effectiveLimit(host, now) * (readOnPrimary ? PRIMARY_READ_SHARE : 1);
     return host.occupiedSlots() < limit
         && canRetry(pending, host, now)
@@ -1037,7 +1036,7 @@
         && priority(pending, now) > LATE_PRIORITY / 2) {
       return false;
     }
-    if (pending.requires(Consistency.WRITE)) {
+    if (pending.isWrite()) {
       return host.group.primary == host && isUsable(host, now) && hasFreeSlot(pending, host, now);
     }
     freshnessStage.onRequest(pending, now);
@@ -1104,7 +1103,7 @@
     group.members.forEach(host -> checkHealth(host, now));
     for (PendingRequest pending :
         Stream.concat(group.firstAttempts.stream(), group.retries.stream()).toList()) {
-      if (!pending.requires(Consistency.WRITE)) {
+      if (!pending.isWrite()) {
         pending.avoidedHosts.clear();
       } else if (group.primary == null) {
         process(pending, now);
--- a/router/src/main/java/rushwood/policy/PendingRequest.java
+++ b/router/src/main/java/rushwood/policy/PendingRequest.java
@@ -33,6 +33,10 @@
     return objectiveDeadline - arrivedAt;
   }
 
+  boolean isWrite() {
+    return requestClass.isWrite();
+  }
+
   boolean requires(RequestClass.Consistency need) {
     return requestClass.consistency() == need;
   }
--- a/router/src/main/java/rushwood/protocol/BackendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/BackendProtocol.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 import rushwood.api.AttemptOutcome;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.dispatch.BackendConnection;
 import rushwood.dispatch.BackendResponse;
@@ -38,7 +39,7 @@
   private String probeValue;
   private AttemptOutcome outcome;
   private boolean malformed;
-  private Boolean primary;
+  private HostRole role = HostRole.UNKNOWN;
   private long position;
   private LoadReport report;
 
@@ -74,7 +75,7 @@
     releaseRow();
     lastRowPart = 0;
     outcome = null;
-    primary = null;
+    role = HostRole.UNKNOWN;
     position = -1;
     report = LoadReport.NONE;
     probeValue = null;
@@ -194,10 +195,12 @@
     if (state == State.AWAITING_RESPONSE) {
       switch (name) {
         case "part" ->
-            primary =
-                value.equals("master")
-                    ? Boolean.TRUE
-                    : value.equals("replica") ? Boolean.FALSE : null;
+            role =
+                switch (value) {
+                  case "master" -> HostRole.PRIMARY;
+                  case "replica" -> HostRole.REPLICA;
+                  default -> HostRole.UNKNOWN;
+                };
         case "caught_up_to" -> position = LoadReportParser.parsePosition(value);
         case "gauges" -> report = LoadReportParser.parse(value);
         default -> {}
@@ -267,7 +270,7 @@
     }
     ByteBuf completeRow = row;
     row = null;
-    return new BackendResponse(outcome, completeRow, primary, position, report);
+    return new BackendResponse(outcome, completeRow, role, position, report);
   }
 
   /**
--- a/router/src/main/java/rushwood/protocol/LoadReportParser.java
+++ b/router/src/main/java/rushwood/protocol/LoadReportParser.java
@@ -1,5 +1,6 @@
 package rushwood.protocol;
 
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 
 /** Reads what hosts say of themselves; what cannot be read counts as not said. */
@@ -27,7 +28,7 @@
    */
   static LoadReport parse(String text) {
     double position = Double.NaN;
-    Boolean primary = null;
+    HostRole role = HostRole.UNKNOWN;
     for (String pair : text.split(",")) {
       int equals = pair.indexOf('=');
       double value = equals < 0 ? Double.NaN : parseFinite(pair.substring(equals + 1));
@@ -36,11 +37,11 @@
       }
       switch (pair.substring(0, equals).strip()) {
         case "x0" -> position = value * NANOS_PER_SECOND;
-        case "x1" -> primary = value == 1;
+        case "x1" -> role = HostRole.of(value == 1);
         default -> {}
       }
     }
-    return new LoadReport(position, primary);
+    return new LoadReport(position, role);
   }
 
   private static double parseFinite(String text) {
--- a/router/src/main/java/rushwood/protocol/SqlStatement.java
+++ b/router/src/main/java/rushwood/protocol/SqlStatement.java
@@ -83,7 +83,7 @@
       throw new ProtocolException("42601", "the comment does not end the statement", false);
     }
     requestClass = requestClass(requestClasses);
-    if (write != (requestClass.consistency() == RequestClass.Consistency.WRITE)) {
+    if (write != requestClass.isWrite()) {
       throw invalidField("c", "does not go with the statement");
     }
     if (require("id").length() > MAX_ID_LENGTH) {
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -221,7 +221,7 @@
             + ",d="
             + (isTooLate ? 1 : 2000)
             + ",cluster=0 */";
-    return requestClass.consistency() == RequestClass.Consistency.WRITE
+    return requestClass.isWrite()
         ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
         : "SELECT val FROM state WHERE uid = 'k' " + comment;
   }
--- a/router/src/main/java/rushwood/simulator/SimulatorAdapter.java
+++ b/router/src/main/java/rushwood/simulator/SimulatorAdapter.java
@@ -16,6 +16,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
@@ -250,11 +251,16 @@
   }
 
   private AttemptResult decodeResult(WireLine line) {
-    Boolean primary = null;
+    HostRole role = HostRole.UNKNOWN;
     long position = -1;
     if (line.optionalText("stamp") != null) {
       long stamp = line.requiredLong("stamp");
-      primary = stamp % 4 == 1 ? Boolean.TRUE : stamp % 4 == 2 ? Boolean.FALSE : null;
+      role =
+          switch ((int) (stamp % 4)) {
+            case 1 -> HostRole.PRIMARY;
+            case 2 -> HostRole.REPLICA;
+            default -> HostRole.UNKNOWN;
+          };
       if (stamp / 4 > 0) {
         position = targetRouter(line).positionZeroNanos + stamp / 4 * 1_000_000L;
       }
@@ -266,7 +272,7 @@
         decodeOutcome(line),
         line.requiredNanos("cost_time"),
         line.optionalFlag("ended"),
-        primary,
+        role,
         position,
         decodeLoadReport(line));
   }
@@ -295,7 +301,7 @@
       return LoadReport.NONE;
     }
     double position = Double.NaN;
-    Boolean primary = null;
+    HostRole role = HostRole.UNKNOWN;
     for (String pair : pairs.split(",")) {
       int colon = pair.indexOf(':');
       if (colon < 0) {
@@ -306,10 +312,10 @@
           DecimalSeconds.parseNumber(text, () -> line.malformed("pressure", "has no number"));
       switch (pair.substring(0, colon)) {
         case "x0" -> position = value * NANOS_PER_SECOND + targetRouter(line).positionZeroNanos;
-        case "x1" -> primary = value == 1;
+        case "x1" -> role = HostRole.of(value == 1);
         default -> {}
       }
     }
-    return new LoadReport(position, primary);
+    return new LoadReport(position, role);
   }
 }
--- a/router/src/test/java/rushwood/ScenarioTest.java
+++ b/router/src/test/java/rushwood/ScenarioTest.java
@@ -19,6 +19,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
@@ -197,7 +198,10 @@
               RequestClass.Idempotency.valueOf(words[2]),
               RequestClass.KeyScope.valueOf(operand(words, "scope", "GROUP")),
               nanos(operand(words, "window", "3000")),
-              RequestClass.Consistency.valueOf(words[3]),
+              words[3].equals("WRITE"),
+              words[3].equals("WRITE")
+                  ? RequestClass.Consistency.EVENTUAL
+                  : RequestClass.Consistency.valueOf(words[3]),
               nanos(operand(words, "bound", "500")),
               Double.parseDouble(operand(words, "late", "0"))));
     }
@@ -253,7 +257,7 @@
                   end,
                   nanos(operand(words, "took", "50")),
                   end == AttemptOutcome.SUCCESS,
-                  role == null ? null : role.equals("primary"),
+                  role(role),
                   -1,
                   loadReport(words, 3)));
     }
@@ -263,7 +267,11 @@
       String role = operand(words, "reports", null);
       return position == null
           ? LoadReport.NONE
-          : new LoadReport(START + nanos(position), role == null ? null : role.equals("primary"));
+          : new LoadReport(START + nanos(position), role(role));
+    }
+
+    private static HostRole role(String word) {
+      return word == null ? HostRole.UNKNOWN : HostRole.of(word.equals("primary"));
     }
 
     private void advance(long to) {
--- a/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
+++ b/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
@@ -16,6 +16,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
@@ -67,7 +68,8 @@
 
     void respond(AttemptOutcome outcome) {
       ByteBuf row = outcome == AttemptOutcome.SUCCESS ? TestMessages.buffer(new byte[] {1}) : null;
-      listener.responseReceived(new BackendResponse(outcome, row, null, -1, LoadReport.NONE), true);
+      listener.responseReceived(
+          new BackendResponse(outcome, row, HostRole.UNKNOWN, -1, LoadReport.NONE), true);
     }
   }
 
--- a/router/src/test/java/rushwood/overload/OverloadControllerTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerTest.java
@@ -13,6 +13,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
@@ -33,7 +34,8 @@
           RequestClass.Idempotency.NON_IDEMPOTENT,
           RequestClass.KeyScope.GLOBAL,
           5000 * MS,
-          RequestClass.Consistency.WRITE,
+          true,
+          RequestClass.Consistency.EVENTUAL,
           0,
           0);
   private static final RequestClass ANY =
@@ -44,6 +46,7 @@
           RequestClass.Idempotency.IDEMPOTENT,
           RequestClass.KeyScope.GLOBAL,
           0,
+          false,
           RequestClass.Consistency.EVENTUAL,
           0,
           0);
@@ -153,7 +156,7 @@
             end,
             10 * MS,
             over,
-            null,
+            HostRole.UNKNOWN,
             -1,
             LoadReport.NONE));
   }
--- a/router/src/test/java/rushwood/policy/SlowStartTest.java
+++ b/router/src/test/java/rushwood/policy/SlowStartTest.java
@@ -19,6 +19,7 @@
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
+import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.api.PolicyActions;
 import rushwood.api.Request;
@@ -64,6 +65,7 @@
             RequestClass.Idempotency.IDEMPOTENT,
             RequestClass.KeyScope.GLOBAL,
             0,
+            false,
             RequestClass.Consistency.EVENTUAL,
             0,
             0);
@@ -296,7 +298,7 @@
                     end,
                     cluster.now - sent,
                     end == AttemptOutcome.SUCCESS,
-                    id.value().equals("h0"),
+                    HostRole.of(id.value().equals("h0")),
                     -1,
                     LoadReport.NONE));
           });
--- a/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -11,6 +11,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import rushwood.api.HostRole;
 import rushwood.dispatch.BackendConnection;
 import rushwood.dispatch.BackendResponse;
 
@@ -100,43 +101,43 @@
         TestMessages.concat(row, STATUS_AND_READY),
         pieces -> {
           TestBackend backend = statementSent(false).feed(pieces);
-          assertEquals(List.of("FULFILLED again"), backend.events);
+          assertEquals(List.of("SUCCESS again"), backend.events);
           assertArrayEquals(row, backend.row);
-          assertEquals(Boolean.FALSE, backend.response.primary());
+          assertEquals(HostRole.REPLICA, backend.response.role());
           assertEquals(1767225600123_000_000L, backend.response.position());
           assertEquals(1767225600.5e9, backend.response.report().position());
-          assertEquals(Boolean.TRUE, backend.response.report().primary());
+          assertEquals(HostRole.PRIMARY, backend.response.report().role());
         });
   }
 
   @Test
   void outcomeTable() {
-    check("BEHIND again", TestMessages.errorResponse("25006"), STATUS_AND_READY);
-    check("BEHIND again", TestMessages.errorResponse("72000"), STATUS_AND_READY);
+    check("REPLICA_LAGGING again", TestMessages.errorResponse("25006"), STATUS_AND_READY);
+    check("REPLICA_LAGGING again", TestMessages.errorResponse("72000"), STATUS_AND_READY);
     check("ERROR again", TestMessages.errorResponse("XX000"), STATUS_AND_READY);
     check("ERROR again", TestMessages.errorResponse("08P01"), TestMessages.readyForQuery());
-    check("OVERFULL again", TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
+    check("OVERLOADED again", TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
   }
 
   @Test
   void whatIsNoAnswerBreaksTheConnection() {
-    check("SPOILT", TestMessages.readyForQuery());
-    check("FULFILLED", TestMessages.rowResponse("v"), TestMessages.rowResponse("v"));
-    check("SPOILT", TestMessages.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
-    check("SPOILT", TestMessages.message('T', new byte[] {0, 2}));
-    check("SPOILT", TestMessages.message('S', new byte[] {'a'}));
-    check("SPOILT", TestMessages.message('E', "SERROR\0C53300\0".getBytes()));
-    check("SPOILT", TestMessages.message('E', "SERROR\0C!\0\0".getBytes()));
-    check("SPOILT", TestMessages.startupResponse());
+    check("MALFORMED", TestMessages.readyForQuery());
+    check("SUCCESS", TestMessages.rowResponse("v"), TestMessages.rowResponse("v"));
+    check("MALFORMED", TestMessages.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
+    check("MALFORMED", TestMessages.message('T', new byte[] {0, 2}));
+    check("MALFORMED", TestMessages.message('S', new byte[] {'a'}));
+    check("MALFORMED", TestMessages.message('E', "SERROR\0C53300\0".getBytes()));
+    check("MALFORMED", TestMessages.message('E', "SERROR\0C!\0\0".getBytes()));
+    check("MALFORMED", TestMessages.startupResponse());
   }
 
   /** Told at the head of a message: the rest of it may never come. */
   @Test
   void whatCannotBeReadIsToldAtOnce() {
-    check("SPOILT", new byte[] {'?'});
-    check("SPOILT", new byte[] {'D', (byte) 0xb2, -48, 94, 0});
-    check("SPOILT", new byte[] {'Z', 0, 0, 0, 6});
-    check("FULFILLED", TestMessages.rowResponse("v"), new byte[] {'Z', 0, 0, 0, 4});
+    check("MALFORMED", new byte[] {'?'});
+    check("MALFORMED", new byte[] {'D', (byte) 0xb2, -48, 94, 0});
+    check("MALFORMED", new byte[] {'Z', 0, 0, 0, 6});
+    check("SUCCESS", TestMessages.rowResponse("v"), new byte[] {'Z', 0, 0, 0, 4});
   }
 
   /** Hosts hold values far above those that clients may write. */
@@ -145,7 +146,7 @@
     TestBackend backend =
         statementSent(false)
             .feed(TestMessages.rowResponse("v".repeat(600_000)), TestMessages.readyForQuery());
-    assertEquals(List.of("FULFILLED again"), backend.events);
+    assertEquals(List.of("SUCCESS again"), backend.events);
   }
 
   /** Lengths within a row that do not fit it, to the byte. */
@@ -177,18 +178,18 @@
   void anEndAfterAWholeAnswerTakesNothingBack() {
     TestBackend whole = statementSent(false).feed(TestMessages.rowResponse("v"));
     whole.protocol.connectionLost(true);
-    assertEquals(List.of("FULFILLED"), whole.events);
+    assertEquals(List.of("SUCCESS"), whole.events);
     TestBackend error = statementSent(false).feed(TestMessages.errorResponse("53300"));
     error.protocol.connectionLost(true);
-    assertEquals(List.of("OVERFULL"), error.events);
+    assertEquals(List.of("OVERLOADED"), error.events);
   }
 
   @Test
   void openingRefused() {
     TestBackend full = new TestBackend().feed(TestMessages.errorResponse("53300"));
-    assertEquals(List.of("OVERFULL"), full.events);
+    assertEquals(List.of("OVERLOADED"), full.events);
     TestBackend down = new TestBackend().feed(TestMessages.errorResponse("57P03"));
-    assertEquals(List.of("UNREACHED"), down.events);
+    assertEquals(List.of("CONNECT_FAILED"), down.events);
     TestBackend password =
         new TestBackend().feed(TestMessages.message('R', new byte[] {0, 0, 0, 3}));
     assertEquals(List.of("broken"), password.events);
@@ -199,7 +200,7 @@
     TestBackend backend =
         statementSent(false).feed(TestMessages.rowResponse("v"), TestMessages.readyForQuery());
     backend.feed(TestMessages.rowResponse("w"));
-    assertEquals(List.of("FULFILLED again", "broken"), backend.events);
+    assertEquals(List.of("SUCCESS again", "broken"), backend.events);
   }
 
   /** A second copy or noise in the same read never becomes the answer to the next statement. */
@@ -209,8 +210,8 @@
         List.of(TestMessages.rowResponse("v"), new byte[] {0}, TestMessages.readyForQuery())) {
       TestBackend backend =
           statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY, surplus);
-      assertEquals(List.of("FULFILLED"), backend.events);
-      assertEquals(Boolean.FALSE, backend.response.primary());
+      assertEquals(List.of("SUCCESS"), backend.events);
+      assertEquals(HostRole.REPLICA, backend.response.role());
     }
     TestBackend half = statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY);
     half.feed(new byte[] {'S', 0});
@@ -224,9 +225,9 @@
         statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY);
     backend.protocol.beginStatement(false);
     backend.feed(TestMessages.rowResponse("w"), TestMessages.readyForQuery());
-    assertNull(backend.response.primary());
+    assertEquals(HostRole.UNKNOWN, backend.response.role());
     assertEquals(-1, backend.response.position());
-    assertEquals(true, Double.isNaN(backend.response.report().position()));
+    assertFalse(backend.response.report().hasPosition());
   }
 
   @Test
@@ -234,19 +235,19 @@
     TestBackend backend =
         statementSent(true)
             .feed(TestMessages.rowResponse("x0=12.5,x1=0"), TestMessages.readyForQuery());
-    assertEquals(List.of("FULFILLED again"), backend.events);
+    assertEquals(List.of("SUCCESS again"), backend.events);
     assertEquals(12.5e9, backend.response.report().position());
-    assertEquals(Boolean.FALSE, backend.response.report().primary());
+    assertEquals(HostRole.REPLICA, backend.response.report().role());
     TestBackend bad =
         statementSent(true)
             .feed(TestMessages.rowResponse("x0=,x1,=,;x0=1e999"), TestMessages.readyForQuery());
-    assertEquals(true, Double.isNaN(bad.response.report().position()));
+    assertFalse(bad.response.report().hasPosition());
     TestBackend cut =
         statementSent(true)
             .feed(
                 TestMessages.message('T', new byte[] {0, 1}),
                 TestMessages.message('D', new byte[] {0, 1, 0, 0, 1, 0}));
-    assertEquals(List.of("SPOILT"), cut.events);
+    assertEquals(List.of("MALFORMED"), cut.events);
   }
 
   @Test
--- a/router/src/test/java/rushwood/protocol/TestMessages.java
+++ b/router/src/test/java/rushwood/protocol/TestMessages.java
@@ -24,6 +24,7 @@
               RequestClass.Idempotency.IDEMPOTENT,
               RequestClass.KeyScope.GLOBAL,
               0,
+              false,
               RequestClass.Consistency.BOUNDED_STALENESS,
               500_000_000,
               0),
@@ -34,7 +35,8 @@
               RequestClass.Idempotency.NON_IDEMPOTENT,
               RequestClass.KeyScope.GLOBAL,
               0,
-              RequestClass.Consistency.WRITE,
+              true,
+              RequestClass.Consistency.EVENTUAL,
               0,
               0),
           new RequestClass(
@@ -44,6 +46,7 @@
               RequestClass.Idempotency.IDEMPOTENT,
               RequestClass.KeyScope.GLOBAL,
               0,
+              false,
               RequestClass.Consistency.READ_YOUR_WRITES,
               0,
               0));
