--- a/cli/src/test/java/rushwood/cli/RushwoodTest.java
+++ b/cli/src/test/java/rushwood/cli/RushwoodTest.java
@@ -52,7 +52,7 @@
 
   @Test
   void virtualRunAsJson() {
-    assertEquals(0, run("lab", "virtual", "../lab/experiments/honest-peak.json", "--json", "-"));
+    assertEquals(0, run("lab", "virtual", "../testbed/experiments/honest-peak.json", "--json", "-"));
     assertTrue(
         out.contains("\"share_fulfilled\" : 1.0"), out.substring(0, Math.min(500, out.length())));
   }
