Sub-command testbed, with lab as its alias; one class a command

Need: the command line said lab, and held four commands in two files; counters are read by name. Change: 'testbed' is the sub-command, 'lab' an alias; a path with lab/ finds what stands under testbed/ now. Each command, the report's options and the exception have files of their own. Counters of former routers are reported under the present names, so that builds can be compared. Help texts in the present terms.

--- a/cli/src/main/java/rushwood/cli/CheckCommand.java
+++ b/cli/src/main/java/rushwood/cli/CheckCommand.java
@@ -14,13 +14,15 @@
 import picocli.CommandLine.Parameters;
 import rushwood.testbed.load.Experiment;
 
-/** Checks files without starting anything. */
+/** Checks files against a JSON schema without starting anything; exit code 2 if any is invalid. */
 @Command(
     name = "check",
     mixinStandardHelpOptions = true,
     description =
-        "Checks the operator's settings against their schema, or an experiment of the laboratory.")
+        "Checks the operator's settings against their schema, or an experiment of the testbed.")
 final class CheckCommand implements Callable<Integer> {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
   @Parameters(arity = "0..*", paramLabel = "FILE", description = "Default: deploy/rushwood.json.")
   private List<Path> files = List.of(Path.of("deploy/rushwood.json"));
 
@@ -31,29 +33,34 @@
   private boolean json;
 
   @Override
-  public Integer call() throws Exception {
-    ObjectMapper mapper = new ObjectMapper();
-    ArrayNode all = mapper.createArrayNode();
+  public Integer call() {
+    ArrayNode faults = MAPPER.createArrayNode();
     for (Path file : files) {
-      List<String> faults;
-      try (InputStream rules = Files.newInputStream(schema)) {
-        JsonNode document = mapper.readTree(Files.readString(file));
-        faults = Experiment.violations(document, rules);
-      } catch (IOException e) {
-        faults = List.of("cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
-      }
-      for (String fault : faults) {
-        all.addObject().put("file", file.toString()).put("fault", fault);
+      for (String fault : findFaults(file)) {
+        faults.addObject().put("file", file.toString()).put("fault", fault);
       }
     }
+    print(faults);
+    return faults.isEmpty() ? 0 : 2;
+  }
+
+  private List<String> findFaults(Path file) {
+    try (InputStream schemaStream = Files.newInputStream(FormerPaths.resolve(schema))) {
+      JsonNode document = MAPPER.readTree(Files.readString(FormerPaths.resolve(file)));
+      return Experiment.violations(document, schemaStream);
+    } catch (IOException e) {
+      return List.of("cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
+    }
+  }
+
+  private void print(ArrayNode faults) {
     if (json) {
-      System.out.println(all);
-    } else {
-      all.forEach(
-          each ->
-              System.err.println(
-                  "rushwood: " + each.get("file").asText() + ": " + each.get("fault").asText()));
+      System.out.println(faults);
+      return;
+    }
+    for (JsonNode fault : faults) {
+      System.err.println(
+          "rushwood: " + fault.get("file").asText() + ": " + fault.get("fault").asText());
     }
-    return all.isEmpty() ? 0 : 2;
   }
 }
--- a/cli/src/main/java/rushwood/cli/Rushwood.java
+++ b/cli/src/main/java/rushwood/cli/Rushwood.java
@@ -6,14 +6,14 @@
 import picocli.CommandLine.IExecutionExceptionHandler;
 
 /**
- * bin/rushwood: 0 done, 1 failed, 2 the line or a file is wrong; a fault is one line on standard
- * error.
+ * The command line's entry point. Exit codes: 0 done, 1 failed, 2 an argument or a file is invalid.
+ * A failure is one line on standard error.
  */
 @Command(
     name = "rushwood",
     mixinStandardHelpOptions = true,
     version = "rushwood 0.1.0",
-    description = "Routes accesses to a replicated store, and measures how well.",
+    description = "Routes requests to a replicated store, and measures how well.",
     subcommands = {
       Rushwood.ServeCommand.class,
       Rushwood.AdapterCommand.class,
@@ -22,34 +22,30 @@
       CommandLine.HelpCommand.class
     })
 public final class Rushwood implements Runnable {
+  /** What {@link #run} returns for a command that goes on and will end the process itself. */
+  static final int STILL_RUNNING = -1;
+
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_INVALID_INPUT = 2;
+
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
+  /** Runs the command that the arguments name, and exits unless it goes on in the background. */
   public static void main(String[] args) {
-    int code = run(args);
-    if (code != RUNNING) {
-      System.exit(code);
+    int exitCode = run(args);
+    if (exitCode != STILL_RUNNING) {
+      System.exit(exitCode);
     }
   }
 
-  /** A command that goes on after it returned: its exit is its own. */
-  static final int RUNNING = -1;
-
+  /** Runs the command that the arguments name and returns its exit code. */
   static int run(String... args) {
-    IExecutionExceptionHandler oneLine =
-        (exception, line, parsed) -> {
-          line.getErr().println("rushwood: " + exception.getMessage());
-          return exception instanceof InvalidInputException ? 2 : 1;
+    IExecutionExceptionHandler printOneLine =
+        (exception, commandLine, parseResult) -> {
+          commandLine.getErr().println("rushwood: " + exception.getMessage());
+          return exception instanceof InvalidInputException ? EXIT_INVALID_INPUT : EXIT_FAILED;
         };
-    return new CommandLine(new Rushwood()).setExecutionExceptionHandler(oneLine).execute(args);
-  }
-
-  /** A file or value that cannot be used: one line that names it and the reason. */
-  static final class InvalidInputException extends Exception {
-    private static final long serialVersionUID = 1;
-
-    InvalidInputException(String message) {
-      super(message);
-    }
+    return new CommandLine(new Rushwood()).setExecutionExceptionHandler(printOneLine).execute(args);
   }
 
   @Override
@@ -57,6 +53,7 @@
     throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
   }
 
+  /** {@code serve}: one router, configured by the file that {@code NODE_CONFIG} names. */
   @Command(
       name = "serve",
       mixinStandardHelpOptions = true,
@@ -66,19 +63,20 @@
     @Override
     public Integer call() throws Exception {
       rushwood.Main.main(new String[] {"serve"});
-      return RUNNING;
+      return STILL_RUNNING;
     }
   }
 
+  /** {@code adapter}: the routing policy behind the simulator's line protocol. */
   @Command(
       name = "adapter",
       mixinStandardHelpOptions = true,
-      description = "The decisions on the simulator's wire, on standard input and output.")
+      description = "The routing policy on the simulator's wire, on standard input and output.")
   static final class AdapterCommand implements Callable<Integer> {
     @Override
     public Integer call() throws Exception {
       rushwood.Main.main(new String[] {"adapter"});
-      return RUNNING;
+      return STILL_RUNNING;
     }
   }
 }
--- a/cli/src/main/java/rushwood/cli/package-info.java
+++ b/cli/src/main/java/rushwood/cli/package-info.java
@@ -1,2 +1,5 @@
-/** The command line: sub-commands, exit codes, what a script reads as JSON. */
+/**
+ * The command line {@code bin/rushwood}: its sub-commands, exit codes and the JSON that scripts
+ * read. Each command is a class of its own; {@link rushwood.cli.Rushwood} is where they start.
+ */
 package rushwood.cli;
--- a/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
@@ -74,18 +74,8 @@
     return done.getTotalCount() == 0 ? Double.NaN : done.getValueAtPercentile(percent) / 1e6;
   }
 
-  /** The counters of a router's last log line. */
+  /** Takes over the counters that a router logged as it stopped. */
   public void readCounters(String log) {
-    int at = log.lastIndexOf("INFO counters ");
-    if (at < 0) {
-      return;
-    }
-    for (String pair : log.substring(at + 14).strip().split("\\s+")) {
-      int equals = pair.indexOf('=');
-      if (equals > 0) {
-        counters.merge(
-            pair.substring(0, equals), Long.parseLong(pair.substring(equals + 1)), Long::sum);
-      }
-    }
+    RouterCounters.parse(log).forEach((name, value) -> counters.merge(name, value, Long::sum));
   }
 }
