Split RouterServer into assembly, endpoint list handling and shutdown sequence

Need: one class of 410 lines wired the router, handled discovery's events, reloads and the shutdown. Change: RouterAssembler creates the parts (RouterComponents), EndpointListHandler takes what discovery sends, ShutdownSequence ends the router, HangUpSignal is a class of its own, EventLoopTimer and PolicyFactory replace lines that stood in the server and in the warm-up. Times, order of events and seeds stay.

--- a/router/src/main/java/rushwood/Main.java
+++ b/router/src/main/java/rushwood/Main.java
@@ -5,7 +5,7 @@
 import rushwood.config.InvalidConfigException;
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
-import rushwood.server.ConfigReloader;
+import rushwood.server.HangUpSignal;
 import rushwood.server.RouterServer;
 import rushwood.simulator.SimulatorAdapter;
 
@@ -28,7 +28,7 @@
   /** Returns once it serves; the event loop goes on until SIGTERM. */
   private static void serve() {
     try {
-      ConfigReloader.HangUpSignal hangUpSignal = ConfigReloader.installHangUpHandler();
+      HangUpSignal hangUpSignal = HangUpSignal.install();
       OperatorSettings operatorSettings = OperatorSettings.read(System.getenv());
       if (operatorSettings.jsonLogFile() != null) {
         Configuration.set("writer", "json");
--- a/router/src/main/java/rushwood/server/ConfigReloader.java
+++ b/router/src/main/java/rushwood/server/ConfigReloader.java
@@ -1,6 +1,5 @@
 package rushwood.server;
 
-import java.lang.reflect.Proxy;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
@@ -8,145 +7,100 @@
 import java.util.function.Consumer;
 import rushwood.config.InvalidConfigException;
 import rushwood.config.RouterConfig;
-import rushwood.dispatch.Counters;
 import rushwood.dispatch.Counters.Counter;
-import rushwood.dispatch.EventLoopClock;
-import rushwood.dispatch.TimerQueue;
 
 /**
- * Reads the configuration again on SIGHUP, beside the event loop; what comes of it is told on the
- * loop.
+ * Reads the configuration again on SIGHUP. The file is read on a thread of its own; all else runs
+ * on the event loop.
  */
-public final class ConfigReloader {
-  private static final long RETRY_INTERVAL_NANOS =
-      500_000_000L; // until a file that cannot be read is looked at again
-  private static final int MAX_ATTEMPTS =
-      20; // looks: a file that is bad for ten seconds is not being written
+final class ConfigReloader {
+  /** Until a file that cannot be used is read again: it may be half written. */
+  private static final long RETRY_INTERVAL_NANOS = 500_000_000L;
+
+  /** A file that stays invalid for ten seconds is not being written. */
+  private static final int MAX_ATTEMPTS = 20;
 
   private final Map<String, String> environment;
   private final Executor eventLoop;
-  private final EventLoopClock clock;
-  private final TimerQueue timerQueue;
-  private final Counters counters;
-  private final Consumer<String> log;
+  private final RouterComponents components;
   private final Consumer<RouterConfig> onConfigAccepted;
-  private ExecutorService reader;
+  private ExecutorService reader; // created with the first signal
   private int signalCount;
 
+  /**
+   * Creates a reloader that does nothing until {@link #listen}.
+   *
+   * @param environment names the configuration's file
+   * @param onConfigAccepted receives each new configuration, on the event loop
+   */
   ConfigReloader(
       Map<String, String> environment,
       Executor eventLoop,
-      EventLoopClock clock,
-      TimerQueue timerQueue,
-      Counters counters,
-      Consumer<String> log,
+      RouterComponents components,
       Consumer<RouterConfig> onConfigAccepted) {
     this.environment = environment;
     this.eventLoop = eventLoop;
-    this.clock = clock;
-    this.timerQueue = timerQueue;
-    this.counters = counters;
-    this.log = log;
+    this.components = components;
     this.onConfigAccepted = onConfigAccepted;
   }
 
-  /**
-   * What hears SIGHUP from the first moment of the program on: until then it ends the process. What
-   * comes before there is a router is kept for it, as that has read its configuration then and may
-   * have read the old one.
-   */
-  public static final class HangUpSignal {
-    private Runnable receiver;
-    private boolean pending;
-
-    private synchronized void received() {
-      if (receiver == null) {
-        pending = true;
-      } else {
-        receiver.run();
-      }
-    }
-
-    private synchronized void forwardTo(Runnable listener) {
-      receiver = listener;
-      if (pending) {
-        pending = false;
-        receiver.run();
-      }
-    }
-  }
-
-  /** By name: the compiler warns of such classes. */
-  public static HangUpSignal installHangUpHandler() throws ReflectiveOperationException {
-    HangUpSignal hangUpSignal = new HangUpSignal();
-    Class<?> signal = Class.forName("sun.misc.Signal");
-    Class<?> handler = Class.forName("sun.misc.SignalHandler");
-    Object proxy =
-        Proxy.newProxyInstance(
-            handler.getClassLoader(),
-            new Class<?>[] {handler},
-            (instance, method, arguments) -> {
-              hangUpSignal.received();
-              return null;
-            });
-    signal
-        .getMethod("handle", signal, handler)
-        .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-    return hangUpSignal;
-  }
-
-  void startListening(HangUpSignal hangUpSignal) {
+  void listen(HangUpSignal hangUpSignal) {
     hangUpSignal.forwardTo(() -> eventLoop.execute(this::onHangUp));
   }
 
   private void onHangUp() {
     if (reader == null) {
-      reader =
-          Executors.newSingleThreadExecutor(
-              task -> {
-                Thread thread = new Thread(task, "configuration");
-                thread.setDaemon(true);
-                return thread;
-              });
+      reader = Executors.newSingleThreadExecutor(ConfigReloader::newReaderThread);
     }
     signalCount++;
     read(signalCount, 1, "");
   }
 
-  /** One reader: what a later signal found is never replaced by what an earlier one did. */
-  private void read(int signal, int attempt, String lastReason) {
+  private static Thread newReaderThread(Runnable task) {
+    Thread thread = new Thread(task, "configuration");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /**
+   * Reads the file on the reader's thread. There is a single one, so that what an earlier signal
+   * found never replaces what a later one did.
+   */
+  private void read(int signal, int attempt, String previousReason) {
     reader.execute(
         () -> {
           try {
             RouterConfig config = RouterConfig.readForReload(environment);
-            eventLoop.execute(
-                () -> {
-                  counters.increment(Counter.CONFIGS_APPLIED);
-                  onConfigAccepted.accept(config);
-                });
+            eventLoop.execute(() -> onAccepted(config));
           } catch (InvalidConfigException e) {
-            eventLoop.execute(() -> onRejected(signal, attempt, lastReason, e.getMessage()));
+            eventLoop.execute(() -> onRejected(signal, attempt, previousReason, e.getMessage()));
           }
         });
   }
 
+  private void onAccepted(RouterConfig config) {
+    components.counters().increment(Counter.CONFIGS_APPLIED);
+    onConfigAccepted.accept(config);
+  }
+
   /**
-   * It may be half written or moved into place this moment: the old one stays, and it is looked at
-   * again.
+   * Keeps the configuration in force and reads the file again later, unless a newer signal has done
+   * so: the file may be half written or just being moved into place.
    */
-  private void onRejected(int signal, int attempt, String lastReason, String reason) {
-    if (!reason.equals(lastReason)) {
-      counters.increment(Counter.CONFIGS_REJECTED);
-      log.accept("the new configuration is not taken: " + reason);
+  private void onRejected(int signal, int attempt, String previousReason, String reason) {
+    if (!reason.equals(previousReason)) {
+      components.counters().increment(Counter.CONFIGS_REJECTED);
+      components.logger().log("the new configuration is not taken: " + reason);
     }
     if (signal == signalCount && attempt < MAX_ATTEMPTS) {
-      timerQueue.schedule(
-          clock.now() + RETRY_INTERVAL_NANOS,
-          () -> {
-            if (signal == signalCount) {
-              read(signal, attempt + 1, reason);
-            }
-          });
+      long retryTime = components.clock().now() + RETRY_INTERVAL_NANOS;
+      components.timerQueue().schedule(retryTime, () -> retry(signal, attempt, reason));
+    }
+  }
+
+  private void retry(int signal, int attempt, String reason) {
+    if (signal == signalCount) {
+      read(signal, attempt + 1, reason);
     }
   }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/server/EndpointListHandler.java
@@ -0,0 +1,85 @@
+package rushwood.server;
+
+import java.util.List;
+import rushwood.discovery.DiscoveryClient;
+import rushwood.discovery.EndpointListParser;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.Counters.Counter;
+import rushwood.dispatch.RequestDispatcher;
+
+/**
+ * Hands what discovery sends to the dispatcher, and counts and logs it. Used on the event loop
+ * only.
+ */
+final class EndpointListHandler implements DiscoveryClient.Listener {
+  private final RequestDispatcher dispatcher;
+  private final Counters counters;
+  private final RateLimitedLogger logger;
+  private final Runnable onCompleteList;
+  private String currentProblem = ""; // the last one logged; empty once discovery works again
+
+  EndpointListHandler(
+      RequestDispatcher dispatcher,
+      Counters counters,
+      RateLimitedLogger logger,
+      Runnable onCompleteList) {
+    this.dispatcher = dispatcher;
+    this.counters = counters;
+    this.logger = logger;
+    this.onCompleteList = onCompleteList;
+  }
+
+  @Override
+  public void listReceived(EndpointListParser.EndpointList list) {
+    if (list.complete()) {
+      counters.increment(Counter.ENDPOINT_LISTS_REPLACED);
+      dispatcher.endpointsReplaced(list.endpoints(), list.partialEndpoints(), false);
+      onCompleteList.run();
+    } else {
+      counters.increment(Counter.ENDPOINT_LISTS_UPDATED);
+      dispatcher.endpointsUpdated(list.endpoints(), list.partialEndpoints());
+    }
+    if (list.problems().isEmpty()) {
+      problemResolved();
+    }
+  }
+
+  @Override
+  public void endpointsLeaving(List<RequestDispatcher.PartialEndpoint> endpoints) {
+    counters.increment(Counter.ENDPOINT_LISTS_UPDATED);
+    dispatcher.endpointsUpdated(List.of(), endpoints);
+  }
+
+  @Override
+  public void listUnchanged() {
+    counters.increment(Counter.ENDPOINT_LISTS_UNCHANGED);
+    problemResolved();
+  }
+
+  @Override
+  public void requestFailed(String reason) {
+    dispatcher.endpointRefreshFailed();
+    logProblem("discovery " + reason);
+  }
+
+  @Override
+  public void problemFound(String problem) {
+    counters.increment(Counter.ENDPOINT_LISTS_MALFORMED);
+    logProblem("discovery writes what cannot be read, the valid entries are used: " + problem);
+  }
+
+  /** Logs a problem once, however often it is met in a row. */
+  private void logProblem(String problem) {
+    if (!problem.equals(currentProblem)) {
+      currentProblem = problem;
+      logger.log(problem);
+    }
+  }
+
+  private void problemResolved() {
+    if (!currentProblem.isEmpty()) {
+      currentProblem = "";
+      logger.log("discovery answers again");
+    }
+  }
+}
--- a/router/src/main/java/rushwood/server/RateLimitedLogger.java
+++ b/router/src/main/java/rushwood/server/RateLimitedLogger.java
@@ -3,11 +3,15 @@
 import org.tinylog.Logger;
 import rushwood.dispatch.EventLoopClock;
 
-/** Log lines, so many a second at the most: what floods us must not fill the log. */
+/**
+ * A log with a limit on lines per second, so that a flood of events does not fill the disk. Used on
+ * the event loop only.
+ */
 final class RateLimitedLogger {
-  private static final int MAX_LINES_PER_SECOND =
-      20; // a second: more than a calm day writes, few enough to read
-  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long WINDOW_NANOS = 1_000_000_000L;
+
+  /** More than a second without trouble writes, and few enough to read. */
+  private static final int MAX_LINES_PER_WINDOW = 20;
 
   private final EventLoopClock clock;
   private long windowStart;
@@ -19,20 +23,25 @@
     windowStart = clock.now();
   }
 
+  /** Logs a line, or counts it as suppressed if the limit is reached. */
   void log(String line) {
-    if (clock.now() - windowStart >= NANOS_PER_SECOND) {
-      if (suppressed > 0) {
-        Logger.warn("{} lines were left out", suppressed);
-      }
-      windowStart = clock.now();
-      logged = 0;
-      suppressed = 0;
+    if (clock.now() - windowStart >= WINDOW_NANOS) {
+      startWindow();
     }
-    if (logged < MAX_LINES_PER_SECOND) {
+    if (logged < MAX_LINES_PER_WINDOW) {
       logged++;
       Logger.info("{}", line);
     } else {
       suppressed++;
     }
   }
+
+  private void startWindow() {
+    if (suppressed > 0) {
+      Logger.warn("{} lines were suppressed", suppressed);
+    }
+    windowStart = clock.now();
+    logged = 0;
+    suppressed = 0;
+  }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -0,0 +1,163 @@
+package rushwood.server;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.SingleThreadEventLoop;
+import java.util.List;
+import java.util.SplittableRandom;
+import rushwood.api.PolicyActions;
+import rushwood.config.OperatorSettings;
+import rushwood.config.RouterConfig;
+import rushwood.discovery.DiscoveryClient;
+import rushwood.discovery.EndpointListParser;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.EventLoopClock;
+import rushwood.dispatch.RequestDispatcher;
+import rushwood.dispatch.TimerQueue;
+import rushwood.net.BackendConnector;
+import rushwood.net.FrontendServer;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.DescriptorBudget;
+import rushwood.overload.OverloadController;
+
+/** Creates the parts of a router and connects them with each other. Used on the event loop only. */
+final class RouterAssembler {
+  /**
+   * Descriptors of {@code limits.sockets} that neither admitted clients nor connections to backends
+   * use: 30 for the program's files, the event loop, the listener and discovery, the rest for
+   * clients that are being refused or whose connection is being closed.
+   */
+  private static final int RESERVED_SOCKETS = 54;
+
+  private static final int LOGGED_STACK_FRAMES = 3;
+
+  private final RouterConfig config;
+  private final OperatorSettings operatorSettings;
+  private final SingleThreadEventLoop eventLoop;
+  private final Counters counters = new Counters();
+  private final EventLoopClock clock;
+  private final TimerQueue timerQueue;
+  private final RateLimitedLogger logger;
+  private final DescriptorBudget descriptorBudget;
+  private final ConnectBackoff connectBackoff;
+  private OverloadController overloadController; // created by the dispatcher, for its own actions
+
+  RouterAssembler(
+      RouterConfig config, OperatorSettings operatorSettings, SingleThreadEventLoop eventLoop) {
+    this.config = config;
+    this.operatorSettings = operatorSettings;
+    this.eventLoop = eventLoop;
+    clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
+    timerQueue = new TimerQueue(clock, new EventLoopTimer(eventLoop), counters);
+    logger = new RateLimitedLogger(clock);
+    descriptorBudget = new DescriptorBudget(config.maxSockets() - RESERVED_SOCKETS);
+    connectBackoff =
+        new ConnectBackoff(
+            new SplittableRandom(~config.seed()), operatorSettings.overload().connectBackoff());
+  }
+
+  /**
+   * Creates the parts; the dispatcher starts with the last known endpoint list.
+   *
+   * @param onCompleteList runs whenever discovery has sent a complete endpoint list
+   */
+  RouterComponents assemble(Runnable onCompleteList) {
+    scheduleHeartbeat();
+    counters.onException(this::logException);
+    RequestDispatcher dispatcher = createDispatcher();
+    FrontendServer frontend = createFrontend(dispatcher);
+    DiscoveryClient discoveryClient =
+        createDiscoveryClient(
+            new EndpointListHandler(dispatcher, counters, logger, onCompleteList));
+    loadLastKnownEndpoints(dispatcher);
+    return new RouterComponents(
+        clock, timerQueue, counters, logger, dispatcher, frontend, discoveryClient);
+  }
+
+  /**
+   * Wakes the event loop at a fixed interval even while nothing happens, so that the clock can tell
+   * a suspended process from an idle one.
+   */
+  private void scheduleHeartbeat() {
+    timerQueue.schedule(
+        clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::scheduleHeartbeat);
+  }
+
+  private void logException(Throwable thrown) {
+    List<StackTraceElement> frames =
+        List.of(thrown.getStackTrace()).stream().limit(LOGGED_STACK_FRAMES).toList();
+    logger.log("caught " + thrown + " at " + frames);
+  }
+
+  private RequestDispatcher createDispatcher() {
+    BackendConnector backendConnector =
+        new BackendConnector(eventLoop, ByteBufAllocator.DEFAULT, counters);
+    return new RequestDispatcher(
+        clock,
+        timerQueue,
+        counters,
+        new RequestDispatcher.ConnectionSettings(
+            descriptorBudget,
+            connectBackoff,
+            config.connectTimeoutNanos(),
+            config.idleTimeoutNanos(),
+            config.settings().isRemovalBinding(),
+            config.drainGraceNanos()),
+        backendConnector,
+        backendConnector::probeStatement,
+        () -> {}, // the discovery client refreshes the endpoint list without being asked
+        logger::log,
+        this::createPolicy);
+  }
+
+  private OverloadController createPolicy(PolicyActions actions) {
+    overloadController =
+        PolicyFactory.create(config, operatorSettings.overload(), connectBackoff, actions);
+    OverloadController.OverloadCounts counts = overloadController.counts();
+    counters.register("overload_repeated_requests", () -> counts.repeatedRequests);
+    counters.register("overload_returned_as_advised", () -> counts.returnedAsAdvised);
+    counters.register("overload_reserved", () -> counts.reserved);
+    counters.register("overload_unreserved", () -> counts.unreserved);
+    counters.register("overload_retries_denied", () -> counts.retriesDenied);
+    counters.register("overload_ambiguous_writes_failed", () -> counts.ambiguousWritesFailed);
+    counters.register("overload_state_changes", () -> counts.stateChanges);
+    return overloadController;
+  }
+
+  private FrontendServer createFrontend(RequestDispatcher dispatcher) {
+    return new FrontendServer(
+        dispatcher,
+        clock,
+        timerQueue,
+        counters,
+        config.settings().requestClasses(),
+        new ConnectionAdmission(
+            descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
+        descriptorBudget,
+        () -> overloadController.retryAfterForRefusedConnection(clock.now()),
+        new SplittableRandom(config.seed() + 2));
+  }
+
+  private DiscoveryClient createDiscoveryClient(DiscoveryClient.Listener listener) {
+    EndpointListParser.EndpointList lastKnown = config.lastKnownEndpoints();
+    return new DiscoveryClient(
+        eventLoop,
+        config.discoveryAddress(),
+        clock,
+        timerQueue,
+        config.drainGraceNanos(),
+        lastKnown == null ? 0 : Math.max(0, lastKnown.version()),
+        new SplittableRandom(config.seed() + 1),
+        listener);
+  }
+
+  private void loadLastKnownEndpoints(RequestDispatcher dispatcher) {
+    EndpointListParser.EndpointList lastKnown = config.lastKnownEndpoints();
+    if (lastKnown == null) {
+      dispatcher.endpointsReplaced(List.of(), true);
+      return;
+    }
+    lastKnown.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
+    dispatcher.endpointsReplaced(lastKnown.endpoints(), true);
+  }
+}
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -21,7 +21,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
@@ -39,58 +38,80 @@
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.DescriptorBudget;
-import rushwood.overload.OverloadController;
 import rushwood.overload.OverloadSettings;
-import rushwood.policy.DefaultRoutingPolicy;
 
 /**
- * Plays accesses through a router of its own before the real one is ready, from clients to hosts
- * that it has itself, over sockets in the file system: cold code costs a whole core in the first
- * second, and on part of a core clients would wait past their time for it.
+ * Sends requests through a router of its own before the real one listens, so that its code is
+ * loaded and compiled by then. Cold code takes a whole core in the first second; on a part of a
+ * core clients would wait past their deadline for it.
+ *
+ * <p>Clients and backends are stand-ins of its own on Unix domain sockets in a temporary folder.
+ * {@link #run} is called by the main thread; all else runs on the event loop.
  */
 final class Warmup {
-  private static final int CLIENT_COUNT = 12; // at once: some park, as in a busy second
+  private static final int CLIENT_COUNT = 12; // at once, so that some requests have to queue
   private static final int BACKEND_COUNT = 4;
-  private static final int MAX_REQUESTS =
-      6000; // accesses: the compiler takes a method after 200 calls, rare ones too
-  private static final long MAX_DURATION_NANOS =
-      900_000_000; // nanoseconds: more made restarts longer than it saved
+
+  /** The compiler takes a method after 200 calls; this many requests reach rare methods too. */
+  private static final int MAX_REQUESTS = 6000;
+
+  /** A longer warm-up made restarts longer than it saved. */
+  private static final long MAX_DURATION_NANOS = 900_000_000;
+
   private static final long POLL_INTERVAL_NANOS = 10_000_000;
 
+  /** One request in so many has a deadline that cannot be met. */
+  private static final int EXPIRED_REQUEST_INTERVAL = 16;
+
+  private static final int REQUEST_TIMEOUT_MILLIS = 2000;
+  private static final String CLIENT_SOCKET = "c";
+  private static final String BACKEND_SOCKET = "h";
+
   private final RouterConfig config;
   private final EventLoopGroup group;
   private final SingleThreadEventLoop eventLoop;
   private final ByteBufAllocator allocator;
   private final List<RequestClass> requestClasses;
   private final Counters counters = new Counters();
-  private final List<Channel> channels = new ArrayList<>();
-  private final ChannelGroup peers;
+  private final EventLoopTimer timer;
+  private final List<Channel> listeners = new ArrayList<>();
+  private final ChannelGroup standInChannels;
   private final CompletableFuture<Counters> finished = new CompletableFuture<>();
   private Path folder;
   private RequestDispatcher dispatcher;
-  private Future<?> timer;
   private int requestCount;
   private boolean isOver;
 
+  /**
+   * Creates a warm-up with the settings that the real router has.
+   *
+   * @param group the group whose only event loop is {@code eventLoop}
+   * @param allocator of the buffers of the requests sent to backends
+   */
   Warmup(
       RouterConfig config, EventLoopGroup group, EventLoop eventLoop, ByteBufAllocator allocator) {
     this.config = config;
     this.group = group;
     this.eventLoop = (SingleThreadEventLoop) eventLoop;
     this.allocator = allocator;
-    peers = new DefaultChannelGroup(eventLoop);
+    timer = new EventLoopTimer(eventLoop);
+    standInChannels = new DefaultChannelGroup(eventLoop);
     requestClasses = config.settings().requestClasses();
   }
 
-  /** What came of it, for whoever wants to know that it still does something. */
+  /**
+   * Runs the warm-up and blocks until it is over.
+   *
+   * @return the counters of its requests, by which a test sees that it still does something
+   */
   Counters run() throws Exception {
-    folder = Files.createTempDirectory("rehearsal");
+    folder = Files.createTempDirectory("warmup");
     try {
       eventLoop.submit(this::start).get();
       return finished.get();
     } finally {
-      Files.deleteIfExists(folder.resolve("c"));
-      Files.deleteIfExists(folder.resolve("h"));
+      Files.deleteIfExists(folder.resolve(CLIENT_SOCKET));
+      Files.deleteIfExists(folder.resolve(BACKEND_SOCKET));
       Files.deleteIfExists(folder);
     }
   }
@@ -100,150 +121,156 @@
   }
 
   private void start() {
-    long end = System.nanoTime() + MAX_DURATION_NANOS;
+    long endTime = System.nanoTime() + MAX_DURATION_NANOS;
     EventLoopClock clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
-    TimerQueue timerQueue = new TimerQueue(clock, this::scheduleTimer, counters);
+    TimerQueue timerQueue = new TimerQueue(clock, timer, counters);
+    DescriptorBudget descriptorBudget = new DescriptorBudget(CLIENT_COUNT * 5);
+    dispatcher = createDispatcher(clock, timerQueue, descriptorBudget);
+    FrontendServer frontend = createFrontend(clock, timerQueue, descriptorBudget);
+    dispatcher.endpointsReplaced(createEndpoints(), true);
+    listenForBackendConnections();
+    listenForClients(frontend);
+    awaitEnd(endTime);
+  }
+
+  private RequestDispatcher createDispatcher(
+      EventLoopClock clock, TimerQueue timerQueue, DescriptorBudget descriptorBudget) {
     BackendConnector backendConnector =
         new BackendConnector(
             new Bootstrap().group(eventLoop).channel(NioDomainSocketChannel.class),
-            address -> socketAddress("h"),
+            address -> socketAddress(BACKEND_SOCKET),
             allocator,
             counters);
     ConnectBackoff connectBackoff = new ConnectBackoff(new SplittableRandom(config.seed()), true);
-    DescriptorBudget descriptorBudget = new DescriptorBudget(CLIENT_COUNT * 5);
-    dispatcher =
-        new RequestDispatcher(
-            clock,
-            timerQueue,
-            counters,
-            new RequestDispatcher.ConnectionSettings(
-                descriptorBudget,
-                connectBackoff,
-                config.connectTimeoutNanos(),
-                config.idleTimeoutNanos(),
-                true,
-                config.drainGraceNanos()),
-            backendConnector,
-            backendConnector::probeStatement,
-            () -> {},
-            line -> {},
-            actions ->
-                new OverloadController(
-                    config.settings(),
-                    OverloadSettings.DEFAULT,
-                    connectBackoff,
-                    actions,
-                    (overloadSignals, observedActions) ->
-                        new DefaultRoutingPolicy(
-                            config.settings(),
-                            new SplittableRandom(config.seed()),
-                            observedActions,
-                            overloadSignals)));
-    FrontendServer frontend =
-        new FrontendServer(
-            dispatcher,
-            clock,
-            timerQueue,
-            counters,
-            requestClasses,
-            new ConnectionAdmission(CLIENT_COUNT, 0),
+    return new RequestDispatcher(
+        clock,
+        timerQueue,
+        counters,
+        new RequestDispatcher.ConnectionSettings(
             descriptorBudget,
-            () -> 0,
-            new SplittableRandom(config.seed()));
-    dispatcher.endpointsReplaced(endpoints(), true);
-    listen(
-        "h",
+            connectBackoff,
+            config.connectTimeoutNanos(),
+            config.idleTimeoutNanos(),
+            true,
+            config.drainGraceNanos()),
+        backendConnector,
+        backendConnector::probeStatement,
+        () -> {}, // the endpoints stay as they are
+        line -> {}, // nothing is logged
+        actions -> PolicyFactory.create(config, OverloadSettings.DEFAULT, connectBackoff, actions));
+  }
+
+  private FrontendServer createFrontend(
+      EventLoopClock clock, TimerQueue timerQueue, DescriptorBudget descriptorBudget) {
+    return new FrontendServer(
+        dispatcher,
+        clock,
+        timerQueue,
+        counters,
+        requestClasses,
+        new ConnectionAdmission(CLIENT_COUNT, 0),
+        descriptorBudget,
+        () -> 0,
+        new SplittableRandom(config.seed()));
+  }
+
+  private static List<RequestDispatcher.EndpointAddress> createEndpoints() {
+    List<RequestDispatcher.EndpointAddress> endpoints = new ArrayList<>();
+    for (int i = 0; i < BACKEND_COUNT; i++) {
+      boolean isPrimary = i == 0;
+      Endpoint endpoint =
+          new Endpoint(
+              new HostId("h" + i),
+              new GroupId(0),
+              new ZoneId(""),
+              1,
+              0,
+              isPrimary,
+              Endpoint.State.READY);
+      endpoints.add(new RequestDispatcher.EndpointAddress(endpoint, new InetSocketAddress(0)));
+    }
+    return endpoints;
+  }
+
+  private void listenForBackendConnections() {
+    ChannelHandler initializer =
         new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            peers.add(channel);
+            standInChannels.add(channel);
             channel.pipeline().addLast(new WarmupPeers.Backend(requestCount));
           }
-        });
-    listen("c", frontend);
-    awaitEnd(end);
+        };
+    listeners.add(serverBootstrap(initializer).bind(socketAddress(BACKEND_SOCKET)).channel());
   }
 
-  private void listen(String name, ChannelHandler handler) {
-    channels.add(
-        new ServerBootstrap()
-            .group(group)
-            .channel(NioServerDomainSocketChannel.class)
-            .childHandler(handler)
-            .bind(socketAddress(name))
-            .addListener(
-                bound -> {
-                  for (int i = 0; i < CLIENT_COUNT && name.equals("c"); i++) {
-                    connect();
-                  }
-                })
+  private void listenForClients(FrontendServer frontend) {
+    listeners.add(
+        serverBootstrap(frontend)
+            .bind(socketAddress(CLIENT_SOCKET))
+            .addListener(bound -> connectClients())
             .channel());
   }
 
-  private void connect() {
-    if (!isOver) {
-      peers.add(
-          new Bootstrap()
-              .group(eventLoop)
-              .channel(NioDomainSocketChannel.class)
-              .handler(new WarmupPeers.Client(this::nextStatement, this::connect))
-              .connect(socketAddress("c"))
-              .channel());
+  private ServerBootstrap serverBootstrap(ChannelHandler childHandler) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerDomainSocketChannel.class)
+        .childHandler(childHandler);
+  }
+
+  private void connectClients() {
+    for (int i = 0; i < CLIENT_COUNT; i++) {
+      connectClient();
     }
   }
 
-  private List<RequestDispatcher.EndpointAddress> endpoints() {
-    List<RequestDispatcher.EndpointAddress> endpoints = new ArrayList<>();
-    for (int i = 0; i < BACKEND_COUNT; i++) {
-      endpoints.add(
-          new RequestDispatcher.EndpointAddress(
-              new Endpoint(
-                  new HostId("h" + i),
-                  new GroupId(0),
-                  new ZoneId(""),
-                  1,
-                  0,
-                  i == 0,
-                  Endpoint.State.READY),
-              new InetSocketAddress(0)));
+  /** Opens a client connection; each is replaced by a new one once it is closed. */
+  private void connectClient() {
+    if (isOver) {
+      return;
     }
-    return endpoints;
+    standInChannels.add(
+        new Bootstrap()
+            .group(eventLoop)
+            .channel(NioDomainSocketChannel.class)
+            .handler(new WarmupPeers.Client(this::nextStatement, this::connectClient))
+            .connect(socketAddress(CLIENT_SOCKET))
+            .channel());
   }
 
   private String nextStatement() {
-    RequestClass requestClass = requestClasses.get(requestCount++ % requestClasses.size());
-    boolean isTooLate = requestCount % 16 == 0;
+    RequestClass requestClass = requestClasses.get(requestCount % requestClasses.size());
+    requestCount++;
+    int timeoutMillis = requestCount % EXPIRED_REQUEST_INTERVAL == 0 ? 1 : REQUEST_TIMEOUT_MILLIS;
     String comment =
         "/* id="
             + requestCount
             + ",c="
             + requestClass.name()
             + ",d="
-            + (isTooLate ? 1 : 2000)
+            + timeoutMillis
             + ",cluster=0 */";
     return requestClass.isWrite()
         ? "INSERT INTO state (uid, val) VALUES ('k', '\\x00') RETURNING val " + comment
         : "SELECT val FROM state WHERE uid = 'k' " + comment;
   }
 
-  private void scheduleTimer(long delay, Runnable task) {
-    if (timer != null) {
-      timer.cancel(false);
+  private void awaitEnd(long endTime) {
+    if (requestCount < MAX_REQUESTS && System.nanoTime() < endTime) {
+      eventLoop.schedule(() -> awaitEnd(endTime), POLL_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
+    } else {
+      end();
     }
-    timer = isOver ? null : eventLoop.schedule(task, delay, TimeUnit.NANOSECONDS);
   }
 
-  private void awaitEnd(long end) {
-    if (requestCount < MAX_REQUESTS && System.nanoTime() < end) {
-      eventLoop.schedule(() -> awaitEnd(end), POLL_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
-      return;
-    }
+  private void end() {
     isOver = true;
-    timer.cancel(false);
-    channels.forEach(Channel::close);
+    timer.close();
+    listeners.forEach(Channel::close);
     dispatcher.close();
-    peers.close(); // our ends of both sides: left open they kept two dozen descriptors for good
-    // What closing brings is over a turn or two later.
+    standInChannels.close(); // unless closed here they keep two dozen descriptors open for good
+    // What closing brings is over a turn or two of the event loop later.
     eventLoop.schedule(
         () -> finished.complete(counters), 2 * POLL_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
   }
--- a/router/src/test/java/rushwood/server/GracefulShutdownTest.java
+++ b/router/src/test/java/rushwood/server/GracefulShutdownTest.java
@@ -310,10 +310,9 @@
           endpointListJson(
               true, endpointJson("a", primary, "Ready"), endpointJson("b", replica, "Ready"));
       launchProcess();
-      // Its own folder for the rehearsal is there: the program runs, and is nowhere near its end of
+      // The folder of the warm-up is there: the program runs, and is nowhere near its end of
       // the start.
-      while (Arrays.stream(folder.toFile().list())
-          .noneMatch(each -> each.startsWith("rehearsal"))) {
+      while (Arrays.stream(folder.toFile().list()).noneMatch(each -> each.startsWith("warmup"))) {
         Thread.sleep(1);
       }
       Files.writeString(folder.resolve("config.json"), "{\"name\":");
--- a/router/src/test/java/rushwood/server/WarmupTest.java
+++ b/router/src/test/java/rushwood/server/WarmupTest.java
@@ -19,7 +19,7 @@
 
 class WarmupTest {
   /**
-   * A rehearsal in which nothing is fulfilled or parked would leave the code cold, and nobody would
+   * A warm-up in which no request is served or queued would leave the code cold, and nobody would
    * see it.
    */
   @Test
