Give the endpoint records, connection settings and counters files of their own

The discovery and server packages read these types, yet they stood inside RequestDispatcher and Counters. EndpointAddress, PartialEndpoint, ConnectionSettings and Counter are top-level types of dispatch now. Dispatcher, timer queue, list parser and warm-up tests pass unchanged but for imports.

--- a/router/src/main/java/rushwood/discovery/DiscoveryClient.java
+++ b/router/src/main/java/rushwood/discovery/DiscoveryClient.java
@@ -25,7 +25,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import rushwood.dispatch.EventLoopClock;
-import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
+import rushwood.dispatch.PartialEndpoint;
 import rushwood.dispatch.TimerQueue;
 
 /**
--- a/router/src/main/java/rushwood/discovery/EndpointListParser.java
+++ b/router/src/main/java/rushwood/discovery/EndpointListParser.java
@@ -18,8 +18,8 @@
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.ZoneId;
-import rushwood.dispatch.RequestDispatcher.EndpointAddress;
-import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
+import rushwood.dispatch.EndpointAddress;
+import rushwood.dispatch.PartialEndpoint;
 
 /**
  * The host list as discovery writes it: JSON objects one after the other, laid out in any way, in
--- a/router/src/main/java/rushwood/dispatch/ConnectionPool.java
+++ b/router/src/main/java/rushwood/dispatch/ConnectionPool.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import rushwood.api.AttemptOutcome;
 import rushwood.api.HostId;
-import rushwood.dispatch.Counters.Counter;
 
 /**
  * The connections to each host: one errand at a time on each, idle ones reused, the freshest first.
@@ -46,7 +45,7 @@
   private final EventLoopClock clock;
   private final TimerQueue timers;
   private final Counters counters;
-  private final RequestDispatcher.ConnectionSettings settings;
+  private final ConnectionSettings settings;
   private long maxIdleNanos;
   private int openConnections;
 
@@ -64,7 +63,7 @@
       EventLoopClock clock,
       TimerQueue timers,
       Counters counters,
-      RequestDispatcher.ConnectionSettings settings) {
+      ConnectionSettings settings) {
     this.connector = connector;
     this.clock = clock;
     this.timers = timers;
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -1,7 +1,6 @@
 package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -24,9 +23,6 @@
 import rushwood.api.Request;
 import rushwood.api.RequestId;
 import rushwood.api.RoutingPolicy;
-import rushwood.dispatch.Counters.Counter;
-import rushwood.overload.ConnectBackoff;
-import rushwood.overload.DescriptorBudget;
 
 /**
  * Carries the calls of the network to the decisions and what they decide back to the network.
@@ -34,27 +30,6 @@
  * last call.
  */
 public final class RequestDispatcher {
-  /** A host of the list and where it listens. */
-  public record EndpointAddress(Endpoint endpoint, InetSocketAddress address) {}
-
-  /**
-   * What can be read of an entry that is bad as a whole: its host, and that host's state or null.
-   */
-  public record PartialEndpoint(HostId id, Endpoint.State state) {}
-
-  /**
-   * The sockets that connections to hosts come from, what paces attempts, how long one may take to
-   * come up, how long hosts leave one idle, whether a host that the list does not have any more is
-   * never sent to, and within which time sends to a leaving host have to end.
-   */
-  public record ConnectionSettings(
-      DescriptorBudget descriptors,
-      ConnectBackoff backoff,
-      long connectTimeoutNanos,
-      long hostIdleTimeoutNanos,
-      boolean isRemovalBinding,
-      long drainGraceNanos) {}
-
   private static final class InFlightRequest {
     final RequestId id;
     final Statement statement;
@@ -219,20 +194,7 @@
     for (PartialEndpoint each : partials) {
       EndpointAddress previous = knownEndpoints.get(each.id());
       if (previous != null) {
-        Endpoint endpoint = previous.endpoint();
-        completed.add(
-            each.state() == null
-                ? previous
-                : new EndpointAddress(
-                    new Endpoint(
-                        endpoint.id(),
-                        endpoint.group(),
-                        endpoint.zone(),
-                        endpoint.weight(),
-                        endpoint.startedAt(),
-                        endpoint.primary(),
-                        each.state()),
-                    previous.address()));
+        completed.add(each.hasState() ? previous.withState(each.state()) : previous);
       }
     }
     return completed;
--- a/router/src/main/java/rushwood/net/BackendConnector.java
+++ b/router/src/main/java/rushwood/net/BackendConnector.java
@@ -15,6 +15,7 @@
 import java.net.SocketAddress;
 import java.util.function.Function;
 import rushwood.dispatch.BackendConnection;
+import rushwood.dispatch.Counter;
 import rushwood.dispatch.Counters;
 import rushwood.protocol.BackendProtocol;
 import rushwood.protocol.MessageWriter;
@@ -104,7 +105,7 @@
       if (closed) {
         ((ByteBuf) message).release();
       } else if (!protocol.feed((ByteBuf) message) && !closed) {
-        counters.increment(Counters.Counter.BACKEND_PROTOCOL_ERRORS);
+        counters.increment(Counter.BACKEND_PROTOCOL_ERRORS);
         connectionLost();
       }
     }
@@ -112,7 +113,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
       if (!closed && !protocol.completeRead()) {
-        counters.increment(Counters.Counter.BACKEND_EXCESS_DATA);
+        counters.increment(Counter.BACKEND_EXCESS_DATA);
         connectionLost();
       }
     }
--- a/router/src/main/java/rushwood/server/ConfigReloader.java
+++ b/router/src/main/java/rushwood/server/ConfigReloader.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import rushwood.config.InvalidConfigException;
 import rushwood.config.RouterConfig;
-import rushwood.dispatch.Counters.Counter;
+import rushwood.dispatch.Counter;
 
 /**
  * Reads the configuration again on SIGHUP. The file is read on a thread of its own; all else runs
--- a/router/src/main/java/rushwood/server/EndpointListHandler.java
+++ b/router/src/main/java/rushwood/server/EndpointListHandler.java
@@ -1,10 +1,11 @@
 package rushwood.server;
 
+import rushwood.dispatch.PartialEndpoint;
 import java.util.List;
 import rushwood.discovery.DiscoveryClient;
 import rushwood.discovery.EndpointListParser;
 import rushwood.dispatch.Counters;
-import rushwood.dispatch.Counters.Counter;
+import rushwood.dispatch.Counter;
 import rushwood.dispatch.RequestDispatcher;
 
 /**
@@ -45,7 +46,7 @@
   }
 
   @Override
-  public void endpointsLeaving(List<RequestDispatcher.PartialEndpoint> endpoints) {
+  public void endpointsLeaving(List<PartialEndpoint> endpoints) {
     counters.increment(Counter.ENDPOINT_LISTS_UPDATED);
     dispatcher.endpointsUpdated(List.of(), endpoints);
   }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -1,5 +1,6 @@
 package rushwood.server;
 
+import rushwood.dispatch.ConnectionSettings;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.List;
@@ -96,7 +97,7 @@
         clock,
         timerQueue,
         counters,
-        new RequestDispatcher.ConnectionSettings(
+        new ConnectionSettings(
             descriptorBudget,
             connectBackoff,
             config.connectTimeoutNanos(),
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -1,5 +1,7 @@
 package rushwood.server;
 
+import rushwood.dispatch.ConnectionSettings;
+import rushwood.dispatch.EndpointAddress;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -146,7 +148,7 @@
         clock,
         timerQueue,
         counters,
-        new RequestDispatcher.ConnectionSettings(
+        new ConnectionSettings(
             descriptorBudget,
             connectBackoff,
             config.connectTimeoutNanos(),
@@ -174,8 +176,8 @@
         new SplittableRandom(config.seed()));
   }
 
-  private static List<RequestDispatcher.EndpointAddress> createEndpoints() {
-    List<RequestDispatcher.EndpointAddress> endpoints = new ArrayList<>();
+  private static List<EndpointAddress> createEndpoints() {
+    List<EndpointAddress> endpoints = new ArrayList<>();
     for (int i = 0; i < BACKEND_COUNT; i++) {
       boolean isPrimary = i == 0;
       Endpoint endpoint =
@@ -187,7 +189,7 @@
               0,
               isPrimary,
               Endpoint.State.READY);
-      endpoints.add(new RequestDispatcher.EndpointAddress(endpoint, new InetSocketAddress(0)));
+      endpoints.add(new EndpointAddress(endpoint, new InetSocketAddress(0)));
     }
     return endpoints;
   }
--- a/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.Test;
 import rushwood.api.Endpoint;
 import rushwood.api.HostId;
-import rushwood.dispatch.RequestDispatcher.EndpointAddress;
-import rushwood.dispatch.RequestDispatcher.PartialEndpoint;
+import rushwood.dispatch.EndpointAddress;
+import rushwood.dispatch.PartialEndpoint;
 import rushwood.protocol.TestMessages;
 
 class EndpointListParserTest {
--- a/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
+++ b/router/src/test/java/rushwood/dispatch/RequestDispatcherTest.java
@@ -23,7 +23,6 @@
 import rushwood.api.RequestId;
 import rushwood.api.RoutingPolicy;
 import rushwood.api.ZoneId;
-import rushwood.dispatch.Counters.Counter;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.DescriptorBudget;
 import rushwood.protocol.TestMessages;
@@ -201,7 +200,7 @@
             clock,
             timers,
             counters,
-            new RequestDispatcher.ConnectionSettings(
+            new ConnectionSettings(
                 new DescriptorBudget(5),
                 new ConnectBackoff(new SplittableRandom(1), true),
                 250 * NANOS_PER_MILLI,
@@ -237,9 +236,8 @@
     assertEquals(0, counters.get(Counter.INVARIANTS_VIOLATED));
   }
 
-  private static RequestDispatcher.EndpointAddress endpoint(
-      String id, int port, Endpoint.State state) {
-    return new RequestDispatcher.EndpointAddress(
+  private static EndpointAddress endpoint(String id, int port, Endpoint.State state) {
+    return new EndpointAddress(
         new Endpoint(new HostId(id), new GroupId(1), new ZoneId(""), 1, 0, false, state),
         new InetSocketAddress("127.0.0.1", port));
   }
@@ -508,15 +506,12 @@
       dispatcher.requestReceived(new FakeStatement(), new FakeResponder());
       dispatcher.endpointsReplaced(
           List.of(),
-          i == 0
-              ? List.of()
-              : List.of(new RequestDispatcher.PartialEndpoint(A, Endpoint.State.DRAINING)),
+          i == 0 ? List.of() : List.of(new PartialEndpoint(A, Endpoint.State.DRAINING)),
           false);
       expect("0 NOT_SENT after 0", "released", "turned back 0");
     }
     dispatcher.endpointsReplaced(List.of(endpoint("a", 1, Endpoint.State.READY)), false);
-    dispatcher.endpointsReplaced(
-        List.of(), List.of(new RequestDispatcher.PartialEndpoint(A, null)), false);
+    dispatcher.endpointsReplaced(List.of(), List.of(new PartialEndpoint(A, null)), false);
     assertEquals(
         1,
         dispatcher.endpointCount(),
--- a/router/src/test/java/rushwood/dispatch/TimerQueueTest.java
+++ b/router/src/test/java/rushwood/dispatch/TimerQueueTest.java
@@ -75,7 +75,7 @@
     turn(10 * MS);
     turn(11 * MS);
     assertEquals(List.of("beside", "next"), done);
-    assertEquals(1, counters.get(Counters.Counter.EXCEPTIONS_CAUGHT));
+    assertEquals(1, counters.get(Counter.EXCEPTIONS_CAUGHT));
   }
 
   @Test
--- a/router/src/test/java/rushwood/server/WarmupTest.java
+++ b/router/src/test/java/rushwood/server/WarmupTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushwood.config.RouterConfig;
+import rushwood.dispatch.Counter;
 import rushwood.dispatch.Counters;
-import rushwood.dispatch.Counters.Counter;
 
 class WarmupTest {
   /**
--- a/testbed/src/test/java/rushwood/testbed/load/RouterCountersTest.java
+++ b/testbed/src/test/java/rushwood/testbed/load/RouterCountersTest.java
@@ -1,5 +1,6 @@
 package rushwood.testbed.load;
 
+import rushwood.dispatch.Counter;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.LinkedHashMap;
@@ -27,7 +28,7 @@
   void presentNamesStayAsTheyAre() {
     Map<String, Long> expected = new LinkedHashMap<>();
     StringBuilder line = new StringBuilder("INFO counters");
-    for (Counters.Counter counter : Counters.Counter.values()) {
+    for (Counter counter : Counter.values()) {
       String name = counter.name().toLowerCase(Locale.ROOT);
       expected.put(name, (long) counter.ordinal());
       line.append(' ').append(name).append('=').append(counter.ordinal());
