Document dispatch's interfaces, clock, timers and each counter

A counter could be understood from the on-call page alone, and comments spoke in metaphors. Each counter, parameter and constant says what it is, with unit, bounds and owner; the thread that owns the package is said once. Counters are an array by ordinal; the counter of an outcome is found by an exhaustive switch instead of a concatenated name.

--- a/router/src/main/java/rushwood/dispatch/BackendConnection.java
+++ b/router/src/main/java/rushwood/dispatch/BackendConnection.java
@@ -3,37 +3,48 @@
 import io.netty.buffer.ByteBuf;
 import java.net.InetSocketAddress;
 
-/** A connection to a host. */
+/** A connection to a host, which carries one exchange at a time. */
 public interface BackendConnection {
   /**
-   * Writes a statement; only on a link that is open and not in use. The row of a probe is a load
-   * report.
+   * Writes a statement and takes its buffer over. Only for a connection that is open and carries no
+   * exchange.
+   *
+   * @param isProbe whether the row of the response is a load report
    */
   void send(ByteBuf statement, boolean isProbe);
 
-  /** Whether the last byte of the last statement was written. */
+  /** Whether the last byte of the last statement was written to the socket. */
   boolean isStatementWritten();
 
+  /** Whether the connection is up and can carry the next exchange. */
   boolean isOpen();
 
-  /** Closes it; no event follows. */
+  /** Closes the connection; the listener is told nothing more. */
   void close();
 
-  /** What opens links. */
+  /** Opens connections. */
   interface Connector {
+    /** Begins to connect; the listener is told how it goes on. */
     BackendConnection connect(InetSocketAddress address, Listener listener);
   }
 
-  /** What a link tells, never from within a call to it. */
+  /** What a connection reports, never from within a call to it. */
   interface Listener {
+    /** The connection is up and can carry an exchange. */
     void connected();
 
     /**
-     * The end of what was asked, or a refusal while opening; whether the link can be used again.
+     * The response to the last statement has been read, or the host refused the connection.
+     *
+     * @param reusable whether the connection can carry another exchange; if not, it is of no use
      */
     void responseReceived(BackendResponse response, boolean reusable);
 
-    /** It is over; {@code accepted} unless the host refused it or it never came up. */
+    /**
+     * The connection ended, or violated the protocol, without a response.
+     *
+     * @param accepted whether the host had accepted the connection
+     */
     void connectionLost(boolean accepted);
   }
 }
--- a/router/src/main/java/rushwood/dispatch/BackendResponse.java
+++ b/router/src/main/java/rushwood/dispatch/BackendResponse.java
@@ -6,15 +6,24 @@
 import rushwood.api.LoadReport;
 
 /**
- * How one use of a connection ended. {@code row} holds the messages to pass on, null unless
- * fulfilled; whoever gets the answer releases it.
+ * How one exchange with a host ended. Whoever receives a response releases it.
+ *
+ * @param outcome the outcome
+ * @param row the messages to pass on to the client, null unless a row was read for one
+ * @param role the role that the host claims
+ * @param position the position that the host gives, negative if it gives none
+ * @param report the load report that came with the response
  */
 public record BackendResponse(
     AttemptOutcome outcome, ByteBuf row, HostRole role, long position, LoadReport report) {
+  private static final long NO_POSITION = -1;
+
+  /** A response of which nothing but the outcome is known. */
   public static BackendResponse withoutRow(AttemptOutcome outcome) {
-    return new BackendResponse(outcome, null, HostRole.UNKNOWN, -1, LoadReport.NONE);
+    return new BackendResponse(outcome, null, HostRole.UNKNOWN, NO_POSITION, LoadReport.NONE);
   }
 
+  /** Releases the row, if there is one. */
   public void release() {
     if (row != null) {
       row.release();
--- a/router/src/main/java/rushwood/dispatch/ClientResponder.java
+++ b/router/src/main/java/rushwood/dispatch/ClientResponder.java
@@ -2,13 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Where the one final answer of an access goes. */
+/** Sends a request's one final response to its client. */
 public interface ClientResponder {
-  /** The messages of the row as the host gave them; the client releases them. */
+  /** Sends the messages of a row as the host wrote them, and takes their buffer over. */
   void sendResult(ByteBuf row);
 
-  /** Trying again is harmless, after {@code advice} nanoseconds if positive. */
+  /**
+   * Sends that the request has not run and may be tried again.
+   *
+   * @param retryAfterNanos how long the client is to wait before, if positive
+   */
   void sendRejection(long retryAfterNanos);
 
+  /** Sends that the request failed; it may or may not have run. */
   void sendFailure();
 }
--- a/router/src/main/java/rushwood/dispatch/Counter.java
+++ b/router/src/main/java/rushwood/dispatch/Counter.java
@@ -1,47 +1,122 @@
 package rushwood.dispatch;
 
+import rushwood.api.AttemptOutcome;
+
+/**
+ * What a router counts since its start. {@code SHOW counters} and the log line at exit list the
+ * counters under these names in lower case, in this order.
+ */
 public enum Counter {
+  /** Client connections that were accepted. */
   CLIENTS_ACCEPTED,
+  /** Client connections that were turned away or closed for exceeding a limit. */
   CLIENTS_REFUSED,
+  /** Client connections that ended, for whatever reason. */
   CLIENTS_CLOSED,
+  /** Idle client connections that were closed to make room for others. */
   CLIENTS_EVICTED,
+  /** Those of {@link #CLIENTS_EVICTED} that had never had an answer. */
   CLIENTS_EVICTED_UNANSWERED,
+  /** Client connections that were closed for being silent or leaving a message half written. */
   CLIENTS_TIMED_OUT,
+  /** Statements from clients that are not ours; no host saw them. */
   STATEMENTS_REJECTED,
+
+  /** Requests that were taken from clients. */
   REQUESTS_RECEIVED,
+  /** Requests that were answered with a row. */
   REQUESTS_SUCCEEDED,
+  /** Requests that were answered with "safe to try again". */
   REQUESTS_REJECTED,
+  /** Requests that were answered with an error that promises nothing. */
   REQUESTS_FAILED,
+  /** Requests whose client disconnected or cancelled them before it had an answer. */
   REQUESTS_CANCELLED,
+
+  /** Attempts that the routing policy asked for, sent or not. */
   ATTEMPTS_STARTED,
+  /** Attempts that ended with {@link AttemptOutcome#SUCCESS}. */
   ATTEMPTS_SUCCESS,
+  /** Attempts that ended with {@link AttemptOutcome#ERROR}. */
   ATTEMPTS_ERROR,
+  /** Attempts that ended with {@link AttemptOutcome#MALFORMED}. */
   ATTEMPTS_MALFORMED,
+  /** Attempts that ended with {@link AttemptOutcome#OVERLOADED}. */
   ATTEMPTS_OVERLOADED,
+  /** Attempts that ended with {@link AttemptOutcome#REPLICA_LAGGING}. */
   ATTEMPTS_REPLICA_LAGGING,
+  /** Attempts that ended with {@link AttemptOutcome#TIMED_OUT}. */
   ATTEMPTS_TIMED_OUT,
+  /** Attempts that ended with {@link AttemptOutcome#CONNECTION_LOST}. */
   ATTEMPTS_CONNECTION_LOST,
+  /** Attempts that ended with {@link AttemptOutcome#CANCELLED}. */
   ATTEMPTS_CANCELLED,
+  /** Attempts that ended with {@link AttemptOutcome#CONNECT_FAILED}. */
   ATTEMPTS_CONNECT_FAILED,
+  /** Attempts that ended with {@link AttemptOutcome#NOT_SENT}. */
   ATTEMPTS_NOT_SENT,
+  /**
+   * Attempts and probes that were not written since their host drains, their client has left or
+   * their time to be written had passed. Attempts among them count as not sent as well.
+   */
   ATTEMPTS_WITHHELD,
+  /** Attempts and probes that were written one event loop turn late, after a pause. */
   ATTEMPTS_DEFERRED,
+
+  /** Probes that the routing policy asked for. */
   PROBES_SENT,
+  /** Probes that a host answered. */
   PROBES_ANSWERED,
+
+  /** Connections to hosts that were begun. */
   CONNECTIONS_OPENED,
+  /** Uses of an idle connection to a host. */
   CONNECTIONS_REUSED,
+  /** Connections to hosts that did not come up. */
   CONNECTIONS_FAILED,
+  /** Connections to hosts that ended, for whatever reason. */
   CONNECTIONS_CLOSED,
+  /** Connections that were not begun, as the connect backoff did not allow them. */
   CONNECTS_SUPPRESSED,
+  /** Messages from hosts that violate the protocol. */
   BACKEND_PROTOCOL_ERRORS,
+  /** Responses from hosts that were followed by more than belongs to them. */
   BACKEND_EXCESS_DATA,
+
+  /** Endpoint lists that were received whole. */
   ENDPOINT_LISTS_REPLACED,
+  /** Changes to the endpoint list that were received. */
   ENDPOINT_LISTS_UPDATED,
+  /** Answers from discovery that the endpoint list is unchanged. */
   ENDPOINT_LISTS_UNCHANGED,
+  /** Answers from discovery of which a part could not be read. */
   ENDPOINT_LISTS_MALFORMED,
+  /** Calls to discovery that failed. */
   ENDPOINT_LISTS_FAILED,
+
+  /** Configurations that were read again and applied. */
   CONFIGS_APPLIED,
+  /** Configurations that were read again and could not be used. */
   CONFIGS_REJECTED,
+
+  /** Invariants of the router that did not hold: each is a fault of the program. */
   INVARIANTS_VIOLATED,
-  EXCEPTIONS_CAUGHT
+  /** Exceptions that ended one request or one task: each is a fault of the program. */
+  EXCEPTIONS_CAUGHT;
+
+  /** The counter of attempts that end with the given outcome. */
+  static Counter ofAttempts(AttemptOutcome outcome) {
+    return switch (outcome) {
+      case SUCCESS -> ATTEMPTS_SUCCESS;
+      case ERROR -> ATTEMPTS_ERROR;
+      case MALFORMED -> ATTEMPTS_MALFORMED;
+      case OVERLOADED -> ATTEMPTS_OVERLOADED;
+      case REPLICA_LAGGING -> ATTEMPTS_REPLICA_LAGGING;
+      case TIMED_OUT -> ATTEMPTS_TIMED_OUT;
+      case CONNECTION_LOST -> ATTEMPTS_CONNECTION_LOST;
+      case CANCELLED -> ATTEMPTS_CANCELLED;
+      case CONNECT_FAILED -> ATTEMPTS_CONNECT_FAILED;
+      case NOT_SENT -> ATTEMPTS_NOT_SENT;
+    };
+  }
 }
--- a/router/src/main/java/rushwood/dispatch/Counters.java
+++ b/router/src/main/java/rushwood/dispatch/Counters.java
@@ -1,6 +1,5 @@
 package rushwood.dispatch;
 
-import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -8,28 +7,36 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-/** Counts what is taken in, sent and answered. */
+/**
+ * The counters of one router, and the guards that count faults of the program instead of letting
+ * them end it. Used on the event loop's thread only.
+ */
 public final class Counters {
-  private final Map<Counter, long[]> counts = new EnumMap<>(Counter.class);
-
+  private final long[] counts = new long[Counter.values().length];
   private final Map<String, LongSupplier> registered = new LinkedHashMap<>();
   private Consumer<Throwable> exceptionListener = thrown -> {};
 
-  public Counters() {
-    for (Counter counter : Counter.values()) {
-      counts.put(counter, new long[1]);
-    }
-  }
-
+  /** Adds one to a counter. */
   public void increment(Counter counter) {
-    counts.get(counter)[0]++;
+    counts[counter.ordinal()]++;
   }
 
+  /** The value of a counter. */
   public long get(Counter counter) {
-    return counts.get(counter)[0];
+    return counts[counter.ordinal()];
+  }
+
+  /** Lists a value that another component keeps, after the counters and under the given name. */
+  public void register(String name, LongSupplier value) {
+    registered.put(name, value);
   }
 
-  /** What must hold: asserted in debug builds, counted in release. */
+  /**
+   * Checks what must hold wherever the program is right. With assertions enabled, as in tests, a
+   * violation is thrown; else it is counted and the caller goes on.
+   *
+   * @return whether the condition holds
+   */
   public boolean checkInvariant(boolean condition, String invariant) {
     assert condition : invariant;
     if (!condition) {
@@ -38,15 +45,24 @@
     return condition;
   }
 
-  /** Whoever is to hear of what {@link #safely} caught. */
+  /** Sets the listener that is told of each exception that {@link #runSafely} caught. */
   public void onException(Consumer<Throwable> listener) {
     exceptionListener = listener;
   }
 
-  /** Runs what must not take others with it: what it throws ends it alone, is counted and told. */
+  /**
+   * Runs a task whose failure must not end anything else: an exception is counted and reported.
+   *
+   * @return whether the task returned without an exception
+   */
   public boolean runSafely(Runnable task) {
+    return runSafely(Runnable::run, task);
+  }
+
+  /** Like {@link #runSafely(Runnable)}, for a task that takes an argument. */
+  <T> boolean runSafely(Consumer<T> task, T argument) {
     try {
-      task.run();
+      task.accept(argument);
       return true;
     } catch (RuntimeException | OutOfMemoryError e) {
       increment(Counter.EXCEPTIONS_CAUGHT);
@@ -55,24 +71,23 @@
     }
   }
 
-  /** A count that another part keeps. */
-  public void register(String name, LongSupplier value) {
-    registered.put(name, value);
-  }
-
-  /** Every counter by its name in lower case, in order. */
+  /** Passes each counter's name in lower case and its value to the reader, in a fixed order. */
   public void forEach(BiConsumer<String, Long> reader) {
-    counts.forEach(
-        (count, value) -> reader.accept(count.name().toLowerCase(Locale.ROOT), value[0]));
-    registered.forEach((name, count) -> reader.accept(name, count.getAsLong()));
+    for (Counter counter : Counter.values()) {
+      reader.accept(counter.name().toLowerCase(Locale.ROOT), get(counter));
+    }
+    registered.forEach((name, value) -> reader.accept(name, value.getAsLong()));
   }
 
+  /** All counters as {@code name=value}, separated by spaces. */
   @Override
   public String toString() {
     StringBuilder text = new StringBuilder();
     forEach(
-        (name, value) ->
-            text.append(text.length() == 0 ? "" : " ").append(name).append('=').append(value));
+        (name, value) -> {
+          String separator = text.isEmpty() ? "" : " ";
+          text.append(separator).append(name).append('=').append(value);
+        });
     return text.toString();
   }
 }
--- a/router/src/main/java/rushwood/dispatch/EventLoopClock.java
+++ b/router/src/main/java/rushwood/dispatch/EventLoopClock.java
@@ -4,42 +4,58 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-/** Unix time in nanoseconds that never goes back, read once a turn of the event loop. */
+/**
+ * Unix time in nanoseconds that never goes back and is read once in each turn of the event loop, so
+ * that everything in one turn happens at the same time. The gaps between turns also show when the
+ * process was paused, for example by the scheduler or a suspended machine. Used on the event loop's
+ * thread only.
+ */
 public final class EventLoopClock {
-  /** The longest that a turn is to be away: who makes a clock sees to a turn this often. */
+  /**
+   * The longest time between two turns. Whoever creates a clock schedules a timer that often; a
+   * longer gap then means that the process was paused, not that it was idle.
+   */
   public static final long MAX_TURN_INTERVAL_NANOS = 20_000_000;
 
-  private static final long PAUSE_HALF_LIFE_NANOS =
-      10_000_000_000L; // half of the longest pause is forgotten in so long
-  private static final long PAUSE_THRESHOLD_NANOS =
-      40_000_000; // between turns: twice the beat that keeps them coming
-  private static final long READ_AFTER_PAUSE_NANOS =
-      20_000_000; // after a pause, until what came in it has been read
+  private static final long PAUSE_THRESHOLD_NANOS = 2 * MAX_TURN_INTERVAL_NANOS;
+
+  /** By when sockets have been read after a pause, counted from its end. */
+  private static final long READ_AFTER_PAUSE_NANOS = 20_000_000;
+
+  private static final long PAUSE_HALF_LIFE_NANOS = 10_000_000_000L;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long NEVER = Long.MIN_VALUE;
 
   private final LongSupplier timeSource;
   private final Consumer<Runnable> runAtTurnEnd;
-  private long now = Long.MIN_VALUE;
-  private long pauseStart;
-  private long pauseEnd = Long.MIN_VALUE;
-  private long longestPauseAtEnd; // pause, as of its end
+  private long now = NEVER;
   private boolean isCurrent;
-  private long turnGap; // between this turn and the one before
-  private long previousTurnGap; // and between that one and its own
+  private long pauseStart;
+  private long pauseEnd = NEVER;
+  private long longestPauseAtEnd;
+  private long turnGap;
+  private long previousTurnGap;
 
-  /** With a source of monotonic Unix time, and what runs a task when the turn ends. */
+  /**
+   * Creates a clock.
+   *
+   * @param timeSource monotonic Unix time in nanoseconds
+   * @param runAtTurnEnd runs a task once the current turn of the event loop has ended
+   */
   public EventLoopClock(LongSupplier timeSource, Consumer<Runnable> runAtTurnEnd) {
     this.timeSource = timeSource;
     this.runAtTurnEnd = runAtTurnEnd;
   }
 
-  /** Unix time as of now, carried on by the monotonic clock. */
+  /** A clock that starts at the system's Unix time and goes on with its monotonic clock. */
   public static EventLoopClock system(Consumer<Runnable> runAtTurnEnd) {
     Instant start = Instant.now();
-    long epochOffset =
-        start.getEpochSecond() * 1_000_000_000L + start.getNano() - System.nanoTime();
-    return new EventLoopClock(() -> epochOffset + System.nanoTime(), runAtTurnEnd);
+    long startNanos = start.getEpochSecond() * NANOS_PER_SECOND + start.getNano();
+    long offset = startNanos - System.nanoTime();
+    return new EventLoopClock(() -> offset + System.nanoTime(), runAtTurnEnd);
   }
 
+  /** The time of the current turn: Unix time in nanoseconds. */
   public long now() {
     if (!isCurrent) {
       isCurrent = true;
@@ -51,7 +67,7 @@
 
   private void startTurn(long time) {
     previousTurnGap = turnGap;
-    turnGap = now == Long.MIN_VALUE ? 0 : time - now;
+    turnGap = now == NEVER ? 0 : time - now;
     if (turnGap > PAUSE_THRESHOLD_NANOS) {
       longestPauseAtEnd = Math.max(turnGap, recentLongestPause());
       pauseStart = now;
@@ -61,11 +77,11 @@
   }
 
   /**
-   * Whether what was read before this turn may be older than {@code limit}: after such a pause, in
-   * a turn that has lasted that long itself, and in the turn after either. For a wait that a signal
-   * ends, as one that let the process go on, is over with no socket looked at, and only the next
-   * turn reads them, in no order. What is due later than now is done when those of its turn have
-   * been read.
+   * Whether there may be input older than {@code maxAgeNanos} that has not been read yet. This is
+   * so in a turn that has lasted that long, in the first turn after such a pause and in the turn
+   * after that: the first may have been started by a signal with no socket looked at, and the
+   * second reads the sockets in no particular order. A task scheduled for later than {@link #now}
+   * runs after both.
    */
   public boolean isStale(long maxAgeNanos) {
     long threshold = Math.max(PAUSE_THRESHOLD_NANOS, maxAgeNanos);
@@ -74,27 +90,26 @@
   }
 
   /**
-   * How long this process has stood still lately at the longest; what is past counts for less and
-   * less.
+   * The longest recent pause of this process in nanoseconds, 0 if there was none. Its value decays
+   * exponentially with a half-life of ten seconds.
    */
   public long recentLongestPause() {
-    return longestPauseAtEnd == 0
-        ? 0
-        : (long)
-            (longestPauseAtEnd * Math.pow(0.5, (double) (now - pauseEnd) / PAUSE_HALF_LIFE_NANOS));
+    if (longestPauseAtEnd == 0) {
+      return 0;
+    }
+    double halfLives = (double) (now - pauseEnd) / PAUSE_HALF_LIFE_NANOS;
+    return (long) (longestPauseAtEnd * Math.pow(0.5, halfLives));
   }
 
   /**
-   * When what is read now may have come at the earliest: the time that a client waits counts from
-   * when it wrote, and what it wrote while this process stood still has waited unread.
+   * The earliest time at which input that is read now may have arrived. A client's waiting time
+   * counts from when it wrote, and what it wrote during a pause was left unread until its end.
    */
   public long earliestArrival() {
     return earliestArrival(READ_AFTER_PAUSE_NANOS);
   }
 
-  /**
-   * The same for what takes up to {@code settle} from a pause's end to get here, as a signal does.
-   */
+  /** Like {@link #earliestArrival()}, for input that takes up to {@code delayNanos} to get here. */
   public long earliestArrival(long delayNanos) {
     return now() <= pauseEnd + delayNanos ? pauseStart : now;
   }
--- a/router/src/main/java/rushwood/dispatch/Statement.java
+++ b/router/src/main/java/rushwood/dispatch/Statement.java
@@ -3,17 +3,20 @@
 import io.netty.buffer.ByteBuf;
 import rushwood.api.Request;
 
-/** An access as a client wrote it. */
+/** A request as a client wrote it. */
 public interface Statement {
   /**
-   * What the module hears now of a statement that came then: its due time counts from there, {@code
-   * last} at most.
+   * The request that the routing policy is told of.
+   *
+   * @param now the current time
+   * @param earliestArrival when the statement may have arrived; its deadline counts from then
+   * @param latestDeadline a bound on the deadline
    */
   Request toRequest(long now, long earliestArrival, long latestDeadline);
 
-  /** The statement for a shot that is waited for that many milliseconds; the caller releases it. */
+  /** A message to a host that is waited for that many milliseconds; the caller releases it. */
   ByteBuf toMessage(long timeoutMillis);
 
-  /** No shot will need it any more. */
+  /** Releases the statement: no further message is made of it. */
   void release();
 }
--- a/router/src/main/java/rushwood/dispatch/TimerQueue.java
+++ b/router/src/main/java/rushwood/dispatch/TimerQueue.java
@@ -2,14 +2,19 @@
 
 import java.util.PriorityQueue;
 
-/** All due times of a router in order, equal ones as they came, on one timer. */
+/**
+ * The scheduled tasks of one router, run from a single timer in the order of their due times; tasks
+ * due at the same time run in the order in which they were scheduled. Used on the event loop's
+ * thread only.
+ */
 public final class TimerQueue {
-  /** The timer: runs a task once, so many nanoseconds from now; a new setting replaces the last. */
+  /** The timer that the queue is run from. */
   public interface Timer {
+    /** Runs the task once, {@code delayNanos} from now, in place of the task set before. */
     void reschedule(long delayNanos, Runnable task);
   }
 
-  /** Something due; it can be called off. */
+  /** A task that waits for its due time and can be cancelled until then. */
   public static final class ScheduledTask implements Comparable<ScheduledTask> {
     private final long dueAt;
     private final long sequence;
@@ -21,11 +26,24 @@
       this.task = task;
     }
 
-    /** Whether it was still to come. */
+    /**
+     * Cancels the task.
+     *
+     * @return whether it was still to be run
+     */
     public boolean cancel() {
-      boolean wasPending = task != null;
+      return take() != null;
+    }
+
+    private boolean isPending() {
+      return task != null;
+    }
+
+    /** The task, to be run once; null if it was run or cancelled. */
+    private Runnable take() {
+      Runnable taken = task;
       task = null;
-      return wasPending;
+      return taken;
     }
 
     @Override
@@ -36,23 +54,30 @@
     }
   }
 
-  private static final long PAUSE_THRESHOLD_NANOS =
-      10_000_000; // this late, the process stood still: some loop turns
+  /** A timer that fires this late shows that the process was paused: some turns of the loop. */
+  private static final long PAUSE_THRESHOLD_NANOS = 10_000_000;
+
+  private static final long NOT_ARMED = Long.MAX_VALUE;
+
+  /** Earlier than any task: the timer is not set while due tasks run. */
+  private static final long RUNNING_TASKS = Long.MIN_VALUE;
 
   private final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>();
   private final EventLoopClock clock;
   private final Timer timer;
   private final Counters counters;
   private long nextSequence;
-  private long armedFor = Long.MAX_VALUE;
+  private long armedFor = NOT_ARMED;
   private boolean deferredForReads;
 
+  /** Creates an empty queue; exceptions of its tasks are counted and reported by the counters. */
   public TimerQueue(EventLoopClock clock, Timer timer, Counters counters) {
     this.clock = clock;
     this.timer = timer;
     this.counters = counters;
   }
 
+  /** Runs a task once the clock has reached {@code dueAt}, Unix time in nanoseconds. */
   public ScheduledTask schedule(long dueAt, Runnable task) {
     ScheduledTask scheduled = new ScheduledTask(dueAt, nextSequence++, task);
     tasks.add(scheduled);
@@ -61,40 +86,42 @@
   }
 
   private void armTimer() {
-    while (!tasks.isEmpty() && tasks.peek().task == null) {
+    while (!tasks.isEmpty() && !tasks.peek().isPending()) {
       tasks.poll();
     }
     if (!tasks.isEmpty() && tasks.peek().dueAt < armedFor) {
       armedFor = tasks.peek().dueAt;
-      timer.reschedule(Math.max(0, armedFor - clock.now()), this::runDueTasks);
+      timer.reschedule(Math.max(0, armedFor - clock.now()), this::onTimer);
     }
   }
 
   /**
-   * After a pause the sockets hold answers that came in time: they get a turn before what is due,
-   * so that no answer that is already here is taken for one that never came.
+   * Runs the due tasks; after a pause one turn of the event loop later, so that sockets are read
+   * first and no response that has already arrived is taken for one that timed out.
    */
-  private void runDueTasks() {
+  private void onTimer() {
     long now = clock.now();
     if (!deferredForReads && now - armedFor > PAUSE_THRESHOLD_NANOS) {
       deferredForReads = true;
-      timer.reschedule(0, this::runDueTasks);
+      timer.reschedule(0, this::onTimer);
       return;
     }
     deferredForReads = false;
-    armedFor = Long.MIN_VALUE; // nothing is set anew until the due are through
+    armedFor = RUNNING_TASKS;
     try {
-      while (!tasks.isEmpty() && tasks.peek().dueAt <= now) {
-        ScheduledTask due = tasks.poll();
-        Runnable task = due.task;
-        due.task = null;
-        if (task != null) {
-          counters.runSafely(task);
-        }
-      }
+      runDueTasks(now);
     } finally {
-      armedFor = Long.MAX_VALUE;
+      armedFor = NOT_ARMED;
       armTimer();
     }
   }
+
+  private void runDueTasks(long now) {
+    while (!tasks.isEmpty() && tasks.peek().dueAt <= now) {
+      Runnable task = tasks.poll().take();
+      if (task != null) {
+        counters.runSafely(task);
+      }
+    }
+  }
 }
--- a/router/src/main/java/rushwood/dispatch/package-info.java
+++ b/router/src/main/java/rushwood/dispatch/package-info.java
@@ -1,5 +1,9 @@
 /**
- * What a running router keeps: open accesses and their shots, connections per host, counters, due
- * times.
+ * Requests in flight and their attempts, the connection pool, timers and counters of a running
+ * router.
+ *
+ * <p>{@link rushwood.dispatch.RequestDispatcher} is the entry point. It passes what happens on the
+ * network to the routing policy and carries out what the policy decides; it decides nothing itself.
+ * Every type of this package is used on the one event loop thread only, and none is synchronized.
  */
 package rushwood.dispatch;
