Split the request dispatcher and the connection pool by concern

RequestDispatcher held the endpoint list, the request table, attempts, probes and the policy's event queue; ConnectionPool held the pool and each connection's state machine, whose state was spread over three fields. Now EndpointRegistry, RequestTable, AttemptRunner, ProbeRunner and PolicyEventQueue stand beside the dispatcher; EndpointPool, PooledConnection with an enum of its states, IdleLimit and OpenConnections beside the pool. Attempts and probes share how an exchange is completed and stopped. Order of events, timers and counters is as before: the dispatcher, timer queue and warm-up tests pass unchanged.

--- a/router/src/main/java/rushwood/dispatch/Exchange.java
+++ b/router/src/main/java/rushwood/dispatch/Exchange.java
@@ -1,25 +1,91 @@
 package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
+import rushwood.api.AttemptOutcome;
 import rushwood.api.HostId;
 
-/** One use of a connection to a host: a shot or a probe. */
+/**
+ * One statement to a host and the response to it: an attempt at a request, or a probe. An exchange
+ * is given to a connection, written, and completed once, with the response of the host or with the
+ * reason why there is none.
+ */
 abstract class Exchange {
-  final HostId host;
-  ConnectionPool.PooledConnection connection;
-  long writeDeadline = Long.MAX_VALUE; // nothing of it is written any more from then on
-  boolean completed;
+  /** A write deadline that never passes. */
+  static final long NO_DEADLINE = Long.MAX_VALUE;
 
-  Exchange(HostId host) {
+  private final HostId host;
+  private final long writeDeadline;
+  private PooledConnection connection;
+  private boolean completed;
+
+  /**
+   * Creates an exchange that is not on a connection yet.
+   *
+   * @param writeDeadline from when on it must not be written any more, or {@link #NO_DEADLINE}
+   */
+  Exchange(HostId host, long writeDeadline) {
     this.host = host;
+    this.writeDeadline = writeDeadline;
+  }
+
+  /** The message to write; the caller releases it. */
+  abstract ByteBuf encodeStatement(long now);
+
+  /** Whether this is a probe, which is answered with a load report. */
+  abstract boolean isProbe();
+
+  /** Called once, when the exchange is over; the implementation releases the response. */
+  abstract void onCompleted(BackendResponse response);
+
+  HostId host() {
+    return host;
+  }
+
+  boolean isTooLateToWrite(long now) {
+    return now >= writeDeadline;
   }
 
-  abstract ByteBuf encodeStatement();
+  /** Whether the statement was handed to a connection whose response is still to come. */
+  boolean isAwaitingResponse() {
+    return connection != null && connection.isAwaitingResponse();
+  }
+
+  boolean isCompleted() {
+    return completed;
+  }
+
+  /** Puts the exchange on a connection. */
+  void assignTo(PooledConnection assigned) {
+    connection = assigned;
+  }
+
+  /** Takes the exchange off its connection. */
+  void unassign() {
+    connection = null;
+  }
 
-  boolean isProbe() {
-    return false;
+  /** Ends the exchange; later responses are released and otherwise ignored. */
+  final void complete(BackendResponse response) {
+    if (completed) {
+      response.release();
+      return;
+    }
+    completed = true;
+    onCompleted(response);
   }
 
-  /** Told once; whoever implements it releases the answer. */
-  abstract void complete(BackendResponse response);
+  /**
+   * Ends the exchange without waiting any longer, unless it is over. Its outcome is the given one
+   * if the statement was written, else that it was not sent: such a statement cannot have run.
+   */
+  final void stop(AttemptOutcome outcome) {
+    if (completed) {
+      return;
+    }
+    AttemptOutcome actual = isAwaitingResponse() ? outcome : AttemptOutcome.NOT_SENT;
+    if (connection != null) {
+      connection.abandonExchange();
+    }
+    complete(BackendResponse.withoutRow(actual));
+  }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/dispatch/ProbeRunner.java
@@ -0,0 +1,79 @@
+package rushwood.dispatch;
+
+import io.netty.buffer.ByteBuf;
+import java.util.function.Supplier;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.HostId;
+
+/**
+ * Sends the probes that the routing policy asks for and reports to it whether they are answered.
+ */
+final class ProbeRunner {
+  private final EventLoopClock clock;
+  private final TimerQueue timers;
+  private final Counters counters;
+  private final ConnectionPool pool;
+  private final PolicyEventQueue events;
+  private final Supplier<ByteBuf> statements;
+  private final long timeoutNanos;
+
+  /**
+   * Creates a runner.
+   *
+   * @param statements makes the statement of a probe
+   * @param timeoutNanos how long the response to a probe is waited for
+   */
+  ProbeRunner(
+      EventLoopClock clock,
+      TimerQueue timers,
+      Counters counters,
+      ConnectionPool pool,
+      PolicyEventQueue events,
+      Supplier<ByteBuf> statements,
+      long timeoutNanos) {
+    this.clock = clock;
+    this.timers = timers;
+    this.counters = counters;
+    this.pool = pool;
+    this.events = events;
+    this.statements = statements;
+    this.timeoutNanos = timeoutNanos;
+  }
+
+  /** Sends a probe to a host; one that cannot be sent ends at once, unanswered. */
+  void start(HostId host) {
+    counters.increment(Counter.PROBES_SENT);
+    ProbeExchange probe = new ProbeExchange(host);
+    timers.schedule(clock.now() + timeoutNanos, () -> probe.stop(AttemptOutcome.TIMED_OUT));
+    if (!pool.execute(probe)) {
+      probe.complete(BackendResponse.withoutRow(AttemptOutcome.NOT_SENT));
+    }
+  }
+
+  private final class ProbeExchange extends Exchange {
+    ProbeExchange(HostId host) {
+      super(host, NO_DEADLINE);
+    }
+
+    @Override
+    ByteBuf encodeStatement(long now) {
+      return statements.get();
+    }
+
+    @Override
+    boolean isProbe() {
+      return true;
+    }
+
+    @Override
+    void onCompleted(BackendResponse response) {
+      boolean answered = response.outcome() == AttemptOutcome.SUCCESS;
+      if (answered) {
+        counters.increment(Counter.PROBES_ANSWERED);
+      }
+      response.release();
+      events.deliver(
+          policy -> policy.probeFinished(clock.now(), host(), answered, response.report()));
+    }
+  }
+}
