--- a/router/src/main/java/rushwood/server/EndpointListHandler.java
+++ b/router/src/main/java/rushwood/server/EndpointListHandler.java
@@ -1,11 +1,11 @@
 package rushwood.server;
 
-import rushwood.dispatch.PartialEndpoint;
 import java.util.List;
 import rushwood.discovery.DiscoveryClient;
 import rushwood.discovery.EndpointListParser;
-import rushwood.dispatch.Counters;
 import rushwood.dispatch.Counter;
+import rushwood.dispatch.Counters;
+import rushwood.dispatch.PartialEndpoint;
 import rushwood.dispatch.RequestDispatcher;
 
 /**
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -1,6 +1,5 @@
 package rushwood.server;
 
-import rushwood.dispatch.ConnectionSettings;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.List;
@@ -10,6 +9,7 @@
 import rushwood.config.RouterConfig;
 import rushwood.discovery.DiscoveryClient;
 import rushwood.discovery.EndpointListParser;
+import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -1,7 +1,5 @@
 package rushwood.server;
 
-import rushwood.dispatch.ConnectionSettings;
-import rushwood.dispatch.EndpointAddress;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -30,7 +28,9 @@
 import rushwood.api.RequestClass;
 import rushwood.api.ZoneId;
 import rushwood.config.RouterConfig;
+import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
+import rushwood.dispatch.EndpointAddress;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
--- a/testbed/src/test/java/rushwood/testbed/load/RouterCountersTest.java
+++ b/testbed/src/test/java/rushwood/testbed/load/RouterCountersTest.java
@@ -1,13 +1,12 @@
 package rushwood.testbed.load;
 
-import rushwood.dispatch.Counter;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import rushwood.dispatch.Counters;
+import rushwood.dispatch.Counter;
 
 class RouterCountersTest {
   @Test
