Overload: hosts by that name, scenario words and test locals in standard terms

The rename tables left HostId arguments called endpoints, and tests, scenario files and log words in the old vocabulary.

--- a/router/src/main/java/rushwood/overload/ConnectBackoff.java
+++ b/router/src/main/java/rushwood/overload/ConnectBackoff.java
@@ -12,7 +12,7 @@
  * everything that waited for it.
  */
 public final class ConnectBackoff {
-  private static final class EndpointBackoff {
+  private static final class HostBackoff {
     int connecting;
     long gapNanos;
     long nextAttemptAt = Long.MIN_VALUE;
@@ -23,7 +23,7 @@
   private static final long MAX_GAP_NANOS =
       500_000_000L; // as often as the decisions probe a host that is down
 
-  private final Map<HostId, EndpointBackoff> backoffs = new LinkedHashMap<>();
+  private final Map<HostId, HostBackoff> backoffs = new LinkedHashMap<>();
   private final RandomGenerator random;
   private final boolean enabled;
 
@@ -33,29 +33,29 @@
   }
 
   /** Whether an attempt may be made now. */
-  public boolean isAttemptAllowed(HostId endpoint, long now) {
-    EndpointBackoff backoff = backoffs.get(endpoint);
+  public boolean isAttemptAllowed(HostId host, long now) {
+    HostBackoff backoff = backoffs.get(host);
     return !enabled
         || backoff == null
         || backoff.gapNanos == 0
         || backoff.connecting == 0 && now >= backoff.nextAttemptAt;
   }
 
-  public void attemptStarted(HostId endpoint) {
+  public void attemptStarted(HostId host) {
     if (enabled) {
-      backoffs.computeIfAbsent(endpoint, each -> new EndpointBackoff()).connecting++;
+      backoffs.computeIfAbsent(host, each -> new HostBackoff()).connecting++;
     }
   }
 
-  public void attemptSucceeded(HostId endpoint) {
-    EndpointBackoff backoff = finishAttempt(endpoint);
+  public void attemptSucceeded(HostId host) {
+    HostBackoff backoff = finishAttempt(host);
     if (backoff != null) {
       backoff.gapNanos = 0;
     }
   }
 
-  public void attemptFailed(HostId endpoint, long now) {
-    EndpointBackoff backoff = finishAttempt(endpoint);
+  public void attemptFailed(HostId host, long now) {
+    HostBackoff backoff = finishAttempt(host);
     if (backoff != null
         && now
             >= backoff
@@ -66,24 +66,24 @@
   }
 
   /** It was called off while it was coming up: that says nothing. */
-  public void attemptCancelled(HostId endpoint) {
-    finishAttempt(endpoint);
+  public void attemptCancelled(HostId host) {
+    finishAttempt(host);
   }
 
   /** An attempt is over; null if its host has been forgotten meanwhile. */
-  private EndpointBackoff finishAttempt(HostId endpoint) {
-    EndpointBackoff backoff = backoffs.get(endpoint);
+  private HostBackoff finishAttempt(HostId host) {
+    HostBackoff backoff = backoffs.get(host);
     if (backoff != null) {
       backoff.connecting = Math.max(0, backoff.connecting - 1);
     }
     return backoff;
   }
 
-  public void forget(HostId endpoint) {
-    backoffs.remove(endpoint);
+  public void forget(HostId host) {
+    backoffs.remove(host);
   }
 
-  public int endpointCount() {
+  public int hostCount() {
     return backoffs.size();
   }
 }
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -59,8 +59,8 @@
   private final OverloadDetector routerDetector = new OverloadDetector();
   private final Map<GroupId, GroupState> groups =
       new TreeMap<>((a, b) -> Integer.compare(a.value(), b.value()));
-  private final Map<HostId, OverloadDetector> endpointDetectors = new LinkedHashMap<>();
-  private final Map<HostId, GroupId> groupByEndpoint = new LinkedHashMap<>();
+  private final Map<HostId, OverloadDetector> hostDetectors = new LinkedHashMap<>();
+  private final Map<HostId, GroupId> groupByHost = new LinkedHashMap<>();
   private final Map<RequestId, TrackedRequest> trackedRequests = new LinkedHashMap<>();
   private final OverloadCounts counts = new OverloadCounts();
   private long nextTickAt = Long.MIN_VALUE;
@@ -159,11 +159,11 @@
   public void endpointsReplaced(long now, List<Endpoint> list, boolean remembered) {
     List<HostId> named = list.stream().map(Endpoint::id).toList();
     if (settings.isRemovalBinding()) {
-      List.copyOf(groupByEndpoint.keySet()).stream()
+      List.copyOf(groupByHost.keySet()).stream()
           .filter(each -> !named.contains(each))
-          .forEach(this::removeEndpoint);
+          .forEach(this::removeHost);
     }
-    list.forEach(this::registerEndpoint);
+    list.forEach(this::registerHost);
     policy.endpointsReplaced(now, list, remembered);
   }
 
@@ -171,25 +171,25 @@
   public void endpointsUpdated(long now, List<Endpoint> changes) {
     for (Endpoint each : changes) {
       if (each.state() == Endpoint.State.REMOVED && settings.isRemovalBinding()) {
-        removeEndpoint(each.id());
+        removeHost(each.id());
       } else {
-        registerEndpoint(each);
+        registerHost(each);
       }
     }
     policy.endpointsUpdated(now, changes);
   }
 
-  private void registerEndpoint(Endpoint endpoint) {
-    groupByEndpoint.put(endpoint.id(), endpoint.group());
+  private void registerHost(Endpoint endpoint) {
+    groupByHost.put(endpoint.id(), endpoint.group());
     groups.computeIfAbsent(endpoint.group(), each -> new GroupState());
-    endpointDetectors.computeIfAbsent(endpoint.id(), each -> new OverloadDetector());
+    hostDetectors.computeIfAbsent(endpoint.id(), each -> new OverloadDetector());
   }
 
-  private void removeEndpoint(HostId endpoint) {
-    GroupId group = groupByEndpoint.remove(endpoint);
-    endpointDetectors.remove(endpoint);
-    connectBackoff.forget(endpoint);
-    if (group != null && !groupByEndpoint.containsValue(group)) {
+  private void removeHost(HostId host) {
+    GroupId group = groupByHost.remove(host);
+    hostDetectors.remove(host);
+    connectBackoff.forget(host);
+    if (group != null && !groupByHost.containsValue(group)) {
       groups.remove(group);
     }
   }
@@ -241,17 +241,17 @@
   @Override
   public void attemptFinished(long now, AttemptResult result) {
     tickIfDue(now);
-    GroupId id = groupByEndpoint.get(result.host());
+    GroupId id = groupByHost.get(result.host());
     GroupState group = id == null ? null : groups.get(id);
     boolean succeeded = result.outcome() == AttemptOutcome.SUCCESS;
     boolean timedOut = result.outcome() == AttemptOutcome.TIMED_OUT;
-    boolean refusedByEndpoint =
+    boolean refusedByHost =
         timedOut
             || result.outcome() == AttemptOutcome.CONNECT_FAILED
             || result.outcome() == AttemptOutcome.OVERLOADED;
     recordOutcome(routerDetector, succeeded, timedOut);
     recordOutcome(group == null ? null : group.detector, succeeded, timedOut);
-    recordOutcome(endpointDetectors.get(result.host()), succeeded, refusedByEndpoint);
+    recordOutcome(hostDetectors.get(result.host()), succeeded, refusedByHost);
     TrackedRequest tracked = trackedRequests.get(result.request());
     if (tracked != null) {
       tracked.attemptsInFlight--;
@@ -337,8 +337,8 @@
   }
 
   @Override
-  public void probeFinished(long now, HostId endpoint, boolean answered, LoadReport report) {
-    policy.probeFinished(now, endpoint, answered, report);
+  public void probeFinished(long now, HostId host, boolean answered, LoadReport report) {
+    policy.probeFinished(now, host, answered, report);
   }
 
   @Override
@@ -362,7 +362,7 @@
           group.unansweredRequests *= UNANSWERED_DECAY;
           tickDetector("group " + id, group.detector);
         });
-    endpointDetectors.forEach((id, detector) -> tickDetector("endpoint " + id, detector));
+    hostDetectors.forEach((id, detector) -> tickDetector("host " + id, detector));
     retryAfterSchedule.setExpectedRate(
         Math.max(routerDetector.completionRate(), routerDetector.peakCompletionRate() / 2));
   }
@@ -462,19 +462,19 @@
   }
 
   @Override
-  public boolean canConnect(long now, HostId endpoint) {
-    return connectBackoff.isAttemptAllowed(endpoint, now);
+  public boolean canConnect(long now, HostId host) {
+    return connectBackoff.isAttemptAllowed(host, now);
   }
 
   /** What the decisions decide passes through; shots are kept in mind. */
   private final class ObservedActions implements PolicyActions {
     @Override
-    public void send(RequestId requestId, HostId endpoint, long timeOut, long beginWithin) {
+    public void send(RequestId requestId, HostId host, long timeOut, long beginWithin) {
       TrackedRequest tracked = trackedRequests.get(requestId);
       if (tracked != null) {
         tracked.attemptsInFlight++;
       }
-      actions.send(requestId, endpoint, timeOut, beginWithin);
+      actions.send(requestId, host, timeOut, beginWithin);
     }
 
     @Override
@@ -495,8 +495,8 @@
     }
 
     @Override
-    public void probe(HostId endpoint) {
-      actions.probe(endpoint);
+    public void probe(HostId host) {
+      actions.probe(host);
     }
 
     @Override
--- a/router/src/test/java/rushwood/overload/ConnectionAdmissionTest.java
+++ b/router/src/test/java/rushwood/overload/ConnectionAdmissionTest.java
@@ -18,159 +18,148 @@
 
   private final ConnectionAdmission admission = new ConnectionAdmission(3, WAIT);
 
-  private AdmittedConnection admit(String who, long at) {
-    return admission.admit(who, at * MS);
+  private AdmittedConnection admit(String owner, long at) {
+    return admission.admit(owner, at * MS);
   }
 
-  private void setState(AdmittedConnection place, ConnectionState standing, long at) {
-    admission.setState(place, standing, at * MS);
+  private void setState(AdmittedConnection connection, ConnectionState state, long at) {
+    admission.setState(connection, state, at * MS);
   }
 
   private AdmittedConnection connectionToClose(long at) {
     return admission.connectionToClose(at * MS);
   }
 
-  /**
-   * A connection that was told when to return is never closed for one that comes before that time
-   * is over.
-   */
+  /** A client that was told when to retry keeps its connection until that time has passed. */
   @Test
   void connectionsAwaitingRetryStayUntilTheirTimeIsOver() {
-    AdmittedConnection booked = admit("booked", 0);
-    setState(booked, ConnectionState.AWAITING_RETRY, 0);
+    AdmittedConnection awaitingRetry = admit("awaitingRetry", 0);
+    setState(awaitingRetry, ConnectionState.AWAITING_RETRY, 0);
     AdmittedConnection busy = admit("busy", 0);
     setState(busy, ConnectionState.BUSY, 0);
-    AdmittedConnection rests = admit("rests", 0);
-    setState(rests, ConnectionState.IDLE, 200);
-    admit("comes", 210);
+    AdmittedConnection idle = admit("idle", 0);
+    setState(idle, ConnectionState.IDLE, 200);
+    admit("newest", 210);
     assertTrue(admission.isOverLimit());
-    assertNull(connectionToClose(210), "it has not rested long");
-    assertSame(rests, connectionToClose(300));
-    admission.remove(rests);
-    assertNull(connectionToClose(350), "what remains is booked, busy or has just come");
+    assertNull(connectionToClose(210), "not idle for long enough");
+    assertSame(idle, connectionToClose(300));
+    admission.remove(idle);
+    assertNull(connectionToClose(350), "the others await a retry, are busy or new");
     admission.remove(admission.newestWithoutRequest());
-    assertSame(booked, connectionToClose(750), "it did not come at its time, nor soon after");
+    assertSame(awaitingRetry, connectionToClose(750), "did not return at its time nor soon after");
   }
 
-  /**
-   * First statements come at once: who has said nothing for a while is silent, and goes before
-   * those that rest.
-   */
+  /** First requests follow the connect at once, so a connection without one is closed first. */
   @Test
   void connectionsWithoutRequestAreClosedBeforeIdleOnes() {
-    AdmittedConnection rests = admit("rests", 0);
-    setState(rests, ConnectionState.IDLE, 0);
-    AdmittedConnection silent = admit("silent", 0);
-    admit("late", 120);
-    admit("comes", 149);
-    assertSame(rests, connectionToClose(149));
-    assertSame(silent, connectionToClose(150));
-    setState(silent, ConnectionState.BUSY, 150); // its statement came after all
-    assertSame(rests, connectionToClose(150));
+    AdmittedConnection idle = admit("idle", 0);
+    setState(idle, ConnectionState.IDLE, 0);
+    AdmittedConnection withoutRequest = admit("withoutRequest", 0);
+    admit("later", 120);
+    admit("newest", 149);
+    assertSame(idle, connectionToClose(149));
+    assertSame(withoutRequest, connectionToClose(150));
+    setState(withoutRequest, ConnectionState.BUSY, 150); // its first request arrived after all
+    assertSame(idle, connectionToClose(150));
   }
 
   @Test
   void newestIsRefusedWhenAllAreBusy() {
-    for (String who : List.of("a", "b", "c")) {
-      setState(admit(who, 0), ConnectionState.BUSY, 0);
+    for (String owner : List.of("a", "b", "c")) {
+      setState(admit(owner, 0), ConnectionState.BUSY, 0);
     }
-    AdmittedConnection comes = admit("comes", 1);
+    AdmittedConnection newest = admit("newest", 1);
     assertNull(connectionToClose(1));
-    assertSame(comes, admission.newestWithoutRequest());
+    assertSame(newest, admission.newestWithoutRequest());
   }
 
-  /**
-   * Clients that ask once and stay: those that rest go though there is room; where they come back,
-   * none goes.
-   */
+  /** Clients that send one request and stay idle lose the connection even below the limit. */
   @Test
   void idleConnectionsAreClosedWhereReuseIsRare() {
     ConnectionAdmission large = new ConnectionAdmission(100, WAIT);
-    List<AdmittedConnection> resting = new ArrayList<>();
+    List<AdmittedConnection> idle = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
-      resting.add(large.admit(i, 0));
-      large.setState(resting.get(i), ConnectionState.IDLE, 0);
+      idle.add(large.admit(i, 0));
+      large.setState(idle.get(i), ConnectionState.IDLE, 0);
       large.recordRequest(true);
     }
-    assertNull(large.idleToClose(1000 * MS), "they come back");
+    assertNull(large.idleToClose(1000 * MS), "connections are reused");
     for (int i = 0; i < 40; i++) {
       large.recordRequest(false);
     }
-    assertNull(large.idleToClose(99 * MS), "not long");
+    assertNull(large.idleToClose(99 * MS), "not idle for long enough");
     for (int i = 0; i < 28; i++) {
-      assertSame(resting.get(i), large.idleToClose(100 * MS));
-      large.remove(resting.get(i));
+      assertSame(idle.get(i), large.idleToClose(100 * MS));
+      large.remove(idle.get(i));
     }
-    assertNull(large.idleToClose(1000 * MS), "so few may rest");
+    assertNull(large.idleToClose(1000 * MS), "so few may stay idle");
     large.startShutdown();
     assertNull(large.idleToClose(1000 * MS));
   }
 
-  /**
-   * At the end nobody can come back here: those that are served stay, the silent go for those that
-   * come.
-   */
+  /** A client that loses its connection during shutdown cannot reconnect: idle ones are kept. */
   @Test
   void onlyConnectionsWithoutRequestAreClosedDuringShutdown() {
-    AdmittedConnection rests = admit("rests", 0);
-    setState(rests, ConnectionState.IDLE, 0);
-    AdmittedConnection silent = admit("silent", 0);
+    AdmittedConnection idle = admit("idle", 0);
+    setState(idle, ConnectionState.IDLE, 0);
+    AdmittedConnection withoutRequest = admit("withoutRequest", 0);
     setState(admit("busy", 0), ConnectionState.BUSY, 0);
-    admit("comes", 1000);
+    admit("newest", 1000);
     admission.startShutdown();
-    assertSame(silent, connectionToClose(1000));
-    admission.remove(silent);
+    assertSame(withoutRequest, connectionToClose(1000));
+    admission.remove(withoutRequest);
     assertNull(connectionToClose(1000));
   }
 
-  /** Whatever happens, the lists hold each place once and their lengths add up. */
+  /** Every connection is in exactly one list, whatever the order of calls. */
   @Test
   void randomOperationsKeepListsConsistent() {
-    SplittableRandom chance = new SplittableRandom(5);
-    List<AdmittedConnection> in = new ArrayList<>();
+    SplittableRandom random = new SplittableRandom(5);
+    List<AdmittedConnection> admitted = new ArrayList<>();
     ConnectionAdmission large = new ConnectionAdmission(50, WAIT);
     for (long at = 0; at < 20_000; at++) {
-      int what = chance.nextInt(4);
-      if (what == 0) {
-        in.add(large.admit(at, at * MS));
-      } else if (!in.isEmpty() && what == 1) {
-        large.remove(in.remove(chance.nextInt(in.size())));
-      } else if (!in.isEmpty()) {
+      int operation = random.nextInt(4);
+      if (operation == 0) {
+        admitted.add(large.admit(at, at * MS));
+      } else if (!admitted.isEmpty() && operation == 1) {
+        large.remove(admitted.remove(random.nextInt(admitted.size())));
+      } else if (!admitted.isEmpty()) {
         large.setState(
-            in.get(chance.nextInt(in.size())),
-            ConnectionState.values()[chance.nextInt(4)],
+            admitted.get(random.nextInt(admitted.size())),
+            ConnectionState.values()[random.nextInt(4)],
             at * MS);
       }
-      for (AdmittedConnection goes = large.isOverLimit() ? large.connectionToClose(at * MS) : null;
-          goes != null;
-          goes = large.isOverLimit() ? large.connectionToClose(at * MS) : null) {
-        assertTrue(goes.state() != ConnectionState.BUSY && in.remove(goes));
-        large.remove(goes);
-        large.remove(goes); // twice is once
+      for (AdmittedConnection closed =
+              large.isOverLimit() ? large.connectionToClose(at * MS) : null;
+          closed != null;
+          closed = large.isOverLimit() ? large.connectionToClose(at * MS) : null) {
+        assertTrue(closed.state() != ConnectionState.BUSY && admitted.remove(closed));
+        large.remove(closed);
+        large.remove(closed); // a second removal has no effect
       }
-      assertEquals(in.size(), large.openConnections());
+      assertEquals(admitted.size(), large.openConnections());
       int sum = 0;
       for (ConnectionState each : ConnectionState.values()) {
         sum += large.openConnections(each);
       }
-      assertEquals(in.size(), sum);
+      assertEquals(admitted.size(), sum);
     }
   }
 
   @Test
   void descriptorBudgetFollowsBackendPeak() {
-    DescriptorBudget sockets = new DescriptorBudget(100);
-    assertEquals(87, sockets.maxClients(0));
-    assertEquals(40, sockets.maxBackends());
-    sockets.setOpenClients(85);
-    assertEquals(15, sockets.maxBackends());
-    sockets.setOpenBackends(15, 1000 * MS);
-    assertEquals(81, sockets.maxClients(1000 * MS), "a quarter above the peak is kept");
-    sockets.setOpenBackends(2, 2000 * MS);
-    assertEquals(82, sockets.maxClients(2000 * MS));
-    assertEquals(87, sockets.maxClients(60_000 * MS));
-    sockets.setOpenBackends(60, 61_000 * MS);
-    assertEquals(60, sockets.maxClients(61_000 * MS), "three parts of five are theirs");
-    assertEquals(15, sockets.maxBackends());
+    DescriptorBudget budget = new DescriptorBudget(100);
+    assertEquals(87, budget.maxClients(0));
+    assertEquals(40, budget.maxBackends());
+    budget.setOpenClients(85);
+    assertEquals(15, budget.maxBackends());
+    budget.setOpenBackends(15, 1000 * MS);
+    assertEquals(81, budget.maxClients(1000 * MS), "backends keep a quarter above their peak");
+    budget.setOpenBackends(2, 2000 * MS);
+    assertEquals(82, budget.maxClients(2000 * MS));
+    assertEquals(87, budget.maxClients(60_000 * MS));
+    budget.setOpenBackends(60, 61_000 * MS);
+    assertEquals(60, budget.maxClients(61_000 * MS), "clients keep three fifths");
+    assertEquals(15, budget.maxBackends());
   }
 }
--- a/router/src/test/java/rushwood/overload/OverloadControllerTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerTest.java
@@ -23,10 +23,10 @@
 import rushwood.api.ZoneId;
 import rushwood.policy.DefaultRoutingPolicy;
 
-/** The module with the decisions behind it. */
+/** The overload controller in front of the default routing policy. */
 class OverloadControllerTest {
   private static final long MS = 1_000_000L;
-  private static final RequestClass PAY =
+  private static final RequestClass PAYMENT =
       new RequestClass(
           "pay",
           0,
@@ -38,7 +38,7 @@
           RequestClass.Consistency.EVENTUAL,
           0,
           0);
-  private static final RequestClass ANY =
+  private static final RequestClass READ =
       new RequestClass(
           "any",
           1,
@@ -53,7 +53,7 @@
   private static final RoutingSettings SETTINGS =
       new RoutingSettings(
           1,
-          List.of(PAY, ANY),
+          List.of(PAYMENT, READ),
           false,
           RoutingSettings.LaggingReadBehavior.REJECTS,
           false,
@@ -78,30 +78,30 @@
 
   private final class RecordingActions implements PolicyActions {
     @Override
-    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {
-      recorded.add("send " + access + " " + host);
+    public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {
+      recorded.add("send " + request + " " + host);
     }
 
     @Override
-    public void cancel(RequestId access, int shot) {
-      recorded.add("withdraw " + access);
+    public void cancel(RequestId request, int attemptNumber) {
+      recorded.add("cancel " + request);
     }
 
     @Override
-    public void reject(RequestId access, long advice) {
-      recorded.add("back " + access + " " + advice / MS);
+    public void reject(RequestId request, long retryAfterNanos) {
+      recorded.add("reject " + request + " " + retryAfterNanos / MS);
     }
 
     @Override
-    public void fail(RequestId access) {
-      recorded.add("up " + access);
+    public void fail(RequestId request) {
+      recorded.add("fail " + request);
     }
 
     @Override
     public void probe(HostId host) {}
 
     @Override
-    public void wakeAt(long at) {}
+    public void wakeAt(long time) {}
 
     @Override
     public void subscribeToEndpoints() {}
@@ -112,19 +112,20 @@
     }
   }
 
-  private void start(boolean doubts, int groups) {
-    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(1), true);
+  private void start(boolean failAmbiguousWrites, int groups) {
+    ConnectBackoff connectBackoff = new ConnectBackoff(new SplittableRandom(1), true);
     controller =
         new OverloadController(
             SETTINGS,
-            new OverloadSettings(true, true, 0.2, 10, doubts),
-            dials,
+            new OverloadSettings(true, true, 0.2, 10, failAmbiguousWrites),
+            connectBackoff,
             new RecordingActions(),
-            (crowd, outlet) ->
-                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(2), outlet, crowd));
-    List<Endpoint> list = new ArrayList<>();
+            (overloadSignals, observedActions) ->
+                new DefaultRoutingPolicy(
+                    SETTINGS, new SplittableRandom(2), observedActions, overloadSignals));
+    List<Endpoint> endpoints = new ArrayList<>();
     for (int i = 0; i < groups; i++) {
-      list.add(
+      endpoints.add(
           new Endpoint(
               new HostId("h" + i),
               new GroupId(i),
@@ -134,172 +135,177 @@
               true,
               Endpoint.State.READY));
     }
-    controller.endpointsReplaced(now, list, true);
+    controller.endpointsReplaced(now, endpoints, true);
   }
 
-  private String arrive(RequestClass product, int group, long mark) {
+  private String receive(RequestClass requestClass, int group, long fingerprint) {
     String id = "a" + nextId++;
     controller.requestReceived(
         now,
         new Request(
-            new RequestId(id), product, null, new GroupId(group), now + 1000 * MS, 0, mark, 0));
+            new RequestId(id),
+            requestClass,
+            null,
+            new GroupId(group),
+            now + 1000 * MS,
+            0,
+            fingerprint,
+            0));
     return id;
   }
 
-  private void answer(String id, int group, AttemptOutcome end, boolean over) {
+  private void finishAttempt(
+      String id, int group, AttemptOutcome outcome, boolean requestFinished) {
     controller.attemptFinished(
         now,
         new AttemptResult(
             new RequestId(id),
             0,
             new HostId("h" + group),
-            end,
+            outcome,
             10 * MS,
-            over,
+            requestFinished,
             HostRole.UNKNOWN,
             -1,
             LoadReport.NONE));
   }
 
-  /**
-   * Its connection broke after the write was sent; the same write with a new id is not run while
-   * that may have.
-   */
+  /** The client disconnects after its write was sent, and repeats it under a new id. */
   @Test
   void ambiguousWriteIsNotExecutedAgain() {
     start(true, 1);
-    String first = arrive(PAY, 0, 77);
+    String first = receive(PAYMENT, 0, 77);
     assertEquals(
         List.of("send " + first + " h0"),
         recorded.stream().filter(each -> each.startsWith("send")).toList());
     controller.clientDisconnected(now, new RequestId(first));
     recorded.clear();
     now += 100 * MS;
-    String second = arrive(PAY, 0, 77);
-    assertEquals(List.of("up " + second), recorded);
+    String second = receive(PAYMENT, 0, 77);
+    assertEquals(List.of("fail " + second), recorded);
     assertEquals(1, controller.counts().ambiguousWritesFailed);
-    answer(first, 0, AttemptOutcome.TIMED_OUT, true);
-    String third = arrive(PAY, 0, 77);
-    assertTrue(recorded.contains("up " + third), "running out proves nothing");
-    String other = arrive(PAY, 0, 78);
-    assertTrue(recorded.contains("send " + other + " h0"), "another payment is not held up");
+    finishAttempt(first, 0, AttemptOutcome.TIMED_OUT, true);
+    String third = receive(PAYMENT, 0, 77);
+    assertTrue(
+        recorded.contains("fail " + third), "a timeout does not prove that it was not executed");
+    String other = receive(PAYMENT, 0, 78);
+    assertTrue(recorded.contains("send " + other + " h0"), "another fingerprint is not affected");
     now += 5100 * MS;
-    String late = arrive(PAY, 0, 77);
-    assertTrue(recorded.contains("send " + late + " h0"), "nobody comes back for it so late");
+    String late = receive(PAYMENT, 0, 77);
+    assertTrue(recorded.contains("send " + late + " h0"), "the idempotency window is over");
   }
 
-  /** Proof that it never ran ends the doubt. */
+  /** A refusal proves that the write was not executed. */
   @Test
-  void refusalByEndpointEndsAmbiguity() {
+  void refusalByHostEndsAmbiguity() {
     start(true, 1);
-    String first = arrive(PAY, 0, 77);
+    String first = receive(PAYMENT, 0, 77);
     controller.clientDisconnected(now, new RequestId(first));
-    answer(first, 0, AttemptOutcome.OVERLOADED, true);
-    now += 100 * MS; // a host that refuses rests
-    String second = arrive(PAY, 0, 77);
+    finishAttempt(first, 0, AttemptOutcome.OVERLOADED, true);
+    now += 100 * MS; // a host that refuses is not used for a while
+    String second = receive(PAYMENT, 0, 77);
     assertTrue(recorded.contains("send " + second + " h0"), recorded.toString());
   }
 
-  /**
-   * Two of one mark at once: that the one was fulfilled, or never ran, says nothing of the other.
-   */
+  /** Two requests of one fingerprint: the outcome of one says nothing of the other. */
   @Test
   void successOfAnotherRequestDoesNotEndAmbiguity() {
     start(true, 1);
-    String first = arrive(PAY, 0, 77);
-    String second = arrive(PAY, 0, 77);
+    String first = receive(PAYMENT, 0, 77);
+    String second = receive(PAYMENT, 0, 77);
     assertTrue(recorded.contains("send " + second + " h0"), recorded.toString());
     controller.clientDisconnected(now, new RequestId(first));
-    answer(second, 0, AttemptOutcome.SUCCESS, true);
-    String third = arrive(PAY, 0, 77);
-    assertTrue(recorded.contains("up " + third), "the first may still run");
+    finishAttempt(second, 0, AttemptOutcome.SUCCESS, true);
+    String third = receive(PAYMENT, 0, 77);
+    assertTrue(recorded.contains("fail " + third), "the first may still be executed");
   }
 
   @Test
   void twoAmbiguousWritesOfOneFingerprint() {
     start(true, 1);
-    String first = arrive(PAY, 0, 77);
-    String second = arrive(PAY, 0, 77);
+    String first = receive(PAYMENT, 0, 77);
+    String second = receive(PAYMENT, 0, 77);
     controller.clientDisconnected(now, new RequestId(first));
     controller.clientDisconnected(now, new RequestId(second));
-    answer(second, 0, AttemptOutcome.OVERLOADED, true);
+    finishAttempt(second, 0, AttemptOutcome.OVERLOADED, true);
     now += 100 * MS;
-    assertTrue(recorded.contains("up " + arrive(PAY, 0, 77)), "the first may still run");
+    assertTrue(
+        recorded.contains("fail " + receive(PAYMENT, 0, 77)), "the first may still be executed");
   }
 
   /**
-   * An access that the network ended by itself is not kept for good, nor counted among those that
-   * wait.
+   * A request that the dispatcher ended without an event is neither kept for good nor counted as
+   * waiting.
    */
   @Test
   void overdueRequestsAreRemoved() {
     start(false, 1);
     for (int i = 0; i < 100; i++) {
-      arrive(ANY, 7, i + 1); // of a group without hosts
+      receive(READ, 7, i + 1); // a group without hosts
     }
     assertEquals(100, controller.trackedRequestCount());
-    now += 2100 * MS; // their outer limit is a second; the decisions are not woken
+    now += 2100 * MS; // their deadline was after one second; no timer has fired
     controller.clientDisconnected(now, new RequestId("another"));
     assertEquals(0, controller.trackedRequestCount());
   }
 
-  /** Fulfilled is no doubt: the same club pays the same key again. */
+  /** The same client may send the same payment again. */
   @Test
   void successfulWriteIsNotAmbiguous() {
     start(true, 1);
-    String first = arrive(PAY, 0, 77);
-    answer(first, 0, AttemptOutcome.SUCCESS, true);
-    String second = arrive(PAY, 0, 77);
+    String first = receive(PAYMENT, 0, 77);
+    finishAttempt(first, 0, AttemptOutcome.SUCCESS, true);
+    String second = receive(PAYMENT, 0, 77);
     assertTrue(recorded.contains("send " + second + " h0"));
   }
 
-  /** Who is told to return is known when it does, and stands before who came meanwhile. */
+  /** A client that returns after the Retry-After it was told comes before later arrivals. */
   @Test
   void requestsReturningAsAdvisedAreServedFirst() {
     start(false, 1);
     List<String> sent = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
-      sent.add(arrive(ANY, 0, 1000 + i));
+      sent.add(receive(READ, 0, 1000 + i));
     }
-    now += 700 * MS; // half of their time: the parked go back
+    now += 700 * MS; // queued requests are rejected
     controller.timerFired(now);
-    List<String> back = recorded.stream().filter(each -> each.startsWith("back")).toList();
-    assertTrue(back.size() > 20, recorded.toString());
+    List<String> rejections = recorded.stream().filter(each -> each.startsWith("reject")).toList();
+    assertTrue(rejections.size() > 20, recorded.toString());
     for (String each :
-        back.subList(0, back.size() - 1)) { // with the last one nobody waits here any more
+        rejections.subList(
+            0, rejections.size() - 1)) { // the last one is rejected when no other waits
       long wait = Long.parseLong(each.split(" ")[2]);
       assertTrue(wait > 0 && wait <= 500, each);
     }
-    String fresh = arrive(ANY, 0, 5);
+    String later = receive(READ, 0, 5);
     now += 100 * MS;
-    String returns =
-        arrive(ANY, 0, 1000 + Integer.parseInt(back.get(0).split(" ")[1].substring(1)));
+    String returning =
+        receive(READ, 0, 1000 + Integer.parseInt(rejections.get(0).split(" ")[1].substring(1)));
     assertEquals(1, controller.counts().returnedAsAdvised);
     recorded.clear();
-    String out = sent.get(0);
-    answer(out, 0, AttemptOutcome.SUCCESS, true);
+    finishAttempt(sent.get(0), 0, AttemptOutcome.SUCCESS, true);
     assertEquals(
-        "send " + returns + " h0",
+        "send " + returning + " h0",
         recorded.stream()
             .filter(each -> each.startsWith("send"))
             .findFirst()
-            .orElse("none, " + fresh + " waits"));
+            .orElse("none, " + later + " waits"));
   }
 
-  /** One group storms: the other one's state, budget and waits are untouched. */
+  /** State, retry budget and Retry-After times of one group do not depend on another. */
   @Test
   void overloadOfOneGroupLeavesOthersNormal() {
     start(false, 2);
     for (int round = 0; round < 60; round++) {
       for (int i = 0; i < 20; i++) {
-        String id = arrive(ANY, 0, 1 + i);
+        String id = receive(READ, 0, 1 + i);
         controller.clientDisconnected(now, new RequestId(id));
         if (recorded.contains("send " + id + " h0")) {
-          answer(id, 0, AttemptOutcome.TIMED_OUT, true);
+          finishAttempt(id, 0, AttemptOutcome.TIMED_OUT, true);
         }
       }
-      String calm = arrive(ANY, 1, 10_000 + round);
-      answer(calm, 1, AttemptOutcome.SUCCESS, true);
+      String unaffected = receive(READ, 1, 10_000 + round);
+      finishAttempt(unaffected, 1, AttemptOutcome.SUCCESS, true);
       now += 50 * MS;
       controller.timerFired(now);
     }
@@ -314,20 +320,17 @@
     assertTrue(controller.canRetry(now, new GroupId(1)));
   }
 
-  /**
-   * Many clients that ask for one hot key are no repeats, though now and then one of them has no
-   * answer.
-   */
+  /** Many clients read one key, and a few of them get no answer. */
   @Test
   void requestsForHotKeysAreNotRepeats() {
     start(false, 1);
     for (int i = 0; i < 1000; i++) {
-      String id = arrive(ANY, 0, 7);
+      String id = receive(READ, 0, 7);
       if (i % 20 == 0) {
         controller.clientDisconnected(now, new RequestId(id));
-        answer(id, 0, AttemptOutcome.CANCELLED, true);
+        finishAttempt(id, 0, AttemptOutcome.CANCELLED, true);
       } else {
-        answer(id, 0, AttemptOutcome.SUCCESS, true);
+        finishAttempt(id, 0, AttemptOutcome.SUCCESS, true);
       }
       now += 2 * MS;
     }
--- a/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
@@ -13,14 +13,14 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Plays the scenarios of storms: so many ticks of so much of each, and the state that is to come of
- * it.
+ * Plays scenario files: {@code for N arrivals A ...} feeds N ticks of these counts, {@code expect
+ * STATE} checks the state that follows.
  */
 class OverloadDetectorTest {
   @TestFactory
   List<DynamicTest> scenarios() throws IOException {
     List<DynamicTest> tests = new ArrayList<>();
-    try (Stream<Path> files = Files.list(Path.of("src/test/resources/storms"))) {
+    try (Stream<Path> files = Files.list(Path.of("src/test/resources/overload"))) {
       files
           .sorted()
           .forEach(
@@ -33,19 +33,19 @@
   }
 
   private static void play(Path file) throws IOException {
-    OverloadDetector weather = new OverloadDetector();
-    int number = 0;
+    OverloadDetector detector = new OverloadDetector();
+    int lineNumber = 0;
     for (String line : Files.readAllLines(file)) {
-      number++;
+      lineNumber++;
       String[] words = line.split(" ");
       if (words[0].equals("expect")) {
-        assertEquals(words[1], weather.state().name(), file + ":" + number + " " + weather);
+        assertEquals(words[1], detector.state().name(), file + ":" + lineNumber + " " + detector);
       } else if (words[0].equals("for")) {
-        for (int i = 0; i < Integer.parseInt(words[1]); i++) {
-          for (int at = 2; at < words.length; at += 2) {
-            add(weather.tickCounts(), words[at], Integer.parseInt(words[at + 1]));
+        for (int tick = 0; tick < Integer.parseInt(words[1]); tick++) {
+          for (int i = 2; i < words.length; i += 2) {
+            add(detector.tickCounts(), words[i], Integer.parseInt(words[i + 1]));
           }
-          weather.tick();
+          detector.tick();
         }
       } else {
         assertEquals("#", words[0]);
@@ -53,13 +53,13 @@
     }
   }
 
-  private static void add(OverloadDetector.TickCounts tally, String what, int count) {
-    switch (what) {
-      case "arrivals" -> tally.arrivals += count;
-      case "repeats" -> tally.repeats += count;
-      case "refused" -> tally.refused += count;
-      case "done" -> tally.completed += count;
-      default -> throw new IllegalArgumentException(what);
+  private static void add(OverloadDetector.TickCounts counts, String kind, int count) {
+    switch (kind) {
+      case "arrivals" -> counts.arrivals += count;
+      case "repeats" -> counts.repeats += count;
+      case "refused" -> counts.refused += count;
+      case "completed" -> counts.completed += count;
+      default -> throw new IllegalArgumentException(kind);
     }
   }
 }
--- a/router/src/test/java/rushwood/overload/OverloadStructuresTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadStructuresTest.java
@@ -10,37 +10,38 @@
 import org.junit.jupiter.api.Test;
 import rushwood.api.HostId;
 
-/** What the storm module keeps, against plain structures and at its bounds. */
+/** The data structures of the module, against plain structures and at their bounds. */
 class OverloadStructuresTest {
   private static final long MS = 1_000_000L;
-  private static final HostId ENDPOINT = new HostId("a");
+  private static final HostId HOST = new HostId("a");
 
-  /**
-   * Never fewer than an exact map has within the span; too many for one mark in a hundred at the
-   * most.
-   */
+  /** Counts too many for one fingerprint in a hundred at most. */
   @Test
   void sketchNeverCountsFewerThanExactMap() {
     RepeatSketch sketch = new RepeatSketch(1 << 14, 1000 * MS);
     Map<Long, Integer> exact = new HashMap<>();
-    SplittableRandom chance = new SplittableRandom(3);
+    SplittableRandom random = new SplittableRandom(3);
     for (int i = 0; i < 10_000; i++) {
-      long mark = chance.nextLong(8_000);
-      sketch.add(mark, 500 * MS);
-      exact.merge(mark, 1, Integer::sum);
+      long fingerprint = random.nextLong(8_000);
+      sketch.add(fingerprint, 500 * MS);
+      exact.merge(fingerprint, 1, Integer::sum);
     }
-    int over = 0;
-    for (long mark = 0; mark < 100_000; mark++) {
-      int is = exact.getOrDefault(mark, 0);
-      int seen = sketch.count(mark, 600 * MS);
-      assertTrue(seen >= is, "never too few");
-      over += seen > is ? 1 : 0;
+    int overcounted = 0;
+    for (long fingerprint = 0; fingerprint < 100_000; fingerprint++) {
+      int expected = exact.getOrDefault(fingerprint, 0);
+      int seen = sketch.count(fingerprint, 600 * MS);
+      assertTrue(seen >= expected, "never too few");
+      overcounted += seen > expected ? 1 : 0;
     }
-    assertTrue(over < 100_000 / 100, over + " marks seen too often");
+    assertTrue(overcounted < 100_000 / 100, overcounted + " fingerprints counted too often");
     assertEquals(1 << 17, sketch.memoryBytes());
     assertTrue(
-        sketch.count(exact.keySet().iterator().next(), 1600 * MS) > 0, "one span later still");
-    assertEquals(0, sketch.count(exact.keySet().iterator().next(), 2700 * MS), "and then no more");
+        sketch.count(exact.keySet().iterator().next(), 1600 * MS) > 0,
+        "still counted one span later");
+    assertEquals(
+        0,
+        sketch.count(exact.keySet().iterator().next(), 2700 * MS),
+        "not counted after two spans");
   }
 
   @Test
@@ -52,150 +53,147 @@
     for (int i = 0; i < 1000; i++) {
       sketch.add(7, 100_000 * MS);
     }
-    assertEquals(254, sketch.count(7, 100_000 * MS), "it does not run over");
+    assertEquals(254, sketch.count(7, 100_000 * MS), "counts saturate");
   }
 
-  /** A full bucket forgets what is over first; memory stays what it is. */
+  /** A full bucket evicts the entry that expires first. */
   @Test
   void cacheKeepsLatestExpiryWithinFixedMemory() {
-    FingerprintCache marks = new FingerprintCache(16);
-    long bytes = marks.memoryBytes();
-    for (long mark = 1; mark <= 10_000; mark++) {
-      marks.put(mark, mark * MS, mark, 0);
+    FingerprintCache cache = new FingerprintCache(16);
+    long bytes = cache.memoryBytes();
+    for (long fingerprint = 1; fingerprint <= 10_000; fingerprint++) {
+      cache.put(fingerprint, fingerprint * MS, fingerprint, 0);
     }
     int kept = 0;
-    for (long mark = 1; mark <= 10_000; mark++) {
-      long is = marks.get(mark, 0);
-      assertTrue(is == -1 || is == mark);
-      kept += is == mark ? 1 : 0;
+    for (long fingerprint = 1; fingerprint <= 10_000; fingerprint++) {
+      long value = cache.get(fingerprint, 0);
+      assertTrue(value == -1 || value == fingerprint);
+      kept += value == fingerprint ? 1 : 0;
     }
     assertEquals(64, kept);
-    assertEquals(10_000, marks.get(10_000, 0));
-    assertEquals(-1, marks.get(10_000, 10_000 * MS), "its time is over");
-    marks.put(10_000, 20_000 * MS, 5, 0);
-    assertEquals(5, marks.get(10_000, 0));
-    marks.remove(10_000);
-    assertEquals(-1, marks.get(10_000, 0));
-    assertEquals(bytes, marks.memoryBytes());
+    assertEquals(10_000, cache.get(10_000, 0));
+    assertEquals(-1, cache.get(10_000, 10_000 * MS), "expired");
+    cache.put(10_000, 20_000 * MS, 5, 0);
+    assertEquals(5, cache.get(10_000, 0));
+    cache.remove(10_000);
+    assertEquals(-1, cache.get(10_000, 0));
+    assertEquals(bytes, cache.memoryBytes());
   }
 
-  /**
-   * Nothing told is longer than allowed, and no slot is promised to more than are expected to fit.
-   */
+  /** No wait exceeds the maximum, and no slot holds more reservations than expected requests. */
   @Test
   void scheduleReservesUpToCapacity() {
-    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
-    calendar.setExpectedRate(1000); // ten a slot
+    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
+    schedule.setExpectedRate(1000); // ten a slot
     int[] slots = new int[51];
-    int booked = 0;
+    int reserved = 0;
     for (int i = 0; i < 1000; i++) {
-      RetryAfterSchedule.Reservation place = calendar.reserve(0, 1, true, 0, 500 * MS);
-      assertTrue(place.waitNanos() > 0 && place.waitNanos() <= 500 * MS);
-      if (place.reserved()) {
-        booked++;
-        slots[(int) (place.waitNanos() / RetryAfterSchedule.SLOT_NANOS)]++;
+      RetryAfterSchedule.Reservation reservation = schedule.reserve(0, 1, true, 0, 500 * MS);
+      assertTrue(reservation.waitNanos() > 0 && reservation.waitNanos() <= 500 * MS);
+      if (reservation.reserved()) {
+        reserved++;
+        slots[(int) (reservation.waitNanos() / RetryAfterSchedule.SLOT_NANOS)]++;
       }
     }
-    assertEquals(500, booked, "fifty slots of ten");
+    assertEquals(500, reserved, "fifty slots of ten");
     for (int count : slots) {
       assertTrue(count <= 10);
     }
-    assertFalse(calendar.reserve(0, 1, true, 0, 500 * MS).reserved());
+    assertFalse(schedule.reserve(0, 1, true, 0, 500 * MS).reserved());
     assertTrue(
-        calendar.reserve(200 * MS, 1, true, 0, 500 * MS).reserved(),
-        "slots that passed are used again");
+        schedule.reserve(200 * MS, 1, true, 0, 500 * MS).reserved(),
+        "slots of the past are reused");
   }
 
   /**
-   * Those that wait here come first; what earns little leaves a quarter; one group leaves half to
-   * the others.
+   * Waiting requests come first, low priority leaves a quarter of a slot, one group leaves half of
+   * it to the others.
    */
   @Test
   void scheduleSharesCapacityByPriorityAndGroup() {
-    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
-    calendar.setExpectedRate(1000);
-    assertTrue(calendar.reserve(0, 1, true, 300, 500 * MS).waitNanos() >= 300 * MS);
-    assertFalse(calendar.reserve(0, 1, true, 600, 500 * MS).reserved());
+    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
+    schedule.setExpectedRate(1000);
+    assertTrue(schedule.reserve(0, 1, true, 300, 500 * MS).waitNanos() >= 300 * MS);
+    assertFalse(schedule.reserve(0, 1, true, 600, 500 * MS).reserved());
     assertFalse(
-        calendar.reserve(0, 1, true, 300, 200 * MS).reserved(), "its client has left by then");
-    RetryAfterSchedule low = new RetryAfterSchedule(100 * MS);
-    low.setExpectedRate(1000);
-    int booked = 0;
-    while (low.reserve(0, 1, false, 0, 100 * MS).reserved()) {
-      booked++;
+        schedule.reserve(0, 1, true, 300, 200 * MS).reserved(),
+        "no capacity within its maximum wait");
+    RetryAfterSchedule lowPriority = new RetryAfterSchedule(100 * MS);
+    lowPriority.setExpectedRate(1000);
+    int reserved = 0;
+    while (lowPriority.reserve(0, 1, false, 0, 100 * MS).reserved()) {
+      reserved++;
     }
-    assertEquals(70, booked, "seven of ten places in each of ten slots");
-    RetryAfterSchedule two = new RetryAfterSchedule(100 * MS);
-    two.setExpectedRate(1000);
-    two.reserve(0, 2, true, 0, 100 * MS);
-    booked = 0;
-    while (two.reserve(0, 1, true, 0, 100 * MS).reserved()) {
-      booked++;
+    assertEquals(70, reserved, "seven of ten in each of ten slots");
+    RetryAfterSchedule shared = new RetryAfterSchedule(100 * MS);
+    shared.setExpectedRate(1000);
+    shared.reserve(0, 2, true, 0, 100 * MS);
+    reserved = 0;
+    while (shared.reserve(0, 1, true, 0, 100 * MS).reserved()) {
+      reserved++;
     }
-    assertEquals(50, booked);
-    assertTrue(two.reserve(0, 2, true, 0, 100 * MS).reserved(), "there is room for the other");
+    assertEquals(50, reserved);
+    assertTrue(shared.reserve(0, 2, true, 0, 100 * MS).reserved(), "the other group has its share");
   }
 
-  /** Slow hosts: a place in every fourth slot. */
+  /** At 25 requests a second every fourth slot has room for one. */
   @Test
   void scheduleWithLessThanOneReservationPerSlot() {
-    RetryAfterSchedule calendar = new RetryAfterSchedule(500 * MS);
-    calendar.setExpectedRate(25);
-    int booked = 0;
-    while (calendar.reserve(0, 1, true, 0, 500 * MS).reserved()) {
-      booked++;
+    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
+    schedule.setExpectedRate(25);
+    int reserved = 0;
+    while (schedule.reserve(0, 1, true, 0, 500 * MS).reserved()) {
+      reserved++;
     }
-    assertTrue(booked >= 12 && booked <= 13, booked + " in half a second of 25 a second");
-    RetryAfterSchedule none = new RetryAfterSchedule(500 * MS);
-    assertEquals(500 * MS, none.reserve(0, 1, true, 0, 500 * MS).waitNanos());
+    assertTrue(reserved >= 12 && reserved <= 13, reserved + " in half a second of 25 a second");
+    RetryAfterSchedule unknownRate = new RetryAfterSchedule(500 * MS);
+    assertEquals(500 * MS, unknownRate.reserve(0, 1, true, 0, 500 * MS).waitNanos());
   }
 
-  /**
-   * Whatever wants to dial a dead host: under fifty attempts a second, and one that works opens the
-   * way.
-   */
+  /** A host that is down gets under fifty attempts in ten seconds, whatever the load. */
   @Test
   void connectAttemptsAreLimitedAfterFailures() {
-    ConnectBackoff dials = new ConnectBackoff(new SplittableRandom(9), true);
+    ConnectBackoff backoff = new ConnectBackoff(new SplittableRandom(9), true);
     int attempts = 0;
     for (long at = 0; at < 10_000 * MS; at += MS) {
       for (int i = 0; i < 20; i++) {
-        if (dials.isAttemptAllowed(ENDPOINT, at)) {
-          dials.attemptStarted(ENDPOINT);
+        if (backoff.isAttemptAllowed(HOST, at)) {
+          backoff.attemptStarted(HOST);
           attempts++;
-          dials.attemptFailed(ENDPOINT, at);
+          backoff.attemptFailed(HOST, at);
         }
       }
     }
     assertTrue(attempts > 15 && attempts < 50, attempts + " in ten seconds");
     long at = 11_000 * MS;
-    assertTrue(dials.isAttemptAllowed(ENDPOINT, at));
-    dials.attemptStarted(ENDPOINT);
-    assertFalse(dials.isAttemptAllowed(ENDPOINT, at), "one at a time");
-    dials.attemptSucceeded(ENDPOINT);
-    dials.attemptStarted(ENDPOINT);
-    assertTrue(dials.isAttemptAllowed(ENDPOINT, at), "it is well: as many as are wanted");
-    dials.forget(ENDPOINT);
-    dials.attemptFailed(ENDPOINT, at);
-    assertEquals(0, dials.endpointCount(), "what ends late of one forgotten leaves nothing");
+    assertTrue(backoff.isAttemptAllowed(HOST, at));
+    backoff.attemptStarted(HOST);
+    assertFalse(backoff.isAttemptAllowed(HOST, at), "one at a time");
+    backoff.attemptSucceeded(HOST);
+    backoff.attemptStarted(HOST);
+    assertTrue(
+        backoff.isAttemptAllowed(HOST, at), "a host that accepts connections is not limited");
+    backoff.forget(HOST);
+    backoff.attemptFailed(HOST, at);
+    assertEquals(0, backoff.hostCount(), "a late failure of a forgotten host leaves no state");
   }
 
-  /** Further shots never outgrow their share of the first ones by more than the floor. */
+  /** A fifth of the first attempts, and at most ten a second and the initial tokens on top. */
   @Test
   void retriesStayWithinBudget() {
     RetryBudget budget = new RetryBudget(0.2, 10);
-    int further = 0;
+    int retries = 0;
     for (int i = 0; i < 10_000; i++) {
       long at = i * MS;
       budget.recordFirstAttempt(at);
       for (int j = 0; j < 3; j++) {
         if (budget.isRetryAllowed(at)) {
           budget.recordRetry(at);
-          further++;
+          retries++;
         }
       }
     }
     assertTrue(
-        further >= 2000 && further <= 2000 + 100 + 20, further + " for 10,000 in ten seconds");
+        retries >= 2000 && retries <= 2000 + 100 + 20, retries + " for 10,000 in ten seconds");
   }
 }
