Overload: split the controller into decorator, statistics, Retry-After advice and tracked requests

Each is a class of its own now; the detector records events in place of a tally with open fields, the counts are read-only to callers, the cache's 'nothing' has a name, the hash is named SplitMix64.

--- a/router/src/main/java/rushwood/overload/FingerprintCache.java
+++ b/router/src/main/java/rushwood/overload/FingerprintCache.java
@@ -1,66 +1,93 @@
 package rushwood.overload;
 
 /**
- * Remembers a time and a wait for a mark, so many at once and no more: each mark has a bucket of
- * four places, and in a full bucket the one whose time is first over gives way.
+ * Remembers a value for each of a limited number of fingerprints until a time: a set-associative
+ * cache in arrays of fixed size. In a full bucket the entry that expires first is evicted.
  */
 public final class FingerprintCache {
-  private static final int WAYS = 4;
+  /** What {@link #get} returns where nothing is remembered; values are 0 or more. */
+  public static final long ABSENT = -1;
+
+  private static final int ENTRIES_PER_BUCKET = 4;
+  // 4,096 fingerprints: half a second of 8,000 rejected requests a second.
+  private static final int REPEATS_BUCKETS = 1 << 10;
 
   private final long[] fingerprints;
   private final long[] expiresAt;
   private final long[] values;
   private final int mask;
 
-  /** With the buckets, a power of two. */
+  /**
+   * Creates an empty cache.
+   *
+   * @param buckets how many buckets of four entries there are
+   * @throws IllegalArgumentException unless {@code buckets} is a power of two
+   */
   public FingerprintCache(int buckets) {
     if (Integer.bitCount(buckets) != 1) {
-      throw new IllegalArgumentException("buckets must be a power of two");
+      throw new IllegalArgumentException("buckets must be a power of two: " + buckets);
     }
     mask = buckets - 1;
-    fingerprints = new long[buckets * WAYS];
-    expiresAt = new long[buckets * WAYS];
-    values = new long[buckets * WAYS];
+    fingerprints = new long[buckets * ENTRIES_PER_BUCKET];
+    expiresAt = new long[buckets * ENTRIES_PER_BUCKET];
+    values = new long[buckets * ENTRIES_PER_BUCKET];
   }
 
-  public long memoryBytes() {
-    return 3L * 8 * fingerprints.length;
+  /** Creates a cache for the repeats that an overloaded router sees; a tiny one if unused. */
+  static FingerprintCache forRepeats(boolean used) {
+    return new FingerprintCache(used ? REPEATS_BUCKETS : 1);
   }
 
-  private int bucketStart(long fingerprint) {
-    return ((int) RepeatSketch.mix(fingerprint) & mask) * WAYS;
+  /** Bytes held by the entries, whether they are used or not. */
+  public long memoryBytes() {
+    return 3L * Long.BYTES * fingerprints.length;
   }
 
-  /** It is remembered until then, or until its bucket overflows. */
+  /**
+   * Remembers a value, 0 or more, until {@code expires} or until its bucket overflows. It replaces
+   * an earlier value of that fingerprint.
+   */
   public void put(long fingerprint, long expires, long value, long now) {
-    int target = -1;
-    int oldest = bucketStart(fingerprint);
-    for (int i = bucketStart(fingerprint); i < bucketStart(fingerprint) + WAYS && target < 0; i++) {
-      target = fingerprints[i] == fingerprint || expiresAt[i] <= now ? i : -1;
-      oldest = expiresAt[i] < expiresAt[oldest] ? i : oldest;
-    }
-    target = target < 0 ? oldest : target;
-    for (int i = bucketStart(fingerprint); i < bucketStart(fingerprint) + WAYS; i++) {
-      expiresAt[i] = fingerprints[i] == fingerprint ? 0 : expiresAt[i];
+    int start = bucketStart(fingerprint);
+    int entry = findReplaceable(start, fingerprint, now);
+    remove(fingerprint);
+    fingerprints[entry] = fingerprint;
+    expiresAt[entry] = expires;
+    values[entry] = value;
+  }
+
+  /** The first entry of that fingerprint or expired; if there is none the next to expire. */
+  private int findReplaceable(int start, long fingerprint, long now) {
+    int nextToExpire = start;
+    for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
+      if (fingerprints[i] == fingerprint || expiresAt[i] <= now) {
+        return i;
+      }
+      nextToExpire = expiresAt[i] < expiresAt[nextToExpire] ? i : nextToExpire;
     }
-    fingerprints[target] = fingerprint;
-    expiresAt[target] = expires;
-    values[target] = value;
+    return nextToExpire;
   }
 
-  /** What is remembered of it now, -1 for nothing. */
+  /** The value that is remembered now, or {@link #ABSENT}. */
   public long get(long fingerprint, long now) {
-    for (int i = bucketStart(fingerprint); i < bucketStart(fingerprint) + WAYS; i++) {
+    int start = bucketStart(fingerprint);
+    for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
       if (fingerprints[i] == fingerprint && expiresAt[i] > now) {
         return values[i];
       }
     }
-    return -1;
+    return ABSENT;
   }
 
+  /** Forgets the value of that fingerprint, if there is one. */
   public void remove(long fingerprint) {
-    for (int i = bucketStart(fingerprint); i < bucketStart(fingerprint) + WAYS; i++) {
+    int start = bucketStart(fingerprint);
+    for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
       expiresAt[i] = fingerprints[i] == fingerprint ? 0 : expiresAt[i];
     }
   }
+
+  private int bucketStart(long fingerprint) {
+    return ((int) SplitMix64.mix(fingerprint) & mask) * ENTRIES_PER_BUCKET;
+  }
 }
--- a/router/src/main/java/rushwood/overload/OverloadDetector.java
+++ b/router/src/main/java/rushwood/overload/OverloadDetector.java
@@ -1,84 +1,105 @@
 package rushwood.overload;
 
 /**
- * Whether there is a storm, seen from rates alone: clients repeat what was not answered, faster
- * than it can be. Load by itself is no storm: a peak whose accesses are first ones stays calm
- * however high it is. Each change needs its signs for some ticks on end, and leaving a state needs
- * more of calm than entering it needed of storm.
+ * Tells from the rates of one router, group or host whether it is overloaded: requests are refused
+ * and clients repeat them faster than they can be served.
+ *
+ * <p>High load alone is no overload: a peak of first requests leaves the state normal however high
+ * it is. Each change of state needs its signs in several ticks in a row, and leaving a state needs
+ * weaker rates than entering it (hysteresis).
  */
 public final class OverloadDetector {
+  /** The state of what is observed, from normal to overloaded and back. */
   public enum State {
+    /** Few requests are refused, or few of them are repeats. */
     NORMAL,
+    /** Requests are refused and repeated more than chance and single clients explain. */
     RISING,
+    /** A large share of the requests is refused and repeated. */
     OVERLOADED,
-    RECOVERING
-  }
+    /** Refusals have become rare, but clients may still come back. */
+    RECOVERING;
 
-  /** What came in since the last tick. */
-  public static final class TickCounts {
-    int arrivals;
-    int repeats;
-    int refused; // turned back, run out or found no connection
-    int completed;
+    /** Whether retries are limited by a budget in this state. */
+    public boolean limitsRetries() {
+      return this == OVERLOADED || this == RECOVERING;
+    }
   }
 
+  /** The interval between two calls of {@link #tick}, in nanoseconds. */
   public static final long TICK_NANOS = 100_000_000L;
 
-  private static final double SMOOTHING_WEIGHT =
-      0.3; // weight of a tick: three ticks back, so one burst in a tick is no sign
-  private static final double MIN_ARRIVALS_PER_TICK =
-      1; // arrivals a tick: below that shares say nothing
-  private static final double RISING_SHARE =
-      0.1; // refused and repeated: more than chance and single clients bring
-  private static final double OVERLOADED_REFUSED_SHARE =
-      0.3; // refused, and a quarter repeated: three tries an access soon
+  private static final int TICKS_PER_SECOND = (int) (1_000_000_000L / TICK_NANOS);
+
+  // Weight of the latest tick in the smoothed rates: about three ticks count, so a burst within
+  // one tick is no sign.
+  private static final double SMOOTHING_WEIGHT = 0.3;
+  // What is left of the peak rate after a tick: half of it after 35 s.
+  private static final double PEAK_DECAY = 0.998;
+  // Arrivals a tick up to which shares of them say nothing.
+  private static final double MIN_ARRIVALS_PER_TICK = 1;
+  // Shares of the arrivals that are refused, and that are repeats: above both, overload is rising.
+  private static final double RISING_SHARE = 0.1;
+  // Above both of these there is overload; a request then takes three tries soon.
+  private static final double OVERLOADED_REFUSED_SHARE = 0.3;
   private static final double OVERLOADED_REPEATED_SHARE = 0.25;
   private static final double RECOVERED_REFUSED_SHARE = 0.05;
-  private static final int TICKS_TO_RISING =
-      4; // ticks of signs until a storm is said to build: one bad tick shows for three
-  private static final int TICKS_TO_OVERLOADED = 3; // and until there is one
-  private static final int TICKS_TO_RECOVERING = 5; // ticks of calm after which it eases
-  private static final int TICKS_TO_NORMAL =
-      10; // and after which it is calm: the longest wait told has passed by then
-
-  private final TickCounts tickCounts = new TickCounts();
-  private State state = State.NORMAL;
+  // One bad tick shows in the smoothed rates for three.
+  private static final int TICKS_TO_RISING = 4;
+  private static final int TICKS_TO_OVERLOADED = 3;
+  // From overloaded to recovering, and from rising back to normal.
+  private static final int TICKS_TO_RECOVERING = 5;
+  // The longest Retry-After has passed by then.
+  private static final int TICKS_TO_NORMAL = 10;
+
+  private int arrivalsInTick;
+  private int repeatsInTick;
+  private int refusedInTick;
+  private int completedInTick;
+  // Smoothed, per tick.
   private double arrivals;
   private double repeats;
   private double refused;
   private double completed;
   private double peakCompleted;
+  private State state = State.NORMAL;
   private int worseTicks;
   private int betterTicks;
 
-  public TickCounts tickCounts() {
-    return tickCounts;
+  /** A request arrived; {@code repeated} if it repeats one that had no answer. */
+  public void recordArrival(boolean repeated) {
+    arrivalsInTick++;
+    repeatsInTick += repeated ? 1 : 0;
   }
 
+  /** A request was rejected or timed out, or its host could not be reached. */
+  public void recordRefused() {
+    refusedInTick++;
+  }
+
+  /** An attempt succeeded. */
+  public void recordCompleted() {
+    completedInTick++;
+  }
+
+  /** The state as of the last tick. */
   public State state() {
     return state;
   }
 
-  /** Answers a second lately, and the most of them that were seen, which fades within a minute. */
+  /** Successful attempts a second, smoothed over the last ticks. */
   public double completionRate() {
     return completed * 1e9 / TICK_NANOS;
   }
 
+  /** The highest {@link #completionRate} seen; it decays to half within 35 s. */
   public double peakCompletionRate() {
     return peakCompleted * 1e9 / TICK_NANOS;
   }
 
-  /** The end of a tick; whether the state is another one now. */
+  /** Ends a tick and returns whether the state changed. */
   public boolean tick() {
-    arrivals += (tickCounts.arrivals - arrivals) * SMOOTHING_WEIGHT;
-    repeats += (tickCounts.repeats - repeats) * SMOOTHING_WEIGHT;
-    refused += (tickCounts.refused - refused) * SMOOTHING_WEIGHT;
-    completed += (tickCounts.completed - completed) * SMOOTHING_WEIGHT;
-    peakCompleted = Math.max(completed, peakCompleted * PEAK_DECAY);
-    tickCounts.arrivals = 0;
-    tickCounts.repeats = 0;
-    tickCounts.refused = 0;
-    tickCounts.completed = 0;
+    updateRates();
     State next = nextState();
     boolean changed = next != state;
     if (changed) {
@@ -89,48 +110,74 @@
     return changed;
   }
 
-  private static final double PEAK_DECAY =
-      0.998; // a tick: half of what was once seen is left after 35 s
+  private void updateRates() {
+    arrivals += (arrivalsInTick - arrivals) * SMOOTHING_WEIGHT;
+    repeats += (repeatsInTick - repeats) * SMOOTHING_WEIGHT;
+    refused += (refusedInTick - refused) * SMOOTHING_WEIGHT;
+    completed += (completedInTick - completed) * SMOOTHING_WEIGHT;
+    peakCompleted = Math.max(completed, peakCompleted * PEAK_DECAY);
+    arrivalsInTick = 0;
+    repeatsInTick = 0;
+    refusedInTick = 0;
+    completedInTick = 0;
+  }
 
   private State nextState() {
-    boolean enough = arrivals > MIN_ARRIVALS_PER_TICK;
-    boolean some = enough && refused > RISING_SHARE * arrivals && repeats > RISING_SHARE * arrivals;
-    boolean many =
-        enough
-            && refused > OVERLOADED_REFUSED_SHARE * arrivals
-            && repeats > OVERLOADED_REPEATED_SHARE * arrivals;
-    boolean few = !enough || refused < RECOVERED_REFUSED_SHARE * arrivals;
-    boolean quiet = few && (!enough || repeats < RISING_SHARE * arrivals);
-    boolean worse = state == State.NORMAL ? some : many;
-    boolean better = state == State.RECOVERING ? quiet : few || !some;
-    worseTicks = worse ? worseTicks + 1 : 0;
-    betterTicks = better ? betterTicks + 1 : 0;
+    worseTicks = isWorse() ? worseTicks + 1 : 0;
+    betterTicks = isBetter() ? betterTicks + 1 : 0;
     return switch (state) {
       case NORMAL -> worseTicks >= TICKS_TO_RISING ? State.RISING : state;
-      case RISING ->
-          worseTicks >= TICKS_TO_OVERLOADED
-              ? State.OVERLOADED
-              : betterTicks >= TICKS_TO_RECOVERING ? State.NORMAL : state;
+      case RISING -> overloadedOr(State.NORMAL, TICKS_TO_RECOVERING);
       case OVERLOADED -> betterTicks >= TICKS_TO_RECOVERING ? State.RECOVERING : state;
-      case RECOVERING ->
-          worseTicks >= TICKS_TO_OVERLOADED
-              ? State.OVERLOADED
-              : betterTicks >= TICKS_TO_NORMAL ? State.NORMAL : state;
+      case RECOVERING -> overloadedOr(State.NORMAL, TICKS_TO_NORMAL);
     };
   }
 
+  private State overloadedOr(State better, int ticksToBetter) {
+    if (worseTicks >= TICKS_TO_OVERLOADED) {
+      return State.OVERLOADED;
+    }
+    return betterTicks >= ticksToBetter ? better : state;
+  }
+
+  private boolean isWorse() {
+    return state == State.NORMAL
+        ? isAbove(RISING_SHARE, RISING_SHARE)
+        : isAbove(OVERLOADED_REFUSED_SHARE, OVERLOADED_REPEATED_SHARE);
+  }
+
+  private boolean isBetter() {
+    boolean fewArrivals = arrivals <= MIN_ARRIVALS_PER_TICK;
+    boolean fewRefused = fewArrivals || refused < RECOVERED_REFUSED_SHARE * arrivals;
+    if (state == State.RECOVERING) {
+      return fewRefused && (fewArrivals || repeats < RISING_SHARE * arrivals);
+    }
+    return fewRefused || !isAbove(RISING_SHARE, RISING_SHARE);
+  }
+
+  private boolean isAbove(double refusedShare, double repeatedShare) {
+    return arrivals > MIN_ARRIVALS_PER_TICK
+        && refused > refusedShare * arrivals
+        && repeats > repeatedShare * arrivals;
+  }
+
+  /** The state and the smoothed rates a second, for the log. */
   @Override
   public String toString() {
-    // Plain joining: a formatter's classes would be loaded in the first busy second of a start.
+    // One concatenation: a formatter's classes would be loaded in the first busy second of a start.
     return state
         + ": arrivals "
-        + Math.round(arrivals * 10)
+        + perSecond(arrivals)
         + "/s, repeats "
-        + Math.round(repeats * 10)
+        + perSecond(repeats)
         + "/s, refused "
-        + Math.round(refused * 10)
-        + "/s, done "
-        + Math.round(completed * 10)
+        + perSecond(refused)
+        + "/s, completed "
+        + perSecond(completed)
         + "/s";
   }
+
+  private static long perSecond(double perTick) {
+    return Math.round(perTick * TICKS_PER_SECOND);
+  }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/overload/OverloadStatistics.java
@@ -0,0 +1,193 @@
+package rushwood.overload;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+
+/**
+ * What is known of the router, of each group and of each host: overload detectors, retry budgets,
+ * and how many repeats to expect. Groups and hosts are those of the endpoint list; others are
+ * ignored.
+ */
+final class OverloadStatistics {
+  /** What is known of a group. */
+  private static final class GroupState {
+    private final OverloadDetector detector = new OverloadDetector();
+    private final RetryBudget retryBudget;
+    // Requests without an answer that no client has repeated yet, decaying.
+    private double unansweredRequests;
+
+    GroupState(OverloadSettings settings) {
+      retryBudget =
+          new RetryBudget(settings.retriesPerFirstAttempt(), settings.minRetriesPerSecond());
+    }
+  }
+
+  // What is left of the unanswered requests after a tick: half in 1.4 s, by when most clients that
+  // come back have done so.
+  private static final double UNANSWERED_DECAY = 0.95;
+
+  private final OverloadSettings settings;
+  private final OverloadCounts counts;
+  private final Consumer<String> log;
+  private final OverloadDetector routerDetector = new OverloadDetector();
+  private final Map<GroupId, GroupState> groups =
+      new TreeMap<>(Comparator.comparingInt(GroupId::value));
+  private final Map<HostId, OverloadDetector> hostDetectors = new LinkedHashMap<>();
+  private final Map<HostId, GroupId> groupByHost = new LinkedHashMap<>();
+
+  /** {@code log} receives a line for each change of state. */
+  OverloadStatistics(OverloadSettings settings, OverloadCounts counts, Consumer<String> log) {
+    this.settings = settings;
+    this.counts = counts;
+    this.log = log;
+  }
+
+  void addHost(Endpoint endpoint) {
+    groupByHost.put(endpoint.id(), endpoint.group());
+    groups.computeIfAbsent(endpoint.group(), each -> new GroupState(settings));
+    hostDetectors.computeIfAbsent(endpoint.id(), each -> new OverloadDetector());
+  }
+
+  /** Forgets a host, and its group with its last host. */
+  void removeHost(HostId host) {
+    GroupId group = groupByHost.remove(host);
+    hostDetectors.remove(host);
+    if (group != null && !groupByHost.containsValue(group)) {
+      groups.remove(group);
+    }
+  }
+
+  /** The known hosts that are not in this list. */
+  List<HostId> hostsMissingFrom(List<Endpoint> endpoints) {
+    Set<HostId> listed = endpoints.stream().map(Endpoint::id).collect(Collectors.toSet());
+    return groupByHost.keySet().stream().filter(each -> !listed.contains(each)).toList();
+  }
+
+  OverloadDetector.State routerState() {
+    return routerDetector.state();
+  }
+
+  /** The state of a group, normal if it is not known. */
+  OverloadDetector.State groupState(GroupId id) {
+    GroupState group = groups.get(id);
+    return group == null ? OverloadDetector.State.NORMAL : group.detector.state();
+  }
+
+  /** How many requests a second the hosts can be expected to serve. */
+  double expectedRate() {
+    return Math.max(routerDetector.completionRate(), routerDetector.peakCompletionRate() / 2);
+  }
+
+  void recordArrival(GroupId id, boolean repeated) {
+    routerDetector.recordArrival(repeated);
+    GroupState group = groups.get(id);
+    if (group != null) {
+      group.detector.recordArrival(repeated);
+    }
+  }
+
+  void recordRejected(GroupId id) {
+    routerDetector.recordRefused();
+    GroupState group = groups.get(id);
+    if (group != null) {
+      group.detector.recordRefused();
+    }
+  }
+
+  /** A request of the group ended without an answer: its client may repeat it. */
+  void recordUnanswered(GroupId id) {
+    GroupState group = groups.get(id);
+    if (group != null) {
+      group.unansweredRequests++;
+    }
+  }
+
+  /**
+   * Takes one from the unanswered requests of the group, and returns whether there was one.
+   *
+   * <p>There cannot be more repeats than unanswered requests. Without this bound, many clients that
+   * read one key pass for repeats: with few keys 90% of the requests of a normal day did.
+   */
+  boolean takeUnanswered(GroupId id) {
+    GroupState group = groups.get(id);
+    if (group == null || group.unansweredRequests < 1) {
+      return false;
+    }
+    group.unansweredRequests--;
+    return true;
+  }
+
+  void recordOutcome(AttemptResult result) {
+    boolean succeeded = result.outcome() == AttemptOutcome.SUCCESS;
+    boolean timedOut = result.outcome() == AttemptOutcome.TIMED_OUT;
+    record(routerDetector, succeeded, timedOut);
+    GroupId id = groupByHost.get(result.host());
+    GroupState group = id == null ? null : groups.get(id);
+    if (group != null) {
+      record(group.detector, succeeded, timedOut);
+    }
+    OverloadDetector hostDetector = hostDetectors.get(result.host());
+    if (hostDetector != null) {
+      record(hostDetector, succeeded, timedOut || isRefusedByHost(result.outcome()));
+    }
+  }
+
+  private static void record(OverloadDetector detector, boolean succeeded, boolean refused) {
+    if (succeeded) {
+      detector.recordCompleted();
+    }
+    if (refused) {
+      detector.recordRefused();
+    }
+  }
+
+  private static boolean isRefusedByHost(AttemptOutcome outcome) {
+    return outcome == AttemptOutcome.CONNECT_FAILED || outcome == AttemptOutcome.OVERLOADED;
+  }
+
+  /** Whether the group may have a retry now; budgets count only while it is overloaded. */
+  boolean isRetryAllowed(long now, GroupId id) {
+    return !groupState(id).limitsRetries() || groups.get(id).retryBudget.isRetryAllowed(now);
+  }
+
+  void recordAttempt(long now, GroupId id, boolean retry) {
+    GroupState group = groups.get(id);
+    if (group == null) {
+      return;
+    }
+    if (retry) {
+      group.retryBudget.recordRetry(now);
+    } else {
+      group.retryBudget.recordFirstAttempt(now);
+    }
+  }
+
+  /** Ends a tick of {@link OverloadDetector#TICK_NANOS}. */
+  void tick() {
+    tick("router", routerDetector);
+    groups.forEach(
+        (id, group) -> {
+          group.unansweredRequests *= UNANSWERED_DECAY;
+          tick("group " + id, group.detector);
+        });
+    hostDetectors.forEach((id, detector) -> tick("host " + id, detector));
+  }
+
+  private void tick(String scope, OverloadDetector detector) {
+    if (detector.tick()) {
+      counts.addStateChange();
+      log.accept("overload at " + scope + " is " + detector);
+    }
+  }
+}
--- a/router/src/main/java/rushwood/overload/RepeatSketch.java
+++ b/router/src/main/java/rushwood/overload/RepeatSketch.java
@@ -3,96 +3,105 @@
 import java.util.Arrays;
 
 /**
- * Counts how often a mark came lately, in memory that never grows: two count-min sketches that take
- * turns. The count is never too low for the last span and at most two spans old; it is too high
- * only where marks share a cell in every row.
+ * Counts how often a fingerprint was added lately, in memory of fixed size: two count-min sketches
+ * (Cormode and Muthukrishnan 2005) with conservative update, of which the older one is cleared and
+ * reused after each span.
+ *
+ * <p>A count is never too low for the last span and includes nothing older than two spans. It is
+ * too high only where the fingerprint shares its cell with others in every row.
  */
 public final class RepeatSketch {
-  // All four must collide: with a third as many marks as a row has cells 0.7% of those that never
-  // came are seen.
+  /** Counts go no higher than this. */
+  public static final int MAX_COUNT = 254;
+
+  // With a third as many fingerprints as a row has cells, 0.7% of those never added share a cell
+  // in all four rows.
   private static final int ROWS = 4;
 
-  private final byte[][] current = new byte[ROWS][];
-  private final byte[][] previous = new byte[ROWS][];
+  private byte[][] current;
+  private byte[][] previous;
   private final int mask;
   private final long spanNanos;
+  // 0 before the first call.
   private long rotateAt;
 
   /**
-   * With the cells of a row, a power of two, and for how long a mark is remembered at the least.
+   * Creates an empty sketch.
+   *
+   * @param cells how many cells each of the four rows has
+   * @param spanNanos how long a fingerprint is remembered at least
+   * @throws IllegalArgumentException unless {@code cells} is a power of two
    */
-  public RepeatSketch(int cells, long span) {
+  public RepeatSketch(int cells, long spanNanos) {
     if (Integer.bitCount(cells) != 1) {
-      throw new IllegalArgumentException("cells must be a power of two");
+      throw new IllegalArgumentException("cells must be a power of two: " + cells);
     }
     mask = cells - 1;
-    this.spanNanos = span;
-    for (int i = 0; i < ROWS; i++) {
-      current[i] = new byte[cells];
-      previous[i] = new byte[cells];
-    }
+    this.spanNanos = spanNanos;
+    current = new byte[ROWS][cells];
+    previous = new byte[ROWS][cells];
   }
 
-  /** Bytes held, always. */
+  /** Bytes held by the cells, whether they are used or not. */
   public long memoryBytes() {
     return 2L * ROWS * (mask + 1);
   }
 
-  /** How often that mark was added lately, 254 at the most. */
+  /** How often the fingerprint was added lately, {@link #MAX_COUNT} at most. */
   public int count(long fingerprint, long now) {
-    rotate(now);
-    int currentCount = 255;
-    int previousCount = 255;
-    long mixed = mix(fingerprint);
-    for (int i = 0; i < ROWS; i++) {
-      int cell = cell(mixed, i);
-      currentCount = Math.min(currentCount, current[i][cell] & 255);
-      previousCount = Math.min(previousCount, previous[i][cell] & 255);
-    }
-    return Math.min(254, currentCount + previousCount);
+    rotateIfDue(now);
+    long hash = SplitMix64.mix(fingerprint);
+    return Math.min(MAX_COUNT, minimum(current, hash) + minimum(previous, hash));
   }
 
+  /** Adds the fingerprint once. */
   public void add(long fingerprint, long now) {
-    rotate(now);
-    long mixed = mix(fingerprint);
-    int currentCount = 254;
-    for (int i = 0; i < ROWS; i++) {
-      currentCount = Math.min(currentCount, current[i][cell(mixed, i)] & 255);
+    rotateIfDue(now);
+    long hash = SplitMix64.mix(fingerprint);
+    int next = Math.min(MAX_COUNT, minimum(current, hash) + 1);
+    for (int row = 0; row < ROWS; row++) {
+      // Conservative update: a cell that counts others as well is raised to the count only.
+      int cell = cell(hash, row);
+      current[row][cell] = (byte) Math.max(toCount(current[row][cell]), next);
     }
-    int next = Math.min(254, currentCount + 1);
-    for (int i = 0;
-        i < ROWS;
-        i++) { // only what is not counted yet: cells shared with others rise less
-      int cell = cell(mixed, i);
-      current[i][cell] = (byte) Math.max(current[i][cell] & 255, next);
+  }
+
+  private int minimum(byte[][] rows, long hash) {
+    int minimum = MAX_COUNT;
+    for (int row = 0; row < ROWS; row++) {
+      minimum = Math.min(minimum, toCount(rows[row][cell(hash, row)]));
     }
+    return minimum;
+  }
+
+  private static int toCount(byte cell) {
+    return Byte.toUnsignedInt(cell);
   }
 
-  private void rotate(long now) {
+  private int cell(long hash, int row) {
+    return (int) (hash >>> row * 16 ^ hash >>> (row * 16 + 29) % 64) & mask;
+  }
+
+  private void rotateIfDue(long now) {
     if (rotateAt == 0) {
       rotateAt = now + spanNanos;
     }
-    for (int turns = 0; now >= rotateAt && turns < 2; turns++) {
-      for (int i = 0; i < ROWS; i++) {
-        byte[] empty = previous[i];
-        previous[i] = current[i];
-        Arrays.fill(empty, (byte) 0);
-        current[i] = empty;
-      }
+    // Two rotations clear both sketches, so more of them change nothing.
+    for (int i = 0; i < 2 && now >= rotateAt; i++) {
+      rotate();
       rotateAt += spanNanos;
     }
-    rotateAt = now >= rotateAt ? now + spanNanos : rotateAt;
-  }
-
-  private int cell(long mixed, int row) {
-    return (int) (mixed >>> row * 16 ^ mixed >>> (row * 16 + 29) % 64) & mask;
+    if (now >= rotateAt) {
+      rotateAt = now + spanNanos;
+    }
   }
 
-  /** Spreads a mark over all its bits: the last steps of SplitMix64. */
-  static long mix(long fingerprint) {
-    long bits = fingerprint + 0x9e3779b97f4a7c15L;
-    bits = (bits ^ bits >>> 30) * 0xbf58476d1ce4e5b9L;
-    bits = (bits ^ bits >>> 27) * 0x94d049bb133111ebL;
-    return bits ^ bits >>> 31;
+  private void rotate() {
+    byte[][] cleared = previous;
+    for (byte[] row : cleared) {
+      Arrays.fill(row, (byte) 0);
+    }
+    previous = current;
+    current = cleared;
   }
 }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -20,6 +20,7 @@
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.DescriptorBudget;
 import rushwood.overload.OverloadController;
+import rushwood.overload.OverloadCounts;
 
 /** Creates the parts of a router and connects them with each other. Used on the event loop only. */
 final class RouterAssembler {
@@ -114,14 +115,14 @@
   private OverloadController createPolicy(PolicyActions actions) {
     overloadController =
         PolicyFactory.create(config, operatorSettings.overload(), connectBackoff, actions);
-    OverloadController.OverloadCounts counts = overloadController.counts();
-    counters.register("overload_repeated_requests", () -> counts.repeatedRequests);
-    counters.register("overload_returned_as_advised", () -> counts.returnedAsAdvised);
-    counters.register("overload_reserved", () -> counts.reserved);
-    counters.register("overload_unreserved", () -> counts.unreserved);
-    counters.register("overload_retries_denied", () -> counts.retriesDenied);
-    counters.register("overload_ambiguous_writes_failed", () -> counts.ambiguousWritesFailed);
-    counters.register("overload_state_changes", () -> counts.stateChanges);
+    OverloadCounts counts = overloadController.counts();
+    counters.register("overload_repeated_requests", counts::repeatedRequests);
+    counters.register("overload_returned_as_advised", counts::returnedAsAdvised);
+    counters.register("overload_reserved", counts::reserved);
+    counters.register("overload_unreserved", counts::unreserved);
+    counters.register("overload_retries_denied", counts::retriesDenied);
+    counters.register("overload_ambiguous_writes_failed", counts::ambiguousWritesFailed);
+    counters.register("overload_state_changes", counts::stateChanges);
     return overloadController;
   }
 
--- a/router/src/test/java/rushwood/overload/OverloadControllerTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerTest.java
@@ -183,7 +183,7 @@
     now += 100 * MS;
     String second = receive(PAYMENT, 0, 77);
     assertEquals(List.of("fail " + second), recorded);
-    assertEquals(1, controller.counts().ambiguousWritesFailed);
+    assertEquals(1, controller.counts().ambiguousWritesFailed());
     finishAttempt(first, 0, AttemptOutcome.TIMED_OUT, true);
     String third = receive(PAYMENT, 0, 77);
     assertTrue(
@@ -281,7 +281,7 @@
     now += 100 * MS;
     String returning =
         receive(READ, 0, 1000 + Integer.parseInt(rejections.get(0).split(" ")[1].substring(1)));
-    assertEquals(1, controller.counts().returnedAsAdvised);
+    assertEquals(1, controller.counts().returnedAsAdvised());
     recorded.clear();
     finishAttempt(sent.get(0), 0, AttemptOutcome.SUCCESS, true);
     assertEquals(
@@ -335,8 +335,8 @@
       now += 2 * MS;
     }
     assertTrue(
-        controller.counts().repeatedRequests <= 50,
-        controller.counts().repeatedRequests + " of 50 that had no answer");
+        controller.counts().repeatedRequests() <= 50,
+        controller.counts().repeatedRequests() + " of 50 that had no answer");
     assertEquals(OverloadDetector.State.NORMAL, controller.state());
   }
 }
--- a/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
@@ -7,16 +7,21 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Plays scenario files: {@code for N arrivals A ...} feeds N ticks of these counts, {@code expect
- * STATE} checks the state that follows.
+ * Plays scenario files: {@code for N arrivals A repeats R ...} feeds N ticks of these counts (the
+ * repeats are among the arrivals), {@code expect STATE} checks the state that follows.
  */
 class OverloadDetectorTest {
+  private static final Set<String> KINDS = Set.of("arrivals", "repeats", "refused", "completed");
+
   @TestFactory
   List<DynamicTest> scenarios() throws IOException {
     List<DynamicTest> tests = new ArrayList<>();
@@ -38,28 +43,40 @@
     for (String line : Files.readAllLines(file)) {
       lineNumber++;
       String[] words = line.split(" ");
-      if (words[0].equals("expect")) {
-        assertEquals(words[1], detector.state().name(), file + ":" + lineNumber + " " + detector);
-      } else if (words[0].equals("for")) {
-        for (int tick = 0; tick < Integer.parseInt(words[1]); tick++) {
-          for (int i = 2; i < words.length; i += 2) {
-            add(detector.tickCounts(), words[i], Integer.parseInt(words[i + 1]));
-          }
-          detector.tick();
-        }
-      } else {
-        assertEquals("#", words[0]);
+      switch (words[0]) {
+        case "expect" ->
+            assertEquals(
+                words[1], detector.state().name(), file + ":" + lineNumber + " " + detector);
+        case "for" -> feed(detector, Integer.parseInt(words[1]), parseCounts(words));
+        default -> assertEquals("#", words[0]);
       }
     }
   }
 
-  private static void add(OverloadDetector.TickCounts counts, String kind, int count) {
-    switch (kind) {
-      case "arrivals" -> counts.arrivals += count;
-      case "repeats" -> counts.repeats += count;
-      case "refused" -> counts.refused += count;
-      case "completed" -> counts.completed += count;
-      default -> throw new IllegalArgumentException(kind);
+  private static Map<String, Integer> parseCounts(String[] words) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 2; i < words.length; i += 2) {
+      assertTrue(KINDS.contains(words[i]), words[i]);
+      counts.put(words[i], Integer.parseInt(words[i + 1]));
+    }
+    return counts;
+  }
+
+  private static void feed(OverloadDetector detector, int ticks, Map<String, Integer> counts) {
+    int arrivals = counts.getOrDefault("arrivals", 0);
+    int repeats = counts.getOrDefault("repeats", 0);
+    assertTrue(repeats <= arrivals, "repeats are among the arrivals");
+    for (int tick = 0; tick < ticks; tick++) {
+      for (int i = 0; i < arrivals; i++) {
+        detector.recordArrival(i < repeats);
+      }
+      for (int i = 0; i < counts.getOrDefault("refused", 0); i++) {
+        detector.recordRefused();
+      }
+      for (int i = 0; i < counts.getOrDefault("completed", 0); i++) {
+        detector.recordCompleted();
+      }
+      detector.tick();
     }
   }
 }
