Overload: named constants, shorter methods and doc comments in the standalone classes

Comments of schedule, budgets, backoff, admission and settings were in house words, measured reasons stood behind the constants in riddles, decayedPeak stood twice, reserve took 40 lines.

--- a/router/src/main/java/rushwood/overload/ConnectBackoff.java
+++ b/router/src/main/java/rushwood/overload/ConnectBackoff.java
@@ -6,84 +6,93 @@
 import rushwood.api.HostId;
 
 /**
- * Paces connection attempts to hosts that do not take them: after a failure one attempt at a time,
- * with gaps that grow and differ from router to router, until one comes up. A dead host so costs a
- * bounded number of attempts a second whatever the load; and one that comes back is not met by
- * everything that waited for it.
+ * Limits connection attempts to hosts that accept none: after a failure one attempt at a time, at
+ * exponentially growing gaps with jitter, until one succeeds.
+ *
+ * <p>A host that is down costs a bounded number of attempts a second whatever the load, and one
+ * that comes back is not met by everything that waited for it.
  */
 public final class ConnectBackoff {
   private static final class HostBackoff {
-    int connecting;
-    long gapNanos;
-    long nextAttemptAt = Long.MIN_VALUE;
+    private int attemptsInFlight;
+    private long gapNanos = NO_GAP;
+    private long nextAttemptAt = Long.MIN_VALUE;
+
+    /** Whether an attempt failed and none has succeeded since. */
+    private boolean isBackingOff() {
+      return gapNanos != NO_GAP;
+    }
   }
 
-  private static final long FIRST_GAP_NANOS =
-      20_000_000L; // a listener that restarts is back within a few of them
-  private static final long MAX_GAP_NANOS =
-      500_000_000L; // as often as the decisions probe a host that is down
+  private static final long NO_GAP = 0;
+  // A listener that restarts is back within a few of them.
+  private static final long FIRST_GAP_NANOS = 20_000_000L;
+  // As often as the routing policy probes a host that is unreachable.
+  private static final long MAX_GAP_NANOS = 500_000_000L;
 
   private final Map<HostId, HostBackoff> backoffs = new LinkedHashMap<>();
   private final RandomGenerator random;
   private final boolean enabled;
 
+  /** Creates the backoff of all hosts; if not {@code enabled} every attempt is allowed. */
   public ConnectBackoff(RandomGenerator random, boolean enabled) {
     this.random = random;
     this.enabled = enabled;
   }
 
-  /** Whether an attempt may be made now. */
+  /** Whether an attempt may start now. */
   public boolean isAttemptAllowed(HostId host, long now) {
     HostBackoff backoff = backoffs.get(host);
     return !enabled
         || backoff == null
-        || backoff.gapNanos == 0
-        || backoff.connecting == 0 && now >= backoff.nextAttemptAt;
+        || !backoff.isBackingOff()
+        || backoff.attemptsInFlight == 0 && now >= backoff.nextAttemptAt;
   }
 
+  /** An attempt starts; one of the other three methods ends it. */
   public void attemptStarted(HostId host) {
     if (enabled) {
-      backoffs.computeIfAbsent(host, each -> new HostBackoff()).connecting++;
+      backoffs.computeIfAbsent(host, each -> new HostBackoff()).attemptsInFlight++;
     }
   }
 
+  /** An attempt succeeded: attempts are no longer limited. */
   public void attemptSucceeded(HostId host) {
-    HostBackoff backoff = finishAttempt(host);
+    HostBackoff backoff = endAttempt(host);
     if (backoff != null) {
-      backoff.gapNanos = 0;
+      backoff.gapNanos = NO_GAP;
     }
   }
 
+  /** An attempt failed. Attempts that started together fail together and count as one failure. */
   public void attemptFailed(HostId host, long now) {
-    HostBackoff backoff = finishAttempt(host);
-    if (backoff != null
-        && now
-            >= backoff
-                .nextAttemptAt) { // those that were begun together fail together, and are one sign
+    HostBackoff backoff = endAttempt(host);
+    if (backoff != null && now >= backoff.nextAttemptAt) {
       backoff.gapNanos = Math.min(MAX_GAP_NANOS, Math.max(FIRST_GAP_NANOS, 2 * backoff.gapNanos));
       backoff.nextAttemptAt = now + backoff.gapNanos / 2 + random.nextLong(backoff.gapNanos);
     }
   }
 
-  /** It was called off while it was coming up: that says nothing. */
+  /** An attempt was cancelled while it was in flight, which says nothing of the host. */
   public void attemptCancelled(HostId host) {
-    finishAttempt(host);
+    endAttempt(host);
   }
 
-  /** An attempt is over; null if its host has been forgotten meanwhile. */
-  private HostBackoff finishAttempt(HostId host) {
+  /** Returns the host's backoff, or null if the host was forgotten during the attempt. */
+  private HostBackoff endAttempt(HostId host) {
     HostBackoff backoff = backoffs.get(host);
     if (backoff != null) {
-      backoff.connecting = Math.max(0, backoff.connecting - 1);
+      backoff.attemptsInFlight = Math.max(0, backoff.attemptsInFlight - 1);
     }
     return backoff;
   }
 
+  /** Drops what is known of a host that left the endpoint list. */
   public void forget(HostId host) {
     backoffs.remove(host);
   }
 
-  public int hostCount() {
+  int hostCount() {
     return backoffs.size();
   }
 }
--- a/router/src/main/java/rushwood/overload/ConnectionAdmission.java
+++ b/router/src/main/java/rushwood/overload/ConnectionAdmission.java
@@ -1,47 +1,62 @@
 package rushwood.overload;
 
 /**
- * The house of client connections: who is let in, and who goes for one that comes. A connection
- * with an access, half a message or a booked return never goes; one that stays silent goes first,
- * then the one that rests longest. Who goes is asked only once all that came was read: a statement
- * may lie unread while this process has no CPU. Each place stands in one of four lists, so that
- * every call takes the same time however many there are.
+ * Decides which client connections may stay when there are as many as the router may hold, and
+ * which of the idle ones to close early.
+ *
+ * <p>A connection is never closed for another while it has a request, has sent a part of a message,
+ * or waits for the Retry-After time that its client was told. Connections without a first request
+ * are closed first, then those that have been idle longest.
+ *
+ * <p>Each connection is in the list of its state, so every call takes constant time, but for {@link
+ * #connectionToClose}, which moves connections whose Retry-After time is over.
  */
 public final class ConnectionAdmission {
-  /**
-   * What a connection is doing, in the order in which it may have to go: the silent first, the busy
-   * never.
-   */
+  /** What a connection does, in the order in which it may be closed. */
   public enum ConnectionState {
+    /** It has not sent a request since it was accepted. */
     NEW,
+    /** Its last request was answered. */
     IDLE,
+    /** Its last request was rejected with a Retry-After time. */
     AWAITING_RETRY,
+    /** It has a request, or has sent a part of a message; it is never closed. */
     BUSY
   }
 
-  /** A connection's place in the house. */
+  /** A connection that was admitted, as a node of the list of its state. */
   public static final class AdmittedConnection {
+    private final Object owner;
     private ConnectionState state;
     private long since;
     private AdmittedConnection previous;
     private AdmittedConnection next;
-    private final Object owner;
 
     private AdmittedConnection(Object owner) {
       this.owner = owner;
     }
 
-    /** Whatever the caller keeps there. */
+    /** The object that was given to {@link ConnectionAdmission#admit}. */
     public Object owner() {
       return owner;
     }
 
+    /** The state, or null once the connection was removed. */
     public ConnectionState state() {
       return state;
     }
+
+    private boolean isRemoved() {
+      return state == null;
+    }
+
+    /** Whether it has been in its state for that long. */
+    private boolean isUnchangedFor(long nanos, long now) {
+      return since <= now - nanos;
+    }
   }
 
-  /** A list of places, the one that came first at its head; the anchor stands for both ends. */
+  /** A doubly linked list, oldest first, closed to a ring by an anchor. */
   private static final class ConnectionList {
     private final AdmittedConnection anchor = new AdmittedConnection(null);
     private int length;
@@ -78,152 +93,167 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  // Between two accesses: longer let clients that ask once and stay shut others out, as three
-  // hundred a second did;
-  // harm: a client that comes back a moment later has to open another. Who comes is never left to
-  // wait for it
-  // unaccepted: that line is not seen, and was two seconds long when tried.
-  private static final long IDLE_MIN_NANOS = 100 * NANOS_PER_MILLI;
-  // Without its first statement, which in 1,700 of 1,770 connections came in the turn of the accept
-  // and in all others
-  // within 64 ms: after that it is a silent one. Harm: to clients on a slow way, while the house is
-  // full.
+  // An idle connection may be closed after this. With longer times, clients that send one request
+  // and keep the connection shut others out when 300 a second came. Harm: a client that has a
+  // second request a moment later connects again. Leaving new connections unaccepted instead was
+  // tried: the kernel's queue, which the router cannot see, grew to two seconds.
+  private static final long MIN_IDLE_NANOS = 100 * NANOS_PER_MILLI;
+  // A connection without its first request may be closed after this. Of 1,770 connections 1,700
+  // sent it in the event loop turn of the accept, all others within 64 ms. Harm: to clients on
+  // slow networks, while the router is at its limit.
   private static final long FIRST_REQUEST_TIMEOUT_NANOS = 150 * NANOS_PER_MILLI;
-  // Where fewer accesses than this share come on a connection that had one before, clients ask once
-  // and stay, and a
-  // front that lets a router have so many connections has none left: 124 rested there while 77% of
-  // the tries found no
-  // connection and half of our places were free. Then those that rest longer go unasked. Harm: none
-  // that was seen; a
-  // client that would have come back opens another.
+  // Where fewer than this share of the requests come on a connection that had one before, clients
+  // send one request and keep the connection, and a proxy that allows each router a number of
+  // connections has none left: 124 were idle while 77% of the tries found no connection and half
+  // of the router's descriptors were free. Idle connections are closed below the limit then. Harm:
+  // none was seen; a client that would have reused its connection opens another.
   private static final double MIN_REUSE_SHARE = 0.5;
-  private static final double REUSE_SMOOTHING_WEIGHT =
-      0.02; // weight of one access in that share: fifty back
-  private static final int IDLE_ALLOWANCE_DIVISOR =
-      8; // an eighth of the house may rest all the same: those are no crowd
-  private static final long RETURN_TOLERANCE_NANOS =
-      250 * NANOS_PER_MILLI; // a client that was told when to return may be this late: a guess
+  // Weight of the latest request in the reuse share: about fifty requests count.
+  private static final double REUSE_SMOOTHING_WEIGHT = 0.02;
+  // An eighth of the connections may be idle however rare reuse is.
+  private static final int IDLE_ALLOWANCE_DIVISOR = 8;
+  // How late a client may return after its Retry-After time; not measured.
+  private static final long RETURN_TOLERANCE_NANOS = 250 * NANOS_PER_MILLI;
 
   private final ConnectionList[] connectionsByState =
       new ConnectionList[ConnectionState.values().length];
   private final long maxRetryAfterNanos;
-  private int most;
+  private int maxConnections;
   private int openConnections;
   private double reuseShare = 1;
-  private boolean closing;
+  private boolean shuttingDown;
 
-  /** With the most connections, and the longest wait that a client can be told. */
+  /**
+   * Creates an admission without connections.
+   *
+   * @param maxConnections how many connections there may be
+   * @param maxRetryAfterNanos the longest Retry-After time that clients are told
+   */
   public ConnectionAdmission(int maxConnections, long maxRetryAfterNanos) {
-    this.most = maxConnections;
+    this.maxConnections = maxConnections;
     this.maxRetryAfterNanos = maxRetryAfterNanos;
     for (int i = 0; i < connectionsByState.length; i++) {
       connectionsByState[i] = new ConnectionList();
     }
   }
 
+  /** How many connections are admitted; may exceed the limit until the caller has closed some. */
   public int openConnections() {
     return openConnections;
   }
 
+  /** How many connections are in that state. */
+  public int openConnections(ConnectionState state) {
+    return inState(state).length;
+  }
+
+  /** How many connections there may be. */
   public int maxConnections() {
-    return most;
+    return maxConnections;
   }
 
-  /** The house may grow or shrink while it is open. */
+  /** Changes how many connections there may be, one at least. */
   public void setMaxConnections(int maxConnections) {
-    most = Math.max(1, maxConnections);
+    this.maxConnections = Math.max(1, maxConnections);
   }
 
-  public int openConnections(ConnectionState state) {
-    return connectionsByState[state.ordinal()].length;
+  /** Whether connections must be closed. */
+  public boolean isOverLimit() {
+    return openConnections > maxConnections;
   }
 
-  /** One that comes: it has a place until it leaves, or {@link #next} says that it goes. */
+  /** Admits a connection, also above the limit. The caller removes it when it closes. */
   public AdmittedConnection admit(Object owner, long now) {
     AdmittedConnection connection = new AdmittedConnection(owner);
     connection.state = ConnectionState.NEW;
     connection.since = now;
-    connectionsByState[ConnectionState.NEW.ordinal()].add(connection);
+    inState(ConnectionState.NEW).add(connection);
     openConnections++;
     return connection;
   }
 
   /**
-   * What it does from now on; the last in the order of those that do the same, if it began that
-   * just now.
+   * Sets what the connection does from now on; has no effect on a removed one. Setting the same
+   * state again starts it anew, except for {@code NEW}: there the time of the accept counts.
    */
   public void setState(AdmittedConnection connection, ConnectionState state, long now) {
-    if (connection.state == null) {
-      return; // it has left
+    boolean isStillNew = state == ConnectionState.NEW && connection.state == state;
+    if (connection.isRemoved() || isStillNew) {
+      return;
     }
-    boolean isUnchanged = state == ConnectionState.NEW && connection.state == state;
-    if (!isUnchanged) {
-      connectionsByState[connection.state.ordinal()].remove(connection);
-      connection.state = state;
-      connection.since = now;
-      connectionsByState[state.ordinal()].add(connection);
+    inState(connection.state).remove(connection);
+    connection.state = state;
+    connection.since = now;
+    inState(state).add(connection);
+  }
+
+  /** Removes a connection that is closed; has no effect on a removed one. */
+  public void remove(AdmittedConnection connection) {
+    if (connection.isRemoved()) {
+      return;
     }
+    inState(connection.state).remove(connection);
+    connection.state = null;
+    openConnections--;
   }
 
-  /** An access came on a connection, its first or a further one. */
+  /** A request arrived; {@code onUsedConnection} unless it is the first on its connection. */
   public void recordRequest(boolean onUsedConnection) {
     reuseShare += ((onUsedConnection ? 1 : 0) - reuseShare) * REUSE_SMOOTHING_WEIGHT;
   }
 
-  /** Whoever leaves now cannot come back: only the silent go for those that still come. */
+  /**
+   * From now on clients that lose a connection cannot open another here, so that only connections
+   * without a request are closed for others.
+   */
   public void startShutdown() {
-    closing = true;
+    shuttingDown = true;
   }
 
-  /** One that rests in vain and goes although there is room, or null. */
+  /** An idle connection to close although the limit is not reached, or null. */
   public AdmittedConnection idleToClose(long now) {
     boolean manyIdle =
-        openConnections(ConnectionState.IDLE) > most / IDLE_ALLOWANCE_DIVISOR
-            && reuseShare < MIN_REUSE_SHARE
-            && !closing;
-    AdmittedConnection longestIdle = connectionsByState[ConnectionState.IDLE.ordinal()].oldest();
-    return manyIdle && longestIdle.since <= now - IDLE_MIN_NANOS ? longestIdle : null;
-  }
-
-  public void remove(AdmittedConnection connection) {
-    if (connection.state != null) {
-      connectionsByState[connection.state.ordinal()].remove(connection);
-      connection.state = null;
-      openConnections--;
-    }
-  }
-
-  public boolean isOverLimit() {
-    return openConnections > most;
+        openConnections(ConnectionState.IDLE) > maxConnections / IDLE_ALLOWANCE_DIVISOR;
+    return manyIdle && reuseShare < MIN_REUSE_SHARE ? longestIdle(now) : null;
   }
 
   /**
-   * Who goes now that the house is overfull, or null if there is none that may: then the newest is
-   * to be refused. Ask only once all that had come was read, so that a statement on its way counts
-   * as heard.
+   * The connection to close while {@link #isOverLimit}, or null if none may be; then the newest is
+   * to be refused. Call this only after all sockets were read: under CPU shortage a first request
+   * may wait there unread.
    */
   public AdmittedConnection connectionToClose(long now) {
-    ConnectionList awaitingRetry = connectionsByState[ConnectionState.AWAITING_RETRY.ordinal()];
-    for (AdmittedConnection overdue = awaitingRetry.oldest();
-        overdue != null && overdue.since <= now - maxRetryAfterNanos - RETURN_TOLERANCE_NANOS;
-        overdue = awaitingRetry.oldest()) {
-      setState(
-          overdue,
-          ConnectionState.IDLE,
-          overdue.since + maxRetryAfterNanos); // its time has passed; it rests since then
-    }
-    AdmittedConnection oldestNew = connectionsByState[ConnectionState.NEW.ordinal()].oldest();
-    if (oldestNew != null && oldestNew.since <= now - FIRST_REQUEST_TIMEOUT_NANOS) {
+    endOverdueRetries(now);
+    AdmittedConnection oldestNew = inState(ConnectionState.NEW).oldest();
+    if (oldestNew != null && oldestNew.isUnchangedFor(FIRST_REQUEST_TIMEOUT_NANOS, now)) {
       return oldestNew;
     }
-    AdmittedConnection longestIdle = connectionsByState[ConnectionState.IDLE.ordinal()].oldest();
-    return longestIdle != null && !closing && longestIdle.since <= now - IDLE_MIN_NANOS
-        ? longestIdle
-        : null;
+    return longestIdle(now);
   }
 
-  /** The last to come of those that have said nothing yet, or null: there is no room for it. */
+  /** The newest connection without a request, which is to be refused, or null. */
   public AdmittedConnection newestWithoutRequest() {
-    return connectionsByState[ConnectionState.NEW.ordinal()].newest();
+    return inState(ConnectionState.NEW).newest();
+  }
+
+  private ConnectionList inState(ConnectionState state) {
+    return connectionsByState[state.ordinal()];
+  }
+
+  private AdmittedConnection longestIdle(long now) {
+    AdmittedConnection longestIdle = inState(ConnectionState.IDLE).oldest();
+    boolean mayClose =
+        longestIdle != null && !shuttingDown && longestIdle.isUnchangedFor(MIN_IDLE_NANOS, now);
+    return mayClose ? longestIdle : null;
+  }
+
+  /** Clients that did not return count as idle since the end of their Retry-After time. */
+  private void endOverdueRetries(long now) {
+    long overdueNanos = maxRetryAfterNanos + RETURN_TOLERANCE_NANOS;
+    AdmittedConnection oldest = inState(ConnectionState.AWAITING_RETRY).oldest();
+    while (oldest != null && oldest.isUnchangedFor(overdueNanos, now)) {
+      setState(oldest, ConnectionState.IDLE, oldest.since + maxRetryAfterNanos);
+      oldest = inState(ConnectionState.AWAITING_RETRY).oldest();
+    }
   }
 }
--- a/router/src/main/java/rushwood/overload/DescriptorBudget.java
+++ b/router/src/main/java/rushwood/overload/DescriptorBudget.java
@@ -1,65 +1,69 @@
 package rushwood.overload;
 
 /**
- * Divides the sockets that a process may hold between clients and hosts by what hosts turn out to
- * need: connections to hosts are busy and few, those of clients rest and are many, and a fixed
- * division left a third of the sockets unused while clients found no room. Hosts keep a quarter
- * above their late peak; what they need beyond that comes back to them as resting clients go.
+ * Divides the sockets that the process may hold between clients and backends, by what backends turn
+ * out to need.
+ *
+ * <p>Connections to backends are few and busy, those of clients are many and mostly idle. With a
+ * fixed division a third of the sockets stayed unused while clients were refused. Backends keep a
+ * quarter above their recent peak; if they need more, they get it as idle clients are closed.
  */
 public final class DescriptorBudget {
-  private static final int MIN_CLIENT_PARTS =
-      3; // of five at the least: clients hold idle connections, hosts busy ones
+  // Clients have three fifths of the sockets at least, whatever backends use.
+  private static final int MIN_CLIENT_PARTS = 3;
   private static final int PARTS = 5;
-  private static final int MIN_BACKEND_DIVISOR =
-      8; // an eighth is for hosts whatever they use: a start, an outage's first moment
-  private static final double PEAK_HEADROOM =
-      1.25; // of the peak: a burst finds room before clients have gone
-  private static final long PEAK_HALF_LIFE_NANOS =
-      10_000_000_000L; // half of a peak is forgotten in so long: a calm stretch
+  // Backends have an eighth whatever they use: at a start, or in the first moment of an outage.
+  private static final int MIN_BACKEND_DIVISOR = 8;
+  // Above the peak, so that a burst finds room before clients are closed.
+  private static final double PEAK_HEADROOM = 1.25;
+  private static final long PEAK_HALF_LIFE_NANOS = 10_000_000_000L;
+  // Beyond so many half-lives nothing is left of a peak, however long ago it was.
+  private static final double MAX_HALF_LIVES = 64;
 
   private final int total;
   private double backendPeak;
   private long backendPeakAt = Long.MIN_VALUE / 2;
-  private int hosts;
-  private int clients;
+  private int openBackends;
+  private int openClients;
 
+  /** Creates the budget of {@code total} sockets, five at least. */
   public DescriptorBudget(int total) {
     this.total = Math.max(PARTS, total);
   }
 
+  /** Reports how many connections to backends are open or opening. */
   public void setOpenBackends(int open, long now) {
-    hosts = open;
-    double decayedPeak =
-        backendPeak
-            * Math.pow(0.5, Math.min(64, (double) (now - backendPeakAt) / PEAK_HALF_LIFE_NANOS));
-    if (open >= decayedPeak) {
+    openBackends = open;
+    if (open >= decayedPeak(now)) {
       backendPeak = open;
       backendPeakAt = now;
     }
   }
 
+  /** Reports how many connections of clients are open. */
   public void setOpenClients(int open) {
-    clients = open;
+    openClients = open;
   }
 
-  /** How many clients may be here now. */
+  /** How many connections of clients there may be now. */
   public int maxClients(long now) {
-    double decayedPeak =
-        backendPeak
-            * Math.pow(0.5, Math.min(64, (double) (now - backendPeakAt) / PEAK_HALF_LIFE_NANOS));
-    int reserved =
-        (int)
-            Math.ceil(
-                Math.max(
-                    (double) total / MIN_BACKEND_DIVISOR,
-                    Math.max(hosts, decayedPeak) * PEAK_HEADROOM));
-    return Math.max(total * MIN_CLIENT_PARTS / PARTS, total - reserved);
+    double neededByBackends = Math.max(openBackends, decayedPeak(now)) * PEAK_HEADROOM;
+    double minForBackends = (double) total / MIN_BACKEND_DIVISOR;
+    int reserved = (int) Math.ceil(Math.max(minForBackends, neededByBackends));
+    return Math.max(minClients(), total - reserved);
   }
 
-  /**
-   * How many connections to hosts there may be now: their part, and what clients leave of the rest.
-   */
+  /** How many connections to backends there may be: what clients leave, one at least. */
   public int maxBackends() {
-    return Math.max(1, total - Math.max(clients, total * MIN_CLIENT_PARTS / PARTS));
+    return Math.max(1, total - Math.max(openClients, minClients()));
+  }
+
+  private int minClients() {
+    return total * MIN_CLIENT_PARTS / PARTS;
+  }
+
+  private double decayedPeak(long now) {
+    double halfLives = (double) (now - backendPeakAt) / PEAK_HALF_LIFE_NANOS;
+    return backendPeak * Math.pow(0.5, Math.min(MAX_HALF_LIVES, halfLives));
   }
 }
--- a/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
+++ b/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
@@ -3,25 +3,31 @@
 import java.util.Arrays;
 
 /**
- * When those that are turned back are to return: a wheel of slots ahead of now, each with as many
- * places as hosts are expected to get through in it. A booking takes the first slot with a place
- * for its kind; the wait that is told is the way to there. When no place is left it is the longest
- * wait, and not booked. Memory is fixed: slots that have passed are used again.
+ * Spreads the times at which rejected clients return: a wheel of slots ahead of now, each with room
+ * for as many requests as the hosts are expected to serve in it.
+ *
+ * <p>A reservation takes the first slot with room, and its wait is the time until then. Where no
+ * slot has room the wait is the maximum, without a reservation. Writes may use all of a slot, other
+ * requests leave a part of it free; one group leaves half of it to the others while there are any.
+ * Memory is fixed: slots of the past are reused.
  */
 public final class RetryAfterSchedule {
-  /** A wait in nanoseconds; {@code booked} if a place was kept for it. */
+  /** A wait in nanoseconds; {@code reserved} if a slot has room for its request then. */
   public record Reservation(long waitNanos, boolean reserved) {}
 
-  public static final long SLOT_NANOS =
-      10_000_000L; // finer than any wait told matters, coarser than a turn of the loop
+  /** The length of a slot: finer than clients' waits need, coarser than a turn of the loop. */
+  public static final long SLOT_NANOS = 10_000_000L;
 
-  private static final int SHARES =
-      32; // groups by their number's rest: two that share one share its part too
-  private static final double MAX_SHARE_OF_ONE =
-      0.5; // of a slot's places for one group, once others came lately
-  private static final double LOW_PRIORITY_PART =
-      0.75; // of a slot's places for accesses that earn little: some stay for the rest
-  private static final long RECENT_NANOS = 2_000_000_000L; // another group was heard: a few waits
+  // Groups are told apart by their number modulo this; groups that collide share their part.
+  private static final int SHARES = 32;
+  // The part of a slot that one group may take while others reserve too.
+  private static final double MAX_PART_OF_ONE_GROUP = 0.5;
+  // The part of a slot that requests of low priority may take.
+  private static final double LOW_PRIORITY_PART = 0.75;
+  // A group counts as active for so long after a reservation: a few waits.
+  private static final long ACTIVE_NANOS = 2_000_000_000L;
+  // Slots that one reservation takes at most: 1 / MIN_CAPACITY_PER_SLOT.
+  private static final double MIN_CAPACITY_PER_SLOT = 1e-3;
 
   private final int slotCount;
   private final long maxWaitNanos;
@@ -31,7 +37,7 @@
   private final long[] lastReservedAt = new long[SHARES];
   private double capacityPerSlot;
 
-  /** With the longest wait that may be told, in nanoseconds. */
+  /** Creates an empty schedule that tells no wait longer than {@code maxWaitNanos}. */
   public RetryAfterSchedule(long maxWaitNanos) {
     this.maxWaitNanos = maxWaitNanos;
     slotCount = (int) Math.max(1, maxWaitNanos / SLOT_NANOS);
@@ -41,57 +47,82 @@
     Arrays.fill(lastReservedAt, Long.MIN_VALUE / 2);
   }
 
+  /** Bytes held by the slots, whether they are used or not. */
   public long memoryBytes() {
-    return (long) (slotCount + 1) * (4 + 4 * SHARES + 8) + 8 * SHARES;
+    int bytesPerSlot = Integer.BYTES + Integer.BYTES * SHARES + Long.BYTES;
+    return (long) (slotCount + 1) * bytesPerSlot + Long.BYTES * SHARES;
   }
 
-  /** How many accesses hosts are expected to get through in a second. */
+  /** Sets how many requests a second the hosts are expected to serve; 0 if that is unknown. */
   public void setExpectedRate(double requestsPerSecond) {
     capacityPerSlot = requestsPerSecond * SLOT_NANOS / 1e9;
   }
 
   /**
-   * Books a return. {@code ahead} accesses wait here already and come first; {@code high}: it earns
-   * as much as any; {@code leavesIn}: how long its client may be back, which one with little time
-   * left gets nothing beyond.
+   * Reserves the return of a request in the first slot that has room for it.
+   *
+   * @param group the number of its group
+   * @param highPriority whether it may use all of a slot
+   * @param waitingRequests how many requests wait here already and are served first
+   * @param clientMaxWaitNanos the longest wait after which its client may still return
    */
   public Reservation reserve(
-      long now, int group, boolean highPriority, double ahead, long maxWait) {
+      long now, int group, boolean highPriority, double waitingRequests, long clientMaxWaitNanos) {
     int share = Math.floorMod(group, SHARES);
     lastReservedAt[share] = now;
-    boolean others = false;
-    for (int i = 0; i < SHARES && !others; i++) {
-      others = i != share && lastReservedAt[i] > now - RECENT_NANOS;
-    }
     double capacity = capacityPerSlot * (highPriority ? 1 : LOW_PRIORITY_PART);
-    double shareCapacity = others ? capacityPerSlot * MAX_SHARE_OF_ONE : capacity;
-    long first =
-        now / SLOT_NANOS
-            + 1
-            + (capacityPerSlot > 0
-                ? (long) Math.min(slotCount, ahead / capacityPerSlot)
-                : slotCount);
-    long last = now / SLOT_NANOS + Math.min(slotCount, Math.max(1, maxWait / SLOT_NANOS));
+    double shareCapacity =
+        isAnotherActive(now, share) ? capacityPerSlot * MAX_PART_OF_ONE_GROUP : capacity;
+    long current = now / SLOT_NANOS;
+    long first = current + 1 + slotsUntilServed(waitingRequests);
+    long last = current + Math.min(slotCount, Math.max(1, clientMaxWaitNanos / SLOT_NANOS));
     for (long slot = first; slot <= last; slot++) {
-      int index = slotIndex(slot);
-      // Where less than one fits into a slot it is booked by the first that comes and counts for
-      // the next.
-      if (reservedInSlot[index] + 1 <= Math.max(1, capacity)
-          && reservedByShare[index][share] + 1 <= Math.max(1, shareCapacity)) {
-        long lastOfReservation =
-            Math.min(last, slot + (long) Math.ceil(1 / Math.max(1e-3, capacityPerSlot)) - 1);
-        for (long each = slot; each <= Math.max(slot, lastOfReservation); each++) {
-          reservedInSlot[slotIndex(each)]++;
-          reservedByShare[slotIndex(each)][share]++;
-        }
-        return new Reservation(
-            Math.min(maxWaitNanos, Math.max(SLOT_NANOS, slot * SLOT_NANOS - now)), true);
+      if (hasRoom(slot, share, capacity, shareCapacity)) {
+        occupy(slot, last, share);
+        long waitNanos = Math.max(SLOT_NANOS, slot * SLOT_NANOS - now);
+        return new Reservation(Math.min(maxWaitNanos, waitNanos), true);
       }
     }
     return new Reservation(maxWaitNanos, false);
   }
 
-  /** Where a slot is kept; what stood there for one that has passed is gone. */
+  private boolean isAnotherActive(long now, int share) {
+    for (int i = 0; i < SHARES; i++) {
+      if (i != share && lastReservedAt[i] > now - ACTIVE_NANOS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private long slotsUntilServed(double waitingRequests) {
+    return capacityPerSlot > 0
+        ? (long) Math.min(slotCount, waitingRequests / capacityPerSlot)
+        : slotCount;
+  }
+
+  /** Whether one more fits; a slot has room for one at least, however slow the hosts are. */
+  private boolean hasRoom(long slot, int share, double capacity, double shareCapacity) {
+    int index = slotIndex(slot);
+    return reservedInSlot[index] + 1 <= Math.max(1, capacity)
+        && reservedByShare[index][share] + 1 <= Math.max(1, shareCapacity);
+  }
+
+  /**
+   * Takes room for one request: where less than one fits into a slot, in as many slots as the hosts
+   * need to serve it.
+   */
+  private void occupy(long slot, long last, int share) {
+    double capacity = Math.max(MIN_CAPACITY_PER_SLOT, capacityPerSlot);
+    long end = Math.min(last, slot + (long) Math.ceil(1 / capacity) - 1);
+    for (long each = slot; each <= Math.max(slot, end); each++) {
+      int index = slotIndex(each);
+      reservedInSlot[index]++;
+      reservedByShare[index][share]++;
+    }
+  }
+
+  /** The index of a slot in the wheel; clears it where a slot of the past is still there. */
   private int slotIndex(long slot) {
     int index = (int) (slot % (slotCount + 1));
     if (slotNumbers[index] != slot) {
--- a/router/src/main/java/rushwood/overload/RetryBudget.java
+++ b/router/src/main/java/rushwood/overload/RetryBudget.java
@@ -1,45 +1,50 @@
 package rushwood.overload;
 
 /**
- * How many further shots there may be: a share of the first ones, and a few a second whatever
- * comes.
+ * Limits retries to a share of the first attempts and a number a second that is always allowed: a
+ * token bucket in which each first attempt puts a part of a token and each retry takes one.
  */
 public final class RetryBudget {
+  // Two seconds of the constant rate may be saved: the failure of a host breaks many attempts at
+  // once.
+  private static final double SAVED_SECONDS = 2;
+  private static final double MIN_CAPACITY = 10;
+  private static final long NEVER = Long.MIN_VALUE;
+
   private final double tokensPerFirstAttempt;
   private final double tokensPerSecond;
   private final double maxTokens;
   private double tokens;
-  private long refilledAt = Long.MIN_VALUE;
+  private long refilledAt = NEVER;
 
-  /** With the share of first shots, and the floor a second. */
+  /** Creates a full bucket. */
   public RetryBudget(double tokensPerFirstAttempt, double tokensPerSecond) {
     this.tokensPerFirstAttempt = tokensPerFirstAttempt;
     this.tokensPerSecond = tokensPerSecond;
-    maxTokens =
-        Math.max(
-            10,
-            tokensPerSecond
-                * 2); // two seconds of the floor may be saved: a host's death breaks many at once
+    maxTokens = Math.max(MIN_CAPACITY, tokensPerSecond * SAVED_SECONDS);
     tokens = maxTokens;
   }
 
+  /** A first attempt was sent. */
   public void recordFirstAttempt(long now) {
     refill(now);
     tokens = Math.min(maxTokens, tokens + tokensPerFirstAttempt);
   }
 
+  /** A retry was sent, whether it was allowed or not. */
   public void recordRetry(long now) {
     refill(now);
     tokens = Math.max(0, tokens - 1);
   }
 
+  /** Whether there is a token for a retry; takes none. */
   public boolean isRetryAllowed(long now) {
     refill(now);
     return tokens >= 1;
   }
 
   private void refill(long now) {
-    if (refilledAt != Long.MIN_VALUE && now > refilledAt) {
+    if (refilledAt != NEVER && now > refilledAt) {
       tokens = Math.min(maxTokens, tokens + tokensPerSecond * (now - refilledAt) / 1e9);
     }
     refilledAt = Math.max(refilledAt, now);
--- a/router/src/main/java/rushwood/overload/package-info.java
+++ b/router/src/main/java/rushwood/overload/package-info.java
@@ -1,6 +1,14 @@
 /**
- * Storms: seen, damped towards hosts, told to clients. No I/O, no threads and no clock: time is
- * passed in, chance is seeded. The decisions ask it through rushwood.api.Crowd, the network code
- * asks it at the door and before dialling.
+ * Overload control: detects overload, limits retries and connection attempts towards hosts, and
+ * tells clients when to come back.
+ *
+ * <p>{@link rushwood.overload.OverloadController} decorates the routing policy, which asks it
+ * through {@link rushwood.api.OverloadSignals}. {@link rushwood.overload.ConnectionAdmission},
+ * {@link rushwood.overload.ConnectBackoff} and {@link rushwood.overload.DescriptorBudget} are asked
+ * by the network code.
+ *
+ * <p>The package does no I/O, starts no threads and reads no clock: callers pass the time in
+ * nanoseconds on a clock that never goes back, and a seeded random generator. No class is
+ * thread-safe; all belong to the event loop that calls them.
  */
 package rushwood.overload;
