Overload tests: one subject a file, a fixture for the controller

OverloadStructuresTest held five subjects, ConnectionAdmissionTest a second one, and OverloadControllerTest its fixture and the ambiguous writes. 29 tests before and after, with the same checks; two tests of the controller are renamed by what they show.

--- /dev/null
+++ b/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
@@ -0,0 +1,209 @@
+package rushwood.overload;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.HostRole;
+import rushwood.api.LoadReport;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingSettings;
+import rushwood.api.ZoneId;
+import rushwood.policy.DefaultRoutingPolicy;
+
+/**
+ * An overload controller in front of the default routing policy, with a primary {@code hN} in each
+ * group N, a clock that the test moves, and a record of all actions and log lines.
+ */
+final class OverloadControllerFixture {
+  private static final long MS = 1_000_000L;
+  static final RequestClass PAYMENT =
+      new RequestClass(
+          "pay",
+          0,
+          750 * MS,
+          RequestClass.Idempotency.NON_IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
+          5000 * MS,
+          true,
+          RequestClass.Consistency.EVENTUAL,
+          0,
+          0);
+  static final RequestClass READ =
+      new RequestClass(
+          "any",
+          1,
+          400 * MS,
+          RequestClass.Idempotency.IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
+          0,
+          false,
+          RequestClass.Consistency.EVENTUAL,
+          0,
+          0);
+  private static final RoutingSettings SETTINGS =
+      new RoutingSettings(
+          1,
+          List.of(PAYMENT, READ),
+          false,
+          RoutingSettings.LaggingReadBehavior.REJECTS,
+          false,
+          false,
+          false,
+          true,
+          true,
+          500 * MS,
+          10,
+          5 * MS,
+          true,
+          0.15,
+          14_000 * MS,
+          4,
+          1000 * MS,
+          10_000 * MS);
+
+  final OverloadController controller;
+  private final List<String> recorded = new ArrayList<>();
+  private long now = 1_000_000 * MS;
+  private int nextId;
+
+  private final class RecordingActions implements PolicyActions {
+    @Override
+    public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {
+      recorded.add("send " + request + " " + host);
+    }
+
+    @Override
+    public void cancel(RequestId request, int attemptNumber) {
+      recorded.add("cancel " + request);
+    }
+
+    @Override
+    public void reject(RequestId request, long retryAfterNanos) {
+      recorded.add("reject " + request + " " + retryAfterNanos / MS);
+    }
+
+    @Override
+    public void fail(RequestId request) {
+      recorded.add("fail " + request);
+    }
+
+    @Override
+    public void probe(HostId host) {}
+
+    @Override
+    public void wakeAt(long time) {}
+
+    @Override
+    public void subscribeToEndpoints() {}
+
+    @Override
+    public void log(String line) {
+      recorded.add(line);
+    }
+  }
+
+  OverloadControllerFixture(boolean failAmbiguousWrites, int groups) {
+    controller =
+        new OverloadController(
+            SETTINGS,
+            new OverloadSettings(true, true, 0.2, 10, failAmbiguousWrites),
+            new ConnectBackoff(new SplittableRandom(1), true),
+            new RecordingActions(),
+            (overloadSignals, observedActions) ->
+                new DefaultRoutingPolicy(
+                    SETTINGS, new SplittableRandom(2), observedActions, overloadSignals));
+    List<Endpoint> endpoints = new ArrayList<>();
+    for (int i = 0; i < groups; i++) {
+      endpoints.add(
+          new Endpoint(
+              new HostId("h" + i),
+              new GroupId(i),
+              new ZoneId(""),
+              1,
+              0,
+              true,
+              Endpoint.State.READY));
+    }
+    controller.endpointsReplaced(now, endpoints, true);
+  }
+
+  long now() {
+    return now;
+  }
+
+  void advanceMillis(long millis) {
+    now += millis * MS;
+  }
+
+  /**
+   * What was recorded since the start or the last {@link #clearRecord}: a verb and its arguments.
+   */
+  List<String> recorded() {
+    return List.copyOf(recorded);
+  }
+
+  List<String> recorded(String verb) {
+    return recorded.stream().filter(each -> each.startsWith(verb)).toList();
+  }
+
+  void clearRecord() {
+    recorded.clear();
+  }
+
+  /** Whether the request was sent to the host of that group. */
+  boolean wasSent(String id, int group) {
+    return recorded.contains("send " + id + " h" + group);
+  }
+
+  boolean wasFailed(String id) {
+    return recorded.contains("fail " + id);
+  }
+
+  /** A request with a deadline in one second arrives; returns its new id. */
+  String receive(RequestClass requestClass, int group, long fingerprint) {
+    String id = "a" + nextId++;
+    controller.requestReceived(
+        now,
+        new Request(
+            new RequestId(id),
+            requestClass,
+            null,
+            new GroupId(group),
+            now + 1000 * MS,
+            0,
+            fingerprint,
+            0));
+    return id;
+  }
+
+  void finishAttempt(String id, int group, AttemptOutcome outcome, boolean requestFinished) {
+    controller.attemptFinished(
+        now,
+        new AttemptResult(
+            new RequestId(id),
+            0,
+            new HostId("h" + group),
+            outcome,
+            10 * MS,
+            requestFinished,
+            HostRole.UNKNOWN,
+            -1,
+            LoadReport.NONE));
+  }
+
+  void disconnect(String id) {
+    controller.clientDisconnected(now, new RequestId(id));
+  }
+
+  void fireTimer() {
+    controller.timerFired(now);
+  }
+}
--- /dev/null
+++ b/router/src/test/java/rushwood/overload/RetryBudgetTest.java
@@ -0,0 +1,28 @@
+package rushwood.overload;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+  private static final long MS = 1_000_000L;
+
+  /** A fifth of the first attempts, and at most ten a second and the initial tokens on top. */
+  @Test
+  void retriesStayWithinBudget() {
+    RetryBudget budget = new RetryBudget(0.2, 10);
+    int retries = 0;
+    for (int i = 0; i < 10_000; i++) {
+      long at = i * MS;
+      budget.recordFirstAttempt(at);
+      for (int j = 0; j < 3; j++) {
+        if (budget.isRetryAllowed(at)) {
+          budget.recordRetry(at);
+          retries++;
+        }
+      }
+    }
+    assertTrue(
+        retries >= 2000 && retries <= 2000 + 100 + 20, retries + " for 10,000 in ten seconds");
+  }
+}
