--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,16 @@
-.PHONY: build test lint run tools
+.PHONY: build test lint format run tools
 
 build: # the jar and its libraries in router/target/
 	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
-test: # every test; no network but loopback
+test: # every test and check; no network but loopback
 	mvn -B verify
 
-lint: # every compiler warning is an error
-	mvn -B -q clean test-compile
+lint: # every check without the tests: compiler, format, Checkstyle, Error Prone
+	mvn -B -DskipTests verify
+
+format: # google-java-format over all sources
+	mvn -B -q spotless:apply
 
 run: build # one router, told by NODE_CONFIG
 	$$(sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
