--- a/cli/src/main/java/rushwood/cli/TestbedRunCommand.java
+++ b/cli/src/main/java/rushwood/cli/TestbedRunCommand.java
@@ -13,7 +13,7 @@
 import rushwood.testbed.load.Experiment;
 import rushwood.testbed.load.ExperimentResult;
 import rushwood.testbed.load.SocketExperiment;
-import rushwood.testbed.load.SocketExperiment.RouterBuild;
+import rushwood.testbed.standin.RouterProcess;
 
 /** {@code testbed run}: an experiment on sockets, once for each combination of jar and settings. */
 @Command(
@@ -51,7 +51,8 @@
     Map<String, ExperimentResult> results = new LinkedHashMap<>();
     for (String jar : jars) {
       for (String settingsFile : settings) {
-        RouterBuild build = new RouterBuild(existingJar(jar), flags, valueOf(settingsFile), cpus);
+        RouterProcess.Build build =
+            new RouterProcess.Build(existingJar(jar), flags, valueOf(settingsFile), cpus);
         String label = labelOf(jar) + (settings.size() > 1 ? " " + labelOf(settingsFile) : "");
         results.put(label, new SocketExperiment(experiment, build).run());
       }
--- a/cli/src/main/java/rushwood/cli/TestbedVirtualCommand.java
+++ b/cli/src/main/java/rushwood/cli/TestbedVirtualCommand.java
@@ -44,8 +44,10 @@
     Map<String, ExperimentResult> results = new LinkedHashMap<>();
     for (int count : counts) {
       Experiment sized = experiment.withRouters(count);
-      results.put(count + " routers, with", new Simulation(sized, OverloadSettings.DEFAULT).run());
-      results.put(count + " routers, without", new Simulation(sized, null).run());
+      results.put(
+          count + " routers, with",
+          Simulation.withOverloadControl(sized, OverloadSettings.DEFAULT).run());
+      results.put(count + " routers, without", Simulation.withoutOverloadControl(sized).run());
     }
     report.write(experiment.name(), results);
     return 0;
--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -36,8 +36,8 @@
 import rushwood.policy.DefaultRoutingPolicy;
 
 /**
- * What the storm module costs an access: the decisions behind it against the decisions alone, and
- * its parts.
+ * What overload control costs a request: the routing policy behind it against the policy alone, and
+ * its two parts that work on every request. Nanoseconds a request; run by JMH's main class.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
@@ -47,7 +47,7 @@
 @Measurement(iterations = 3, time = 1)
 public class OverloadBenchmark {
   private static final long MS = 1_000_000L;
-  private static final HostId ENDPOINT = new HostId("a");
+  private static final HostId HOST = new HostId("a");
   private static final GroupId GROUP = new GroupId(1);
   private static final RequestClass REQUEST_CLASS =
       new RequestClass(
@@ -82,32 +82,37 @@
           1000 * MS,
           10_000 * MS);
 
-  private final RepeatSketch repeatSketch = new RepeatSketch(1 << 14, 1000 * MS);
+  // The sketch holds fewer fingerprints than cells, as in a router.
+  private static final int SKETCH_CELLS = 1 << 14;
+  private static final long FINGERPRINT_MASK = 4095;
+  private static final double EXPECTED_RATE = 1000;
+
+  private final RepeatSketch repeatSketch = new RepeatSketch(SKETCH_CELLS, 1000 * MS);
   private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule(500 * MS);
   private RoutingPolicy policyAlone;
   private RoutingPolicy policyWithOverloadControl;
   private long now = 1_000_000 * MS;
   private long nextRequestNumber;
 
-  /** Hears everything and does nothing. */
+  /** Takes every decision and does nothing. */
   private static final class IgnoredActions implements PolicyActions {
     @Override
-    public void send(RequestId access, HostId host, long timeOut, long beginWithin) {}
+    public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {}
 
     @Override
-    public void cancel(RequestId access, int shot) {}
+    public void cancel(RequestId request, int attemptNumber) {}
 
     @Override
-    public void reject(RequestId access, long advice) {}
+    public void reject(RequestId request, long retryAfterNanos) {}
 
     @Override
-    public void fail(RequestId access) {}
+    public void fail(RequestId request) {}
 
     @Override
     public void probe(HostId host) {}
 
     @Override
-    public void wakeAt(long at) {}
+    public void wakeAt(long time) {}
 
     @Override
     public void subscribeToEndpoints() {}
@@ -116,8 +121,9 @@
     public void log(String line) {}
   }
 
+  /** Creates both policies with one host that is ready. */
   @Setup
-  public void start() {
+  public void setUp() {
     policyAlone =
         new DefaultRoutingPolicy(
             SETTINGS,
@@ -130,54 +136,50 @@
             OverloadSettings.DEFAULT,
             new ConnectBackoff(new SplittableRandom(1), true),
             new IgnoredActions(),
-            (crowd, outlet) ->
-                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), outlet, crowd));
-    for (RoutingPolicy each : List.of(policyAlone, policyWithOverloadControl)) {
-      each.endpointsReplaced(
+            (signals, actions) ->
+                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), actions, signals));
+    for (RoutingPolicy policy : List.of(policyAlone, policyWithOverloadControl)) {
+      policy.endpointsReplaced(
           now,
-          List.of(new Endpoint(ENDPOINT, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
+          List.of(new Endpoint(HOST, GROUP, new ZoneId(""), 1, 0, true, Endpoint.State.READY)),
           true);
     }
-    retryAfterSchedule.setExpectedRate(1000);
+    retryAfterSchedule.setExpectedRate(EXPECTED_RATE);
   }
 
-  private void handleOneRequest(RoutingPolicy decisions) {
+  private void handleOneRequest(RoutingPolicy policy) {
     now += MS;
     RequestId id = new RequestId(Long.toString(nextRequestNumber++));
-    decisions.requestReceived(
+    policy.requestReceived(
         now, new Request(id, REQUEST_CLASS, null, GROUP, now + 1000 * MS, 0, nextRequestNumber, 0));
-    decisions.attemptFinished(
+    policy.attemptFinished(
         now,
         new AttemptResult(
-            id,
-            0,
-            ENDPOINT,
-            AttemptOutcome.SUCCESS,
-            MS,
-            true,
-            HostRole.UNKNOWN,
-            -1,
-            LoadReport.NONE));
-    decisions.timerFired(now);
+            id, 0, HOST, AttemptOutcome.SUCCESS, MS, true, HostRole.UNKNOWN, -1, LoadReport.NONE));
+    policy.timerFired(now);
   }
 
+  /** A request through the routing policy alone. */
   @Benchmark
   public void requestThroughPolicyAlone() {
     handleOneRequest(policyAlone);
   }
 
+  /** A request through overload control and the routing policy. */
   @Benchmark
   public void requestThroughOverloadControl() {
     handleOneRequest(policyWithOverloadControl);
   }
 
+  /** Counting a fingerprint and looking another one up. */
   @Benchmark
   public int countRepeat() {
     now += MS / 10;
-    repeatSketch.add(nextRequestNumber++ & 4095, now);
-    return repeatSketch.count(nextRequestNumber & 4095, now);
+    repeatSketch.add(nextRequestNumber++ & FINGERPRINT_MASK, now);
+    return repeatSketch.count(nextRequestNumber & FINGERPRINT_MASK, now);
   }
 
+  /** Reserving a time to come back. */
   @Benchmark
   public long reserveRetryAfter() {
     now += MS;
--- a/testbed/src/main/java/rushwood/testbed/load/RouterSettings.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterSettings.java
@@ -1,38 +1,38 @@
 package rushwood.testbed.load;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import rushwood.testbed.standin.Loopback;
 
 /**
- * The settings of a router of the laboratory, on sockets and in virtual time, as its configuration
- * has them.
+ * The configuration of the testbed's routers. Its request classes are {@code pass}, a read with
+ * bounded staleness; {@code any}, an eventual read; {@code pay}, a write that must not run twice;
+ * and {@code mark}, a write with an idempotency key.
  */
 public final class RouterSettings {
   private RouterSettings() {}
 
-  public static ObjectNode json(Experiment experiment) {
-    ObjectNode settings = json(experiment.routerCount());
-    if (experiment.settings() != null) {
-      settings.setAll((ObjectNode) experiment.settings());
-    }
+  /** The settings of the experiment's routers. */
+  public static ObjectNode forExperiment(Experiment experiment) {
+    ObjectNode settings = forCluster(experiment.routerCount());
+    settings.setAll((ObjectNode) experiment.settings());
     return settings;
   }
 
-  /** For so many routers, all else as usual. */
-  public static ObjectNode json(int routers) {
+  /** The settings of each of so many routers. */
+  public static ObjectNode forCluster(int routerCount) {
     ObjectNode settings = JsonNodeFactory.instance.objectNode();
     ArrayNode classes = settings.putArray("classes");
     addRequestClass(classes, "pass", 0.4, 1.5, "repeatable");
     addRequestClass(classes, "pay", 0.75, 5, "once");
     addRequestClass(classes, "any", 1.0, 5, "repeatable");
     addRequestClass(classes, "mark", 0.75, 5, "by_key");
-    settings.put("discovery", "automatic").put("n_instances", routers);
+    settings.put("discovery", "automatic").put("n_instances", routerCount);
     settings.put("resolution", 0.005);
-    ObjectNode domain = settings.putObject("domain");
-    domain.put("behind", "reject").put("token_mode", "client");
-    domain.putArray("lag_allowed").add(0.5).add(0.0).add(0.0).add(0.0);
-    domain.putArray("needs_by_class").add("recent").add("update").add("loose").add("update");
+    addDomain(settings.putObject("domain"));
     settings
         .putObject("limits")
         .put("conn_idle", 30.0)
@@ -55,15 +55,44 @@
     return settings;
   }
 
+  /** Consistency of the classes, in their order. */
+  private static void addDomain(ObjectNode domain) {
+    domain.put("behind", "reject").put("token_mode", "client");
+    domain.putArray("lag_allowed").add(0.5).add(0.0).add(0.0).add(0.0);
+    domain.putArray("needs_by_class").add("recent").add("update").add("loose").add("update");
+  }
+
   private static void addRequestClass(
-      ArrayNode classes, String name, double aim, double deadline, String semantics) {
+      ArrayNode classes,
+      String name,
+      double objectiveSeconds,
+      double deadlineSeconds,
+      String semantics) {
     classes
         .addObject()
         .put("name", name)
-        .put("aim", aim)
-        .put("deadline", deadline)
+        .put("aim", objectiveSeconds)
+        .put("deadline", deadlineSeconds)
         .put("semantics", semantics)
         .put("key_scope", "all")
         .put("window", 5.0);
   }
+
+  /** The configuration file of one router. */
+  static ObjectNode configuration(
+      String name,
+      InetSocketAddress listen,
+      InetSocketAddress discovery,
+      long seed,
+      int maxSockets,
+      JsonNode settings) {
+    ObjectNode json = JsonNodeFactory.instance.objectNode();
+    json.put("name", name)
+        .put("listen", Loopback.format(listen))
+        .put("discovery", Loopback.format(discovery))
+        .put("seed", Long.toHexString(seed));
+    json.putObject("limits").put("sockets", maxSockets);
+    json.set("settings", settings);
+    return json;
+  }
 }
--- /dev/null
+++ b/testbed/src/main/java/rushwood/testbed/load/ScheduledEvent.java
@@ -0,0 +1,82 @@
+package rushwood.testbed.load;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Something that happens during an experiment.
+ *
+ * @param seconds when, from the experiment's start
+ * @param host the id of the host that it happens to; null if it happens to none
+ */
+public record ScheduledEvent(
+    @JsonProperty("at") double seconds, @JsonProperty("what") Type type, String host) {
+
+  /** What may happen. */
+  public enum Type {
+    @JsonProperty("die")
+    CRASH,
+    @JsonProperty("start")
+    RESTART,
+    @JsonProperty("promote")
+    PROMOTE,
+    @JsonProperty("demote")
+    DEMOTE,
+    @JsonProperty("hang")
+    HANG,
+    @JsonProperty("wake")
+    RESUME,
+    @JsonProperty("silence")
+    SILENCE_DISCOVERY,
+    @JsonProperty("list")
+    PUBLISH_ENDPOINTS,
+    @JsonProperty("term")
+    TERMINATE_ROUTER
+  }
+
+  /** What carries out events; one method for each type. */
+  public interface Handler {
+    /** The host's process ends. */
+    void crash(String host);
+
+    /** The host's process starts anew. */
+    void restart(String host);
+
+    /** The host becomes its group's primary, the group's others become replicas. */
+    void promote(String host);
+
+    /** The host becomes a replica. */
+    void demote(String host);
+
+    /** From now on the host answers nothing, or answers again. */
+    void setHung(String host, boolean hung);
+
+    /** Discovery tells of no more changes. */
+    void silenceDiscovery();
+
+    /** Discovery tells the endpoint list with its present roles. */
+    void publishEndpoints();
+
+    /** The router gets SIGTERM. */
+    void terminateRouter();
+  }
+
+  /** When it happens, in nanoseconds from the experiment's start. */
+  public long nanos() {
+    return Experiment.nanos(seconds);
+  }
+
+  /** Has the handler carry it out. */
+  public void applyTo(Handler handler) {
+    switch (type) {
+      case CRASH -> handler.crash(host);
+      case RESTART -> handler.restart(host);
+      case PROMOTE -> handler.promote(host);
+      case DEMOTE -> handler.demote(host);
+      case HANG -> handler.setHung(host, true);
+      case RESUME -> handler.setHung(host, false);
+      case SILENCE_DISCOVERY -> handler.silenceDiscovery();
+      case PUBLISH_ENDPOINTS -> handler.publishEndpoints();
+      case TERMINATE_ROUTER -> handler.terminateRouter();
+    }
+  }
+}
--- a/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
@@ -1,13 +1,10 @@
 package rushwood.testbed.load;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -19,25 +16,24 @@
 import java.util.function.LongSupplier;
 import rushwood.testbed.model.HostModel;
 import rushwood.testbed.model.WriteLedger;
+import rushwood.testbed.standin.Loopback;
 import rushwood.testbed.standin.RouterProcess;
 import rushwood.testbed.standin.StandinDiscovery;
 import rushwood.testbed.standin.StandinHost;
+import rushwood.testbed.standin.Statement;
 
-/** Plays an experiment on loopback sockets against one router in a process of its own. */
+/**
+ * Runs an experiment on loopback sockets against one router in a process of its own. Hosts,
+ * discovery and clients live on one event loop of this process. An instance runs once.
+ */
 public final class SocketExperiment {
-  /**
-   * What a router is started from: its jar, the flags of its virtual machine, its settings, its
-   * cores.
-   */
-  public record RouterBuild(Path jar, List<String> flags, String settings, String cpus) {}
-
-  private static final String LOOPBACK = "127.0.0.1";
-  private static final long START_DELAY_NANOS =
-      600_000_000L; // between the router's start and the first event
-  private static final long SAMPLE_INTERVAL_NANOS = 100_000_000L;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long START_DELAY_NANOS = 600 * NANOS_PER_MILLI; // for the router to settle
+  private static final long SAMPLE_INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
 
   private final Experiment experiment;
-  private final RouterBuild build;
+  private final RouterProcess.Build build;
   private final ExperimentResult result;
   private final WriteLedger ledger = new WriteLedger();
   private final Map<String, StandinHost> hosts = new LinkedHashMap<>();
@@ -45,81 +41,48 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
-  private final LongSupplier clock;
-  private StandinDiscovery discovery;
+  private final LongSupplier clock = unixNanoClock();
+  private final StandinDiscovery discovery = new StandinDiscovery(loop);
   private RouterProcess router;
   private long startNanos;
 
-  public SocketExperiment(Experiment experiment, RouterBuild build) {
+  /** An experiment with a router of that build. */
+  public SocketExperiment(Experiment experiment, RouterProcess.Build build) {
     this.experiment = experiment;
     this.build = build;
     result = new ExperimentResult(experiment.name());
-    Instant start = Instant.now();
-    long origin = start.getEpochSecond() * 1_000_000_000L + start.getNano() - System.nanoTime();
-    clock = () -> origin + System.nanoTime();
   }
 
-  /** Plays it; takes as long as the experiment lasts, or until every client has its end. */
+  /** A clock of Unix time that never goes back. */
+  private static LongSupplier unixNanoClock() {
+    Instant now = Instant.now();
+    long unixNanos = now.getEpochSecond() * NANOS_PER_SECOND + now.getNano();
+    long origin = unixNanos - System.nanoTime();
+    return () -> origin + System.nanoTime();
+  }
+
+  /**
+   * Runs until every client is served or has given up, or the experiment's time is over.
+   *
+   * @throws IOException if the router does not start
+   */
   public ExperimentResult run() throws IOException, InterruptedException {
-    Path config = null;
+    Path configFile = Files.createTempFile("router", ".json");
     try {
-      discovery = new StandinDiscovery(loop);
       InetSocketAddress discoveryAddress = discovery.listen();
-      int seed = 0;
-      for (Experiment.HostSpec each : experiment.hosts()) {
-        HostModel model =
-            new HostModel(each.modelParameters(), each.primary(), experiment.seed() * 31 + seed++);
-        model.crashOnOverload(each.tips());
-        StandinHost host =
-            new StandinHost(
-                each.id(),
-                model,
-                loop,
-                clock,
-                (statement, told) -> {
-                  if (statement.write()) {
-                    int client = Integer.parseInt(statement.key().substring(1));
-                    ledger.recordExecution(client, statement.commentValue("id"));
-                  }
-                });
-        host.listen();
-        hosts.put(each.id(), host);
-        publish(each, "Ready", 0);
-      }
-      InetSocketAddress listen;
-      try (ServerSocket free = new ServerSocket(0)) {
-        listen = new InetSocketAddress(LOOPBACK, free.getLocalPort());
-      }
-      config = Files.createTempFile("router", ".json");
-      Files.writeString(config, routerConfiguration(discoveryAddress, listen));
-      router =
-          new RouterProcess(
-              build.jar(), build.flags(), config, build.settings(), listen, build.cpus());
+      startHosts();
+      InetSocketAddress listen = Loopback.freeAddress();
+      Files.writeString(configFile, routerConfiguration(listen, discoveryAddress));
+      router = new RouterProcess(build, configFile, listen);
       startNanos = clock.getAsLong() + START_DELAY_NANOS;
-      int firstClientNumber = 0;
-      for (Experiment.PopulationSpec each : experiment.clients()) {
-        populations.add(
-            new ClientPopulation(
-                each,
-                firstClientNumber,
-                loop,
-                clock,
-                startNanos,
-                listen,
-                experiment.seed() + firstClientNumber,
-                result,
-                ledger));
-        firstClientNumber += each.count();
-      }
+      createPopulations(listen);
       loop.submit(this::scheduleAll).sync();
       awaitEnd();
       loop.submit(this::reportFigures).sync();
       result.readCounters(router.stop());
       return result;
     } finally {
-      if (config != null) {
-        Files.deleteIfExists(config);
-      }
+      Files.deleteIfExists(configFile);
       if (router != null) {
         router.close();
       }
@@ -129,12 +92,52 @@
     }
   }
 
+  private void startHosts() throws InterruptedException {
+    for (int i = 0; i < experiment.hosts().size(); i++) {
+      HostSpec spec = experiment.hosts().get(i);
+      HostModel model = experiment.newHostModel(i);
+      StandinHost host = new StandinHost(spec.id(), model, loop, clock, this::recordExecution);
+      host.listen();
+      hosts.put(spec.id(), host);
+      publish(spec);
+    }
+  }
+
+  private void recordExecution(Statement statement) {
+    if (statement.isWrite()) {
+      int client = Integer.parseInt(statement.key().substring(1));
+      ledger.recordExecution(client, statement.commentValue("id"));
+    }
+  }
+
+  private String routerConfiguration(InetSocketAddress listen, InetSocketAddress discoveryAddress) {
+    return RouterSettings.configuration(
+            "r0",
+            listen,
+            discoveryAddress,
+            experiment.seed(),
+            experiment.maxSockets(),
+            RouterSettings.forExperiment(experiment))
+        .toString();
+  }
+
+  private void createPopulations(InetSocketAddress routerAddress) {
+    LoadContext context = new LoadContext(loop, clock, startNanos, routerAddress, result, ledger);
+    int firstClientNumber = 0;
+    for (PopulationSpec spec : experiment.populations()) {
+      long seed = experiment.seed() + firstClientNumber;
+      populations.add(new ClientPopulation(spec, firstClientNumber, seed, context));
+      firstClientNumber += spec.count();
+    }
+  }
+
   private void scheduleAll() {
     populations.forEach(ClientPopulation::scheduleArrivals);
-    for (Experiment.ScheduledEvent event : experiment.eventsInOrder()) {
+    EventHandler handler = new EventHandler();
+    for (ScheduledEvent event : experiment.events()) {
       loop.schedule(
-          () -> apply(event),
-          startNanos + Experiment.nanos(event.at()) - clock.getAsLong(),
+          () -> event.applyTo(handler),
+          startNanos + event.nanos() - clock.getAsLong(),
           TimeUnit.NANOSECONDS);
     }
     loop.scheduleAtFixedRate(
@@ -142,68 +145,35 @@
   }
 
   private void awaitEnd() throws InterruptedException {
-    long end = startNanos + Experiment.nanos(experiment.lasts());
+    long end = startNanos + experiment.durationNanos();
     while (clock.getAsLong() < end
         && populations.stream().mapToInt(ClientPopulation::unfinished).sum() > 0) {
-      Thread.sleep(SAMPLE_INTERVAL_NANOS / 1_000_000);
-    }
-  }
-
-  private void apply(Experiment.ScheduledEvent event) {
-    StandinHost host = hosts.get(event.host());
-    switch (event.what()) {
-      case "die" -> host.crash();
-      case "start" -> host.restart();
-      case "promote" -> {
-        hosts.values().stream()
-            .filter(each -> groupOf(each) == groupOf(host))
-            .forEach(each -> each.model().setPrimary(each == host));
-      }
-      case "demote" -> host.model().setPrimary(false);
-      case "hang" -> host.model().setHung(true);
-      case "wake" -> host.model().setHung(false);
-      case "silence" -> discovery.setSilent(true);
-      case "list" -> {
-        discovery.setSilent(false);
-        experiment.hosts().forEach(each -> publish(each, "Ready", 0));
-      }
-      case "term" -> router.terminate();
-      default -> throw new IllegalStateException(event.what());
+      Thread.sleep(SAMPLE_INTERVAL_NANOS / NANOS_PER_MILLI);
     }
   }
 
-  private int groupOf(StandinHost host) {
-    return experiment.hosts().stream()
-        .filter(each -> each.id().equals(host.id()))
-        .findFirst()
-        .orElseThrow()
-        .group();
-  }
-
-  private void publish(Experiment.HostSpec host, String state, long startedMillis) {
-    InetSocketAddress address = hosts.get(host.id()).address();
+  private void publish(HostSpec spec) {
+    StandinHost host = hosts.get(spec.id());
     discovery.publish(
         new StandinDiscovery.Entry(
-            host.id(),
-            LOOPBACK + ":" + address.getPort(),
-            host.group(),
-            state,
+            spec.id(),
+            Loopback.format(host.address()),
+            spec.group(),
+            "Ready",
             1,
-            startedMillis,
-            hosts.get(host.id()).model().isPrimary() ? "master" : "replica"));
+            0,
+            host.model().isPrimary() ? "master" : "replica"));
   }
 
   private void sample() {
-    long elapsed = clock.getAsLong() - startNanos;
-    hosts.forEach(
-        (id, host) -> {
-          result.addToSeries(
-              "in work at " + id, elapsed, host.model().activeRequests(clock.getAsLong()));
-          result.addToSeries(
-              "warmth of " + id,
-              elapsed,
-              host.model().isUp() ? host.model().relativeSpeed(clock.getAsLong()) : 0);
-        });
+    long now = clock.getAsLong();
+    hosts.forEach((id, host) -> sample(id, host.model(), now));
+  }
+
+  private void sample(String id, HostModel model, long now) {
+    long elapsed = now - startNanos;
+    result.addToSeries(ReportNames.activeRequestsSeries(id), elapsed, model.activeRequests(now));
+    result.addToSeries("warmth of " + id, elapsed, model.isUp() ? model.relativeSpeed(now) : 0);
   }
 
   private void reportFigures() {
@@ -218,22 +188,66 @@
           result.recordFigure(id + ".accepted", host.acceptedConnections());
           result.recordFigure(id + ".overfull", host.overloadedReplies());
         });
-    result.recordFigure("doubled_tries", ledger.duplicatedTries());
-    result.recordFigure("doubled_writes", ledger.duplicatedWrites());
+    result.recordDuplicates(ledger);
     result.recordFigure("untrue_answers", ledger.falseSuccesses());
-    for (double percent : new double[] {50, 95, 99, 100}) {
-      result.recordFigure("done_p" + (int) percent, result.completionPercentile(percent));
-    }
+    result.recordCompletionPercentiles();
     result.recordFigure("router_cpu_seconds", router.cpuNanos() / 1e9);
   }
 
-  private String routerConfiguration(InetSocketAddress discoveryAddress, InetSocketAddress listen) {
-    ObjectNode json = JsonNodeFactory.instance.objectNode();
-    json.put("name", "r0").put("listen", LOOPBACK + ":" + listen.getPort());
-    json.put("discovery", LOOPBACK + ":" + discoveryAddress.getPort())
-        .put("seed", Long.toHexString(experiment.seed()));
-    json.putObject("limits").put("sockets", experiment.maxSockets());
-    json.set("settings", RouterSettings.json(experiment));
-    return json.toString();
+  /** Carries out the experiment's events, on the event loop. */
+  private final class EventHandler implements ScheduledEvent.Handler {
+    @Override
+    public void crash(String host) {
+      hosts.get(host).crash();
+    }
+
+    @Override
+    public void restart(String host) {
+      hosts.get(host).restart();
+    }
+
+    @Override
+    public void promote(String host) {
+      int group = groupOf(host);
+      for (HostSpec spec : experiment.hosts()) {
+        if (spec.group() == group) {
+          hosts.get(spec.id()).model().setPrimary(spec.id().equals(host));
+        }
+      }
+    }
+
+    private int groupOf(String host) {
+      return experiment.hosts().stream()
+          .filter(spec -> spec.id().equals(host))
+          .findFirst()
+          .orElseThrow()
+          .group();
+    }
+
+    @Override
+    public void demote(String host) {
+      hosts.get(host).model().setPrimary(false);
+    }
+
+    @Override
+    public void setHung(String host, boolean hung) {
+      hosts.get(host).model().setHung(hung);
+    }
+
+    @Override
+    public void silenceDiscovery() {
+      discovery.setSilent(true);
+    }
+
+    @Override
+    public void publishEndpoints() {
+      discovery.setSilent(false);
+      experiment.hosts().forEach(SocketExperiment.this::publish);
+    }
+
+    @Override
+    public void terminateRouter() {
+      router.terminate();
+    }
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -1,30 +1,31 @@
 package rushwood.testbed.load;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import rushwood.testbed.standin.MessageCodec;
+import rushwood.testbed.standin.Loopback;
+import rushwood.testbed.standin.MessageEncoder;
+import rushwood.testbed.standin.ProtocolMessage;
 import rushwood.testbed.standin.Statement;
 
 /**
- * Clients of one router that ask evenly, on as many connections as it takes; what was asked and
- * answered is counted.
+ * Reads sent to one router at even intervals, on as many connections as it takes, and counted by
+ * what came of them. All methods are called on the event loop.
  */
 public final class SteadyLoad {
-  private static final int ANSWER_TIMEOUT_MILLIS = 2000; // ms for each answer
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final int ANSWER_TIMEOUT_MILLIS = 2000;
+  private static final int KEYS = 100;
+  private static final int BUFFER_BYTES = 256;
 
-  private final String name;
+  private final String idPrefix;
   private final EventLoop loop;
   private final InetSocketAddress router;
   private final String requestClass;
@@ -35,39 +36,42 @@
   private long failed;
   private long connectionsLost;
 
-  /** {@code name} begins the id of each of its accesses. */
-  public SteadyLoad(String name, EventLoop loop, InetSocketAddress router, String requestClass) {
-    this.name = name;
+  /** The id of each request begins with {@code idPrefix}. */
+  public SteadyLoad(
+      String idPrefix, EventLoop loop, InetSocketAddress router, String requestClass) {
+    this.idPrefix = idPrefix;
     this.loop = loop;
     this.router = router;
     this.requestClass = requestClass;
   }
 
+  /** Begins to send. */
   public void start(int requestsPerSecond) {
-    sendTask =
-        loop.scheduleAtFixedRate(
-            this::sendNext, 0, 1_000_000_000L / requestsPerSecond, TimeUnit.NANOSECONDS);
+    long interval = NANOS_PER_SECOND / requestsPerSecond;
+    sendTask = loop.scheduleAtFixedRate(this::sendNext, 0, interval, TimeUnit.NANOSECONDS);
   }
 
-  /** No more is asked; what is open stays. */
+  /** Stops sending; connections stay open. */
   public void pause() {
     sendTask.cancel(false);
   }
 
+  /** Requests that were sent. */
   public long sent() {
     return sent;
   }
 
+  /** Requests that were answered with a row. */
   public long succeeded() {
     return succeeded;
   }
 
-  /** Told an error: turned back, given up or not taken. */
+  /** Requests that were answered with an error. */
   public long failed() {
     return failed;
   }
 
-  /** Without an answer when the connection ended, or when it could not be opened. */
+  /** Requests whose connection ended before the answer, or could not be opened. */
   public long connectionsLost() {
     return connectionsLost;
   }
@@ -81,34 +85,26 @@
     connection.send();
   }
 
-  private final class Connection extends SimpleChannelInboundHandler<MessageCodec.Message> {
+  /** A connection that has one request at a time. */
+  private final class Connection extends SimpleChannelInboundHandler<ProtocolMessage> {
     private Channel channel;
     private boolean ready;
     private boolean awaitingAnswer;
     private boolean errorReceived;
 
     private void connect() {
-      new Bootstrap()
-          .group(loop)
-          .channel(NioSocketChannel.class)
-          .option(ChannelOption.TCP_NODELAY, true)
-          .handler(
-              new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel made) {
-                  channel = made;
-                  made.pipeline().addLast(new MessageCodec(false), Connection.this);
-                }
-              })
-          .connect(router)
-          .addListener(
-              done -> {
-                if (!done.isSuccess()) {
-                  connectionEnded();
-                }
-              });
+      channel =
+          Loopback.connect(loop, router, this)
+              .addListener(
+                  connecting -> {
+                    if (!connecting.isSuccess()) {
+                      connectionEnded();
+                    }
+                  })
+              .channel();
     }
 
+    /** Sends a request, or will as soon as the router is ready for the first one. */
     private void send() {
       awaitingAnswer = true;
       errorReceived = false;
@@ -118,37 +114,41 @@
     }
 
     private void writeQuery() {
-      ByteBuf out = channel.alloc().buffer(256);
-      MessageCodec.write(
+      ByteBuf out = channel.alloc().buffer(BUFFER_BYTES);
+      MessageEncoder.writeQuery(
           out,
-          'Q',
           Statement.format(
-                  false, "k" + sent % 100, name + sent, requestClass, ANSWER_TIMEOUT_MILLIS, 0)
-              + "\0");
+              false, "k" + sent % KEYS, idPrefix + sent, requestClass, ANSWER_TIMEOUT_MILLIS, 0));
       sent++;
       channel.writeAndFlush(out);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-      ByteBuf out = context.alloc().buffer(64);
-      MessageCodec.writeStartup(out);
+      ByteBuf out = context.alloc().buffer(BUFFER_BYTES);
+      MessageEncoder.writeStartup(out);
       context.writeAndFlush(out);
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, MessageCodec.Message message) {
-      if (message.type() == 'E') {
+    protected void channelRead0(ChannelHandlerContext context, ProtocolMessage message) {
+      if (message.type() == ProtocolMessage.ERROR_RESPONSE) {
         errorReceived = true;
-      } else if (message.type() == 'Z' && !ready) {
+      } else if (message.type() == ProtocolMessage.READY_FOR_QUERY) {
+        handleReady();
+      }
+    }
+
+    private void handleReady() {
+      if (!ready) {
         ready = true;
         writeQuery();
-      } else if (message.type() == 'Z') {
-        awaitingAnswer = false;
-        succeeded += errorReceived ? 0 : 1;
-        failed += errorReceived ? 1 : 0;
-        idle.push(this);
+        return;
       }
+      awaitingAnswer = false;
+      succeeded += errorReceived ? 0 : 1;
+      failed += errorReceived ? 1 : 0;
+      idle.push(this);
     }
 
     private void connectionEnded() {
--- a/testbed/src/main/java/rushwood/testbed/load/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/load/package-info.java
@@ -1,2 +1,2 @@
-/** Experiments on sockets: their file, the clients, the run and its result. */
+/** Experiments: their files, the clients, runs on sockets against router processes, and results. */
 package rushwood.testbed.load;
--- a/testbed/src/main/java/rushwood/testbed/model/HostModel.java
+++ b/testbed/src/main/java/rushwood/testbed/model/HostModel.java
@@ -6,13 +6,29 @@
 import java.util.SplittableRandom;
 
 /**
- * A host of the store as it behaves under load: slots that work, a line before them, a cold start,
- * death and hang, a role and a position. It has no clock and no threads; whoever asks it passes the
- * time, which never goes back. How long a shot takes is known when it is taken, so that no events
- * are needed inside.
+ * A database server under load: a number of slots that work, a queue before them, a slow start
+ * after a restart, crash and hang, a role and a replication position.
+ *
+ * <p>It has no clock and no threads: callers pass the time, in nanoseconds, which never goes back.
+ * When a request completes is decided as it is accepted, so the model needs no events of its own;
+ * the same seed and the same calls give the same answers.
  */
 public final class HostModel {
-  /** What it is made of. Times in nanoseconds; {@code rate} in accesses a second when warm. */
+  /** How old the data of a {@link RequestKind#BOUNDED_READ} may be, in nanoseconds. */
+  public static final long MAX_STALENESS = 500_000_000L;
+
+  /**
+   * The capacity of a host.
+   *
+   * @param rate requests a second once it is warm, over all slots
+   * @param slots requests that it works on at once
+   * @param queue requests that may wait for a slot
+   * @param coldStartSpeed share of its warm speed right after a restart
+   * @param warmupNanos time from a restart until it is warm; the speed grows linearly
+   * @param overloadMultiple how many times its present speed it bears while it warms up
+   * @param overloadWindowNanos over which time that is measured; 0 for not at all
+   * @param lagNanos how far it is behind the primary as a replica
+   */
   public record Parameters(
       double rate,
       int slots,
@@ -23,6 +39,7 @@
       long overloadWindowNanos,
       long lagNanos) {}
 
+  /** Whether a host takes a request, and why not. */
   public enum OfferStatus {
     ACCEPTED,
     OVERLOADED,
@@ -31,29 +48,39 @@
     NO_RESPONSE
   }
 
-  /** What becomes of a shot: when it is done, if it is taken. */
+  /**
+   * A host's reaction to a request.
+   *
+   * @param completesAt when an accepted request is done; {@code Long.MAX_VALUE} without a response
+   */
   public record OfferResult(OfferStatus status, long completesAt) {}
 
   private record RecentWork(long at, long durationNanos) {}
 
   private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final OfferResult NO_RESPONSE =
+      new OfferResult(OfferStatus.NO_RESPONSE, Long.MAX_VALUE);
+
+  // Service times are spread evenly around their mean, since those of real statements differ.
+  private static final double SHORTEST_SERVICE = 0.75;
+  private static final double SERVICE_SPREAD = 0.5;
 
   private final Parameters parameters;
   private final SplittableRandom random;
   private final long[] slotFreeAt;
-  private final Deque<Long> completionTimes = new ArrayDeque<>(); // of what it holds, in no order
+  private final Deque<Long> completionTimes = new ArrayDeque<>(); // of accepted requests, unordered
   private final Deque<RecentWork> recentWork = new ArrayDeque<>();
   private boolean primary;
   private boolean up = true;
   private boolean hung;
   private long startedAt = NEVER;
-  private long lagsSince;
   private int incarnation;
   private double recentWorkNanos;
   private double worstColdOverload;
   private boolean crashOnOverload;
   private int overloadCrashes;
 
+  /** Creates a warm host that is up. */
   public HostModel(Parameters parameters, boolean primary, long seed) {
     this.parameters = parameters;
     this.primary = primary;
@@ -61,41 +88,46 @@
     slotFreeAt = new long[parameters.slots()];
   }
 
-  /** Whether it falls over when it is pushed past its multiple; else that is only noted. */
+  /** Sets whether it crashes when it is overloaded while it warms up; else that is only noted. */
   public void crashOnOverload(boolean crash) {
     crashOnOverload = crash;
   }
 
+  /** Whether its process runs. */
   public boolean isUp() {
     return up;
   }
 
+  /** Whether it takes writes. */
   public boolean isPrimary() {
     return primary;
   }
 
-  /** Which of its processes is running: what an earlier one was asked comes to nothing. */
+  /** Counts crashes and restarts: a request of an earlier incarnation is never answered. */
   public int incarnation() {
     return incarnation;
   }
 
+  /** How often it crashed of overload. */
   public int overloadCrashes() {
     return overloadCrashes;
   }
 
   /**
-   * The most work that was sent to it cold within a window, over what that window may bring: 1 is
-   * the bound.
+   * The most work that came within a window while it warmed up, as a share of what it bears in that
+   * window; above 1 it was overloaded.
    */
   public double worstColdOverload() {
     return worstColdOverload;
   }
 
+  /** Ends its process. */
   public void crash() {
     up = false;
     incarnation++;
   }
 
+  /** Starts its process anew: cold and with nothing to do. */
   public void restart(long now) {
     up = true;
     incarnation++;
@@ -107,78 +139,85 @@
     recentWorkNanos = 0;
   }
 
+  /** While it hangs it answers nothing that comes. */
   public void setHung(boolean hung) {
     this.hung = hung;
   }
 
+  /** Makes it the primary or a replica. */
   public void setPrimary(boolean primary) {
     this.primary = primary;
   }
 
-  /** The share of its warm speed that it has at that time. */
+  /** Its speed at that time as a share of its speed when warm. */
   public double relativeSpeed(long now) {
     if (startedAt == NEVER || parameters.warmupNanos() <= 0) {
       return 1;
     }
-    double age = (double) (now - startedAt) / parameters.warmupNanos();
+    double warmedShare = (double) (now - startedAt) / parameters.warmupNanos();
     return Math.min(
-        1, parameters.coldStartSpeed() + (1 - parameters.coldStartSpeed()) * Math.max(0, age));
+        1,
+        parameters.coldStartSpeed() + (1 - parameters.coldStartSpeed()) * Math.max(0, warmedShare));
   }
 
+  /** Whether it is slower than when warm. */
   public boolean isWarmingUp(long now) {
     return relativeSpeed(now) < 1;
   }
 
-  /** The time it stands at: a primary at the present, a replica behind. */
+  /**
+   * How far it has applied the log, as a time: a primary up to now, a replica up to its lag ago.
+   */
   public long position(long now) {
     return primary ? now : now - parameters.lagNanos();
   }
 
+  /** Accepted requests that are not done by that time. */
   public int activeRequests(long now) {
-    completionTimes.removeIf(done -> done <= now);
+    completionTimes.removeIf(completesAt -> completesAt <= now);
     return completionTimes.size();
   }
 
-  /**
-   * A shot whose last byte arrives now; {@code bound} is how old its data may be, 0 for the
-   * present, -1 for any.
-   */
-  public OfferResult offer(long now, boolean write, long maxStaleness) {
+  /** A request whose last byte arrives now. */
+  public OfferResult offer(long now, RequestKind kind) {
     if (!up || hung) {
-      return new OfferResult(OfferStatus.NO_RESPONSE, Long.MAX_VALUE);
+      return NO_RESPONSE;
     }
     long serviceNanos = (long) (parameters.slots() / parameters.rate() * 1e9);
     trackColdLoad(now, serviceNanos);
     if (!up) {
-      return new OfferResult(OfferStatus.NO_RESPONSE, Long.MAX_VALUE);
+      return NO_RESPONSE;
     }
-    if (write && !primary) {
+    if (kind == RequestKind.WRITE && !primary) {
       return new OfferResult(OfferStatus.NOT_PRIMARY, now);
     }
-    if (!write && !primary && maxStaleness >= 0 && parameters.lagNanos() > maxStaleness) {
+    if (kind == RequestKind.BOUNDED_READ && !primary && parameters.lagNanos() > MAX_STALENESS) {
       return new OfferResult(OfferStatus.REPLICA_LAGGING, now);
     }
     if (activeRequests(now) >= parameters.slots() + parameters.queue()) {
       return new OfferResult(OfferStatus.OVERLOADED, now);
     }
-    int slot = 0;
-    for (int i = 1; i < slotFreeAt.length; i++) {
-      slot = slotFreeAt[i] < slotFreeAt[slot] ? i : slot;
-    }
+    return accept(now, serviceNanos);
+  }
+
+  private OfferResult accept(long now, long serviceNanos) {
+    int slot = earliestFreeSlot();
     long startsAt = Math.max(now, slotFreeAt[slot]);
-    double spread =
-        0.75
-            + 0.5
-                * random.nextDouble(); // around the mean: real statements differ, and seeds repeat
+    double spread = SHORTEST_SERVICE + SERVICE_SPREAD * random.nextDouble();
     slotFreeAt[slot] = startsAt + (long) (serviceNanos * spread / relativeSpeed(startsAt));
     completionTimes.add(slotFreeAt[slot]);
     return new OfferResult(OfferStatus.ACCEPTED, slotFreeAt[slot]);
   }
 
-  /**
-   * Keeps the work sent within the window against multiple x present speed x window, the fourth
-   * rule's measure.
-   */
+  private int earliestFreeSlot() {
+    int earliest = 0;
+    for (int i = 1; i < slotFreeAt.length; i++) {
+      earliest = slotFreeAt[i] < slotFreeAt[earliest] ? i : earliest;
+    }
+    return earliest;
+  }
+
+  /** Compares the work sent within the window with multiple x present speed x window. */
   private void trackColdLoad(long now, long serviceNanos) {
     if (!isWarmingUp(now) || parameters.overloadWindowNanos() <= 0) {
       return;
@@ -188,13 +227,13 @@
     while (recentWork.peek().at() <= now - parameters.overloadWindowNanos()) {
       recentWorkNanos -= recentWork.poll().durationNanos();
     }
-    double bound =
+    double bearableNanos =
         parameters.overloadMultiple()
             * relativeSpeed(now)
             * parameters.slots()
             * parameters.overloadWindowNanos();
-    worstColdOverload = Math.max(worstColdOverload, recentWorkNanos / bound);
-    if (crashOnOverload && recentWorkNanos > bound) {
+    worstColdOverload = Math.max(worstColdOverload, recentWorkNanos / bearableNanos);
+    if (crashOnOverload && recentWorkNanos > bearableNanos) {
       overloadCrashes++;
       crash();
     }
--- a/testbed/src/main/java/rushwood/testbed/model/RetryBehavior.java
+++ b/testbed/src/main/java/rushwood/testbed/model/RetryBehavior.java
@@ -1,36 +1,42 @@
 package rushwood.testbed.model;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.SplittableRandom;
 
-/** How a client comes back after a try that brought nothing. */
+/** How a client retries after a try that was rejected or failed; in files as {@code manners}. */
 public enum RetryBehavior {
-  /** Waits as told, else a jittered, doubling pause. */
-  POLITE,
+  /** Waits as long as Retry-After says; without one, for a jittered exponential backoff. */
+  @JsonProperty("polite")
+  HONORS_RETRY_AFTER,
   /**
-   * A doubling pause without jitter, whatever it is told: all that start together come back
-   * together.
+   * Exponential backoff without jitter, whatever Retry-After says: clients that start together come
+   * back together.
    */
-  ONE_CLOCK,
-  /** At once, whatever it is told. */
-  RUDE;
+  @JsonProperty("one_clock")
+  SYNCHRONIZED_BACKOFF,
+  /** At once, whatever Retry-After says. */
+  @JsonProperty("rude")
+  IMMEDIATE;
 
   private static final long MS = 1_000_000L;
-  private static final long FIRST_BACKOFF =
-      50 * MS; // of the doubling pause: what client libraries do when told nothing
+  private static final long FIRST_BACKOFF = 50 * MS; // common in client libraries
   private static final long MAX_BACKOFF = 2000 * MS;
-  private static final long IMMEDIATE_DELAY =
-      5 * MS; // a rude one is a loop with a round trip in it
+  private static final int MAX_DOUBLINGS = 10; // keeps the shift from overflowing
+  private static final long IMMEDIATE_DELAY = 5 * MS; // a loop with a round trip in it
 
   /**
-   * Nanoseconds until the next try; {@code told} is 0 if no wait was told, {@code tried} counts
-   * from 1.
+   * Nanoseconds until the next try.
+   *
+   * @param triesMade how many tries there have been, at least 1
+   * @param retryAfter the wait that the rejection asked for in nanoseconds, 0 for none
    */
   public long retryDelay(int triesMade, long retryAfter, SplittableRandom random) {
-    long doubling = Math.min(MAX_BACKOFF, FIRST_BACKOFF << Math.min(10, triesMade - 1));
+    long backoff = Math.min(MAX_BACKOFF, FIRST_BACKOFF << Math.min(MAX_DOUBLINGS, triesMade - 1));
     return switch (this) {
-      case POLITE -> retryAfter > 0 ? retryAfter : doubling / 2 + random.nextLong(doubling);
-      case ONE_CLOCK -> doubling;
-      case RUDE -> IMMEDIATE_DELAY;
+      case HONORS_RETRY_AFTER ->
+          retryAfter > 0 ? retryAfter : backoff / 2 + random.nextLong(backoff);
+      case SYNCHRONIZED_BACKOFF -> backoff;
+      case IMMEDIATE -> IMMEDIATE_DELAY;
     };
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/model/WriteLedger.java
+++ b/testbed/src/main/java/rushwood/testbed/model/WriteLedger.java
@@ -5,15 +5,18 @@
 import java.util.TreeMap;
 
 /**
- * What became of each write: how often it ran, and what its client was told. A write is known by
- * what the client means (its own number), not by the id of a try, since a try that is repeated has
- * a new one.
+ * Records how often each write ran and what its client was told, to find writes that ran twice or
+ * were confirmed though they never ran. A write is known by its client's number rather than by the
+ * request's id, since each try has an id of its own.
  */
 public final class WriteLedger {
   private static final class Entry {
     final Map<String, Integer> executionsByTry = new LinkedHashMap<>();
     int successes;
-    int answers;
+
+    int executions() {
+      return executionsByTry.values().stream().mapToInt(Integer::intValue).sum();
+    }
   }
 
   private final Map<Integer, Entry> entries = new TreeMap<>();
@@ -22,41 +25,33 @@
     return entries.computeIfAbsent(client, each -> new Entry());
   }
 
-  /** A host ran that try of that client's write. */
+  /** A host ran the try with that id of that client's write. */
   public void recordExecution(int client, String tryId) {
     entry(client).executionsByTry.merge(tryId, 1, Integer::sum);
   }
 
-  /** The client had a final answer for a try. */
+  /** The client was told the outcome of a try. */
   public void recordAnswer(int client, boolean success) {
-    Entry entry = entry(client);
-    entry.answers++;
-    entry.successes += success ? 1 : 0;
+    entry(client).successes += success ? 1 : 0;
   }
 
-  /** Tries that ran more than once: nobody but a router can have done that. */
+  /** Tries that ran more than once, which only a router's retry can have caused. */
   public long duplicatedTries() {
     return entries.values().stream()
-        .flatMap(each -> each.executionsByTry.values().stream())
-        .filter(runs -> runs > 1)
+        .flatMap(entry -> entry.executionsByTry.values().stream())
+        .filter(executions -> executions > 1)
         .count();
   }
 
-  /**
-   * Writes that ran more than once over all tries of their client: the client repeated what may
-   * have run.
-   */
+  /** Writes that ran more than once over all tries: a client repeated one that may have run. */
   public long duplicatedWrites() {
-    return entries.values().stream()
-        .filter(
-            each -> each.executionsByTry.values().stream().mapToInt(Integer::intValue).sum() > 1)
-        .count();
+    return entries.values().stream().filter(entry -> entry.executions() > 1).count();
   }
 
-  /** Clients that were told that it ran, though no host ran it. */
+  /** Writes that were confirmed to their clients though no host ran them. */
   public long falseSuccesses() {
     return entries.values().stream()
-        .filter(each -> each.successes > 0 && each.executionsByTry.isEmpty())
+        .filter(entry -> entry.successes > 0 && entry.executionsByTry.isEmpty())
         .count();
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/model/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/model/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Models of hosts and clients without I/O: time is passed in, so that sockets and virtual time use
- * the same ones.
+ * Models of hosts and clients without I/O, clock or threads. Time is passed in, so that experiments
+ * on sockets and in virtual time use the same ones.
  */
 package rushwood.testbed.model;
--- a/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
+++ b/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
@@ -7,9 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Base64;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,16 +19,18 @@
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 import rushwood.testbed.load.ExperimentResult;
+import rushwood.testbed.load.ExperimentResult.TimeSeries;
 
-/**
- * Writes results. Builds or settings that are compared stand side by side, each under its label.
- */
+/** Writes results; those of several runs stand side by side, each under its label. */
 public final class ReportWriter {
-  private static final int WIDTH = 640;
-  private static final int HEIGHT = 240;
+  private static final int PLOT_WIDTH = 640;
+  private static final int PLOT_HEIGHT = 240;
+  private static final String STYLE =
+      "body{font:14px sans-serif}td,th{padding:2px 12px;text-align:right}";
 
   private ReportWriter() {}
 
+  /** One result as JSON: name, figures, counters and time series. */
   public static String toJson(ExperimentResult result) throws JsonProcessingException {
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("name", result.name()).put("step_seconds", ExperimentResult.STEP_SECONDS);
@@ -39,83 +39,75 @@
     ObjectNode counters = json.putObject("counters");
     result.counters().forEach(counters::put);
     ObjectNode lines = json.putObject("lines");
-    result
-        .timeSeries()
-        .forEach(
-            (name, line) -> {
-              ArrayNode steps = lines.putArray(name);
-              line.values().forEach(steps::add);
-            });
+    result.timeSeries().forEach((name, series) -> addValues(lines.putArray(name), series.values()));
     return JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(json);
   }
 
-  /**
-   * A page with a table of figures, a column a result, and a plot for each line that any of them
-   * has.
-   */
+  private static void addValues(ArrayNode array, List<Double> values) {
+    values.forEach(array::add);
+  }
+
+  /** A page with a table of figures and counters, a column a result, and a plot a time series. */
   public static String toHtml(String title, Map<String, ExperimentResult> results)
       throws IOException {
-    StringBuilder page =
-        new StringBuilder("<!doctype html><meta charset=utf-8><title>")
-            .append(escape(title))
-            .append(
-                "</title><style>body{font:14px sans-serif}td,th{padding:2px 12px;text-align:right}</style><h1>")
-            .append(escape(title))
-            .append("</h1><table><tr><th>figure");
+    StringBuilder page = new StringBuilder("<!doctype html><meta charset=utf-8><title>");
+    page.append(escape(title)).append("</title><style>").append(STYLE).append("</style>");
+    page.append("<h1>").append(escape(title)).append("</h1><table><tr><th>figure");
     results.keySet().forEach(label -> page.append("<th>").append(escape(label)));
-    for (String figure : allNames(results, ExperimentResult::figures)) {
-      appendRow(
-          page, figure, results.values().stream().map(each -> each.figures().get(figure)).toList());
-    }
-    for (String counter : allNames(results, ExperimentResult::counters)) {
-      appendRow(
-          page,
-          counter,
-          results.values().stream().map(each -> each.counters().get(counter)).toList());
-    }
+    appendRows(page, results, ExperimentResult::figures);
+    appendRows(page, results, ExperimentResult::counters);
     page.append("</table>");
-    for (String line : allNames(results, ExperimentResult::timeSeries)) {
-      page.append("<h2>")
-          .append(escape(line))
-          .append("</h2><img src=\"data:image/png;base64,")
-          .append(Base64.getEncoder().encodeToString(plotPng(line, results)))
-          .append("\">");
+    for (String series : allNames(results, ExperimentResult::timeSeries)) {
+      String png = Base64.getEncoder().encodeToString(plotPng(series, results));
+      page.append("<h2>").append(escape(series)).append("</h2>");
+      page.append("<img src=\"data:image/png;base64,").append(png).append("\">");
     }
     return page.append('\n').toString();
   }
 
-  private static void appendRow(StringBuilder page, String name, List<? extends Number> values) {
-    page.append("<tr><td>").append(escape(name));
-    for (Number value : new ArrayList<Number>(values)) {
-      page.append("<td>").append(value == null ? "" : String.format("%.4g", value.doubleValue()));
+  /** A row for each name that any result has a value of; no value, an empty cell. */
+  private static <T extends Number> void appendRows(
+      StringBuilder page,
+      Map<String, ExperimentResult> results,
+      Function<ExperimentResult, Map<String, T>> valuesOf) {
+    for (String name : allNames(results, valuesOf)) {
+      page.append("<tr><td>").append(escape(name));
+      for (ExperimentResult result : results.values()) {
+        T value = valuesOf.apply(result).get(name);
+        String text = value == null ? "" : String.format("%.4g", value.doubleValue());
+        page.append("<td>").append(text);
+      }
     }
   }
 
-  private static Set<String> allNames(
-      Map<String, ExperimentResult> results, Function<ExperimentResult, Map<String, ?>> of) {
+  private static <T> Set<String> allNames(
+      Map<String, ExperimentResult> results, Function<ExperimentResult, Map<String, T>> valuesOf) {
     Set<String> names = new LinkedHashSet<>();
-    results.values().forEach(each -> names.addAll(of.apply(each).keySet()));
+    results.values().forEach(result -> names.addAll(valuesOf.apply(result).keySet()));
     return names;
   }
 
-  /** One line of all results over time. */
-  public static byte[] plotPng(String line, Map<String, ExperimentResult> results)
+  private static byte[] plotPng(String series, Map<String, ExperimentResult> results)
       throws IOException {
     XYSeriesCollection data = new XYSeriesCollection();
-    for (Map.Entry<String, ExperimentResult> each : new LinkedHashMap<>(results).entrySet()) {
-      XYSeries series = new XYSeries(each.getKey());
-      ExperimentResult.TimeSeries steps = each.getValue().timeSeries().get(line);
-      for (int i = 0; steps != null && i < steps.values().size(); i++) {
-        series.add(i * ExperimentResult.STEP_SECONDS, steps.values().get(i));
-      }
-      data.addSeries(series);
-    }
-    JFreeChart chart = ChartFactory.createXYLineChart(line, "s", "a step of 0.1 s", data);
+    results.forEach(
+        (label, result) -> data.addSeries(toXySeries(label, result.timeSeries().get(series))));
+    JFreeChart chart = ChartFactory.createXYLineChart(series, "s", "a step of 0.1 s", data);
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    ChartUtils.writeChartAsPNG(out, chart, WIDTH, HEIGHT);
+    ChartUtils.writeChartAsPNG(out, chart, PLOT_WIDTH, PLOT_HEIGHT);
     return out.toByteArray();
   }
 
+  /** A curve for a plot; empty for a result without that time series. */
+  private static XYSeries toXySeries(String label, TimeSeries series) {
+    XYSeries curve = new XYSeries(label);
+    List<Double> values = series == null ? List.of() : series.values();
+    for (int i = 0; i < values.size(); i++) {
+      curve.add(i * ExperimentResult.STEP_SECONDS, values.get(i));
+    }
+    return curve;
+  }
+
   private static String escape(String text) {
     return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
   }
--- a/testbed/src/main/java/rushwood/testbed/report/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/report/package-info.java
@@ -1,2 +1,4 @@
-/** Reports: results as JSON, and as an HTML page with plots that sets builds side by side. */
+/**
+ * Writes results as JSON, and as an HTML page with plots that sets several results side by side.
+ */
 package rushwood.testbed.report;
--- a/testbed/src/main/java/rushwood/testbed/simulation/EventQueue.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/EventQueue.java
@@ -3,8 +3,8 @@
 import java.util.PriorityQueue;
 
 /**
- * What is to happen, in order of time and then of its making; a run with the same seed is the same
- * run.
+ * The events of a simulation in the order of their times; those of one time run in the order in
+ * which they were scheduled, so a run can be repeated exactly. Times are in nanoseconds.
  */
 final class EventQueue {
   private record Event(long at, long order, Runnable task) implements Comparable<Event> {
@@ -15,24 +15,43 @@
   }
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final long start;
   private long now;
-  private long order;
+  private long nextOrder;
 
   EventQueue(long start) {
+    this.start = start;
     now = start;
   }
 
+  /** The time of the event that runs. */
   long now() {
     return now;
   }
 
-  void schedule(long when, Runnable task) {
-    events.add(new Event(Math.max(now, when), order++, task));
+  /** The time since the start. */
+  long elapsed() {
+    return now - start;
   }
 
-  /** Runs the next one; false if there is none before that time. */
-  boolean runNext(long end) {
-    if (events.isEmpty() || events.peek().at() > end) {
+  /** Schedules a task; a time that has passed means now. */
+  void schedule(long at, Runnable task) {
+    events.add(new Event(Math.max(now, at), nextOrder++, task));
+  }
+
+  /** Schedules a task at that time from the start. */
+  void scheduleAtElapsed(long elapsed, Runnable task) {
+    schedule(start + elapsed, task);
+  }
+
+  /** Schedules a task after a delay. */
+  void scheduleAfter(long delay, Runnable task) {
+    schedule(now + delay, task);
+  }
+
+  /** Runs the next event, unless it comes later than that after the start or there is none. */
+  boolean runNext(long maxElapsed) {
+    if (events.isEmpty() || events.peek().at() > start + maxElapsed) {
       return false;
     }
     Event event = events.poll();
--- /dev/null
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualStore.java
@@ -0,0 +1,66 @@
+package rushwood.testbed.simulation;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import rushwood.api.Endpoint;
+import rushwood.api.HostId;
+import rushwood.testbed.load.Experiment;
+import rushwood.testbed.load.HostSpec;
+import rushwood.testbed.model.WriteLedger;
+
+/** The hosts of a simulation, and the endpoint list that discovery gives of them. */
+final class VirtualStore {
+  private final Map<HostId, VirtualHost> hosts = new LinkedHashMap<>();
+
+  VirtualStore(Experiment experiment, EventQueue events, WriteLedger ledger) {
+    for (int i = 0; i < experiment.hosts().size(); i++) {
+      HostSpec spec = experiment.hosts().get(i);
+      VirtualHost host = new VirtualHost(spec, experiment.newHostModel(i), events, ledger);
+      hosts.put(host.id(), host);
+    }
+  }
+
+  VirtualHost host(HostId id) {
+    return hosts.get(id);
+  }
+
+  Collection<VirtualHost> hosts() {
+    return hosts.values();
+  }
+
+  /** Every host as an endpoint that is ready, with its present role. */
+  List<Endpoint> endpoints() {
+    return hosts.values().stream().map(VirtualHost::toEndpoint).toList();
+  }
+
+  /** Makes a host the primary of its group, and the group's others replicas. */
+  void promote(HostId id) {
+    VirtualHost promoted = hosts.get(id);
+    hosts.values().stream()
+        .filter(host -> host.group() == promoted.group())
+        .forEach(host -> host.model().setPrimary(host == promoted));
+  }
+
+  /** The requests that all hosts together complete in a second when warm. */
+  double totalRate() {
+    double rate = 0;
+    for (VirtualHost host : hosts.values()) {
+      rate += host.rate();
+    }
+    return rate;
+  }
+
+  /** The highest {@link rushwood.testbed.model.HostModel#worstColdOverload()} of any host. */
+  double worstColdOverload() {
+    return hosts.values().stream()
+        .mapToDouble(host -> host.model().worstColdOverload())
+        .reduce(0, Math::max);
+  }
+
+  /** How often any host crashed of overload. */
+  int overloadCrashes() {
+    return hosts.values().stream().mapToInt(host -> host.model().overloadCrashes()).sum();
+  }
+}
--- a/testbed/src/main/java/rushwood/testbed/simulation/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The laboratory in virtual time: the decisions and the storm module of many routers against models
- * of hosts.
+ * Experiments in virtual time: the routing policy and overload control of any number of routers,
+ * against models of hosts and clients. A run is deterministic and has no threads.
  */
 package rushwood.testbed.simulation;
--- a/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
@@ -11,58 +11,72 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/**
- * A router as the operator starts it: its jar in a process of its own, told by a configuration
- * file.
- */
+/** A router as the operator starts it: its jar in a process of its own, with its log in a file. */
 public final class RouterProcess implements AutoCloseable {
-  private static final long START_TIMEOUT_MILLIS = 20_000; // ms: far above any start seen
-  private static final long STOP_TIMEOUT_MILLIS =
-      8_000; // ms: it answers for three seconds and a half after SIGTERM
+  /**
+   * What a router is started from.
+   *
+   * @param flags flags of its virtual machine
+   * @param settings the operator's settings file; empty for the default
+   * @param cpus the cores that it may use, as {@code taskset -c} takes them; empty for all
+   */
+  public record Build(Path jar, List<String> flags, String settings, String cpus) {}
+
+  private static final long START_TIMEOUT_MILLIS = 20_000; // far above any start seen
+  private static final long POLL_MILLIS = 20;
+  // A router serves on for three and a half seconds after SIGTERM.
+  private static final long STOP_TIMEOUT_MILLIS = 8_000;
 
   private final Process process;
   private final Path log;
 
-  /** {@code cpus} names the cores that it may use as taskset has it, or is empty. */
-  public RouterProcess(
-      Path jar,
-      List<String> flags,
-      Path config,
-      String settings,
-      InetSocketAddress listen,
-      String cpus)
+  /**
+   * Starts a router and waits until it accepts connections.
+   *
+   * @param config the file that {@code NODE_CONFIG} names
+   * @param listen where that file has it listen
+   * @throws IOException with its log, if it does not accept connections in time
+   */
+  public RouterProcess(Build build, Path config, InetSocketAddress listen)
       throws IOException, InterruptedException {
-    List<String> command = new ArrayList<>();
-    if (!cpus.isEmpty()) {
-      command.addAll(List.of("taskset", "-c", cpus));
-    }
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(flags);
-    command.addAll(List.of("-jar", jar.toString(), "serve"));
     log = Files.createTempFile("router", ".log");
     ProcessBuilder builder =
-        new ProcessBuilder(command)
+        new ProcessBuilder(command(build))
             .redirectErrorStream(true)
             .redirectOutput(log.toFile())
             .redirectInput(new File("/dev/null"));
     builder.environment().put("NODE_CONFIG", config.toString());
-    builder.environment().put("RUSHWOOD_SETTINGS", settings);
+    builder.environment().put("RUSHWOOD_SETTINGS", build.settings());
     process = builder.start();
     awaitReady(listen);
   }
 
+  private static List<String> command(Build build) {
+    List<String> command = new ArrayList<>();
+    if (!build.cpus().isEmpty()) {
+      command.addAll(List.of("taskset", "-c", build.cpus()));
+    }
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(build.flags());
+    command.addAll(List.of("-jar", build.jar().toString(), "serve"));
+    return command;
+  }
+
   private void awaitReady(InetSocketAddress listen) throws IOException, InterruptedException {
-    for (long waited = 0; waited < START_TIMEOUT_MILLIS && process.isAlive(); waited += 20) {
+    for (long waited = 0;
+        waited < START_TIMEOUT_MILLIS && process.isAlive();
+        waited += POLL_MILLIS) {
       try {
         new Socket(listen.getAddress(), listen.getPort()).close();
         return;
       } catch (IOException notYet) {
-        Thread.sleep(20);
+        Thread.sleep(POLL_MILLIS);
       }
     }
     throw new IOException("the router did not start: " + Files.readString(log));
   }
 
+  /** Its process id. */
   public long pid() {
     return process.pid();
   }
@@ -82,11 +96,12 @@
     new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
   }
 
+  /** Sends it SIGTERM and does not wait. */
   public void terminate() {
     process.destroy();
   }
 
-  /** Ends it in order; its log. */
+  /** Has it stop, by force if it takes too long, and returns its log. */
   public String stop() throws IOException, InterruptedException {
     process.destroy();
     if (!process.waitFor(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
@@ -95,6 +110,7 @@
     return Files.readString(log);
   }
 
+  /** Kills it and deletes its log. */
   @Override
   public void close() throws IOException {
     process.destroyForcibly();
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinDiscovery.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinDiscovery.java
@@ -2,18 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -32,11 +28,16 @@
 import java.util.function.UnaryOperator;
 
 /**
- * The discovery agent: the whole list, and a watch that brings each change; silent, indented,
- * broken off or spoilt on order. What it is told on its own loop alone.
+ * A discovery agent on a loopback address: it answers with the full endpoint list, and brings each
+ * change on watches. Tests make it silent, unresponsive, offline, or have it write invalid lists.
+ * All methods but {@link #listen} and {@link #close} are called on its event loop.
  */
 public final class StandinDiscovery {
-  /** An entry as the list has it. */
+  /**
+   * An endpoint as the list has it.
+   *
+   * @param startedMillis when its process started, in Unix time; 0 for long ago
+   */
   public record Entry(
       String id,
       String address,
@@ -65,132 +66,106 @@
   }
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final int HEARTBEAT_SECONDS = 2; // seconds between them
+  private static final int HEARTBEAT_SECONDS = 2;
+  private static final String HEARTBEAT = "\n";
+  private static final String WATCH_PARAMETER = "follow=1";
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final EventLoop loop;
+  private final LoopbackListener listener;
   private final ChannelGroup watches;
-  private Channel listener;
-  private final ChannelGroup connections;
-  private UnaryOperator<String> writes = UnaryOperator.identity();
-  private InetSocketAddress address;
+  private UnaryOperator<String> rewriter = UnaryOperator.identity();
   private int version = 1;
   private boolean silent;
-  private boolean down;
-  private int fullListRequests;
+  private boolean unresponsive;
 
+  /** Creates an agent with an empty list; it does not listen yet. */
   public StandinDiscovery(EventLoop loop) {
     this.loop = loop;
+    listener = new LoopbackListener(loop, this::initialize);
     watches = new DefaultChannelGroup(loop);
-    connections = new DefaultChannelGroup(loop);
   }
 
+  private void initialize(Channel channel) {
+    channel.pipeline().addLast(new HttpServerCodec(), new RequestHandler());
+  }
+
+  /** Starts listening and the watches' heartbeat, and waits until it listens. */
   public InetSocketAddress listen() throws InterruptedException {
-    bind().sync();
-    address = (InetSocketAddress) listener.localAddress();
+    InetSocketAddress address = listener.listen();
     loop.scheduleAtFixedRate(
-        () -> sendToWatches("\n"), HEARTBEAT_SECONDS, HEARTBEAT_SECONDS, TimeUnit.SECONDS);
+        () -> sendToWatches(HEARTBEAT), HEARTBEAT_SECONDS, HEARTBEAT_SECONDS, TimeUnit.SECONDS);
     return address;
   }
 
-  private ChannelFuture bind() {
-    ChannelFuture bound =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .childHandler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    connections.add(channel);
-                    channel.pipeline().addLast(new HttpServerCodec(), new RequestHandler());
-                  }
-                })
-            .childOption(ChannelOption.SO_LINGER, 0)
-            .bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address);
-    listener = bound.channel();
-    return bound;
-  }
-
+  /** Where it listens. */
   public InetSocketAddress address() {
-    return address;
+    return listener.address();
   }
 
+  /** Closes its sockets. */
   public void close() {
     listener.close();
-    connections.close();
   }
 
-  /**
-   * What is written, whole lists and changes, is made into something else first; null for what it
-   * is.
-   */
-  public void rewriteResponses(UnaryOperator<String> spoilt) {
-    writes = spoilt == null ? UnaryOperator.identity() : spoilt;
+  /** From now on lists and changes are rewritten before they are sent. */
+  public void rewriteResponses(UnaryOperator<String> rewriter) {
+    this.rewriter = rewriter;
+  }
+
+  /** From now on lists and changes are sent as they are. */
+  public void stopRewriting() {
+    rewriter = UnaryOperator.identity();
   }
 
-  /** The watches that are open now say nothing any more, and stay open. */
+  /** Watches that are open now stay open and get nothing any more. */
   public void muteWatches() {
     watches.clear();
   }
 
-  /** All calls that are open now are reset. */
+  /** Resets all open connections. */
   public void resetConnections() {
-    connections.close();
+    listener.resetConnections();
   }
 
-  /** Down, it takes calls and does not answer; those of that time are never answered. */
-  public void setUnresponsive(boolean is) {
-    down = is;
-    silent = is;
+  /** While unresponsive it accepts requests and never answers them. */
+  public void setUnresponsive(boolean unresponsive) {
+    this.unresponsive = unresponsive;
+    silent = unresponsive;
   }
 
-  /** It is not there: what is open is reset, and new calls are refused. */
-  public void setOffline(boolean is) {
-    if (is) {
+  /** While offline it refuses connections; those that are open are reset. */
+  public void setOffline(boolean offline) {
+    if (offline) {
       listener.close();
-      connections.close();
     } else {
-      bind();
+      listener.open();
     }
   }
 
-  /** The version that it counts on from. */
-  public void setVersion(int number) {
-    version = number;
-  }
-
-  public int version() {
-    return version;
+  /** Sets the version of the list; the next change has the one after it. */
+  public void setVersion(int version) {
+    this.version = version;
   }
 
-  /** How often the whole list was asked for. */
-  public int fullListRequests() {
-    return fullListRequests;
-  }
-
-  /** Writes that on all watches, as it is. */
-  public void writeRaw(String text) {
-    watches.writeAndFlush(
-        new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
-  }
-
-  /** Nothing more is told while it is silent; what changed meanwhile is told by the next change. */
-  public void setSilent(boolean is) {
-    silent = is;
+  /** While silent it sends nothing on watches; a later change shows the gap by its version. */
+  public void setSilent(boolean silent) {
+    this.silent = silent;
   }
 
+  /** Adds or replaces an endpoint, and tells the watches of it. */
   public void publish(Entry entry) {
     entries.put(entry.id(), entry);
     version++;
-    sendToWatches(writes.apply(listJson(false, List.of(entry))) + "\n");
+    sendToWatches(rewriter.apply(listJson(false, List.of(entry))) + "\n");
   }
 
+  /** The full list as JSON, not rewritten. */
   public String fullList() {
     return listJson(true, List.copyOf(entries.values()));
   }
 
-  /** The same laid out over many lines, as some agents write it. */
+  /** The same JSON over many lines, as some agents write it. */
   public static String indent(String json) {
     try {
       return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(MAPPER.readTree(json));
@@ -200,49 +175,48 @@
   }
 
   private String listJson(boolean full, List<Entry> listed) {
-    return "{\"version\":"
-        + version
-        + ",\"full\":"
-        + full
-        + ",\"servers\":["
-        + String.join(",", listed.stream().map(Entry::toJson).toList())
-        + "]}";
+    String servers = String.join(",", listed.stream().map(Entry::toJson).toList());
+    return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + servers + "]}";
   }
 
   private void sendToWatches(String line) {
     if (!silent) {
-      watches.writeAndFlush(
-          new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
+      watches.writeAndFlush(new DefaultHttpContent(utf8(line)));
     }
   }
 
+  private static ByteBuf utf8(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+  }
+
+  /** Answers HTTP requests for the full list, and begins watches. */
   private final class RequestHandler extends SimpleChannelInboundHandler<Object> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, Object message) {
-      if (!(message instanceof HttpRequest request)) {
+      if (!(message instanceof HttpRequest request) || unresponsive) {
         return;
       }
-      fullListRequests += request.uri().contains("follow=1") ? 0 : 1;
-      if (down) {
-        return;
-      }
-      if (!request.uri().contains("follow=1")) {
-        DefaultFullHttpResponse response =
-            new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.OK,
-                Unpooled.copiedBuffer(writes.apply(fullList()), StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-        context.writeAndFlush(response);
-        return;
+      if (request.uri().contains(WATCH_PARAMETER)) {
+        beginWatch(context);
+      } else {
+        sendFullList(context);
       }
+    }
+
+    private void sendFullList(ChannelHandlerContext context) {
+      DefaultFullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.OK, utf8(rewriter.apply(fullList())));
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+      context.writeAndFlush(response);
+    }
+
+    private void beginWatch(ChannelHandlerContext context) {
       DefaultHttpResponse response =
           new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
       context.write(response);
-      context.writeAndFlush(
-          new DefaultHttpContent(
-              Unpooled.copiedBuffer(writes.apply(fullList()) + "\n", StandardCharsets.UTF_8)));
+      context.writeAndFlush(new DefaultHttpContent(utf8(rewriter.apply(fullList()) + "\n")));
       watches.add(context.channel());
     }
 
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -1,58 +1,61 @@
 package rushwood.testbed.standin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import rushwood.testbed.model.HostModel;
+import rushwood.testbed.model.RequestKind;
 
 /**
- * A host of the store on a loopback address; all of one laboratory run on one event loop, by one
- * clock.
+ * A database server on a loopback address: PostgreSQL's protocol 3 in front of a {@link HostModel}.
+ * All stand-ins of an experiment run on one event loop, by one clock; everything here but {@link
+ * #listen} and {@link #close} is called on it.
  */
 public final class StandinHost {
-  private static final int BACKLOG = 1024;
+  private static final int INITIAL_BUFFER_BYTES = 256;
   private static final long MS = 1_000_000L;
+  private static final String EVENTUAL_CLASS = "any";
 
   private final String id;
   private final HostModel model;
   private final EventLoop loop;
   private final LongSupplier clock;
-  private final ChannelGroup connections;
-  private final BiConsumer<Statement, Boolean> executionListener;
-  private InetSocketAddress address;
-  private Channel listener;
+  private final LoopbackListener listener;
+  private final Consumer<Statement> executionListener;
+  private Consumer<Statement> arrivalListener = statement -> {};
   private long acceptedConnections;
   private long receivedRequests;
   private long overloadedReplies;
-  private Consumer<Statement> onStatement = statement -> {};
 
-  /** {@code ran} hears of each statement that was done, and whether its answer could be written. */
+  /**
+   * Creates it; it does not listen yet.
+   *
+   * @param clock the time in nanoseconds
+   * @param executionListener is told of each statement that was executed
+   */
   public StandinHost(
       String id,
       HostModel model,
       EventLoop loop,
       LongSupplier clock,
-      BiConsumer<Statement, Boolean> executionListener) {
+      Consumer<Statement> executionListener) {
     this.id = id;
     this.model = model;
     this.loop = loop;
     this.clock = clock;
     this.executionListener = executionListener;
-    connections = new DefaultChannelGroup(loop);
+    listener = new LoopbackListener(loop, this::initialize);
+  }
+
+  private void initialize(Channel channel) {
+    acceptedConnections++;
+    channel.pipeline().addLast(MessageDecoder.forServer(), new ConnectionHandler());
   }
 
   public String id() {
@@ -63,163 +66,151 @@
     return model;
   }
 
+  /** Where it listens, also after a crash. */
   public InetSocketAddress address() {
-    return address;
+    return listener.address();
   }
 
-  /** Who hears of each statement as it comes, whatever becomes of it. */
-  public void onStatement(Consumer<Statement> listener) {
-    onStatement = listener;
+  /** Sets who is told of each statement as it arrives, whatever becomes of it. */
+  public void onArrival(Consumer<Statement> listener) {
+    arrivalListener = listener;
   }
 
+  /** Connections that were accepted so far. */
   public long acceptedConnections() {
     return acceptedConnections;
   }
 
+  /** Statements that arrived so far. */
   public long receivedRequests() {
     return receivedRequests;
   }
 
+  /** Statements that were refused so far because the queue was full. */
   public long overloadedReplies() {
     return overloadedReplies;
   }
 
-  /** Listens, at the address that it had before if it had one. */
+  /** Starts listening, and waits until it does. */
   public void listen() throws InterruptedException {
-    bind().sync();
-    address = (InetSocketAddress) listener.localAddress();
+    listener.listen();
   }
 
-  private ChannelFuture bind() {
-    ChannelFuture bound =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.SO_LINGER, 0)
-            .childHandler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    acceptedConnections++;
-                    connections.add(channel);
-                    channel.pipeline().addLast(new MessageCodec(true), new ConnectionHandler());
-                  }
-                })
-            .bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address);
-    listener = bound.channel();
-    return bound;
-  }
-
-  /** Its process ends: connections are reset, new ones refused. Called on the loop. */
+  /** Ends its process: connections are reset, new ones refused. */
   public void crash() {
     model.crash();
     listener.close();
-    connections.close();
   }
 
-  /** A new process at the same address. Called on the loop. */
+  /** Starts a new process at the same address. */
   public void restart() {
     model.restart(clock.getAsLong());
-    bind();
+    listener.open();
   }
 
+  /** Closes its sockets. */
   public void close() {
     listener.close();
-    connections.close();
   }
 
-  private final class ConnectionHandler extends SimpleChannelInboundHandler<MessageCodec.Message> {
+  /** The protocol's server side on one connection. */
+  private final class ConnectionHandler extends SimpleChannelInboundHandler<ProtocolMessage> {
     @Override
-    protected void channelRead0(ChannelHandlerContext context, MessageCodec.Message message) {
-      ByteBuf out = context.alloc().buffer(256);
-      if (message.type() == 0) {
-        MessageCodec.writeAuthenticationOk(out);
-      } else if (message.type() == 'Q') {
-        String text = message.text().substring(0, message.text().length() - 1);
-        if (text.startsWith("SHOW")) {
-          writeLoadReport(out);
-        } else {
-          handleStatement(context, Statement.parse(text), out);
-        }
-      } else {
-        context.close();
+    protected void channelRead0(ChannelHandlerContext context, ProtocolMessage message) {
+      ByteBuf out = context.alloc().buffer(INITIAL_BUFFER_BYTES);
+      switch (message.type()) {
+        case ProtocolMessage.STARTUP -> MessageEncoder.writeAuthenticationOk(out);
+        case ProtocolMessage.QUERY -> handleQuery(context, message, out);
+        default -> context.close();
       }
       writeOrRelease(context, out);
     }
 
-    private void writeOrRelease(ChannelHandlerContext context, ByteBuf out) {
-      if (out.isReadable()) {
-        context.writeAndFlush(out);
+    private void handleQuery(ChannelHandlerContext context, ProtocolMessage message, ByteBuf out) {
+      String text = message.text().substring(0, message.text().length() - 1);
+      if (text.startsWith("SHOW")) {
+        writeLoadReport(out);
       } else {
-        out.release();
+        handleStatement(context, Statement.parse(text), out);
       }
     }
 
-    private void writeLoadReport(ByteBuf out) {
-      long position = model.position(clock.getAsLong()) / MS;
-      MessageCodec.writeRow(
-          out,
-          "x0="
-              + position / 1000
-              + "."
-              + String.format("%03d", position % 1000)
-              + ",x1="
-              + (model.isPrimary() ? 1 : 0));
-      MessageCodec.writeReadyForQuery(out);
-    }
-
-    private void writeRoleAndReady(ByteBuf out) {
-      MessageCodec.writeParameterStatus(out, "part", model.isPrimary() ? "master" : "replica");
-      MessageCodec.writeParameterStatus(
-          out, "caught_up_to", Long.toString(model.position(clock.getAsLong()) / MS));
-      MessageCodec.writeReadyForQuery(out);
-    }
-
     private void handleStatement(ChannelHandlerContext context, Statement statement, ByteBuf out) {
       receivedRequests++;
-      onStatement.accept(statement);
+      arrivalListener.accept(statement);
       long now = clock.getAsLong();
-      boolean eventual = statement.commentValue("c").equals("any");
-      HostModel.OfferResult result = model.offer(now, statement.write(), eventual ? -1 : 500 * MS);
-      int incarnation = model.incarnation();
+      HostModel.OfferResult result = model.offer(now, kindOf(statement));
       switch (result.status()) {
         case NO_RESPONSE -> {
           if (!model.isUp()) {
-            crash(); // it fell over
+            crash(); // of overload
           }
         }
         case OVERLOADED -> {
           overloadedReplies++;
-          MessageCodec.writeError(out, "53300");
-          writeRoleAndReady(out);
+          writeError(out, SqlState.TOO_MANY_CONNECTIONS);
         }
-        case NOT_PRIMARY, REPLICA_LAGGING -> {
-          MessageCodec.writeError(
-              out, result.status() == HostModel.OfferStatus.NOT_PRIMARY ? "25006" : "72000");
-          writeRoleAndReady(out);
+        case NOT_PRIMARY -> writeError(out, SqlState.READ_ONLY_TRANSACTION);
+        case REPLICA_LAGGING -> writeError(out, SqlState.SNAPSHOT_TOO_OLD);
+        case ACCEPTED -> {
+          int incarnation = model.incarnation();
+          loop.schedule(
+              () -> complete(context, statement, incarnation),
+              result.completesAt() - now,
+              TimeUnit.NANOSECONDS);
         }
-        case ACCEPTED ->
-            loop.schedule(
-                () -> complete(context, statement, incarnation),
-                result.completesAt() - now,
-                TimeUnit.NANOSECONDS);
       }
     }
 
+    private RequestKind kindOf(Statement statement) {
+      if (statement.isWrite()) {
+        return RequestKind.WRITE;
+      }
+      return statement.commentValue("c").equals(EVENTUAL_CLASS)
+          ? RequestKind.EVENTUAL_READ
+          : RequestKind.BOUNDED_READ;
+    }
+
+    /** Answers an accepted statement, unless the process that accepted it has crashed meanwhile. */
     private void complete(ChannelHandlerContext context, Statement statement, int incarnation) {
       if (model.incarnation() != incarnation) {
-        return; // the process that worked on it is gone
+        return;
       }
-      executionListener.accept(statement, context.channel().isActive());
-      ByteBuf out = context.alloc().buffer(256);
-      MessageCodec.writeRow(out, statement.key());
+      executionListener.accept(statement);
+      ByteBuf out = context.alloc().buffer(INITIAL_BUFFER_BYTES);
+      MessageEncoder.writeRow(out, statement.key());
       writeRoleAndReady(out);
       context.writeAndFlush(out);
     }
 
+    private void writeError(ByteBuf out, String sqlState) {
+      MessageEncoder.writeError(out, sqlState);
+      writeRoleAndReady(out);
+    }
+
+    /** Position in seconds as x0, role as x1, as the settings' load report names them. */
+    private void writeLoadReport(ByteBuf out) {
+      long position = model.position(clock.getAsLong()) / MS;
+      String seconds = position / 1000 + "." + String.format("%03d", position % 1000);
+      MessageEncoder.writeRow(out, "x0=" + seconds + ",x1=" + (model.isPrimary() ? 1 : 0));
+      MessageEncoder.writeReadyForQuery(out);
+    }
+
+    private void writeRoleAndReady(ByteBuf out) {
+      MessageEncoder.writeParameterStatus(out, "part", model.isPrimary() ? "master" : "replica");
+      MessageEncoder.writeParameterStatus(
+          out, "caught_up_to", Long.toString(model.position(clock.getAsLong()) / MS));
+      MessageEncoder.writeReadyForQuery(out);
+    }
+
+    private void writeOrRelease(ChannelHandlerContext context, ByteBuf out) {
+      if (out.isReadable()) {
+        context.writeAndFlush(out);
+      } else {
+        out.release();
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
--- a/testbed/src/main/java/rushwood/testbed/standin/Statement.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/Statement.java
@@ -1,17 +1,26 @@
 package rushwood.testbed.standin;
 
-/** What a statement says: whether it writes, its key and the values of its comment. */
-public record Statement(boolean write, String key, String text) {
+/**
+ * A statement that reads or writes one key, with a comment of {@code name=value} pairs at its end.
+ *
+ * @param text the whole statement
+ */
+public record Statement(boolean isWrite, String key, String text) {
+  private static final String COMMENT_START = "/* ";
+  private static final String COMMENT_END = " */";
+
+  /** Reads a statement that {@link #format} made. */
   public static Statement parse(String text) {
-    int from = text.indexOf('\'') + 1;
-    return new Statement(
-        text.startsWith("INSERT"), text.substring(from, text.indexOf('\'', from)), text);
+    int keyStart = text.indexOf('\'') + 1;
+    String key = text.substring(keyStart, text.indexOf('\'', keyStart));
+    return new Statement(text.startsWith("INSERT"), key, text);
   }
 
-  /** A value of the comment, or an empty text. */
+  /** The value of that name in the comment; empty if there is none. */
   public String commentValue(String name) {
-    int comment = text.lastIndexOf("/* ");
-    for (String pair : text.substring(comment + 3, text.length() - 3).split(",")) {
+    int commentStart = text.lastIndexOf(COMMENT_START) + COMMENT_START.length();
+    String comment = text.substring(commentStart, text.length() - COMMENT_END.length());
+    for (String pair : comment.split(",")) {
       if (pair.startsWith(name + "=")) {
         return pair.substring(name.length() + 1);
       }
@@ -19,11 +28,25 @@
     return "";
   }
 
-  /** The statement of a client's try. */
+  /**
+   * The statement of a client's try.
+   *
+   * @param deadlineMillis how long the client waits for the answer
+   */
   public static String format(
-      boolean write, String key, String id, String requestClass, long millis, int group) {
+      boolean write, String key, String id, String requestClass, long deadlineMillis, int group) {
     String comment =
-        " /* id=" + id + ",c=" + requestClass + ",t=club,d=" + millis + ",cluster=" + group + " */";
+        " "
+            + COMMENT_START
+            + "id="
+            + id
+            + ",c="
+            + requestClass
+            + ",t=club,d="
+            + deadlineMillis
+            + ",cluster="
+            + group
+            + COMMENT_END;
     return write
         ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x01') RETURNING val" + comment
         : "SELECT val FROM state WHERE uid = '" + key + "'" + comment;
--- a/testbed/src/main/java/rushwood/testbed/standin/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Stand-ins on loopback: hosts that speak PostgreSQL's protocol 3, the discovery agent, a router as
- * a process.
+ * Stand-ins on loopback: hosts that speak PostgreSQL's protocol 3, the discovery agent, and the
+ * router as a process. Hosts and agents run on the event loop that they are given.
  */
 package rushwood.testbed.standin;
--- a/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
+++ b/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
@@ -2,93 +2,73 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import rushwood.testbed.load.ClusterMember;
 import rushwood.testbed.load.RouterCluster;
-import rushwood.testbed.load.RouterCluster.Member;
 import rushwood.testbed.model.HostModel;
 
-/**
- * Five router processes and a host that starts anew under them: the sum that they send it stays
- * within what it bears.
- */
+/** Five routers and a host that starts cold: what all of them send it is no more than it bears. */
 class ColdHostClusterTest {
   private static final int ROUTERS = 5;
-  private static final int RATE =
-      40; // accesses a second and router: three warm hosts do twice that
-  private static final String COLD = "h3";
-  private static final HostModel.Parameters KIND =
+  private static final int REQUESTS_PER_SECOND = 40; // and router; three warm hosts do twice that
+  private static final String COLD_HOST = "h3";
+  private static final HostModel.Parameters PARAMETERS =
       new HostModel.Parameters(120, 8, 64, 0.15, 14_000_000_000L, 4, 1_000_000_000L, 0);
 
-  private RouterCluster tier;
+  private RouterCluster cluster;
 
   @BeforeEach
   void start() throws Exception {
-    tier = new RouterCluster(Path.of("../router/target/rushwood.jar"), ROUTERS, 4, 2, KIND);
+    cluster = new RouterCluster(ExperimentRuns.ROUTER_JAR, ROUTERS, 4, 2, PARAMETERS);
     startAll();
   }
 
   @AfterEach
   void stop() throws Exception {
-    tier.close();
+    cluster.close();
   }
 
   private void startAll() throws Exception {
-    for (Member each : tier.members()) {
-      each.start(tier.runOnLoop(each.discovery()::fullList));
-    }
-    begin();
-  }
-
-  private void begin() throws Exception {
-    tier.runOnLoop(
-        () -> {
-          tier.members().forEach(each -> each.load().start(RATE));
-          return null;
-        });
+    cluster.startAll();
+    cluster.startLoad(REQUESTS_PER_SECOND);
   }
 
-  /** What a window of its first seconds may hold is N accesses and 2 x root of N + 2 of chance. */
-  private void bearsIt() throws Exception {
+  /**
+   * In the window of its first seconds it bears N requests; 2 x root of N + 2 more may come by
+   * chance.
+   */
+  private void assertColdHostBearsItsLoad() throws Exception {
     Thread.sleep(4000);
-    double most =
-        KIND.overloadMultiple()
-            * KIND.coldStartSpeed()
-            * KIND.rate()
-            * KIND.overloadWindowNanos()
+    double bearable =
+        PARAMETERS.overloadMultiple()
+            * PARAMETERS.coldStartSpeed()
+            * PARAMETERS.rate()
+            * PARAMETERS.overloadWindowNanos()
             / 1e9;
-    double push = tier.runOnLoop(() -> tier.hostModel(COLD).worstColdOverload());
-    assertTrue(push > 0.05, "it is used: " + push);
-    assertTrue(push <= 1 + (2 * Math.sqrt(most) + 2) / most, push + " times what it bears");
+    double load = cluster.computeOnLoop(() -> cluster.hostModel(COLD_HOST).worstColdOverload());
+    assertTrue(load > 0.05, "it is used: " + load);
+    assertTrue(load <= 1 + (2 * Math.sqrt(bearable) + 2) / bearable, load + " times what it bears");
   }
 
   @Test
-  void aHostStartsAnew() throws Exception {
+  void hostRestartsUnderLoad() throws Exception {
     Thread.sleep(1500);
-    tier.runOnLoop(
-        () -> {
-          tier.restartHost(COLD);
-          return null;
-        });
-    bearsIt();
+    cluster.runOnLoop(() -> cluster.restartHost(COLD_HOST));
+    assertColdHostBearsItsLoad();
   }
 
-  /** Nobody remembers what warm hosts do. */
+  /** No router remembers what the warm hosts do. */
   @Test
-  void allRoutersStartWithIt() throws Exception {
+  void allRoutersRestartTogetherWithTheHost() throws Exception {
     Thread.sleep(500);
-    for (Member each : tier.members()) {
-      each.process().signal("KILL");
+    for (ClusterMember member : cluster.members()) {
+      member.process().signal("KILL");
     }
-    tier.runOnLoop(
-        () -> {
-          tier.members().forEach(each -> each.load().pause());
-          tier.restartHost(COLD);
-          return null;
-        });
+    cluster.pauseLoad();
+    cluster.runOnLoop(() -> cluster.restartHost(COLD_HOST));
     startAll();
-    bearsIt();
+    assertColdHostBearsItsLoad();
   }
 }
--- /dev/null
+++ b/testbed/src/test/java/rushwood/testbed/ExperimentRuns.java
@@ -0,0 +1,50 @@
+package rushwood.testbed;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import rushwood.config.InvalidConfigException;
+import rushwood.overload.OverloadSettings;
+import rushwood.testbed.load.Experiment;
+import rushwood.testbed.load.ExperimentResult;
+import rushwood.testbed.load.SocketExperiment;
+import rushwood.testbed.simulation.Simulation;
+import rushwood.testbed.standin.RouterProcess;
+
+/** Runs the experiments that are kept in {@code experiments/}. */
+final class ExperimentRuns {
+  /** The router's jar as the build leaves it, from the module's directory. */
+  static final Path ROUTER_JAR = Path.of("../router/target/rushwood.jar");
+
+  private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-Xmx64m");
+
+  private ExperimentRuns() {}
+
+  static Experiment read(String name) throws IOException {
+    return Experiment.read(Path.of("experiments", name + ".json"));
+  }
+
+  static ExperimentResult simulate(Experiment experiment) throws InvalidConfigException {
+    return Simulation.withOverloadControl(experiment, OverloadSettings.DEFAULT).run();
+  }
+
+  static ExperimentResult simulateWithoutOverloadControl(Experiment experiment)
+      throws InvalidConfigException {
+    return Simulation.withoutOverloadControl(experiment).run();
+  }
+
+  static ExperimentResult runOnSockets(Experiment experiment)
+      throws IOException, InterruptedException {
+    RouterProcess.Build build = new RouterProcess.Build(ROUTER_JAR, FLAGS, "", "");
+    return new SocketExperiment(experiment, build).run();
+  }
+
+  static double figure(ExperimentResult result, String name) {
+    return result.figures().get(name);
+  }
+
+  /** Tries and writes that ran more than once. */
+  static double duplicates(ExperimentResult result) {
+    return figure(result, "doubled_tries") + figure(result, "doubled_writes");
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/rushwood/testbed/MalformedEndpointListTest.java
@@ -0,0 +1,107 @@
+package rushwood.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rushwood.testbed.DrainingCluster.DRAINED_HOST;
+
+import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rushwood.testbed.load.ClusterMember;
+import rushwood.testbed.standin.StandinDiscovery;
+
+/** A host that is announced as leaving is drained, whatever form the agents' lists have. */
+class MalformedEndpointListTest {
+  private DrainingCluster draining;
+
+  @BeforeEach
+  void start() throws Exception {
+    draining = new DrainingCluster();
+    draining.start();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    draining.close();
+  }
+
+  /** Over many lines, as a full list and on a watch. */
+  @Test
+  void announcedInAnIndentedList() throws Exception {
+    draining.changeAgents(agent -> agent.rewriteResponses(StandinDiscovery::indent));
+    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.announceReady();
+    draining.assertDrainedBy(
+        () -> {
+          draining.changeAgents(StandinDiscovery::resetConnections);
+          draining.announce("Terminating");
+        });
+  }
+
+  /** Malformed in ways that leave the host's id and state readable. */
+  @Test
+  void announcedInTheReadablePartOfAMalformedList() throws Exception {
+    String drainedId = "\"id\":\"" + DRAINED_HOST + "\"";
+    List<UnaryOperator<String>> malformations =
+        List.of(
+            text -> text.replaceAll("(" + drainedId + "[^}]*\"cell\":)0", "$1\"none\""),
+            text -> text.replaceFirst("\"id\":\"h1\",", ""),
+            text -> text.replaceFirst("\"state\":\"Ready\"", "\"state\":\"Dozing\""),
+            text ->
+                text.contains("Terminating")
+                    ? text.substring(0, text.indexOf("Terminating") + 20)
+                    : text,
+            text -> text.replaceFirst("\"version\":\\d+,", ""),
+            text -> text.replaceFirst("\"full\":(true|false),", ""));
+    for (UnaryOperator<String> malformation : malformations) {
+      draining.changeAgents(agent -> agent.rewriteResponses(malformation));
+      draining.assertDrainedBy(() -> draining.announce("Terminating"));
+      draining.changeAgents(StandinDiscovery::stopRewriting);
+      draining.announceReady();
+    }
+  }
+
+  /**
+   * After an empty, a huge, an unreadable list, one whose rest does not come for long, and a
+   * version that goes back.
+   */
+  @Test
+  void announcedAfterAnUnreadableList() throws Exception {
+    String huge =
+        IntStream.range(0, 100_000)
+            .mapToObj(i -> "{\"id\":\"y" + i + "\"}")
+            .collect(Collectors.joining(",", "{\"version\":1,\"full\":true,\"servers\":[", "]}"));
+    List<String> unreadable =
+        List.of(
+            "",
+            "nonsense",
+            "{}",
+            "[1]",
+            "{\"version\":9,\"full\":true,\"servers\":{}}",
+            huge,
+            "{\"version\":9,\"full\":true,\"servers\":[" + " ".repeat(1 << 20));
+    for (String list : unreadable) {
+      draining.changeAgents(
+          agent -> {
+            agent.rewriteResponses(text -> list);
+            agent.resetConnections();
+          });
+      Thread.sleep(150);
+      draining.announce("Terminating");
+      draining.assertDrainedBy(() -> draining.changeAgents(StandinDiscovery::stopRewriting));
+      draining.announceReady();
+    }
+    draining.changeAgents(agent -> agent.setVersion(3));
+    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.announceReady();
+    for (ClusterMember member : draining.cluster().members()) {
+      String log = member.process().log();
+      assertTrue(
+          log.contains("discovery writes what cannot be read") && log.contains("servers"), log);
+      assertTrue(!log.contains("caught"), log);
+    }
+  }
+}
