Request dispatcher: the connector makes probe statements, no unused hook

Its constructor took nine parameters. The statement of a probe belongs to what opens connections; the hook for an asked endpoint list was empty at both call sites, since the router's list is kept up to date unasked. Seven parameters are left.

--- a/router/src/main/java/rushwood/dispatch/BackendConnection.java
+++ b/router/src/main/java/rushwood/dispatch/BackendConnection.java
@@ -22,10 +22,13 @@
   /** Closes the connection; the listener is told nothing more. */
   void close();
 
-  /** Opens connections. */
+  /** Opens connections to hosts. */
   interface Connector {
     /** Begins to connect; the listener is told how it goes on. */
     BackendConnection connect(InetSocketAddress address, Listener listener);
+
+    /** The statement of a probe, which a host answers with a load report. */
+    ByteBuf probeStatement();
   }
 
   /** What a connection reports, never from within a call to it. */
--- a/router/src/main/java/rushwood/dispatch/ProbeRunner.java
+++ b/router/src/main/java/rushwood/dispatch/ProbeRunner.java
@@ -1,7 +1,6 @@
 package rushwood.dispatch;
 
 import io.netty.buffer.ByteBuf;
-import java.util.function.Supplier;
 import rushwood.api.AttemptOutcome;
 import rushwood.api.HostId;
 
@@ -14,13 +13,13 @@
   private final Counters counters;
   private final ConnectionPool pool;
   private final PolicyEventQueue events;
-  private final Supplier<ByteBuf> statements;
+  private final BackendConnection.Connector connector;
   private final long timeoutNanos;
 
   /**
    * Creates a runner.
    *
-   * @param statements makes the statement of a probe
+   * @param connector makes the statement of a probe
    * @param timeoutNanos how long the response to a probe is waited for
    */
   ProbeRunner(
@@ -29,14 +28,14 @@
       Counters counters,
       ConnectionPool pool,
       PolicyEventQueue events,
-      Supplier<ByteBuf> statements,
+      BackendConnection.Connector connector,
       long timeoutNanos) {
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
     this.pool = pool;
     this.events = events;
-    this.statements = statements;
+    this.connector = connector;
     this.timeoutNanos = timeoutNanos;
   }
 
@@ -57,7 +56,7 @@
 
     @Override
     ByteBuf encodeStatement(long now) {
-      return statements.get();
+      return connector.probeStatement();
     }
 
     @Override
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -1,10 +1,8 @@
 package rushwood.dispatch;
 
-import io.netty.buffer.ByteBuf;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import rushwood.api.AttemptOutcome;
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
@@ -28,7 +26,6 @@
   private final AttemptRunner attempts;
   private final ProbeRunner probes;
   private final EndpointRegistry endpoints;
-  private final Runnable subscription;
   private final Consumer<String> logger;
   private long shutdownDeadline = Long.MAX_VALUE;
   private TimerQueue.ScheduledTask policyTimer;
@@ -37,8 +34,6 @@
    * Creates a dispatcher without endpoints.
    *
    * @param connector opens connections to hosts
-   * @param probeStatements makes the statement of a probe
-   * @param subscription run when the policy asks for the endpoint list
    * @param logger takes the policy's log messages
    * @param policyFactory makes the policy from the actions that are open to it
    */
@@ -48,22 +43,19 @@
       Counters counters,
       ConnectionSettings settings,
       BackendConnection.Connector connector,
-      Supplier<ByteBuf> probeStatements,
-      Runnable subscription,
       Consumer<String> logger,
       Function<PolicyActions, RoutingPolicy> policyFactory) {
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
-    this.subscription = subscription;
     this.logger = logger;
     pool = new ConnectionPool(connector, clock, timers, counters, settings);
     events = new PolicyEventQueue(counters);
     requests = new RequestTable(counters, events);
     attempts = new AttemptRunner(clock, timers, counters, pool, requests);
-    long probeTimeoutNanos = settings.connectTimeoutNanos();
     probes =
-        new ProbeRunner(clock, timers, counters, pool, events, probeStatements, probeTimeoutNanos);
+        new ProbeRunner(
+            clock, timers, counters, pool, events, connector, settings.connectTimeoutNanos());
     endpoints = new EndpointRegistry(pool, settings.isRemovalBinding());
     events.attach(policyFactory.apply(new DispatcherActions()));
   }
@@ -229,10 +221,9 @@
           timers.schedule(time, () -> events.deliver(policy -> policy.timerFired(clock.now())));
     }
 
+    /** Does nothing: the router's endpoint list is kept up to date without being asked for. */
     @Override
-    public void subscribeToEndpoints() {
-      subscription.run();
-    }
+    public void subscribeToEndpoints() {}
 
     @Override
     public void log(String message) {
--- a/router/src/main/java/rushwood/net/BackendConnector.java
+++ b/router/src/main/java/rushwood/net/BackendConnector.java
@@ -54,6 +54,7 @@
     this.counters = counters;
   }
 
+  @Override
   public ByteBuf probeStatement() {
     return MessageWriter.queryMessage(allocator, LOAD_REPORT_QUERY);
   }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -106,8 +106,6 @@
             config.settings().isRemovalBinding(),
             config.drainGraceNanos()),
         backendConnector,
-        backendConnector::probeStatement,
-        () -> {}, // the discovery client refreshes the endpoint list without being asked
         logger::log,
         this::createPolicy);
   }
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -156,8 +156,6 @@
             true,
             config.drainGraceNanos()),
         backendConnector,
-        backendConnector::probeStatement,
-        () -> {}, // the endpoints stay as they are
         line -> {}, // nothing is logged
         actions -> PolicyFactory.create(config, OverloadSettings.DEFAULT, connectBackoff, actions));
   }
--- a/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
+++ b/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
@@ -100,6 +100,21 @@
     }
   }
 
+  private final class FakeConnector implements BackendConnection.Connector {
+    @Override
+    public BackendConnection connect(
+        InetSocketAddress address, BackendConnection.Listener listener) {
+      FakeConnection connection = new FakeConnection(listener);
+      connections.add(connection);
+      return connection;
+    }
+
+    @Override
+    public ByteBuf probeStatement() {
+      return TestMessages.buffer(new byte[0]);
+    }
+  }
+
   private final class RecordingPolicy implements RoutingPolicy {
     @Override
     public void endpointsReplaced(long now, List<Endpoint> endpoints, boolean fromCache) {}
@@ -206,9 +221,7 @@
             timers,
             counters,
             settings,
-            (address, listener) -> connect(listener),
-            () -> TestMessages.buffer(new byte[0]),
-            () -> recorded.add("subscribed"),
+            new FakeConnector(),
             recorded::add,
             offered -> {
               actions = offered;
@@ -218,12 +231,6 @@
     scheduleTurns();
   }
 
-  private FakeConnection connect(BackendConnection.Listener listener) {
-    FakeConnection connection = new FakeConnection(listener);
-    connections.add(connection);
-    return connection;
-  }
-
   /** Turns come while nothing happens, as they do in a router: else idleness would be a pause. */
   private void scheduleTurns() {
     timers.schedule(clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::scheduleTurns);
