Mend Error Prone's findings in api, the command line's tests and the policy's

Need: Error Prone's warnings are to fail the build; these were some of them. Change: parentheses where && and || meet, a named charset, an unused parameter and an unused field out. Measured: ScenarioTest (35), SlowStartTest and the command line's tests pass.

--- a/cli/src/test/java/rushwood/cli/CommandRunner.java
+++ b/cli/src/test/java/rushwood/cli/CommandRunner.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 
 /** Runs the command line in this process and keeps what it printed on standard output. */
 final class CommandRunner {
@@ -11,12 +12,12 @@
   int run(String... args) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     PrintStream original = System.out;
-    System.setOut(new PrintStream(bytes));
+    System.setOut(new PrintStream(bytes, false, StandardCharsets.UTF_8));
     try {
       return Rushwood.run(args);
     } finally {
       System.setOut(original);
-      output = bytes.toString();
+      output = bytes.toString(StandardCharsets.UTF_8);
     }
   }
 
--- a/router/src/main/java/rushwood/api/RequestClass.java
+++ b/router/src/main/java/rushwood/api/RequestClass.java
@@ -55,8 +55,8 @@
     /** Whether a key that one of the hosts has seen is known to the other. */
     public boolean isShared(Endpoint one, Endpoint other) {
       return this == GLOBAL
-          || this == GROUP && one.group().equals(other.group())
-          || this == ZONE && one.zone().equals(other.zone());
+          || (this == GROUP && one.group().equals(other.group()))
+          || (this == ZONE && one.zone().equals(other.zone()));
     }
   }
 
--- a/router/src/test/java/rushwood/ScenarioTest.java
+++ b/router/src/test/java/rushwood/ScenarioTest.java
@@ -113,7 +113,7 @@
         case "probed" ->
             policy()
                 .probeFinished(
-                    now, new HostId(words[1]), words[2].equals("yes"), loadReport(words, 3));
+                    now, new HostId(words[1]), words[2].equals("yes"), loadReport(words));
         case "closing" -> policy().shuttingDown(now, START + nanos(words[1]));
         case "left" -> policy().clientDisconnected(now, new RequestId(words[1]));
         case "mark" -> mark = performed.size();
@@ -259,10 +259,10 @@
                   end == AttemptOutcome.SUCCESS,
                   role(role),
                   -1,
-                  loadReport(words, 3)));
+                  loadReport(words)));
     }
 
-    private LoadReport loadReport(String[] words, int from) {
+    private LoadReport loadReport(String[] words) {
       String position = operand(words, "position", null);
       String role = operand(words, "reports", null);
       return position == null
@@ -301,7 +301,7 @@
       String[] words = line.split(" ");
       for (int i = from; i < pattern.length; i++) {
         if (i - from >= words.length
-            || !pattern[i].equals("*") && !pattern[i].equals(words[i - from])) {
+            || (!pattern[i].equals("*") && !pattern[i].equals(words[i - from]))) {
           return false;
         }
       }
--- a/router/src/test/java/rushwood/policy/SlowStartTest.java
+++ b/router/src/test/java/rushwood/policy/SlowStartTest.java
@@ -211,7 +211,6 @@
     DefaultRoutingPolicy policy;
     long wakeAt;
     int requestCount;
-    int life;
 
     SimulatedRouter(RouterCluster tier, int number, double part) {
       this.cluster = tier;
