Decode settings in one place with typed errors; split the simulator's adapter

Need: the settings' decoder threw an exception of the simulator's wire whose message was cut apart again to name the field; the adapter decoded, ran and answered in one class. Change: SettingsDecoder throws InvalidConfigException with field and reason, for the configuration file and for the simulator; words are mapped to constants by name in place of their order. The last known endpoints and the log file are Optional. Messages, exit codes and the order in which errors are found stay.

--- a/router/src/main/java/rushwood/Main.java
+++ b/router/src/main/java/rushwood/Main.java
@@ -9,10 +9,20 @@
 import rushwood.server.RouterServer;
 import rushwood.simulator.SimulatorAdapter;
 
-/** The command line: one subcommand a job. */
+/** The command line of the router's jar: one command a job. */
 public final class Main {
+  private static final int EXIT_CANNOT_START = 1;
+  private static final int EXIT_USAGE = 2; // also for settings that cannot be used
+
   private Main() {}
 
+  /**
+   * Runs the command {@code serve} (a router) or {@code adapter} (the routing policy on the
+   * simulator's wire, standard input and output).
+   *
+   * @param args the command alone; settings come from the environment
+   * @throws IOException if the simulator's wire breaks
+   */
   public static void main(String[] args) throws IOException {
     String command = args.length == 1 ? args[0] : "";
     switch (command) {
@@ -20,35 +30,38 @@
       case "serve" -> serve();
       default -> {
         System.err.println("usage: rushwood adapter | serve");
-        System.exit(2);
+        System.exit(EXIT_USAGE);
       }
     }
   }
 
-  /** Returns once it serves; the event loop goes on until SIGTERM. */
+  /** Starts a router and returns once it listens; the event loop runs on until SIGTERM. */
   private static void serve() {
     try {
       HangUpSignal hangUpSignal = HangUpSignal.install();
       OperatorSettings operatorSettings = OperatorSettings.read(System.getenv());
-      if (operatorSettings.jsonLogFile() != null) {
-        Configuration.set("writer", "json");
-        Configuration.set("writer.file", operatorSettings.jsonLogFile());
-        Configuration.set("writer.format", "LDJSON");
-        Configuration.set("writer.field.time", "{date: yyyy-MM-dd'T'HH:mm:ss.SSS}");
-        Configuration.set("writer.field.level", "{level}");
-        Configuration.set("writer.field.message", "{message}");
-      }
+      operatorSettings.jsonLogFile().ifPresent(Main::logAsJson);
+      RouterConfig config = RouterConfig.read(System.getenv());
       RouterServer server =
-          new RouterServer(
-              RouterConfig.read(System.getenv()), operatorSettings, System.getenv(), hangUpSignal);
+          new RouterServer(config, operatorSettings, System.getenv(), hangUpSignal);
       Runtime.getRuntime().addShutdownHook(new Thread(server::stop, "stop"));
       server.start();
     } catch (InvalidConfigException e) {
       System.err.println("rushwood: " + e.getMessage());
-      System.exit(2);
+      System.exit(EXIT_USAGE);
     } catch (Exception e) {
       System.err.println("rushwood: cannot start: " + e.getMessage());
-      System.exit(1);
+      System.exit(EXIT_CANNOT_START);
     }
   }
+
+  /** Configures the logging library, which must not have written a line yet. */
+  private static void logAsJson(String file) {
+    Configuration.set("writer", "json");
+    Configuration.set("writer.file", file);
+    Configuration.set("writer.format", "LDJSON");
+    Configuration.set("writer.field.time", "{date: yyyy-MM-dd'T'HH:mm:ss.SSS}");
+    Configuration.set("writer.field.level", "{level}");
+    Configuration.set("writer.field.message", "{message}");
+  }
 }
--- a/router/src/main/java/rushwood/config/DecimalSeconds.java
+++ b/router/src/main/java/rushwood/config/DecimalSeconds.java
@@ -1,65 +1,74 @@
 package rushwood.config;
 
-import java.util.function.Supplier;
-import rushwood.simulator.MalformedMessageException;
-
-/** Seconds written as decimals, to and from whole nanoseconds. */
+/** Conversion between seconds written as decimals and whole nanoseconds. */
 public final class DecimalSeconds {
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long NANOS_PER_MICRO = 1000;
+  private static final long MICROS_PER_SECOND = 1_000_000;
+  private static final int MAX_PLAIN_LENGTH = 17; // of a text whose digits fit a long
+  private static final long MAX_PLAIN_SECONDS = 9_000_000_000L; // as nanoseconds they fit a long
 
   private DecimalSeconds() {}
 
-  public static long parseNanos(String text, Supplier<MalformedMessageException> bad) {
+  /**
+   * Parses seconds into nanoseconds. Plain decimals are converted exactly, digits beyond the ninth
+   * of the fraction cut off; any other notation of a number goes through a {@code double}.
+   *
+   * @throws NumberFormatException if the text is no finite number
+   */
+  public static long parseNanos(String text) {
     int length = text.length();
-    int at = length > 0 && text.charAt(0) == '-' ? 1 : 0;
-    long whole = 0;
-    long part = 0;
-    long unit = NANOS_PER_SECOND;
-    boolean point = false;
-    boolean plain = at < length && length < 18;
-    for (int i = at; plain && i < length; i++) {
+    boolean negative = length > 0 && text.charAt(0) == '-';
+    int firstDigit = negative ? 1 : 0;
+    long seconds = 0;
+    long fractionNanos = 0;
+    long digitNanos = NANOS_PER_SECOND;
+    boolean inFraction = false;
+    boolean isPlain = firstDigit < length && length <= MAX_PLAIN_LENGTH;
+    for (int i = firstDigit; isPlain && i < length; i++) {
       char c = text.charAt(i);
-      if (c == '.' && !point) {
-        point = true;
+      if (c == '.' && !inFraction) {
+        inFraction = true;
       } else if (c < '0' || c > '9') {
-        plain = false;
-      } else if (point) {
-        unit /= 10;
-        part += unit * (c - '0');
+        isPlain = false;
+      } else if (inFraction) {
+        digitNanos /= 10;
+        fractionNanos += digitNanos * (c - '0');
       } else {
-        whole = whole * 10 + (c - '0');
+        seconds = seconds * 10 + (c - '0');
       }
     }
-    if (!plain || whole > 9_000_000_000L) {
-      return Math.round(parseNumber(text, bad) * NANOS_PER_SECOND);
+    if (!isPlain || seconds > MAX_PLAIN_SECONDS) {
+      return Math.round(parseNumber(text) * NANOS_PER_SECOND);
     }
-    long nanos = whole * NANOS_PER_SECOND + part;
-    return at == 1 ? -nanos : nanos;
+    long nanos = seconds * NANOS_PER_SECOND + fractionNanos;
+    return negative ? -nanos : nanos;
   }
 
-  public static double parseNumber(String text, Supplier<MalformedMessageException> bad) {
-    try {
-      double value = Double.parseDouble(text);
-      if (Double.isFinite(value)) {
-        return value;
-      }
-    } catch (NumberFormatException e) {
-      // told below
+  /**
+   * Parses a finite number.
+   *
+   * @throws NumberFormatException if the text is none
+   */
+  public static double parseNumber(String text) {
+    double value = Double.parseDouble(text);
+    if (!Double.isFinite(value)) {
+      throw new NumberFormatException("not finite: " + text);
     }
-    throw bad.get();
+    return value;
   }
 
-  /** Writes a time as seconds to the microsecond, rounded up. */
+  /** Appends a time as seconds with six decimals, rounded up to the microsecond. */
   public static void appendSeconds(StringBuilder out, long nanos) {
-    long micros = Math.floorDiv(nanos + 999, 1000);
+    long micros = Math.floorDiv(nanos + NANOS_PER_MICRO - 1, NANOS_PER_MICRO);
     if (micros < 0) {
       out.append('-');
       micros = -micros;
     }
-    out.append(micros / 1_000_000).append('.');
-    long rest = micros % 1_000_000;
-    for (long unit = 100_000; unit > 0; unit /= 10) {
-      out.append((char) ('0' + rest / unit % 10));
+    out.append(micros / MICROS_PER_SECOND).append('.');
+    long fraction = micros % MICROS_PER_SECOND;
+    for (long unit = MICROS_PER_SECOND / 10; unit > 0; unit /= 10) {
+      out.append((char) ('0' + fraction / unit % 10));
     }
   }
 }
--- a/router/src/main/java/rushwood/config/InvalidConfigException.java
+++ b/router/src/main/java/rushwood/config/InvalidConfigException.java
@@ -1,10 +1,25 @@
 package rushwood.config;
 
-/** A configuration that cannot be used; the message names the field. */
+/** A setting that cannot be used. The message is one line: the field, a space and the reason. */
 public final class InvalidConfigException extends Exception {
   private static final long serialVersionUID = 1L;
 
-  InvalidConfigException(String field, String why) {
-    super(field + " " + why);
+  private final String field;
+  private final String reason;
+
+  InvalidConfigException(String field, String reason) {
+    super(field + " " + reason);
+    this.field = field;
+    this.reason = reason;
+  }
+
+  /** Returns the path of the field in its file, or the name of an environment variable. */
+  public String field() {
+    return field;
+  }
+
+  /** Returns what is wrong with the field, as the rest of a sentence that begins with it. */
+  public String reason() {
+    return reason;
   }
 }
--- a/router/src/main/java/rushwood/config/OperatorSettings.java
+++ b/router/src/main/java/rushwood/config/OperatorSettings.java
@@ -1,6 +1,5 @@
 package rushwood.config;
 
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
@@ -9,29 +8,43 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import rushwood.overload.OverloadSettings;
 
 /**
- * The settings that the operator owns: the file that RUSHWOOD_SETTINGS names, else
- * deploy/rushwood.json below the folder of the start, else none. {@code jsonLog} is the file that
- * gets each log line as JSON, null for lines on standard output. deploy/rushwood.schema.json
- * describes it; here it is checked without a library.
+ * The settings that the operator owns. {@code deploy/rushwood.schema.json} describes their file.
+ *
+ * @param overload what overload control does
+ * @param jsonLogFile the file that gets each log line as JSON; empty for plain lines on standard
+ *     output
  */
-public record OperatorSettings(OverloadSettings overload, String jsonLogFile) {
+public record OperatorSettings(OverloadSettings overload, Optional<String> jsonLogFile) {
+  private static final String FILE_VARIABLE = "RUSHWOOD_SETTINGS";
   private static final String DEFAULT_FILE = "deploy/rushwood.json";
+
+  private static final double MAX_RETRIES_PER_FIRST_ATTEMPT = 10;
+  private static final double MAX_RETRIES_PER_SECOND_FLOOR = 1e6;
+
+  /** The settings of a start without a file. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(OverloadSettings.DEFAULT, null);
+      new OperatorSettings(OverloadSettings.DEFAULT, Optional.empty());
 
+  /**
+   * Reads the file that {@code RUSHWOOD_SETTINGS} names, else {@code deploy/rushwood.json} below
+   * the working directory if there is one, else returns the defaults.
+   *
+   * @throws InvalidConfigException if the file cannot be read, or for its first invalid field
+   */
   public static OperatorSettings read(Map<String, String> environment)
       throws InvalidConfigException {
-    String named = environment.get("RUSHWOOD_SETTINGS");
-    boolean isNamed = named != null && !named.isEmpty();
+    String namedFile = environment.get(FILE_VARIABLE);
+    boolean isNamed = namedFile != null && !namedFile.isEmpty();
     try {
-      Path file = Path.of(isNamed ? named : DEFAULT_FILE);
+      Path file = Path.of(isNamed ? namedFile : DEFAULT_FILE);
       return !isNamed && !Files.exists(file) ? DEFAULTS : parse(Files.readString(file));
     } catch (IOException | InvalidPathException e) {
       throw new InvalidConfigException(
-          "RUSHWOOD_SETTINGS", "names a file that cannot be read: " + e.getMessage());
+          FILE_VARIABLE, "names a file that cannot be read: " + e.getMessage());
     }
   }
 
@@ -42,91 +55,44 @@
     } catch (RuntimeException e) {
       throw new InvalidConfigException("rushwood.json", "is no JSON object");
     }
-    rejectUnknownFields("", json, List.of("storm", "log"));
-    JsonObject overload = objectField(json, "storm");
-    rejectUnknownFields(
-        "storm.",
-        overload,
+    JsonSection root = new JsonSection("", json);
+    root.rejectUnknownFields(List.of("storm", "log"));
+    JsonSection overload = root.section("storm");
+    overload.rejectUnknownFields(
         List.of("calendar", "pace_dials", "repeats", "repeats_floor", "doubts"));
-    JsonObject log = objectField(json, "log");
-    rejectUnknownFields("log.", log, List.of("format", "file"));
+    JsonSection log = root.section("log");
+    log.rejectUnknownFields(List.of("format", "file"));
+    return new OperatorSettings(decodeOverload(overload), decodeJsonLogFile(log));
+  }
+
+  private static OverloadSettings decodeOverload(JsonSection section)
+      throws InvalidConfigException {
     OverloadSettings defaults = OverloadSettings.DEFAULT;
-    return new OperatorSettings(
-        new OverloadSettings(
-            booleanField(overload, "storm.calendar", defaults.retryAfterSchedule()),
-            booleanField(overload, "storm.pace_dials", defaults.connectBackoff()),
-            numberField(overload, "storm.repeats", defaults.retriesPerFirstAttempt(), 10),
-            numberField(overload, "storm.repeats_floor", defaults.minRetriesPerSecond(), 1e6),
-            booleanField(overload, "storm.doubts", defaults.failAmbiguousWrites())),
-        decodeJsonLogFile(log));
+    return new OverloadSettings(
+        section.flag("calendar", defaults.retryAfterSchedule()),
+        section.flag("pace_dials", defaults.connectBackoff()),
+        section.number("repeats", defaults.retriesPerFirstAttempt(), MAX_RETRIES_PER_FIRST_ATTEMPT),
+        section.number(
+            "repeats_floor", defaults.minRetriesPerSecond(), MAX_RETRIES_PER_SECOND_FLOOR),
+        section.flag("doubts", defaults.failAmbiguousWrites()));
   }
 
   /**
-   * The file of a structured log, which the logging library must be able to seek in: standard
-   * output is none.
+   * Decodes the file of the structured log. The logging library must be able to seek in it, so that
+   * standard output cannot be one.
    */
-  private static String decodeJsonLogFile(JsonObject log) throws InvalidConfigException {
-    String format = textField(log, "format", "lines");
-    String file = textField(log, "file", "");
+  private static Optional<String> decodeJsonLogFile(JsonSection log) throws InvalidConfigException {
+    String format = log.text("format", "lines");
+    String file = log.text("file", "");
     if (!format.equals("lines") && !format.equals("json")) {
-      throw new InvalidConfigException("log.format", "is neither lines nor json");
+      throw log.invalid("format", "is neither lines nor json");
     }
-    if (format.equals("json") == file.isEmpty()) {
-      throw new InvalidConfigException(
-          "log.file", file.isEmpty() ? "is missing" : "goes with the format json only");
-    }
-    return file.isEmpty() ? null : file;
-  }
-
-  private static String textField(JsonObject json, String field, String defaultValue)
-      throws InvalidConfigException {
-    JsonElement value = json.get(field);
-    if (value != null && (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString())) {
-      throw new InvalidConfigException("log." + field, "is no text");
-    }
-    return value == null ? defaultValue : value.getAsString();
-  }
-
-  private static void rejectUnknownFields(String path, JsonObject json, List<String> fields)
-      throws InvalidConfigException {
-    for (String field : json.keySet()) {
-      if (!fields.contains(field)) {
-        throw new InvalidConfigException(path + field, "is no setting");
-      }
-    }
-  }
-
-  private static JsonObject objectField(JsonObject json, String field)
-      throws InvalidConfigException {
-    JsonElement value = json.get(field);
-    if (value != null && !value.isJsonObject()) {
-      throw new InvalidConfigException(field, "is no object");
-    }
-    return value == null ? new JsonObject() : value.getAsJsonObject();
-  }
-
-  private static boolean booleanField(JsonObject json, String path, boolean defaultValue)
-      throws InvalidConfigException {
-    JsonElement value = json.get(path.substring(path.indexOf('.') + 1));
-    if (value == null) {
-      return defaultValue;
-    }
-    if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isBoolean()) {
-      throw new InvalidConfigException(path, "is neither true nor false");
-    }
-    return value.getAsBoolean();
-  }
-
-  private static double numberField(JsonObject json, String path, double defaultValue, double max)
-      throws InvalidConfigException {
-    JsonElement value = json.get(path.substring(path.indexOf('.') + 1));
-    if (value == null) {
-      return defaultValue;
+    if (format.equals("json") && file.isEmpty()) {
+      throw log.invalid("file", "is missing");
     }
-    boolean isNumber = value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
-    if (!isNumber || !(value.getAsDouble() >= 0 && value.getAsDouble() <= max)) {
-      throw new InvalidConfigException(path, "is no number from 0 to " + (long) max);
+    if (format.equals("lines") && !file.isEmpty()) {
+      throw log.invalid("file", "goes with the format json only");
     }
-    return value.getAsDouble();
+    return file.isEmpty() ? Optional.empty() : Optional.of(file);
   }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/config/RouterConfigFile.java
@@ -0,0 +1,135 @@
+package rushwood.config;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import rushwood.discovery.EndpointListParser;
+
+/** The configuration file of a router, with the environment variables that precede its fields. */
+final class RouterConfigFile {
+  static final String DISCOVERY_VARIABLE = "NODE_DISCOVERY";
+  private static final String FILE_VARIABLE = "NODE_CONFIG";
+  private static final String NAME_VARIABLE = "NODE_NAME";
+  private static final String LISTEN_VARIABLE = "NODE_LISTEN";
+
+  private static final String SETTINGS = "settings";
+  private static final String DRAIN_GRACE = "rules.drain_grace";
+
+  /** Where none is set: the shortest drain grace of any known deployment. */
+  private static final long DEFAULT_DRAIN_GRACE_NANOS = 250_000_000L;
+
+  private static final int SEED_RADIX = 16;
+
+  private final Map<String, String> environment;
+  private final JsonObject root;
+
+  private RouterConfigFile(Map<String, String> environment, JsonObject root) {
+    this.environment = environment;
+    this.root = root;
+  }
+
+  static RouterConfigFile open(Map<String, String> environment) throws InvalidConfigException {
+    String file = environment.get(FILE_VARIABLE);
+    if (file == null || file.isEmpty()) {
+      throw new InvalidConfigException(FILE_VARIABLE, "is missing");
+    }
+    try {
+      String text = Files.readString(Path.of(file));
+      return new RouterConfigFile(environment, JsonParser.parseString(text).getAsJsonObject());
+    } catch (IOException | InvalidPathException e) {
+      throw new InvalidConfigException(
+          FILE_VARIABLE, "names a file that cannot be read: " + e.getMessage());
+    } catch (RuntimeException e) {
+      throw new InvalidConfigException(FILE_VARIABLE, "names a file that is no JSON object");
+    }
+  }
+
+  RouterConfig decode() throws InvalidConfigException {
+    SettingsDecoder settings = settingsDecoder(object(SETTINGS));
+    return new RouterConfig(
+        text("name", NAME_VARIABLE),
+        address("listen", LISTEN_VARIABLE),
+        address("discovery", DISCOVERY_VARIABLE),
+        seed(),
+        maxSockets(),
+        lastKnownEndpoints(),
+        settings.decodeSettings(),
+        settings.nanos("limits.dial_timeout"),
+        settings.nanos("limits.conn_idle"),
+        settings.maxRequestTimeoutNanos(),
+        settings.isSet(DRAIN_GRACE)
+            ? Math.max(0, settings.nanos(DRAIN_GRACE))
+            : DEFAULT_DRAIN_GRACE_NANOS);
+  }
+
+  static SettingsDecoder settingsDecoder(JsonElement settings) {
+    return new SettingsDecoder(JsonFlattener.flatten(settings), SETTINGS + ".");
+  }
+
+  /**
+   * Decodes the last known endpoint list. A malformed one is used as far as it can be read and
+   * never prevents the start.
+   */
+  private Optional<EndpointListParser.EndpointList> lastKnownEndpoints() {
+    JsonElement known = root.get("known");
+    if (known == null || known.isJsonNull()) {
+      return Optional.empty();
+    }
+    JsonObject list = known.isJsonObject() ? known.getAsJsonObject() : new JsonObject();
+    return Optional.of(EndpointListParser.decode(list));
+  }
+
+  private InetSocketAddress address(String field, String variable) throws InvalidConfigException {
+    try {
+      return EndpointListParser.parseAddress(text(field, variable));
+    } catch (IllegalArgumentException e) {
+      throw new InvalidConfigException(field, "is no address");
+    }
+  }
+
+  private long seed() throws InvalidConfigException {
+    try {
+      return Long.parseUnsignedLong(text("seed"), SEED_RADIX);
+    } catch (NumberFormatException e) {
+      throw new InvalidConfigException("seed", "is no hexadecimal number");
+    }
+  }
+
+  private int maxSockets() throws InvalidConfigException {
+    JsonElement value = object("limits").get("sockets");
+    try {
+      return value.getAsInt();
+    } catch (RuntimeException e) {
+      throw new InvalidConfigException("limits.sockets", "is missing or no number");
+    }
+  }
+
+  private JsonObject object(String field) throws InvalidConfigException {
+    JsonElement value = root.get(field);
+    if (value == null || !value.isJsonObject()) {
+      throw new InvalidConfigException(field, "is missing or no object");
+    }
+    return value.getAsJsonObject();
+  }
+
+  /** Returns the value of the variable, or of the field if the variable is not set. */
+  private String text(String field, String variable) throws InvalidConfigException {
+    String override = environment.get(variable);
+    return override != null && !override.isEmpty() ? override : text(field);
+  }
+
+  private String text(String field) throws InvalidConfigException {
+    JsonElement value = root.get(field);
+    if (value == null || !value.isJsonPrimitive() || value.getAsString().isEmpty()) {
+      throw new InvalidConfigException(field, "is missing");
+    }
+    return value.getAsString();
+  }
+}
--- a/router/src/main/java/rushwood/config/SettingsDecoder.java
+++ b/router/src/main/java/rushwood/config/SettingsDecoder.java
@@ -3,33 +3,59 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiFunction;
 import rushwood.api.RequestClass;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RequestClass.Idempotency;
+import rushwood.api.RequestClass.KeyScope;
 import rushwood.api.RoutingSettings;
-import rushwood.simulator.MalformedMessageException;
+import rushwood.api.RoutingSettings.LaggingReadBehavior;
 
-/** Decodes the settings of a start, given as pairs of path and value. */
+/**
+ * Decodes the settings of a start from pairs of path and value, such as {@code limits.probes} and
+ * {@code true}. The configuration file and the simulator have the same paths and words. Times are
+ * written as decimal seconds and returned in nanoseconds.
+ */
 public final class SettingsDecoder {
-  private final BiFunction<String, String, MalformedMessageException> bad;
-  private final Map<String, String> pairs;
-
-  /** With what makes the fault of a field and its reason. */
-  public SettingsDecoder(
-      Map<String, String> pairs, BiFunction<String, String, MalformedMessageException> bad) {
-    this.pairs = pairs;
-    this.bad = bad;
+  private static final String CLASS_COUNT = "classes.count";
+  private static final String CONSISTENCY_BY_CLASS = "domain.needs_by_class";
+  private static final String STALENESS_BY_CLASS = "domain.lag_allowed";
+  private static final String LAGGING_READS = "domain.behind";
+  private static final String POSITION_ZERO = "domain.position_zero";
+  private static final String SUBSCRIPTION = "discovery";
+
+  /** Stands among the consistency words of the classes and marks a class of writes. */
+  private static final String WRITE_WORD = "update";
+
+  private final Map<String, String> values;
+  private final String errorPrefix;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param values the settings by their path
+   * @param errorPrefix precedes the path where an error names a field; may be empty
+   */
+  public SettingsDecoder(Map<String, String> values, String errorPrefix) {
+    this.values = values;
+    this.errorPrefix = errorPrefix;
   }
 
-  public RoutingSettings decodeSettings() {
-    boolean loadReports = !pairs.getOrDefault("load_report.how", "off").equals("off");
-    boolean routerTracksWrites = pairs.getOrDefault("domain.token_mode", "client").equals("router");
+  /**
+   * Decodes what the routing policy reads.
+   *
+   * @throws InvalidConfigException for the first field that is missing or cannot be read
+   */
+  public RoutingSettings decodeSettings() throws InvalidConfigException {
+    boolean hasLoadReports = !values.getOrDefault("load_report.how", "off").equals("off");
+    boolean tracksSessionWrites =
+        values.getOrDefault("domain.token_mode", "client").equals("router");
     return new RoutingSettings(
         (int) number("n_instances"),
         requestClasses(),
-        indexOfWord("discovery", "automatic", "subscribe") == 1,
-        behind(),
-        loadReports,
-        routerTracksWrites,
+        subscribesToEndpoints(),
+        laggingReadBehavior(),
+        hasLoadReports,
+        tracksSessionWrites,
         flag("limits.probes"),
         flag("limits.may_cancel"),
         flag("limits.retry_after"),
@@ -44,102 +70,174 @@
         nanos("rules.ask_within"));
   }
 
-  /** The clock time from which the wire counts positions; the decisions see clock times only. */
-  public long positionZeroNanos() {
-    return pairs.containsKey("domain.position_zero") ? nanos("domain.position_zero") : 0;
+  /**
+   * Returns the clock time from which the wire counts replication positions; the policy sees clock
+   * times only.
+   */
+  public long positionZeroNanos() throws InvalidConfigException {
+    return isSet(POSITION_ZERO) ? nanos(POSITION_ZERO) : 0;
+  }
+
+  /** Returns the longest that any client waits for an answer. */
+  public long maxRequestTimeoutNanos() throws InvalidConfigException {
+    long longest = 0;
+    for (int i = 0; i < classCount(); i++) {
+      longest = Math.max(longest, nanos(classPrefix(i) + "deadline"));
+    }
+    return longest;
+  }
+
+  /** Returns whether there is a value at this path, even an empty one. */
+  public boolean isSet(String path) {
+    return values.containsKey(path);
+  }
+
+  /**
+   * Returns the time at this path.
+   *
+   * @throws InvalidConfigException if it is missing or no number of seconds
+   */
+  public long nanos(String path) throws InvalidConfigException {
+    try {
+      return DecimalSeconds.parseNanos(text(path));
+    } catch (NumberFormatException e) {
+      throw invalid(path, "is not a time");
+    }
+  }
+
+  private boolean subscribesToEndpoints() throws InvalidConfigException {
+    String word = text(SUBSCRIPTION);
+    return switch (word) {
+      case "automatic" -> false;
+      case "subscribe" -> true;
+      default -> throw unknownWord(SUBSCRIPTION, word);
+    };
   }
 
-  private RoutingSettings.LaggingReadBehavior behind() {
-    boolean isSet = pairs.containsKey("domain.behind");
-    return RoutingSettings.LaggingReadBehavior.values()[
-        isSet ? indexOfWord("domain.behind", "off", "reject", "hold") : 0];
+  private LaggingReadBehavior laggingReadBehavior() throws InvalidConfigException {
+    if (!isSet(LAGGING_READS)) {
+      return LaggingReadBehavior.SERVES;
+    }
+    String word = text(LAGGING_READS);
+    return switch (word) {
+      case "off" -> LaggingReadBehavior.SERVES;
+      case "reject" -> LaggingReadBehavior.REJECTS;
+      case "hold" -> LaggingReadBehavior.WAITS;
+      default -> throw unknownWord(LAGGING_READS, word);
+    };
   }
 
-  private List<RequestClass> requestClasses() {
-    String[] consistencyWords = pairs.getOrDefault("domain.needs_by_class", "").split(",");
-    String[] bounds = pairs.getOrDefault("domain.lag_allowed", "").split(",");
+  private List<RequestClass> requestClasses() throws InvalidConfigException {
+    String[] consistencyWords = values.getOrDefault(CONSISTENCY_BY_CLASS, "").split(",");
+    String[] stalenessTexts = values.getOrDefault(STALENESS_BY_CLASS, "").split(",");
     List<RequestClass> classes = new ArrayList<>();
-    for (int i = 0; i < count("classes.count"); i++) {
-      String prefix = "classes." + i + ".";
-      String word = i < consistencyWords.length ? consistencyWords[i] : "";
+    for (int i = 0; i < classCount(); i++) {
       classes.add(
-          new RequestClass(
-              text(prefix + "name"),
-              i,
-              nanos(prefix + "aim"),
-              RequestClass.Idempotency.values()[
-                  indexOfWord(prefix + "semantics", "repeatable", "by_key", "once")],
-              keyScope(prefix),
-              nanos(prefix + "window"),
-              word.equals("update"),
-              consistency(word),
-              stalenessBound(i < bounds.length ? bounds[i] : ""),
-              pairs.containsKey(prefix + "late_value") ? number(prefix + "late_value") : 0));
+          requestClass(i, elementOrEmpty(consistencyWords, i), elementOrEmpty(stalenessTexts, i)));
     }
     return classes;
   }
 
-  /** The longest that any client waits for an answer. */
-  public long maxRequestTimeoutNanos() {
-    long longest = 0;
-    for (int i = 0; i < count("classes.count"); i++) {
-      longest = Math.max(longest, nanos("classes." + i + ".deadline"));
-    }
-    return longest;
+  private RequestClass requestClass(int index, String consistencyWord, String stalenessText)
+      throws InvalidConfigException {
+    String prefix = classPrefix(index);
+    String lateValue = prefix + "late_value";
+    return new RequestClass(
+        text(prefix + "name"),
+        index,
+        nanos(prefix + "aim"),
+        idempotency(prefix + "semantics"),
+        keyScope(prefix + "key_scope"),
+        nanos(prefix + "window"),
+        consistencyWord.equals(WRITE_WORD),
+        consistency(consistencyWord),
+        maxStaleness(stalenessText),
+        isSet(lateValue) ? number(lateValue) : 0);
+  }
+
+  private int classCount() throws InvalidConfigException {
+    return isSet(CLASS_COUNT) ? (int) number(CLASS_COUNT) : 0;
   }
 
-  private long stalenessBound(String text) {
-    return text.isEmpty()
-        ? 0
-        : DecimalSeconds.parseNanos(
-            text, () -> bad.apply("domain.lag_allowed", "is no list of times"));
+  private static String classPrefix(int index) {
+    return "classes." + index + ".";
   }
 
-  private RequestClass.KeyScope keyScope(String prefix) {
-    return RequestClass.KeyScope.values()[indexOfWord(prefix + "key_scope", "all", "zone", "cell")];
+  private static String elementOrEmpty(String[] elements, int index) {
+    return index < elements.length ? elements[index] : "";
   }
 
-  private RequestClass.Consistency consistency(String word) {
+  private Idempotency idempotency(String path) throws InvalidConfigException {
+    String word = text(path);
     return switch (word) {
-      case "latest" -> RequestClass.Consistency.STRONG;
-      case "own_writes" -> RequestClass.Consistency.READ_YOUR_WRITES;
-      case "recent" -> RequestClass.Consistency.BOUNDED_STALENESS;
-      case "update", "loose", "" -> RequestClass.Consistency.EVENTUAL;
-      default -> throw bad.apply("domain.needs_by_class", "has the unknown word " + word);
+      case "repeatable" -> Idempotency.IDEMPOTENT;
+      case "by_key" -> Idempotency.IDEMPOTENCY_KEY;
+      case "once" -> Idempotency.NON_IDEMPOTENT;
+      default -> throw unknownWord(path, word);
     };
   }
 
-  private String text(String key) {
-    String value = pairs.get(key);
-    if (value == null || value.isEmpty()) {
-      throw bad.apply(key, "is missing");
+  private KeyScope keyScope(String path) throws InvalidConfigException {
+    String word = text(path);
+    return switch (word) {
+      case "all" -> KeyScope.GLOBAL;
+      case "zone" -> KeyScope.ZONE;
+      case "cell" -> KeyScope.GROUP;
+      default -> throw unknownWord(path, word);
+    };
+  }
+
+  private Consistency consistency(String word) throws InvalidConfigException {
+    return switch (word) {
+      case "latest" -> Consistency.STRONG;
+      case "own_writes" -> Consistency.READ_YOUR_WRITES;
+      case "recent" -> Consistency.BOUNDED_STALENESS;
+      case "loose", "", WRITE_WORD -> Consistency.EVENTUAL;
+      default -> throw unknownWord(CONSISTENCY_BY_CLASS, word);
+    };
+  }
+
+  private long maxStaleness(String text) throws InvalidConfigException {
+    try {
+      return text.isEmpty() ? 0 : DecimalSeconds.parseNanos(text);
+    } catch (NumberFormatException e) {
+      throw invalid(STALENESS_BY_CLASS, "is no list of times");
     }
-    return value;
   }
 
-  private int indexOfWord(String key, String... words) {
-    String value = text(key);
-    for (int i = 0; i < words.length; i++) {
-      if (words[i].equals(value)) {
-        return i;
-      }
+  private boolean flag(String path) throws InvalidConfigException {
+    if (!isSet(path)) {
+      return false;
     }
-    throw bad.apply(key, "has the unknown word " + value);
+    String word = text(path);
+    return switch (word) {
+      case "false" -> false;
+      case "true" -> true;
+      default -> throw unknownWord(path, word);
+    };
   }
 
-  private boolean flag(String key) {
-    return pairs.containsKey(key) && indexOfWord(key, "false", "true") == 1;
+  private double number(String path) throws InvalidConfigException {
+    try {
+      return DecimalSeconds.parseNumber(text(path));
+    } catch (NumberFormatException e) {
+      throw invalid(path, "is not a number");
+    }
   }
 
-  private int count(String key) {
-    return pairs.containsKey(key) ? (int) number(key) : 0;
+  private String text(String path) throws InvalidConfigException {
+    String value = values.get(path);
+    if (value == null || value.isEmpty()) {
+      throw invalid(path, "is missing");
+    }
+    return value;
   }
 
-  private double number(String key) {
-    return DecimalSeconds.parseNumber(text(key), () -> bad.apply(key, "is not a number"));
+  private InvalidConfigException unknownWord(String path, String word) {
+    return invalid(path, "has the unknown word " + word);
   }
 
-  public long nanos(String key) {
-    return DecimalSeconds.parseNanos(text(key), () -> bad.apply(key, "is not a time"));
+  private InvalidConfigException invalid(String path, String reason) {
+    return new InvalidConfigException(errorPrefix + path, reason);
   }
 }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -139,25 +139,26 @@
   }
 
   private DiscoveryClient createDiscoveryClient(DiscoveryClient.Listener listener) {
-    EndpointListParser.EndpointList lastKnown = config.lastKnownEndpoints();
+    long lastKnownVersion =
+        config.lastKnownEndpoints().map(EndpointListParser.EndpointList::version).orElse(0L);
     return new DiscoveryClient(
         eventLoop,
         config.discoveryAddress(),
         clock,
         timerQueue,
         config.drainGraceNanos(),
-        lastKnown == null ? 0 : Math.max(0, lastKnown.version()),
+        Math.max(0, lastKnownVersion),
         new SplittableRandom(config.seed() + 1),
         listener);
   }
 
   private void loadLastKnownEndpoints(RequestDispatcher dispatcher) {
-    EndpointListParser.EndpointList lastKnown = config.lastKnownEndpoints();
-    if (lastKnown == null) {
-      dispatcher.endpointsReplaced(List.of(), true);
-      return;
+    List<RequestDispatcher.EndpointAddress> endpoints = List.of();
+    if (config.lastKnownEndpoints().isPresent()) {
+      EndpointListParser.EndpointList list = config.lastKnownEndpoints().get();
+      list.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
+      endpoints = list.endpoints();
     }
-    lastKnown.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
-    dispatcher.endpointsReplaced(lastKnown.endpoints(), true);
+    dispatcher.endpointsReplaced(endpoints, true);
   }
 }
--- a/router/src/main/java/rushwood/simulator/MalformedMessageException.java
+++ b/router/src/main/java/rushwood/simulator/MalformedMessageException.java
@@ -1,10 +1,10 @@
 package rushwood.simulator;
 
-/** A line that cannot be read; the message names the line and the field. */
-public final class MalformedMessageException extends RuntimeException {
+/** A line of the simulator that cannot be read; the message names the line and the field. */
+final class MalformedMessageException extends RuntimeException {
   private static final long serialVersionUID = 1L;
 
-  public MalformedMessageException(String message) {
+  MalformedMessageException(String message) {
     super(message);
   }
 }
--- a/router/src/main/java/rushwood/simulator/SimulatedRouter.java
+++ b/router/src/main/java/rushwood/simulator/SimulatedRouter.java
@@ -7,24 +7,47 @@
 import rushwood.api.RoutingPolicy;
 import rushwood.api.RoutingSettings;
 import rushwood.config.DecimalSeconds;
+import rushwood.config.InvalidConfigException;
 import rushwood.config.SettingsDecoder;
 import rushwood.policy.DefaultRoutingPolicy;
 
-/** One router behind the wire: its decisions, and the lines of its part of the reply. */
+/**
+ * One router of the simulator: its routing policy, and the lines that the policy's actions write.
+ */
 final class SimulatedRouter implements PolicyActions {
-  final StringBuilder output = new StringBuilder();
-  final RoutingSettings settings;
-  final long positionZeroNanos;
-  final RoutingPolicy policy;
+  private final StringBuilder output = new StringBuilder();
+  private final RoutingSettings settings;
+  private final long positionZeroNanos;
+  private final RoutingPolicy policy;
 
-  SimulatedRouter(SettingsDecoder decoder, long seed) {
+  SimulatedRouter(SettingsDecoder decoder, long seed) throws InvalidConfigException {
     settings = decoder.decodeSettings();
     positionZeroNanos = decoder.positionZeroNanos();
     policy = new DefaultRoutingPolicy(settings, new SplittableRandom(seed), this);
   }
 
+  RoutingPolicy policy() {
+    return policy;
+  }
+
+  RoutingSettings settings() {
+    return settings;
+  }
+
+  /** Returns the clock time from which replication positions are counted on the wire. */
+  long positionZeroNanos() {
+    return positionZeroNanos;
+  }
+
+  /** Returns the lines written since the last call. */
+  String takeOutput() {
+    String lines = output.toString();
+    output.setLength(0);
+    return lines;
+  }
+
   @Override
-  public void send(RequestId request, HostId endpoint, long timeoutNanos, long beginWithin) {
+  public void send(RequestId request, HostId endpoint, long timeoutNanos, long startWithinNanos) {
     output.append("route\tid=").append(request.value()).append("\thost=").append(endpoint.value());
     output.append("\tcap=");
     DecimalSeconds.appendSeconds(output, timeoutNanos);
@@ -32,21 +55,17 @@
   }
 
   @Override
-  public void cancel(RequestId request, int attempt) {
-    output
-        .append("retract\tid=")
-        .append(request.value())
-        .append("\ttry=")
-        .append(attempt)
-        .append('\n');
+  public void cancel(RequestId request, int attemptNumber) {
+    output.append("retract\tid=").append(request.value());
+    output.append("\ttry=").append(attemptNumber).append('\n');
   }
 
   @Override
-  public void reject(RequestId request, long retryAfter) {
+  public void reject(RequestId request, long retryAfterNanos) {
     output.append("bounce\tid=").append(request.value());
-    if (retryAfter > 0) {
+    if (retryAfterNanos > 0) {
       output.append("\tretry_in=");
-      DecimalSeconds.appendSeconds(output, retryAfter);
+      DecimalSeconds.appendSeconds(output, retryAfterNanos);
     }
     output.append('\n');
   }
@@ -62,9 +81,9 @@
   }
 
   @Override
-  public void wakeAt(long at) {
+  public void wakeAt(long time) {
     output.append("set_timer\twhen=");
-    DecimalSeconds.appendSeconds(output, at);
+    DecimalSeconds.appendSeconds(output, time);
     output.append("\thandle=0\n");
   }
 
@@ -74,7 +93,7 @@
   }
 
   @Override
-  public void log(String line) {
-    output.append("write_log\tmessage=").append(line).append('\n');
+  public void log(String message) {
+    output.append("write_log\tmessage=").append(message).append('\n');
   }
 }
--- a/router/src/main/java/rushwood/simulator/WireLine.java
+++ b/router/src/main/java/rushwood/simulator/WireLine.java
@@ -5,21 +5,27 @@
 import java.util.Map;
 import rushwood.config.DecimalSeconds;
 
-/** One line of the wire, its parts found by name. */
+/**
+ * One line of the simulator's wire: the message type, then fields {@code name=value}, all separated
+ * by tabs. The accessors throw a {@link MalformedMessageException} if the field cannot be read, the
+ * {@code required} ones also if it is missing or empty.
+ */
 final class WireLine {
+  private static final int INITIAL_FIELDS = 16;
+
   private final String text;
-  private final long requiredNumber;
-  private int[] fieldStarts = new int[16];
+  private final long lineNumber;
+  private int[] fieldStarts = new int[INITIAL_FIELDS];
   private int fieldCount;
 
-  WireLine(String text, long number) {
+  WireLine(String text, long lineNumber) {
     this.text = text;
-    this.requiredNumber = number;
-    for (int at = text.indexOf('\t'); at >= 0; at = text.indexOf('\t', at + 1)) {
+    this.lineNumber = lineNumber;
+    for (int tab = text.indexOf('\t'); tab >= 0; tab = text.indexOf('\t', tab + 1)) {
       if (fieldCount == fieldStarts.length) {
         fieldStarts = Arrays.copyOf(fieldStarts, 2 * fieldCount);
       }
-      fieldStarts[fieldCount++] = at + 1;
+      fieldStarts[fieldCount++] = tab + 1;
     }
   }
 
@@ -27,38 +33,43 @@
     return fieldCount == 0 ? text : text.substring(0, fieldStarts[0] - 1);
   }
 
-  MalformedMessageException malformed(String field, String why) {
+  /** Returns an exception that names this line, the field and the reason. */
+  MalformedMessageException malformed(String field, String reason) {
     return new MalformedMessageException(
-        "line " + requiredNumber + " (" + messageType() + "): " + field + " " + why);
+        "line " + lineNumber + " (" + messageType() + "): " + field + " " + reason);
+  }
+
+  boolean has(String name) {
+    return optionalText(name) != null;
   }
 
-  /** The value of that name, or null. */
+  /** Returns the value of the field, or null if there is none. */
   String optionalText(String name) {
     for (int i = 0; i < fieldCount; i++) {
-      int from = fieldStarts[i];
-      int equals = from + name.length();
-      if (text.startsWith(name, from) && equals < text.length() && text.charAt(equals) == '=') {
-        return text.substring(equals + 1, end(i));
+      int start = fieldStarts[i];
+      int equals = start + name.length();
+      if (text.startsWith(name, start) && equals < text.length() && text.charAt(equals) == '=') {
+        return text.substring(equals + 1, fieldEnd(i));
       }
     }
     return null;
   }
 
-  private int end(int part) {
-    return part + 1 < fieldCount ? fieldStarts[part + 1] - 1 : text.length();
+  private int fieldEnd(int index) {
+    return index + 1 < fieldCount ? fieldStarts[index + 1] - 1 : text.length();
   }
 
-  /** All parts as pairs, in order; the caller skips what it does not know. */
+  /** Returns all fields in their order. */
   Map<String, String> fields() {
-    Map<String, String> pairs = new LinkedHashMap<>();
+    Map<String, String> fields = new LinkedHashMap<>();
     for (int i = 0; i < fieldCount; i++) {
-      String part = text.substring(fieldStarts[i], end(i));
-      int equals = part.indexOf('=');
+      String field = text.substring(fieldStarts[i], fieldEnd(i));
+      int equals = field.indexOf('=');
       if (equals > 0) {
-        pairs.put(part.substring(0, equals), part.substring(equals + 1));
+        fields.put(field.substring(0, equals), field.substring(equals + 1));
       }
     }
-    return pairs;
+    return fields;
   }
 
   String requiredText(String name) {
@@ -69,12 +80,21 @@
     return value;
   }
 
+  /** Returns a time, written as decimal seconds. */
   long requiredNanos(String name) {
-    return DecimalSeconds.parseNanos(requiredText(name), () -> malformed(name, "is not a time"));
+    try {
+      return DecimalSeconds.parseNanos(requiredText(name));
+    } catch (NumberFormatException e) {
+      throw malformed(name, "is not a time");
+    }
   }
 
   double requiredNumber(String name) {
-    return DecimalSeconds.parseNumber(requiredText(name), () -> malformed(name, "is not a number"));
+    try {
+      return DecimalSeconds.parseNumber(requiredText(name));
+    } catch (NumberFormatException e) {
+      throw malformed(name, "is not a number");
+    }
   }
 
   int requiredInt(String name) {
@@ -93,6 +113,7 @@
     }
   }
 
+  /** Returns whether the field is 1; a missing one is 0. */
   boolean optionalFlag(String name) {
     String value = optionalText(name);
     if (value == null || value.equals("0")) {
--- a/router/src/main/java/rushwood/simulator/package-info.java
+++ b/router/src/main/java/rushwood/simulator/package-info.java
@@ -1,4 +1,6 @@
 /**
- * The bench's wire before the decisions: decodes lines into calls, encodes what they do into lines.
+ * The simulator's side of the routing policy: {@link rushwood.simulator.SimulatorAdapter} reads
+ * batches of events from standard input, calls the policies of any number of routers and writes
+ * what they decide to standard output. Words of the wire end in this package.
  */
 package rushwood.simulator;
--- a/router/src/test/java/rushwood/config/OperatorSettingsTest.java
+++ b/router/src/test/java/rushwood/config/OperatorSettingsTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class OperatorSettingsTest {
@@ -29,7 +30,7 @@
     assertInvalid("{\"log\":{\"file\":\"a\"}}", "log.file goes with the format json only");
     assertEquals(OperatorSettings.DEFAULTS, OperatorSettings.parse("{}"));
     assertEquals(
-        "a",
+        Optional.of("a"),
         OperatorSettings.parse("{\"log\":{\"format\":\"json\",\"file\":\"a\"}}").jsonLogFile());
     assertEquals(
         OperatorSettings.DEFAULTS,
