--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -11,6 +11,7 @@
 import rushwood.discovery.EndpointListParser;
 import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
+import rushwood.dispatch.EndpointAddress;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
@@ -153,7 +154,7 @@
   }
 
   private void loadLastKnownEndpoints(RequestDispatcher dispatcher) {
-    List<RequestDispatcher.EndpointAddress> endpoints = List.of();
+    List<EndpointAddress> endpoints = List.of();
     if (config.lastKnownEndpoints().isPresent()) {
       EndpointListParser.EndpointList list = config.lastKnownEndpoints().get();
       list.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
