--- a/router/src/main/java/rushwood/policy/DeadlineQueue.java
+++ b/router/src/main/java/rushwood/policy/DeadlineQueue.java
@@ -3,7 +3,10 @@
 import java.util.PriorityQueue;
 import rushwood.api.PolicyActions;
 
-/** The due times of one router in order, equal times as they came, and the one wake asked for. */
+/**
+ * The deadlines of a router's requests in order of time, equal ones in order of entry; and the one
+ * timer that it has asked for.
+ */
 final class DeadlineQueue {
   private record Entry(long deadline, long order, PendingRequest pending)
       implements Comparable<Entry> {
@@ -15,13 +18,15 @@
     }
   }
 
+  private static final long NO_TIMER = Long.MAX_VALUE;
+
   private final PriorityQueue<Entry> entries = new PriorityQueue<>();
-  private final PolicyActions outlet;
+  private final PolicyActions actions;
   private long nextOrder;
-  private long requestedAt = Long.MAX_VALUE;
+  private long timerAt = NO_TIMER;
 
   DeadlineQueue(PolicyActions actions) {
-    this.outlet = actions;
+    this.actions = actions;
   }
 
   void add(long deadline, PendingRequest pending) {
@@ -29,7 +34,7 @@
     requestTimer(deadline);
   }
 
-  /** The next access that is due by now and not over, or null. */
+  /** Removes and returns the next unfinished request whose deadline has come, or null. */
   PendingRequest pollExpired(long now) {
     return earliestDeadline() <= now ? entries.poll().pending() : null;
   }
@@ -41,18 +46,17 @@
     return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().deadline();
   }
 
-  void requestTimer(long at) {
-    if (at < requestedAt) {
-      requestedAt = at;
-      outlet.wakeAt(at);
+  /** Asks to be called at that time, unless an earlier call is due. */
+  void requestTimer(long time) {
+    if (time < timerAt) {
+      timerAt = time;
+      actions.wakeAt(time);
     }
   }
 
-  /**
-   * Asks for the next wake, at that time or the earliest due; called once the last one has come.
-   */
-  void rearm(long at) {
-    requestedAt = Long.MAX_VALUE;
-    requestTimer(Math.min(at, earliestDeadline()));
+  /** Asks for the next call, at that time or the earliest deadline; when the last one has come. */
+  void rearm(long time) {
+    timerAt = NO_TIMER;
+    requestTimer(Math.min(time, earliestDeadline()));
   }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/EndpointSubscription.java
@@ -0,0 +1,52 @@
+package rushwood.policy;
+
+/**
+ * Asks for the endpoint list, and asks again after failures: after delays that double, with jitter
+ * so that routers that failed together spread out.
+ */
+final class EndpointSubscription {
+  private static final long NOT_PLANNED = Long.MAX_VALUE;
+
+  private final PolicyContext context;
+  private final long minDelay;
+  private final long maxDelay;
+  private long delay;
+  private long retryAt = NOT_PLANNED;
+
+  EndpointSubscription(PolicyContext context, long minDelay, long maxDelay) {
+    this.context = context;
+    this.minDelay = minDelay;
+    this.maxDelay = maxDelay;
+  }
+
+  /** Asks for the list, where the deployment has one to ask for. */
+  void start() {
+    if (context.settings().subscribesToEndpoints()) {
+      context.actions().subscribeToEndpoints();
+    }
+  }
+
+  /** A list has come: the next failure is a first one again. */
+  void updateReceived() {
+    delay = 0;
+  }
+
+  /** Plans to ask again, between a half and one and a half of the current delay from now. */
+  void failed(long now) {
+    delay = Math.min(Math.max(2 * delay, minDelay), maxDelay);
+    retryAt = now + delay / 2 + context.random().nextLong(delay);
+    context.deadlineQueue().requestTimer(retryAt);
+  }
+
+  void retryIfDue(long now) {
+    if (now >= retryAt) {
+      retryAt = NOT_PLANNED;
+      context.actions().subscribeToEndpoints();
+    }
+  }
+
+  /** When {@link #retryIfDue} is to be called next; {@code Long.MAX_VALUE} if not at all. */
+  long retryAt() {
+    return retryAt;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -0,0 +1,63 @@
+package rushwood.policy;
+
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RoutingSettings;
+
+/** Decides how far a replica must have applied the log for a read, and learns how far it has. */
+final class FreshnessPolicy {
+  private static final int MAX_SESSIONS = 50_000; // some megabytes; replicas have older writes
+  private static final long DEFAULT_STALENESS_BOUND = 5 * DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final long CLIENT_ROUNDING = DefaultRoutingPolicy.MILLISECOND;
+
+  private final RoutingSettings settings;
+  private final SessionWrites sessionWrites = new SessionWrites(MAX_SESSIONS);
+
+  /** The least staleness that any request class allows, in nanoseconds. */
+  final long smallestStalenessBound;
+
+  FreshnessPolicy(RoutingSettings settings) {
+    this.settings = settings;
+    smallestStalenessBound =
+        settings.requestClasses().stream()
+            .filter(each -> each.consistency() == Consistency.BOUNDED_STALENESS)
+            .mapToLong(each -> each.maxStalenessNanos())
+            .min()
+            .orElse(DEFAULT_STALENESS_BOUND);
+  }
+
+  void updateRequiredPosition(PendingRequest pending, long now) {
+    pending.requiredPosition =
+        switch (pending.requestClass.consistency()) {
+          case EVENTUAL -> HostState.NEVER;
+          case STRONG -> pending.arrivedAt;
+          case BOUNDED_STALENESS -> now - pending.requestClass.maxStalenessNanos();
+          case READ_YOUR_WRITES -> lastWrite(pending);
+        };
+  }
+
+  /** The session's last write, as this router or else the client remembers it. */
+  private long lastWrite(PendingRequest pending) {
+    if (settings.tracksSessionWrites()) {
+      return sessionWrites.lastCommit(pending.request.session());
+    }
+    long sinceWrite = pending.request.sinceLastWriteNanos();
+    return sinceWrite == 0 ? HostState.NEVER : pending.arrivedAt - sinceWrite + CLIENT_ROUNDING;
+  }
+
+  void attemptFinished(Attempt attempt, AttemptResult result, long now) {
+    PendingRequest pending = attempt.pending;
+    if (pending.isWrite() && result.outcome() == AttemptOutcome.SUCCESS) {
+      if (pending.request.session() != null && settings.tracksSessionWrites()) {
+        long commit = result.hasPosition() ? result.position() : now;
+        sessionWrites.recordCommit(pending.request.session(), commit);
+      }
+    } else if (result.hasPosition()) {
+      attempt.host.recordPosition(result.position(), now);
+    }
+    if (!pending.isWrite() && result.outcome() == AttemptOutcome.REPLICA_LAGGING) {
+      attempt.host.laggingAt = now;
+    }
+  }
+}
--- a/router/src/main/java/rushwood/policy/GroupState.java
+++ b/router/src/main/java/rushwood/policy/GroupState.java
@@ -1,18 +1,23 @@
 package rushwood.policy;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
-/**
- * What a router remembers of a group: members in id order, the last known primary, the parked
- * lines.
- */
+/** What a router knows of a group: its members in order of id, its primary, its wait queues. */
 final class GroupState {
+  private static final Comparator<HostState> BY_ID = Comparator.comparing(host -> host.id.value());
+
   final List<HostState> members = new ArrayList<>();
-  final List<PendingRequest> firstAttempts = new ArrayList<>();
-  final List<PendingRequest> retries = new ArrayList<>();
+  final WaitQueue firstAttempts = new WaitQueue();
+  final WaitQueue retries = new WaitQueue();
+
+  /** The primary, as far as is known; null if unknown. */
   HostState primary;
+
+  /** The write that was sent to a member whose role is unknown, to find the primary; or null. */
   PendingRequest primaryDiscovery;
 
   void add(HostState host) {
@@ -20,7 +25,7 @@
       host.leaveGroup();
       host.group = this;
       members.add(host);
-      members.sort((a, b) -> a.id.value().compareTo(b.id.value()));
+      members.sort(BY_ID);
     }
   }
 
@@ -31,27 +36,45 @@
 
   boolean hasNoHealthyMember() {
     for (HostState host : members) {
-      if (host.health == HostState.Health.HEALTHY) {
+      if (host.isHealthy()) {
         return false;
       }
     }
     return true;
   }
 
+  /** Whether requests wait and no primary is known. */
+  boolean needsPrimary() {
+    return primary == null && !firstAttempts.isEmpty();
+  }
+
+  /** From now on the primary is unknown, if it was that host. */
   void clearPrimary(HostState host) {
     if (primary == host) {
       primary = null;
     }
   }
 
-  /** The write that asks who is primary has its answer, or is over. */
+  /** Called when the request has its result or is finished: the next write may look for it. */
   void endPrimaryDiscovery(PendingRequest pending) {
     if (primaryDiscovery == pending) {
       primaryDiscovery = null;
     }
   }
 
-  /** Draws one by weight and takes it out. */
+  /** A copy of all waiting requests, first attempts before retries. */
+  List<PendingRequest> waitingRequests() {
+    return Stream.concat(firstAttempts.requests().stream(), retries.requests().stream()).toList();
+  }
+
+  /** All members but the primary, as a new list. */
+  List<HostState> replicas() {
+    List<HostState> replicas = new ArrayList<>(members);
+    replicas.remove(primary);
+    return replicas;
+  }
+
+  /** Draws a host with a probability in proportion to its weight, and removes it from the list. */
   static HostState drawByWeight(List<HostState> candidates, RandomGenerator random) {
     double point = 0;
     for (HostState host : candidates) {
@@ -60,14 +83,9 @@
     point *= random.nextDouble();
     int index = 0;
     while (index < candidates.size() - 1 && point >= candidates.get(index).endpoint.weight()) {
-      point -= candidates.get(index++).endpoint.weight();
+      point -= candidates.get(index).endpoint.weight();
+      index++;
     }
     return candidates.remove(index);
   }
-
-  List<HostState> replicas() {
-    List<HostState> replicas = new ArrayList<>(members);
-    replicas.remove(primary);
-    return replicas;
-  }
 }
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -5,11 +5,13 @@
 import rushwood.api.Endpoint;
 import rushwood.api.HostId;
 
-/** What a router remembers of a host. */
+/** What a router knows of a host. Times are {@link #NEVER} where nothing has happened yet. */
 final class HostState {
   enum Health {
     HEALTHY,
+    /** Connections to it fail or break. */
     UNREACHABLE,
+    /** It accepts attempts and answers none. */
     UNRESPONSIVE
   }
 
@@ -17,14 +19,25 @@
   static final long NEVER = Long.MIN_VALUE / 2;
 
   final HostId id;
+
+  /** As last listed. */
   Endpoint endpoint;
+
+  /** The group that it serves; null while it is draining or removed. */
   GroupState group;
 
+  /** Attempts whose result is outstanding, in order of sending. */
   final List<Attempt> inFlight = new ArrayList<>();
-  private int presumedLost; // of those that are out
+
+  private int presumedLostCount;
   private final double initialLimit;
+
+  /** How many attempts may be in flight; below 1, a single slot that pauses between attempts. */
   double concurrencyLimit;
-  double latencyRatio;
+
+  /** The share of their objective time that its answers take. */
+  final ExponentialAverage latencyRatio = new ExponentialAverage(0);
+
   long pausedUntil = NEVER;
 
   Health health = Health.HEALTHY;
@@ -33,16 +46,29 @@
   long lastAnswerAt = NEVER;
   boolean probeInFlight;
 
+  /** When its process started; 0 for longer ago than slow start lasts. */
   long startedAt;
-  double slowStartTokens;
-  long slowStartTokensAt;
-  double completedWorkRate;
+
+  /** Expected service time in nanoseconds that may still be sent to it during slow start. */
+  final TokenBucket slowStartTokens = new TokenBucket();
+
+  /** Expected service time that it completes a nanosecond. */
+  final ExponentialAverage completedWorkRate = new ExponentialAverage(0);
+
+  /** Expected service time completed since the rate was last updated. */
   double completedWork;
 
+  /** How far it has applied the log, as a time. */
   long position = NEVER;
+
   long positionHeardAt = NEVER;
+
+  /** When it last refused a read because it was too far behind. */
   long laggingAt = NEVER;
+
+  /** The time of the latest evidence of its role. */
   long roleKnownAt = NEVER;
+
   long writeRefusedAt = NEVER;
 
   HostState(HostId id, double initialLimit) {
@@ -51,6 +77,23 @@
     concurrencyLimit = initialLimit;
   }
 
+  boolean isHealthy() {
+    return health == Health.HEALTHY;
+  }
+
+  boolean isUnreachable() {
+    return health == Health.UNREACHABLE;
+  }
+
+  boolean isUnresponsive() {
+    return health == Health.UNRESPONSIVE;
+  }
+
+  /** Whether it is the known primary of the group that it serves. */
+  boolean isPrimary() {
+    return group.primary == this;
+  }
+
   void leaveGroup() {
     if (group != null) {
       group.remove(this);
@@ -58,21 +101,23 @@
     }
   }
 
-  /** It is up: what happened to that shot was its connection's fault. */
+  /** Whether the host is up although that attempt failed: the connection was at fault. */
   boolean hasAnsweredSince(Attempt attempt) {
     return lastAnswerAt > attempt.sentAt;
   }
 
-  /** A new process: cold, well as far as is known, and nothing of the old one's slots holds. */
+  /**
+   * Its process has started anew: what was learned of the old one's capacity and health is void.
+   */
   void reset(long time) {
     startedAt = time;
     concurrencyLimit = initialLimit;
-    latencyRatio = 0;
+    latencyRatio.reset(0);
     pausedUntil = NEVER;
     health = Health.HEALTHY;
   }
 
-  /** A position never goes back; one past the clock cannot be true. */
+  /** Takes in a reported position. Positions never go back; one in the future cannot be true. */
   void recordPosition(long reported, long now) {
     if (reported <= now) {
       position = Math.max(position, reported);
@@ -80,23 +125,33 @@
     }
   }
 
-  /** That shot's answer will not come: it holds no slot any more. */
+  /** Frees the slot of an attempt whose answer is not expected any more. */
   void presumeLost(Attempt attempt) {
     attempt.presumedLost = true;
-    presumedLost++;
+    presumedLostCount++;
+  }
+
+  /** Counts an answer against every attempt in flight that was sent before the answered one. */
+  void countOvertaken(Attempt answered) {
+    for (Attempt attempt : inFlight) {
+      if (attempt.sentAt < answered.sentAt) {
+        attempt.overtakenBy++;
+      }
+    }
   }
 
   void removeAttempt(Attempt attempt) {
     if (inFlight.remove(attempt) && attempt.presumedLost) {
-      presumedLost--;
+      presumedLostCount--;
     }
   }
 
-  /** Slots taken: by shots that are out and not held for lost. */
+  /** Attempts in flight that are not presumed lost. */
   int occupiedSlots() {
-    return inFlight.size() - presumedLost;
+    return inFlight.size() - presumedLostCount;
   }
 
+  /** Occupied slots for its weight. */
   double load() {
     return occupiedSlots() / endpoint.weight();
   }
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/LostAnswerDetector.java
@@ -0,0 +1,68 @@
+package rushwood.policy;
+
+/**
+ * Finds attempts whose answer will not come: those that have waited long while many later attempts
+ * at the same host were answered. They hold no slot, do not count as slow, and are tried again. A
+ * merely slow host overtakes little. Cost: long work among short work may be taken for lost.
+ */
+final class LostAnswerDetector {
+  private static final double LATE_MULTIPLE = 3; // expected service times: more than a short pause
+  private static final int CERTAIN_LOSS_MULTIPLE = 3; // overtaking answers for each in flight
+  private static final int PROBABLE_LOSS_COUNT = 3; // overtaking answers: one or two are chance
+  private static final double HIGH_LOSS_RATIO = 0.2; // probable losses count: far above chance
+  private static final double LOSS_RATIO_SMOOTHING = 0.05; // the weight of a certain loss
+  private static final int ANSWER_WEIGHT_DIVISOR = 20; // an answer weighs so much less
+
+  /** One attempt in so many waits until its loss is certain: its answer shows the loss ratio. */
+  private static final int CONTROL_SAMPLE_INTERVAL = 4;
+
+  private final PolicyContext context;
+  private double lossRatio;
+
+  LostAnswerDetector(PolicyContext context) {
+    this.context = context;
+  }
+
+  boolean drawControlSample() {
+    return context.random().nextInt(CONTROL_SAMPLE_INTERVAL) == 0;
+  }
+
+  /** Counts an answer against the attempts that were sent to its host before it. */
+  void answerReceived(Attempt answered, long now) {
+    lossRatio -= lossRatio * LOSS_RATIO_SMOOTHING / ANSWER_WEIGHT_DIVISOR;
+    answered.host.countOvertaken(answered);
+    check(answered.host, now);
+  }
+
+  /** Marks lost attempts and cancels what is hopeless at that host. */
+  void check(HostState host, long now) {
+    int certainLoss = CERTAIN_LOSS_MULTIPLE * host.inFlight.size();
+    int probableLoss = lossRatio > HIGH_LOSS_RATIO ? PROBABLE_LOSS_COUNT : certainLoss;
+    for (Attempt attempt : host.inFlight) {
+      int threshold = attempt.isControl ? certainLoss : probableLoss;
+      if (isLate(attempt, now) && !attempt.presumedLost && attempt.overtakenBy >= threshold) {
+        boolean isCertain = attempt.overtakenBy >= certainLoss;
+        lossRatio += isCertain ? (1 - lossRatio) * LOSS_RATIO_SMOOTHING : 0;
+        host.presumeLost(attempt);
+      }
+      if (isHopeless(attempt, now) && !attempt.pending.finished) {
+        context.requests().cancelAttempt(attempt.pending);
+      }
+    }
+  }
+
+  private boolean isLate(Attempt attempt, long now) {
+    double expected = context.serviceTimes().expected(attempt.pending);
+    return now - attempt.sentAt > LATE_MULTIPLE * expected;
+  }
+
+  /** Lost while a retry can be in time, or late at an unresponsive host; if it may run twice. */
+  private boolean isHopeless(Attempt attempt, long now) {
+    PendingRequest pending = attempt.pending;
+    double retryEnd = now + context.serviceTimes().expected(pending);
+    boolean isHopeless =
+        attempt.presumedLost && retryEnd < pending.objectiveDeadline
+            || attempt.host.isUnresponsive() && isLate(attempt, now);
+    return isHopeless && (pending.isIdempotent() || pending.hasIdempotencyKey());
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -0,0 +1,86 @@
+package rushwood.policy;
+
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.policy.HostState.Health;
+
+/**
+ * Ejects hosts that cannot be reached or answer nothing, and takes them back. An ejected host loses
+ * its role as primary and gets nothing but trial requests.
+ */
+record OutlierDetector(PolicyContext context, ProbePolicy probes, LostAnswerDetector lostAnswers) {
+  private static final double MAX_MISSING_ANSWERS = 12; // by chance once in 100,000
+  private static final long MAX_WARM_OUTAGE = 2 * ProbePolicy.TRIAL_INTERVAL; // then it is cold
+
+  /** Whether the host may get requests: ejection never empties a group. */
+  boolean isUsable(HostState host, long now) {
+    return host.isHealthy()
+        || probes.isTrialDue(host, now)
+        || host.group.hasNoHealthyMember()
+            && (!host.isUnreachable() || context.overloadSignals().canConnect(now, host.id));
+  }
+
+  /** A broken connection says nothing of a host that answers, or has other attempts in flight. */
+  void attemptFinished(Attempt attempt, AttemptResult result, long now) {
+    HostState host = attempt.host;
+    boolean failed =
+        result.outcome() == AttemptOutcome.CONNECT_FAILED && !host.hasAnsweredSince(attempt)
+            || result.outcome() == AttemptOutcome.CONNECTION_LOST && host.inFlight.size() <= 1;
+    if (failed) {
+      eject(host, Health.UNREACHABLE, now);
+    } else if (result.outcome().isHostResponse()) {
+      host.lastAnswerAt = now;
+      if (host.isUnresponsive()) {
+        restore(host, now);
+      }
+    }
+  }
+
+  void probeAnswered(HostState host, long now) {
+    if (host.isUnreachable()) {
+      restore(host, now);
+    }
+  }
+
+  /** Ejects or probes a host; called once a check interval. */
+  void check(HostState host, long now) {
+    if (host.isHealthy() && missingAnswers(host, now) > MAX_MISSING_ANSWERS) {
+      eject(host, Health.UNRESPONSIVE, now);
+    } else {
+      probes.probeIfDue(host, now);
+    }
+  }
+
+  private void restore(HostState host, long now) {
+    context.actions().log(host.id + " is healthy again");
+    if (host.isUnreachable() && now - host.ejectedAt > MAX_WARM_OUTAGE) {
+      host.reset(now);
+    }
+    host.health = Health.HEALTHY;
+  }
+
+  private void eject(HostState host, Health health, long now) {
+    if (host.group == null || host.isUnreachable() || host.health == health) {
+      return;
+    }
+    context.actions().log(host.id + " is " + health);
+    host.health = health;
+    host.ejectedAt = now;
+    probes.hostEjected(host, now);
+    host.group.clearPrimary(host);
+    lostAnswers.check(host, now);
+  }
+
+  /**
+   * How many answers a host should have given since its last one, by the expected service times of
+   * what is in flight there. A host that answers anything is responsive, and when all hosts grow
+   * slower together the expected times grow too.
+   */
+  private double missingAnswers(HostState host, long now) {
+    return host.inFlight.stream()
+        .filter(attempt -> !attempt.presumedLost)
+        .mapToDouble(
+            attempt -> attempt.silence(now) / context.serviceTimes().expected(attempt.pending))
+        .sum();
+  }
+}
--- a/router/src/main/java/rushwood/policy/PendingRequest.java
+++ b/router/src/main/java/rushwood/policy/PendingRequest.java
@@ -5,20 +5,29 @@
 import rushwood.api.AttemptOutcome;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RequestClass.Idempotency;
 
-/** An access that this router has taken, with its shots. */
+/** A request that the policy has accepted, with its attempts. */
 final class PendingRequest {
   final Request request;
   final RequestClass requestClass;
   final GroupState group;
   final long arrivedAt;
-  final long objectiveDeadline; // the end of the quoted time, or of this try if that is earlier
+
+  /** The end of the latency objective, or the request's deadline if that is earlier. */
+  final long objectiveDeadline;
+
   final List<Attempt> attempts = new ArrayList<>();
+
+  /** Hosts that were behind, or at fault, when this request tried them. */
   final List<HostState> avoidedHosts = new ArrayList<>();
+
   boolean finished;
   boolean queued;
+
+  /** The position that a replica has to have applied to answer; {@link HostState#NEVER} for any. */
   long requiredPosition;
-  HostState selectedHost;
 
   PendingRequest(Request request, GroupState group, long arrivedAt) {
     this.request = request;
@@ -29,6 +38,7 @@
         Math.min(arrivedAt + requestClass.latencyObjectiveNanos(), request.deadline());
   }
 
+  /** The time from arrival to the objective's deadline, in nanoseconds. */
   double objectiveTime() {
     return objectiveDeadline - arrivedAt;
   }
@@ -37,29 +47,35 @@
     return requestClass.isWrite();
   }
 
-  boolean requires(RequestClass.Consistency need) {
-    return requestClass.consistency() == need;
+  boolean requires(Consistency consistency) {
+    return requestClass.consistency() == consistency;
   }
 
-  /** The shot that is out, or null. */
+  boolean isIdempotent() {
+    return requestClass.idempotency() == Idempotency.IDEMPOTENT;
+  }
+
+  boolean hasIdempotencyKey() {
+    return requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY;
+  }
+
+  /** The attempt in flight, or null. */
   Attempt activeAttempt() {
     Attempt last = attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
-    return last != null && last.outcome == null ? last : null;
+    return last != null && last.isInFlight() ? last : null;
   }
 
-  /** The first shot that may have run, or null. */
+  /** The first attempt that may have been executed, or null. */
   Attempt firstPossiblyExecuted() {
     for (Attempt attempt : attempts) {
-      if (attempt.outcome == null || !attempt.outcome.provesNotExecuted()) {
+      if (attempt.isPossiblyExecuted()) {
         return attempt;
       }
     }
     return null;
   }
 
-  /**
-   * Whether the last shot cost its host work or a place in its line, and a further one would again.
-   */
+  /** Whether the last attempt took work or a queue slot from its host, as a retry would again. */
   boolean isRetryCostly() {
     AttemptOutcome outcome =
         attempts.isEmpty() ? AttemptOutcome.NOT_SENT : attempts.get(attempts.size() - 1).outcome;
@@ -68,11 +84,19 @@
         && outcome != AttemptOutcome.REPLICA_LAGGING;
   }
 
-  /** Shots that were answered with an error. */
+  /** The number of attempts that were answered with an error. */
   long errorCount() {
     return attempts.stream().filter(attempt -> attempt.outcome == AttemptOutcome.ERROR).count();
   }
 
+  /** The hosts that answered with an error. */
+  List<HostState> hostsWithErrors() {
+    return attempts.stream()
+        .filter(attempt -> attempt.outcome == AttemptOutcome.ERROR)
+        .map(attempt -> attempt.host)
+        .toList();
+  }
+
   void enqueue() {
     if (!queued) {
       queued = true;
@@ -87,8 +111,8 @@
     }
   }
 
-  /** Further shots wait in a line of their own; an access changes line only while it is in none. */
-  private List<PendingRequest> waitQueue() {
+  /** Retries wait in a queue of their own; attempts are added only while a request is in none. */
+  private WaitQueue waitQueue() {
     return attempts.isEmpty() ? group.firstAttempts : group.retries;
   }
 
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/PolicyComponents.java
@@ -0,0 +1,30 @@
+package rushwood.policy;
+
+/** The components of one router's policy, wired together. */
+final class PolicyComponents {
+  final DeadlinePolicy deadlines;
+  final RetryPolicy retries;
+  final FreshnessPolicy freshness;
+  final ProbePolicy probes;
+  final SlowStart slowStart;
+  final LostAnswerDetector lostAnswers;
+  final OutlierDetector outliers;
+  final ConcurrencyLimiter limiter;
+  final PrimaryTracker primaries;
+  final ReplicaSelector replicas;
+  final QueuePolicy queue;
+
+  PolicyComponents(PolicyContext context) {
+    deadlines = new DeadlinePolicy(context.settings());
+    retries = new RetryPolicy(context);
+    freshness = new FreshnessPolicy(context.settings());
+    probes = new ProbePolicy(context, new TokenBucket());
+    slowStart = new SlowStart(context);
+    lostAnswers = new LostAnswerDetector(context);
+    outliers = new OutlierDetector(context, probes, lostAnswers);
+    limiter = new ConcurrencyLimiter(context, slowStart, probes);
+    primaries = new PrimaryTracker(context, outliers, limiter, probes);
+    replicas = new ReplicaSelector(context, freshness, outliers, limiter, probes);
+    queue = new QueuePolicy(context, freshness, primaries, replicas, limiter);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -0,0 +1,110 @@
+package rushwood.policy;
+
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.HostRole;
+import rushwood.api.LoadReport;
+
+/** Decides which member of a group counts as its primary, and where a write goes. */
+record PrimaryTracker(
+    PolicyContext context,
+    OutlierDetector outliers,
+    ConcurrencyLimiter limiter,
+    ProbePolicy probes) {
+  /** How long evidence of a role counts while no primary is known. */
+  private static final long ROLE_VALIDITY = 3 * DefaultRoutingPolicy.CHECK_INTERVAL;
+
+  /** A host that refused a write is handing over: not taken for the primary for so long. */
+  private static final long HANDOVER_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
+
+  private static final int DISCOVERY_DIVISOR = 2; // half of all attempts may look for the primary
+
+  /** The endpoint list is seconds old: it only fills in where nothing better is known. */
+  void endpointListed(HostState host) {
+    boolean isUnknown = host.group.primary == null && host.roleKnownAt == HostState.NEVER;
+    if (host.endpoint.primary() && isUnknown) {
+      host.group.primary = host;
+    }
+  }
+
+  void attemptFinished(Attempt attempt, AttemptResult result, long now) {
+    HostState host = attempt.host;
+    roleObserved(host, result.role(), now);
+    reportReceived(host, result.report(), now);
+    if (result.outcome() == AttemptOutcome.REPLICA_LAGGING && attempt.pending.isWrite()) {
+      host.writeRefusedAt = now;
+      roleObserved(host, HostRole.REPLICA, now);
+    }
+  }
+
+  /**
+   * Takes in a host's report. A primary's position is the present, so it tells when the report was
+   * made: a late one cannot bring back a primary that a later answer has unseated.
+   */
+  void reportReceived(HostState host, LoadReport report, long now) {
+    long position = (long) report.position();
+    if (report.hasPosition() && position <= now) {
+      host.recordPosition(position, now);
+      if (position > host.roleKnownAt) {
+        roleObserved(host, report.role(), position);
+      }
+    }
+  }
+
+  /** The latest evidence wins; an unresponsive host is no primary until it has answered a read. */
+  private void roleObserved(HostState host, HostRole role, long evidenceAt) {
+    GroupState group = host.group;
+    boolean isDoubtful = evidenceAt < host.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
+    if (group == null || !role.isKnown() || role == HostRole.PRIMARY && isDoubtful) {
+      return;
+    }
+    host.roleKnownAt = Math.max(host.roleKnownAt, evidenceAt);
+    boolean isLatest = group.primary == null || evidenceAt > group.primary.roleKnownAt;
+    if (role == HostRole.REPLICA) {
+      group.clearPrimary(host);
+    } else if (group.primary != host && isLatest) {
+      context.actions().log("primary is " + host.id);
+      group.primary = host;
+    }
+  }
+
+  /**
+   * Returns the host for a write, or null: the primary if it has a free slot; where none is known,
+   * one write at a time asks the members not heard of lately, in order of id.
+   */
+  HostState selectForWrite(PendingRequest pending, long now) {
+    GroupState group = pending.group;
+    if (group.primary != null && outliers.isUsable(group.primary, now)) {
+      return limiter.hasFreeSlot(pending, group.primary, now) ? group.primary : null;
+    }
+    int maxAttempts = context.settings().maxAttempts() / DISCOVERY_DIVISOR;
+    if (group.primaryDiscovery != null
+        || pending.attempts.size() >= Math.min(group.members.size(), maxAttempts)) {
+      return null;
+    }
+    for (HostState host : group.members) {
+      boolean isUnknown = !host.isPrimary() && host.roleKnownAt < now - ROLE_VALIDITY;
+      if (isUnknown && !pending.avoidedHosts.contains(host) && isFree(pending, host, now)) {
+        group.primaryDiscovery = pending;
+        return host;
+      }
+    }
+    return null;
+  }
+
+  /** Whether a waiting write may go to that host. */
+  boolean acceptsWrite(PendingRequest pending, HostState host, long now) {
+    return host.isPrimary() && isFree(pending, host, now);
+  }
+
+  private boolean isFree(PendingRequest pending, HostState host, long now) {
+    return outliers.isUsable(host, now) && limiter.hasFreeSlot(pending, host, now);
+  }
+
+  /** Asks a member for its role while requests wait and no primary is known. */
+  void probeIfUnknown(HostState host) {
+    if (host.group.needsPrimary() && !host.isUnreachable()) {
+      probes.probe(host);
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/ProbePolicy.java
@@ -0,0 +1,77 @@
+package rushwood.policy;
+
+import java.util.Comparator;
+
+/**
+ * Decides which hosts are probed or get a trial request. Both together stay a share of this
+ * router's requests: hundreds of routers that each probe all hosts cost more than they learn, and
+ * hosts turn their probes away.
+ */
+record ProbePolicy(PolicyContext context, TokenBucket budget) {
+  private static final double PROBES_PER_REQUEST = 0.1; // a small share of what requests cost
+  private static final int MAX_BUDGET = 10; // about a group's probes and its hosts' first trials
+
+  /** Between trials or probes of a host: short, to have it back soon; the budget limits them. */
+  static final long TRIAL_INTERVAL = 5 * DefaultRoutingPolicy.CHECK_INTERVAL;
+
+  void requestReceived() {
+    budget.add(PROBES_PER_REQUEST, MAX_BUDGET);
+  }
+
+  /** Probes the host if the budget allows it; returns whether it did. */
+  boolean probe(HostState host) {
+    if (!context.settings().canProbe() || host.probeInFlight || !budget.has(1)) {
+      return false;
+    }
+    budget.take(1);
+    host.probeInFlight = true;
+    context.actions().probe(host.id);
+    return true;
+  }
+
+  /** Probes an ejected host; if it is unreachable soon again, since the probe may be lost too. */
+  void hostEjected(HostState host, long now) {
+    long interval = host.isUnreachable() ? DefaultRoutingPolicy.CHECK_INTERVAL : TRIAL_INTERVAL;
+    host.nextTrialAt = now + interval;
+    probe(host);
+  }
+
+  void probeIfDue(HostState host, long now) {
+    if (isProbeDue(host, now) && probe(host)) {
+      host.nextTrialAt = now + TRIAL_INTERVAL;
+    }
+  }
+
+  private static boolean isProbeDue(HostState host, long now) {
+    return host.isUnreachable() && now >= host.nextTrialAt;
+  }
+
+  /** An unresponsive host may answer probes, so only a request can tell whether it serves again. */
+  boolean isTrialDue(HostState host, long now) {
+    return host.isUnresponsive() && now >= host.nextTrialAt && budget.has(1);
+  }
+
+  void attemptSent(HostState host, long now) {
+    if (isTrialDue(host, now)) {
+      budget.take(1);
+      host.nextTrialAt = now + TRIAL_INTERVAL;
+    }
+  }
+
+  /**
+   * Probes the replica whose position was heard longest ago, if that is longer than {@code maxAge}.
+   * Half of the probes are left for unreachable hosts, which come back by nothing else: where
+   * answers tell no position, reads took every probe and such a host stayed away for good.
+   */
+  void probeLeastRecentlyHeard(GroupState group, long maxAge, long now) {
+    boolean yields = context.random().nextBoolean();
+    if (yields && group.members.stream().anyMatch(host -> isProbeDue(host, now))) {
+      return;
+    }
+    group.replicas().stream()
+        .filter(host -> !host.isUnreachable() && !host.probeInFlight)
+        .min(Comparator.comparingLong(host -> host.positionHeardAt))
+        .filter(host -> host.positionHeardAt < now - maxAge)
+        .ifPresent(this::probe);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/QueuePolicy.java
@@ -0,0 +1,53 @@
+package rushwood.policy;
+
+/** Decides which waiting request gets a host's free slot. */
+record QueuePolicy(
+    PolicyContext context,
+    FreshnessPolicy freshness,
+    PrimaryTracker primaries,
+    ReplicaSelector replicas,
+    ConcurrencyLimiter limiter) {
+  /**
+   * A read that has waited this share of its latency objective for busy replicas takes any, or a
+   * slot of the primary, which would else stand idle. Cost: the primary may expect more writes.
+   */
+  private static final double PATIENCE = 0.25;
+
+  private static final double IN_TIME_MULTIPLE = 3; // service times left: 19 in 20 answers come
+  private static final long LATE_PRIORITY = Long.MAX_VALUE - 1; // behind all that are in time
+
+  /** Returns the request of that queue that the host gets next, or null. */
+  PendingRequest next(WaitQueue queue, HostState host, long now) {
+    boolean canDispatch = !queue.isEmpty() && limiter.canTakeAny(host, now);
+    return canDispatch
+        ? queue.findFirst(each -> priority(each, now), each -> accepts(each, host, now))
+        : null;
+  }
+
+  private boolean accepts(PendingRequest pending, HostState host, long now) {
+    // Where slots are shared, others' requests may wait unseen: slow hosts get no late ones.
+    boolean isLate = priority(pending, now) > LATE_PRIORITY / 2;
+    boolean areSlotsShared = ConcurrencyLimiter.areSlotsShared(context);
+    if (areSlotsShared && isLate && ConcurrencyLimiter.isSlow(host)) {
+      return false;
+    }
+    if (pending.isWrite()) {
+      return primaries.acceptsWrite(pending, host, now);
+    }
+    freshness.updateRequiredPosition(pending, now);
+    double patience = pending.requestClass.latencyObjectiveNanos() * PATIENCE;
+    return replicas.acceptsRead(pending, host, now - pending.arrivedAt > patience, now);
+  }
+
+  /**
+   * The order of waiting requests, smallest first: those that can still be answered in time by
+   * deadline; then the late ones, the newest first, so that scarce slots do not go to those that
+   * are about to time out. One that waited as it was told to precedes what came meanwhile.
+   */
+  private long priority(PendingRequest pending, long now) {
+    double expected = context.serviceTimes().expected(pending);
+    long deadline = pending.objectiveDeadline;
+    boolean isLate = now + expected * IN_TIME_MULTIPLE > deadline;
+    return (isLate ? LATE_PRIORITY - deadline : deadline) - pending.request.waitedNanos();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -0,0 +1,132 @@
+package rushwood.policy;
+
+import java.util.List;
+import rushwood.api.RequestClass.Consistency;
+import rushwood.api.RoutingSettings.LaggingReadBehavior;
+
+/** Chooses the host for a read: the better of two random replicas, else the best of the group. */
+record ReplicaSelector(
+    PolicyContext context,
+    FreshnessPolicy freshness,
+    OutlierDetector outliers,
+    ConcurrencyLimiter limiter,
+    ProbePolicy probes) {
+  private static final int CATCH_UP_DIVISOR = 2; // of what a replica is behind: a guess
+  private static final long MIN_CATCH_UP_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final long MAX_CATCH_UP_TIME = 20 * DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final int LONG_READ_DIVISOR = 3; // one replica in so many takes long reads
+
+  /**
+   * Returns the host for a read, or null if it has to wait. Two replicas drawn by weight decide if
+   * both are (likely to be) fresh and free, by the power of two choices; else all are compared.
+   */
+  HostState selectForRead(PendingRequest pending, long now) {
+    List<HostState> replicas = pending.group.replicas();
+    if (replicas.size() > 2 && !isLongRead(pending)) {
+      HostState first = GroupState.drawByWeight(replicas, context.random());
+      HostState second = GroupState.drawByWeight(replicas, context.random());
+      if (suitability(pending, first, now).isAtLeast(Suitability.LIKELY_FRESH)
+          && suitability(pending, second, now).isAtLeast(Suitability.LIKELY_FRESH)
+          && limiter.hasFreeSlot(pending, first, now)
+          && limiter.hasFreeSlot(pending, second, now)) {
+        return isBetter(pending, second, first, now) ? second : first;
+      }
+    }
+    return selectOfAll(pending, now);
+  }
+
+  private HostState selectOfAll(PendingRequest pending, long now) {
+    Suitability best = bestSuitability(pending, now);
+    if (best != Suitability.FRESH && context.settings().hasLoadReports()) {
+      probes.probeLeastRecentlyHeard(pending.group, freshness.smallestStalenessBound, now);
+    }
+    boolean isLong = isLongRead(pending);
+    List<HostState> members = pending.group.members;
+    int start = isLong || members.isEmpty() ? 0 : context.random().nextInt(members.size());
+    HostState selected = null;
+    for (int i = 0; i < members.size(); i++) {
+      HostState host = members.get((start + i) % members.size());
+      if (isAcceptable(suitability(pending, host, now), best)
+          && limiter.hasFreeSlot(pending, host, now)
+          && (selected == null || !isLong && isBetter(pending, host, selected, now))) {
+        selected = host;
+      }
+    }
+    return selected;
+  }
+
+  /** Whether a waiting read may go to that host; an impatient one takes any that can answer. */
+  boolean acceptsRead(PendingRequest pending, HostState host, boolean isImpatient, long now) {
+    Suitability best = isImpatient ? Suitability.PRIMARY_FALLBACK : bestSuitability(pending, now);
+    return isAcceptable(suitability(pending, host, now), best)
+        && limiter.hasFreeSlot(pending, host, now);
+  }
+
+  private Suitability bestSuitability(PendingRequest pending, long now) {
+    Suitability best = Suitability.UNSUITABLE;
+    for (HostState host : pending.group.members) {
+      best = best.orBetter(suitability(pending, host, now));
+    }
+    return best;
+  }
+
+  /** Whether a read takes a host, given the best of its group: it waits only for fresh ones. */
+  private static boolean isAcceptable(Suitability suitability, Suitability best) {
+    return switch (best) {
+      case FRESH -> suitability.isAtLeast(Suitability.LIKELY_FRESH);
+      case LIKELY_FRESH, LAGGING -> suitability.isAtLeast(Suitability.LAGGING);
+      case PRIMARY_FALLBACK -> suitability.isAtLeast(Suitability.PRIMARY_FALLBACK);
+      case UNSUITABLE -> false;
+    };
+  }
+
+  /** Better suited, or equally suited with less load for its weight. */
+  private boolean isBetter(PendingRequest pending, HostState host, HostState other, long now) {
+    int difference = suitability(pending, host, now).compareTo(suitability(pending, other, now));
+    return difference < 0 || difference == 0 && host.load() < other.load();
+  }
+
+  private Suitability suitability(PendingRequest pending, HostState host, long now) {
+    if (!outliers.isUsable(host, now) || pending.avoidedHosts.contains(host)) {
+      return Suitability.UNSUITABLE;
+    }
+    boolean isLong = isLongRead(pending);
+    boolean needsPrimary = pending.requires(Consistency.STRONG);
+    if (isLong && takesLongReads(host, now) || needsPrimary && host.isPrimary()) {
+      return Suitability.FRESH;
+    }
+    if (isLong || host.isPrimary()) {
+      return host.isPrimary() ? Suitability.PRIMARY_FALLBACK : Suitability.UNSUITABLE;
+    }
+    long behind = pending.requiredPosition - host.position;
+    if (behind <= 0) {
+      return Suitability.FRESH;
+    }
+    boolean servesStale = context.settings().laggingReadBehavior() == LaggingReadBehavior.SERVES;
+    long catchUpTime = Math.min(MAX_CATCH_UP_TIME, behind / CATCH_UP_DIVISOR);
+    boolean refused = host.laggingAt > now - Math.max(MIN_CATCH_UP_TIME, catchUpTime);
+    if (servesStale || refused || needsPrimary) {
+      return Suitability.UNSUITABLE;
+    }
+    boolean isLikely = behind <= now - host.positionHeardAt;
+    return isLikely ? Suitability.LIKELY_FRESH : Suitability.LAGGING;
+  }
+
+  /** A read that any member may answer, expected to outlast the lag that other reads allow. */
+  private boolean isLongRead(PendingRequest pending) {
+    return pending.requires(Consistency.EVENTUAL)
+        && context.serviceTimes().expected(pending) > freshness.smallestStalenessBound;
+  }
+
+  /**
+   * Long reads may keep a replica from applying its log. All routers send them to the same few, the
+   * first in order of id, so that the others stay fresh; an impatient one may take the primary,
+   * which applies no log. Cost: those few replicas do little else.
+   */
+  private boolean takesLongReads(HostState host, long now) {
+    List<HostState> usable =
+        host.group.replicas().stream().filter(each -> outliers.isUsable(each, now)).toList();
+    int count = Math.max(1, usable.size() / LONG_READ_DIVISOR);
+    return usable.stream().limit(count).anyMatch(each -> each == host);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -0,0 +1,167 @@
+package rushwood.policy;
+
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestId;
+
+/**
+ * Carries each request from its arrival to its final answer: through the wait queue, attempts and
+ * their results, in the order that the components need. What happens at each step they decide.
+ */
+final class RequestLifecycle {
+  private final PolicyContext context;
+  private final PolicyComponents components;
+  private final PolicyActions actions;
+  private final RequestTable requests;
+  private final DeadlineQueue deadlineQueue;
+
+  RequestLifecycle(PolicyContext context, PolicyComponents components) {
+    this.context = context;
+    this.components = components;
+    actions = context.actions();
+    requests = context.requests();
+    deadlineQueue = context.deadlineQueue();
+  }
+
+  void requestReceived(Request request, long now) {
+    GroupState group = context.hosts().group(request.group());
+    PendingRequest pending = requests.add(request, group, now);
+    components.probes.requestReceived();
+    addDeadline(pending);
+    process(pending, now);
+  }
+
+  private void addDeadline(PendingRequest pending) {
+    deadlineQueue.add(components.deadlines.answerDeadline(pending), pending);
+  }
+
+  /** Sends the request to a host if one can take it, else lets it wait, or ends it. */
+  void process(PendingRequest pending, long now) {
+    if (isExpired(pending, now) || !components.retries.canAttempt(pending, now)) {
+      rejectOrFail(pending, now);
+      return;
+    }
+    components.freshness.updateRequiredPosition(pending, now);
+    HostState host =
+        pending.isWrite()
+            ? components.primaries.selectForWrite(pending, now)
+            : components.replicas.selectForRead(pending, now);
+    if (host == null) {
+      pending.enqueue();
+    } else {
+      send(pending, host, now);
+    }
+  }
+
+  private boolean isExpired(PendingRequest pending, long now) {
+    return now >= components.deadlines.answerDeadline(pending);
+  }
+
+  private void send(PendingRequest pending, HostState host, long now) {
+    pending.dequeue();
+    components.probes.attemptSent(host, now);
+    boolean isCostlyRetry = pending.isRetryCostly();
+    context.overloadSignals().attemptSent(now, pending.request.group(), isCostlyRetry);
+    long timeout = components.deadlines.attemptTimeout(pending, now);
+    long startWithin = Math.min(timeout, RetryPolicy.retryDeadline(pending) - now);
+    boolean isControl = components.lostAnswers.drawControlSample();
+    Attempt attempt = new Attempt(pending, host, now, isControl);
+    pending.attempts.add(attempt);
+    host.inFlight.add(attempt);
+    host.slowStartTokens.take(context.serviceTimes().expected(pending));
+    actions.send(pending.request.id(), host.id, timeout, startWithin);
+  }
+
+  /** Gives the free slots of all members, in order of id, to waiting requests. */
+  void dispatchWaiting(GroupState group, long now) {
+    group.members.forEach(host -> dispatchWaiting(host, now));
+  }
+
+  /** Gives a host's free slots to waiting requests, first attempts before retries. */
+  void dispatchWaiting(HostState host, long now) {
+    if (host.group != null) {
+      dispatch(host.group.firstAttempts, host, now);
+      dispatch(host.group.retries, host, now);
+    }
+  }
+
+  private void dispatch(WaitQueue queue, HostState host, long now) {
+    PendingRequest next = components.queue.next(queue, host, now);
+    while (next != null) {
+      send(next, host, now);
+      next = components.queue.next(queue, host, now);
+    }
+  }
+
+  /**
+   * Takes in the result of an attempt. While the components learn from it the attempt still counts
+   * as in flight; after that its slot and its request go on.
+   *
+   * @throws IllegalArgumentException if this router has no such attempt
+   */
+  void attemptFinished(AttemptResult result, long now) {
+    Attempt attempt = requests.attempt(result);
+    PendingRequest pending = attempt.pending;
+    if (result.outcome() == AttemptOutcome.SUCCESS) {
+      context.serviceTimes().record(pending, result.durationNanos());
+      attempt.host.completedWork += context.serviceTimes().expected(pending);
+      components.lostAnswers.answerReceived(attempt, now);
+    }
+    components.limiter.attemptFinished(attempt, result, now);
+    components.outliers.attemptFinished(attempt, result, now);
+    attempt.host.removeAttempt(attempt);
+    pending.group.endPrimaryDiscovery(pending);
+    components.freshness.attemptFinished(attempt, result, now);
+    components.primaries.attemptFinished(attempt, result, now);
+    RetryPolicy.attemptFinished(attempt, result.outcome());
+    if (result.requestFinished() && !pending.finished) {
+      pending.finish();
+    }
+    dispatchWaiting(attempt.host, now);
+    if (!pending.finished && !pending.queued && pending.activeAttempt() == null) {
+      process(pending, now);
+    }
+    requests.forgetIfDone(pending);
+  }
+
+  /** Ends a request whose client is gone: no answer is owed. */
+  void clientDisconnected(RequestId request) {
+    PendingRequest pending = requests.get(request);
+    if (pending != null && !pending.finished) {
+      requests.finish(pending);
+      requests.forgetIfDone(pending);
+    }
+  }
+
+  /** Gives the final answer. */
+  private void rejectOrFail(PendingRequest pending, long now) {
+    requests.finish(pending);
+    if (RetryPolicy.isRepeatable(pending)) {
+      actions.reject(pending.request.id(), components.retries.retryAfter(pending, now));
+    } else {
+      actions.fail(pending.request.id());
+    }
+    requests.forgetIfDone(pending);
+  }
+
+  /** Every request is answered before that time. */
+  void shuttingDown(long deadline) {
+    components.deadlines.shutDownAt(deadline);
+    requests.all().forEach(this::addDeadline);
+  }
+
+  /** Ends requests whose deadline has come; one that was sent since it was set has a later one. */
+  void endExpired(long now) {
+    PendingRequest pending = deadlineQueue.pollExpired(now);
+    while (pending != null) {
+      if (isExpired(pending, now)) {
+        rejectOrFail(pending, now);
+      } else {
+        addDeadline(pending);
+      }
+      pending = deadlineQueue.pollExpired(now);
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -0,0 +1,60 @@
+package rushwood.policy;
+
+import rushwood.api.AttemptOutcome;
+
+/** Decides whether a request may be sent (again), to which hosts, and until when. */
+record RetryPolicy(PolicyContext context) {
+  private static final int MAX_ERRORS = 2; // of two hosts: the request is at fault, not a host
+  private static final double WINDOW_SHARE = 0.9; // of a key's window; the rest is for the way
+
+  /** Whether another attempt may be made now: within the limits, the retry budget and safety. */
+  boolean canAttempt(PendingRequest pending, long now) {
+    return pending.attempts.size() < context.settings().maxAttempts()
+        && pending.errorCount() < MAX_ERRORS
+        && (!pending.isRetryCostly()
+            || context.overloadSignals().canRetry(now, pending.request.group()))
+        && isSafe(pending, now);
+  }
+
+  /** Whether the client may repeat the request without harm: it ran nowhere, or may run twice. */
+  static boolean isRepeatable(PendingRequest pending) {
+    return pending.isIdempotent() || pending.firstPossiblyExecuted() == null;
+  }
+
+  private static boolean isSafe(PendingRequest pending, long now) {
+    return isRepeatable(pending) || pending.hasIdempotencyKey() && now < retryDeadline(pending);
+  }
+
+  /** Whether an attempt there keeps what the request's idempotency promises: keys have a scope. */
+  static boolean isSafeOn(PendingRequest pending, HostState host, long now) {
+    if (isRepeatable(pending)) {
+      return true;
+    }
+    HostState first = pending.firstPossiblyExecuted().host;
+    return isSafe(pending, now)
+        && pending.requestClass.keyScope().isShared(first.endpoint, host.endpoint);
+  }
+
+  /** Until when an attempt may begin: its connection must not come up after the key's window. */
+  static long retryDeadline(PendingRequest pending) {
+    Attempt first = pending.hasIdempotencyKey() ? pending.firstPossiblyExecuted() : null;
+    long window = pending.requestClass.idempotencyWindowNanos();
+    return first == null ? Long.MAX_VALUE : first.sentAt + (long) (window * WINDOW_SHARE);
+  }
+
+  /** How long the client of a rejected request is told to wait: others may be queueing here. */
+  long retryAfter(PendingRequest pending, long now) {
+    boolean othersWaiting = !pending.group.firstAttempts.isEmpty();
+    return context.overloadSignals().retryAfterNanos(now, pending.request, othersWaiting);
+  }
+
+  /** Records how an attempt ended: the request avoids hosts that were behind or at fault. */
+  static void attemptFinished(Attempt attempt, AttemptOutcome outcome) {
+    switch (outcome) {
+      case REPLICA_LAGGING, ERROR, MALFORMED, CONNECTION_LOST, NOT_SENT ->
+          attempt.pending.avoidedHosts.add(attempt.host);
+      default -> {} // Another host would do no better, or health and limits keep it away.
+    }
+    attempt.outcome = outcome;
+  }
+}
--- a/router/src/main/java/rushwood/policy/SessionWrites.java
+++ b/router/src/main/java/rushwood/policy/SessionWrites.java
@@ -5,8 +5,8 @@
 import rushwood.api.SessionId;
 
 /**
- * The last commit of each session, so many sessions at the most. One that falls out is held to the
- * latest commit that did: never to less than its own.
+ * The position of the last commit of each session, for a limited number of sessions. A session that
+ * was forgotten is held to the latest commit of all forgotten ones: never to less than its own.
  */
 final class SessionWrites {
   private final Map<SessionId, Long> commits = new LinkedHashMap<>();
@@ -17,15 +17,16 @@
     this.maxSessions = maxSessions;
   }
 
-  void recordCommit(SessionId session, long commit) {
+  void recordCommit(SessionId session, long position) {
     commits.remove(session);
-    commits.put(session, commit);
+    commits.put(session, position);
     if (commits.size() > maxSessions) {
       SessionId eldest = commits.keySet().iterator().next();
       latestForgottenCommit = Math.max(latestForgottenCommit, commits.remove(eldest));
     }
   }
 
+  /** The position that a read of the session must see. */
   long lastCommit(SessionId session) {
     return commits.getOrDefault(session, latestForgottenCommit);
   }
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -0,0 +1,69 @@
+package rushwood.policy;
+
+/**
+ * Limits what a host gets after its process has started to a share, growing with its age, of slots
+ * and of the work that warm hosts complete. All routers together so stay well under what would make
+ * a cold host collapse, without talking to each other.
+ */
+record SlowStart(PolicyContext context) {
+  private static final double MULTIPLE_SHARE = 0.5; // of the collapse multiple; rest: for chance
+  private static final double SHARED_SLOTS_SHARE = 0.35; // with many routers there is more chance
+  private static final double BURST_SHARE = 0.25; // of a window may be saved: early bursts count
+  private static final double WORK_RATE_SMOOTHING = 0.05; // about the last two seconds count
+
+  /** The share of its capacity that a host has at the least, by its age: 1 once it is warm. */
+  private double progress(HostState host, long now) {
+    double age = (double) (now - host.startedAt) / context.settings().warmupNanos();
+    double initial = context.settings().coldStartShare();
+    return host.startedAt == 0 || age >= 1 ? 1 : initial + (1 - initial) * Math.max(0, age);
+  }
+
+  private boolean isWarm(HostState host, long now) {
+    return progress(host, now) == 1;
+  }
+
+  /** The share of a warm host's work that this host may get. */
+  double share(HostState host, long now) {
+    boolean areSlotsShared = ConcurrencyLimiter.areSlotsShared(context);
+    double multipleShare = areSlotsShared ? SHARED_SLOTS_SHARE : MULTIPLE_SHARE;
+    double multiple = context.settings().collapseMultiple();
+    return Math.min(1, progress(host, now) * multiple * multipleShare);
+  }
+
+  /** Whether a host that is not warm may get that request, for its expected service time. */
+  boolean hasTokens(PendingRequest pending, HostState host, long now) {
+    if (isWarm(host, now)) {
+      return true;
+    }
+    double rate = share(host, now) * warmRate(host, now);
+    double expected = context.serviceTimes().expected(pending);
+    double window = context.settings().collapseWindowNanos();
+    double capacity = Math.max(expected, rate * window * BURST_SHARE);
+    if (host.slowStartTokens.refilledAt() < host.startedAt) {
+      // Each router starts at another level, so that their first attempts come at other times.
+      host.slowStartTokens.reset(context.random().nextDouble() * capacity, now);
+    }
+    host.slowStartTokens.refill(rate, capacity, now);
+    return host.slowStartTokens.has(expected);
+  }
+
+  /** What warm hosts complete for the host's weight; with none warm, what its slots allow. */
+  private double warmRate(HostState host, long now) {
+    double rate = 0;
+    double weight = 0;
+    for (HostState other : context.hosts().hosts()) {
+      if (other.group != null && other.isHealthy() && isWarm(other, now)) {
+        rate += other.completedWorkRate.value();
+        weight += other.endpoint.weight();
+      }
+    }
+    return weight > 0 ? host.endpoint.weight() * rate / weight : host.concurrencyLimit;
+  }
+
+  /** Updates the host's rate of completed work; called once a check interval. */
+  static void updateWorkRate(HostState host) {
+    double rate = host.completedWork / DefaultRoutingPolicy.CHECK_INTERVAL;
+    host.completedWorkRate.add(rate, WORK_RATE_SMOOTHING);
+    host.completedWork = 0;
+  }
+}
