--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -22,10 +22,14 @@
 import rushwood.dispatch.TimerQueue;
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.DescriptorBudget;
+import rushwood.protocol.ErrorResponse;
+import rushwood.protocol.FrontendCallbacks;
 import rushwood.protocol.FrontendProtocol;
 import rushwood.protocol.MessageWriter;
 import rushwood.protocol.ProtocolException;
+import rushwood.protocol.SqlState;
 import rushwood.protocol.SqlStatement;
+import rushwood.protocol.SqlStatementParser;
 
 /** The connections of clients; reads and writes for {@link ClientProtocol}. */
 public final class FrontendServer extends ChannelInitializer<Channel> {
@@ -71,6 +75,9 @@
           .respectMaybeMoreData(false)
           .maxMessagesPerRead(MAX_READS_PER_TURN);
 
+  private static final ErrorResponse TOO_MANY_CONNECTIONS =
+      ErrorResponse.fatal(SqlState.TOO_MANY_CONNECTIONS, "too many connections");
+
   private final Set<Connection> openConnections = new LinkedHashSet<>();
   private final Set<LingeringClose> lingeringConnections =
       new LinkedHashSet<>(); // ended by us, not yet closed; the first to end first
@@ -136,16 +143,12 @@
       if (openConnections() >= admission.maxConnections() + ACCEPT_MARGIN) {
         channel.close();
       } else {
-        refuse(channel, "57P03", "this router ends", null);
+        refuse(channel, ErrorResponse.fatal(SqlState.CANNOT_CONNECT_NOW, "this router ends"));
       }
       return;
     } else if (admission.openConnections() >= admission.maxConnections() + ACCEPT_MARGIN
         && !evictNext()) {
-      refuse(
-          channel,
-          "53300",
-          "too many connections",
-          FrontendProtocol.retryAfterMillis(retryAfterNanos.getAsLong()));
+      refuse(channel, TOO_MANY_CONNECTIONS.withRetryAfter(retryAfterNanos.getAsLong()));
       return;
     }
     counters.increment(Counter.CLIENTS_ACCEPTED);
@@ -159,10 +162,10 @@
   }
 
   /** One that has no place: it can read why. */
-  private void refuse(Channel channel, String sqlState, String message, String detail) {
+  private void refuse(Channel channel, ErrorResponse error) {
     counters.increment(Counter.CLIENTS_REFUSED);
     ByteBuf out = channel.alloc().buffer(128);
-    MessageWriter.writeErrorResponse(out, true, sqlState, message, detail);
+    MessageWriter.writeErrorResponse(out, error);
     LingeringClose refused = new LingeringClose(channel);
     channel.pipeline().addLast(refused);
     channel.write(out);
@@ -234,7 +237,7 @@
     List.copyOf(openConnections).forEach(connection -> connection.protocol.drain());
   }
 
-  private final class Connection extends LingeringClose implements FrontendProtocol.Callbacks {
+  private final class Connection extends LingeringClose implements FrontendCallbacks {
     private final FrontendProtocol protocol;
     private final long key =
         (long) ++acceptedConnections << Integer.SIZE | random.nextInt() & 0xffffffffL;
@@ -270,10 +273,7 @@
 
     private void refuseNoRoom() {
       counters.increment(Counter.CLIENTS_REFUSED);
-      protocol.closeWithError(
-          "53300",
-          "too many connections",
-          FrontendProtocol.retryAfterMillis(retryAfterNanos.getAsLong()));
+      protocol.closeWithError(TOO_MANY_CONNECTIONS.withRetryAfter(retryAfterNanos.getAsLong()));
     }
 
     /**
@@ -345,21 +345,26 @@
         return;
       }
       if (rejected > MAX_REJECTIONS) {
-        protocol.closeWithError("08P01", "too many statements that cannot be taken", null);
+        protocol.closeWithError(
+            ErrorResponse.fatal(
+                SqlState.PROTOCOL_VIOLATION, "too many statements that cannot be taken"));
         return;
       }
       protocol.resume();
       updateStatementBytes();
       if (pipelinedTooMuch && !protocol.hasPendingRequest() && !isLingering()) {
         counters.increment(Counter.CLIENTS_REFUSED);
-        protocol.closeWithError("53300", "too much was written ahead of its answers", null);
+        protocol.closeWithError(
+            ErrorResponse.fatal(
+                SqlState.TOO_MANY_CONNECTIONS, "too much was written ahead of its answers"));
       } else if (statementBytes > MAX_STATEMENT_BYTES
           && protocol.unreadBytes() > MAX_PIPELINED_BYTES_LOW_MEMORY
           && protocol.hasIncompleteMessage()
           && !isLingering()) {
         // An access that is open keeps its place: only what is half written can be refused.
         counters.increment(Counter.CLIENTS_REFUSED);
-        protocol.closeWithError("53300", "memory is short", null);
+        protocol.closeWithError(
+            ErrorResponse.fatal(SqlState.TOO_MANY_CONNECTIONS, "memory is short"));
       }
       updateAdmissionState();
     }
@@ -375,7 +380,8 @@
       } else if (protocol.hasIncompleteMessage()
           && incompleteSince <= now - MESSAGE_TIMEOUT_NANOS) {
         counters.increment(Counter.CLIENTS_TIMED_OUT);
-        protocol.closeWithError("08P01", "the message did not come in time", null);
+        protocol.closeWithError(
+            ErrorResponse.fatal(SqlState.PROTOCOL_VIOLATION, "the message did not come in time"));
       }
     }
 
@@ -445,16 +451,18 @@
 
     @Override
     public void submit(ByteBuf text) throws ProtocolException {
-      SqlStatement statement = new SqlStatement(text, requestClasses);
+      SqlStatement statement = SqlStatementParser.parse(text, requestClasses);
       if (statementBytes + text.readableBytes() > MAX_STATEMENT_BYTES) {
         statement.release();
-        throw new ProtocolException("53300", "memory is short: trying again is harmless", false);
+        throw ProtocolException.rejected(
+            SqlState.TOO_MANY_CONNECTIONS, "memory is short: trying again is harmless");
       }
       boolean duplicate = dispatcher.isRequestIdInUse(statement.id());
       if (duplicate || !dispatcher.hasGroup(statement.group())) {
         statement.release();
-        throw new ProtocolException(
-            "22023", duplicate ? "the id is not new" : "the cluster is unknown", false);
+        throw ProtocolException.rejected(
+            SqlState.INVALID_PARAMETER_VALUE,
+            duplicate ? "the id is not new" : "the cluster is unknown");
       }
       rejected = 0;
       admission.recordRequest(access != null);
@@ -479,7 +487,8 @@
     public void statementRejected(ProtocolException rejection) {
       counters.increment(Counter.STATEMENTS_REJECTED);
       boolean causedByRouter =
-          rejection.sqlState.equals("53300") || rejection.sqlState.equals("57P03");
+          rejection.sqlState().equals(SqlState.TOO_MANY_CONNECTIONS)
+              || rejection.sqlState().equals(SqlState.CANNOT_CONNECT_NOW);
       if (!causedByRouter && ++rejected > REJECTIONS_BEFORE_PAUSE) {
         paused = true;
         timers.schedule(
--- a/router/src/main/java/rushwood/net/WarmupPeers.java
+++ b/router/src/main/java/rushwood/net/WarmupPeers.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.function.Supplier;
+import rushwood.protocol.ErrorResponse;
 import rushwood.protocol.MessageReader;
 import rushwood.protocol.MessageWriter;
 import rushwood.protocol.ProtocolException;
@@ -79,7 +80,7 @@
       int kind = (firstKind + answers++) % ANSWER_KINDS;
       if (kind > 7) {
         MessageWriter.writeErrorResponse(
-            out, false, kind == 8 ? "XX000" : "72000", "rehearsed", null);
+            out, ErrorResponse.error(kind == 8 ? "XX000" : "72000", "rehearsed"));
       } else {
         MessageWriter.writeRowDescription(out, "val");
         MessageWriter.writeDataRow(out, "x0=0,x1=0");
--- a/router/src/main/java/rushwood/protocol/BackendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/BackendProtocol.java
@@ -2,16 +2,19 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.CompositeByteBuf;
-import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 import rushwood.api.AttemptOutcome;
-import rushwood.api.HostRole;
-import rushwood.api.LoadReport;
 import rushwood.dispatch.BackendConnection;
 import rushwood.dispatch.BackendResponse;
 
-/** The host side of the protocol, fed what a host writes. */
+/**
+ * The client's side of PostgreSQL's protocol 3 on a connection to a host: simple queries, one
+ * statement at a time, whose responses are passed to a {@link BackendConnection.Listener}.
+ *
+ * <p>A response is reported at the end of the read in which it became complete, by {@link
+ * #completeRead}. Anything that follows it in the same read belongs to no statement and would be
+ * taken for the response to the next one, so the connection is not used again.
+ */
 public final class BackendProtocol {
   private enum State {
     STARTUP,
@@ -21,71 +24,65 @@
     CLOSED
   }
 
-  private static final int MAX_ROW_LENGTH =
-      1 << 20; // above any value seen, well below what memory holds
-  private static final int MAX_TEXT_LENGTH =
-      8 << 10; // of an error or a notice, far above what hosts write
-  private static final int COLUMN_DESCRIPTION_BYTES = 18; // bytes behind the name of a column
+  /** Lengths in bytes: above any row seen, well below what memory holds. */
+  private static final int MAX_ROW_LENGTH = 1 << 20;
+
+  private static final int MAX_TEXT_LENGTH = 8 << 10; // far above any error or notice of a host
+  private static final int MAX_ROW_FRAME_LENGTH = 1 << 10; // RowDescription, CommandComplete
+  private static final int MAX_STARTUP_LENGTH = 300; // messages during startup
+  private static final int READY_FOR_QUERY_LENGTH = 5;
+  private static final int AUTHENTICATION_OK = 0;
+  private static final char TRANSACTION_STATUS_IDLE = 'I';
+  private static final char SQL_STATE_FIELD = 'C';
 
   private static final Pattern SQL_STATE = Pattern.compile("[0-9A-Z]{5}");
 
-  private final ByteBufAllocator allocator;
-  private final BackendConnection.Listener events;
+  private final BackendConnection.Listener listener;
   private final MessageReader reader;
+  private final ResponseAssembler response;
   private State state = State.STARTUP;
-  private boolean isProbe;
-  private CompositeByteBuf row;
-  private char lastRowPart;
-  private String probeValue;
-  private AttemptOutcome outcome;
   private boolean malformed;
-  private HostRole role = HostRole.UNKNOWN;
-  private long position;
-  private LoadReport report;
 
-  public BackendProtocol(ByteBufAllocator allocator, BackendConnection.Listener events) {
-    this.allocator = allocator;
-    this.events = events;
+  /** Creates the protocol of a connection that has just been opened. */
+  public BackendProtocol(ByteBufAllocator allocator, BackendConnection.Listener listener) {
+    this.listener = listener;
     reader = new MessageReader(allocator, BackendProtocol::maxLength);
+    response = new ResponseAssembler(allocator);
   }
 
-  /**
-   * The most a message may claim: what is spoilt is to be told at its head, not when a shot runs
-   * out.
-   */
+  /** Tight limits show malformed data at a message's head, not only when the attempt times out. */
   private static int maxLength(int type) {
     return switch (type) {
-      case 'Z' -> 5;
-      case 'R', 'K' -> 300;
-      case 'T', 'C' -> 1 << 10;
-      case 'S', 'E', 'N' -> MAX_TEXT_LENGTH;
-      case 'D' -> MAX_ROW_LENGTH;
+      case BackendMessageType.READY_FOR_QUERY -> READY_FOR_QUERY_LENGTH;
+      case BackendMessageType.AUTHENTICATION, BackendMessageType.BACKEND_KEY_DATA ->
+          MAX_STARTUP_LENGTH;
+      case BackendMessageType.ROW_DESCRIPTION, BackendMessageType.COMMAND_COMPLETE ->
+          MAX_ROW_FRAME_LENGTH;
+      case BackendMessageType.PARAMETER_STATUS,
+          BackendMessageType.ERROR_RESPONSE,
+          BackendMessageType.NOTICE_RESPONSE ->
+          MAX_TEXT_LENGTH;
+      case BackendMessageType.DATA_ROW -> MAX_ROW_LENGTH;
       default -> 0;
     };
   }
 
-  /** A statement is about to be written. */
-  public void beginStatement(boolean probe) {
+  /**
+   * Call before a statement is written; only if the connection {@link #isUsable}.
+   *
+   * @param isProbe whether the response is a load report
+   */
+  public void beginStatement(boolean isProbe) {
     state = State.AWAITING_RESPONSE;
-    isProbe = probe;
-    resetResponse();
-  }
-
-  private void resetResponse() {
-    releaseRow();
-    lastRowPart = 0;
-    outcome = null;
-    role = HostRole.UNKNOWN;
-    position = -1;
-    report = LoadReport.NONE;
-    probeValue = null;
+    response.begin(isProbe);
   }
 
+  /** Whether the next statement may be sent. */
   public boolean isUsable() {
     return state == State.IDLE && reader.unreadBytes() == 0;
   }
 
-  /** Takes the buffer over; false if the connection cannot be used any more and is to be closed. */
+  /** Processes input; takes the buffer over. Returns false if the connection has to be closed. */
   public boolean feed(ByteBuf in) {
     reader.feed(in);
     try {
@@ -105,205 +102,131 @@
   }
 
   /**
-   * All that had come was fed: an answer that is whole is told only now. What stands behind it
-   * belongs to no statement, and would pass for the answer of the next one: such a connection is
-   * not used again. False if it is to be closed.
+   * Call when all that has arrived was fed: reports a complete response. Returns false if the
+   * connection has to be closed, as data followed the response.
    */
   public boolean completeRead() {
     if (state != State.RESPONSE_COMPLETE) {
       return true;
     }
-    boolean surplus = reader.unreadBytes() > 0;
-    state = surplus ? State.CLOSED : State.IDLE;
-    events.responseReceived(takeResponse(), !surplus);
-    return !surplus;
+    boolean isReusable = reader.unreadBytes() == 0;
+    state = isReusable ? State.IDLE : State.CLOSED;
+    listener.responseReceived(response.take(), isReusable);
+    return isReusable;
   }
 
   private void handleMessage(ByteBuf message) throws ProtocolException {
     char type = reader.type();
     switch (type) {
-      case 'N', 'K' -> {}
-      case 'S' -> handleParameterStatus(message);
-      case 'R' -> {
-        if (state != State.STARTUP || message.readableBytes() != 4 || message.readInt() != 0) {
-          throw ProtocolException.protocolViolation("an unexpected authentication message");
-        }
-      }
-      case 'E' -> handleErrorResponse(message);
-      case 'T', 'D', 'C' -> handleRowPart(type, message);
-      case 'Z' -> handleReadyForQuery(message);
+      case BackendMessageType.NOTICE_RESPONSE, BackendMessageType.BACKEND_KEY_DATA -> {}
+      case BackendMessageType.PARAMETER_STATUS -> handleParameterStatus(message);
+      case BackendMessageType.AUTHENTICATION -> handleAuthentication(message);
+      case BackendMessageType.ERROR_RESPONSE -> handleErrorResponse(message);
+      case BackendMessageType.ROW_DESCRIPTION,
+          BackendMessageType.DATA_ROW,
+          BackendMessageType.COMMAND_COMPLETE ->
+          handleRowPart(type, message);
+      case BackendMessageType.READY_FOR_QUERY -> handleReadyForQuery(message);
       default -> throw ProtocolException.protocolViolation("a message of unexpected type");
     }
   }
 
-  /** The row comes as exactly one description, one row of one column and one completion. */
-  private void handleRowPart(char type, ByteBuf message) throws ProtocolException {
-    boolean inOrder =
-        type == 'T' && lastRowPart == 0
-            || type == 'D' && lastRowPart == 'T'
-            || type == 'C' && lastRowPart == 'D';
-    if (state != State.AWAITING_RESPONSE || !inOrder || outcome != null) {
-      throw ProtocolException.protocolViolation("a part of a row out of order");
-    }
-    int bodyStart = message.readerIndex();
-    checkLengths(type, message);
-    lastRowPart = type;
-    if (isProbe) {
-      if (type == 'D') {
-        probeValue =
-            message.toString(
-                bodyStart + 6, message.writerIndex() - bodyStart - 6, StandardCharsets.UTF_8);
-      }
-    } else {
-      if (row == null) {
-        row = allocator.compositeBuffer(3);
-      }
-      // With its type and length, which stand before what the slice shows.
-      message.readerIndex(0);
-      row.addComponent(true, message.retainedSlice());
-    }
-    if (type == 'C') {
-      outcome = AttemptOutcome.SUCCESS;
+  private void handleAuthentication(ByteBuf message) throws ProtocolException {
+    if (state != State.STARTUP
+        || message.readableBytes() != Integer.BYTES
+        || message.readInt() != AUTHENTICATION_OK) {
+      throw ProtocolException.protocolViolation("an unexpected authentication message");
     }
   }
 
-  /** Counts and lengths fit, to the byte: a client must be able to read what is passed on. */
-  private static void checkLengths(char type, ByteBuf message) throws ProtocolException {
-    if (type != 'C' && (message.readableBytes() < 6 || message.readShort() != 1)) {
-      throw ProtocolException.protocolViolation("a row that has not one column");
-    }
-    if (type != 'D') {
-      readCString(message);
-    }
-    int remaining =
-        switch (type) {
-          case 'T' -> COLUMN_DESCRIPTION_BYTES;
-          case 'D' -> message.readInt();
-          default -> 0;
-        };
-    if (message.readableBytes() != remaining) {
-      throw ProtocolException.protocolViolation("a part of a row whose lengths do not fit");
+  private void handleRowPart(char type, ByteBuf message) throws ProtocolException {
+    if (state != State.AWAITING_RESPONSE) {
+      throw ProtocolException.protocolViolation("a part of a row out of order");
     }
+    response.addRowPart(type, message);
   }
 
   private void handleParameterStatus(ByteBuf message) throws ProtocolException {
-    String name = readCString(message);
-    String value = readCString(message);
+    String name = CString.read(message);
+    String value = CString.read(message);
     if (message.isReadable()) {
       throw ProtocolException.protocolViolation("a parameter that does not end");
     }
     if (state == State.AWAITING_RESPONSE) {
-      switch (name) {
-        case "part" ->
-            role =
-                switch (value) {
-                  case "master" -> HostRole.PRIMARY;
-                  case "replica" -> HostRole.REPLICA;
-                  default -> HostRole.UNKNOWN;
-                };
-        case "caught_up_to" -> position = LoadReportParser.parsePosition(value);
-        case "gauges" -> report = LoadReportParser.parse(value);
-        default -> {}
-      }
+      response.addParameter(name, value);
     }
   }
 
-  private static String readCString(ByteBuf message) throws ProtocolException {
-    int end = message.indexOf(message.readerIndex(), message.writerIndex(), (byte) 0);
-    if (end < 0) {
-      throw ProtocolException.protocolViolation("a text without its zero");
+  private void handleErrorResponse(ByteBuf message) throws ProtocolException {
+    String sqlState = readSqlState(message);
+    if (state == State.STARTUP) {
+      state = State.CLOSED;
+      AttemptOutcome outcome =
+          sqlState.equals(SqlState.TOO_MANY_CONNECTIONS)
+              ? AttemptOutcome.OVERLOADED
+              : AttemptOutcome.CONNECT_FAILED;
+      listener.responseReceived(BackendResponse.withoutRow(outcome), false);
+    } else if (state == State.AWAITING_RESPONSE && !response.hasOutcome()) {
+      response.addError(sqlState);
+    } else {
+      throw ProtocolException.protocolViolation("an error that answers nothing");
     }
-    String text =
-        message.toString(
-            message.readerIndex(), end - message.readerIndex(), StandardCharsets.UTF_8);
-    message.readerIndex(end + 1);
-    return text;
   }
 
-  private void handleErrorResponse(ByteBuf message) throws ProtocolException {
+  /** A malformed error is a violation, as an error can prove that the statement never ran. */
+  private static String readSqlState(ByteBuf message) throws ProtocolException {
     String sqlState = "";
     byte field = 1;
     while (message.isReadable() && (field = message.readByte()) != 0) {
-      String value = readCString(message);
-      sqlState = field == 'C' ? value : sqlState;
+      String value = CString.read(message);
+      sqlState = field == SQL_STATE_FIELD ? value : sqlState;
     }
     if (field != 0 || message.isReadable() || !SQL_STATE.matcher(sqlState).matches()) {
-      throw ProtocolException.protocolViolation(
-          "an error that cannot be read"); // it must not prove that nothing ran
-    }
-    if (state == State.STARTUP) {
-      state = State.CLOSED;
-      events.responseReceived(
-          BackendResponse.withoutRow(
-              sqlState.equals("53300") ? AttemptOutcome.OVERLOADED : AttemptOutcome.CONNECT_FAILED),
-          false);
-    } else if (state == State.AWAITING_RESPONSE && outcome == null) {
-      releaseRow();
-      outcome =
-          switch (sqlState) {
-            case "25006", "72000" -> AttemptOutcome.REPLICA_LAGGING;
-            case "53300" -> AttemptOutcome.OVERLOADED;
-            default -> AttemptOutcome.ERROR;
-          };
-    } else {
-      throw ProtocolException.protocolViolation("an error that answers nothing");
+      throw ProtocolException.protocolViolation("an error that cannot be read");
     }
+    return sqlState;
   }
 
   private void handleReadyForQuery(ByteBuf message) throws ProtocolException {
-    if (message.readableBytes() != 1 || message.readByte() != 'I') {
+    if (message.readableBytes() != 1 || message.readByte() != TRANSACTION_STATUS_IDLE) {
       throw ProtocolException.protocolViolation("ready in no state of ours");
     }
     if (state == State.STARTUP) {
       state = State.IDLE;
-      events.connected();
-    } else if (state == State.AWAITING_RESPONSE && outcome != null) {
+      listener.connected();
+    } else if (state == State.AWAITING_RESPONSE && response.hasOutcome()) {
       state = State.RESPONSE_COMPLETE;
     } else {
       throw ProtocolException.protocolViolation("ready without an answer");
     }
   }
 
-  private BackendResponse takeResponse() {
-    if (isProbe && probeValue != null) {
-      report = LoadReportParser.parse(probeValue);
-    }
-    ByteBuf completeRow = row;
-    row = null;
-    return new BackendResponse(outcome, completeRow, role, position, report);
-  }
-
   /**
-   * The connection ended or is of no use; an answer that is whole but for what follows it still
-   * counts.
+   * The connection was closed, or {@link #feed} or {@link #completeRead} said that it has to be. A
+   * row or an error that is complete still counts, though ReadyForQuery is missing.
+   *
+   * @param accepted whether the host had accepted the connection
    */
   public void connectionLost(boolean accepted) {
     State previous = state;
     state = State.CLOSED;
     reader.close();
-    if ((previous == State.AWAITING_RESPONSE || previous == State.RESPONSE_COMPLETE)
-        && outcome != null) {
-      events.responseReceived(takeResponse(), false);
+    boolean wasInUse = previous == State.AWAITING_RESPONSE || previous == State.RESPONSE_COMPLETE;
+    if (wasInUse && response.hasOutcome()) {
+      listener.responseReceived(response.take(), false);
     } else if (previous == State.AWAITING_RESPONSE && malformed) {
-      releaseRow();
-      events.responseReceived(BackendResponse.withoutRow(AttemptOutcome.MALFORMED), false);
+      response.release();
+      listener.responseReceived(BackendResponse.withoutRow(AttemptOutcome.MALFORMED), false);
     } else if (previous != State.CLOSED) {
-      releaseRow();
-      events.connectionLost(accepted);
+      response.release();
+      listener.connectionLost(accepted);
     }
   }
 
-  /** Closed by us: nothing more is told. */
+  /** The router closes the connection; the listener hears nothing more. */
   public void close() {
     state = State.CLOSED;
     reader.close();
-    releaseRow();
-  }
-
-  private void releaseRow() {
-    if (row != null) {
-      row.release();
-      row = null;
-    }
+    response.release();
   }
 }
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -8,72 +8,59 @@
 import rushwood.dispatch.ClientResponder;
 
 /**
- * The client side of the protocol, fed what a client writes. One statement at a time: what follows
- * waits unread until the answer is out, as it does at a database.
+ * The server's side of PostgreSQL's protocol 3 on the connection of a client: simple queries only,
+ * one request at a time. As at a database, what a client sends behind a request stays unread until
+ * that request is answered.
  */
 public final class FrontendProtocol implements ClientResponder {
-  /** What the protocol needs of its connection and of the router. */
-  public interface Callbacks {
-    boolean isReady();
-
-    /** An access; its answer comes through the methods of {@link Client}. */
-    void submit(ByteBuf text) throws ProtocolException;
-
-    /** Writes the counters as rows. */
-    int writeCounters(ByteBuf out);
-
-    void statementRejected(ProtocolException cause);
-
-    /** Takes the buffer over. */
-    void write(ByteBuf out);
-
-    /** The answer that is written next tells when to come back. */
-    void retryAfterAnnounced();
-
-    /** By what a request on another connection cancels what runs on this one. */
-    long cancelKey();
-
-    /** Such a request. */
-    void cancelRequest(long key);
-
-    /** Its client ended the session while its access was open. */
-    void clientTerminated();
-
-    /** Ends it once all is written. */
-    void close();
-
-    /** Calls {@link ClientProtocol#resume} in a later turn. */
-    void resumeLater();
-  }
-
   private enum State {
     STARTUP,
     IDLE,
     REQUEST_PENDING,
+    /** After a message of the extended query protocol: all is skipped up to the Sync behind it. */
     SKIPPING_TO_SYNC,
-    CLOSED
+    CLOSED;
+
+    boolean readsMessages() {
+      return this == STARTUP || this == IDLE || this == SKIPPING_TO_SYNC;
+    }
   }
 
-  private static final int MAX_MESSAGE_LENGTH =
-      256 << 10; // a value of 64 KiB is 128 KiB as hex, and as much again
-  private static final int MAX_STARTUP_LENGTH = 10_000; // as at PostgreSQL
-  private static final String EXTENDED_QUERY_TYPES =
-      "PBDECFHdcf"; // answered with an error, skipped up to their Sync
+  /** Lengths in bytes. A value of 64 KiB takes 128 KiB in hexadecimal; as much again is spare. */
+  private static final int MAX_MESSAGE_LENGTH = 256 << 10;
+
+  private static final int MAX_STARTUP_LENGTH = 10_000; // PostgreSQL's own limit
+  private static final int STARTUP_TYPE = 0; // stands for messages without a type
+  private static final int EMPTY_BODY_LENGTH = 4;
+  private static final int VERSION_BYTES = 4;
+  private static final int CANCEL_KEY_BYTES = 8;
+
   private static final int SSL_REQUEST_CODE = 80877103;
   private static final int GSS_ENCRYPTION_REQUEST_CODE = 80877104;
   private static final int CANCEL_REQUEST_CODE = 80877102;
-  private static final int CANCEL_KEY_BYTES = 8;
-  private static final char TERMINATE = 'X';
+  private static final char ENCRYPTION_REFUSED = 'N';
+
   private static final String SHOW_COUNTERS = "SHOW COUNTERS";
+  private static final int MAX_LOCAL_QUERY_LENGTH = SHOW_COUNTERS.length() + 2;
+
+  private static final ErrorResponse REQUEST_REJECTED =
+      ErrorResponse.error(SqlState.TOO_MANY_CONNECTIONS, "turned back: trying again is harmless");
+  private static final ErrorResponse REQUEST_FAILED =
+      ErrorResponse.error(SqlState.SYSTEM_ERROR, "given up: it may have run");
+  private static final ErrorResponse REQUEST_CANCELLED =
+      ErrorResponse.error(SqlState.QUERY_CANCELED, "canceling statement due to user request");
+  private static final ErrorResponse UNSUPPORTED_MESSAGE =
+      ErrorResponse.error(SqlState.FEATURE_NOT_SUPPORTED, "only simple queries are taken");
 
   private final ByteBufAllocator allocator;
-  private final Callbacks callbacks;
+  private final FrontendCallbacks callbacks;
   private final MessageReader reader;
   private State state = State.STARTUP;
-  private ByteBuf pendingStatement;
+  private ByteBuf pendingStatement; // read by resume(), and not yet submitted; else null
   private boolean draining;
 
-  public FrontendProtocol(ByteBufAllocator allocator, Callbacks callbacks) {
+  /** Creates the protocol of a connection on which nothing has been read. */
+  public FrontendProtocol(ByteBufAllocator allocator, FrontendCallbacks callbacks) {
     this.allocator = allocator;
     this.callbacks = callbacks;
     reader = new MessageReader(allocator, FrontendProtocol::maxLength);
@@ -81,62 +68,70 @@
 
   private static int maxLength(int type) {
     return switch (type) {
-      case 0 -> MAX_STARTUP_LENGTH;
-      case 'X', 'S' -> 4;
-      case 'Q' -> MAX_MESSAGE_LENGTH;
-      default -> EXTENDED_QUERY_TYPES.indexOf(type) >= 0 ? MAX_MESSAGE_LENGTH : 0;
+      case STARTUP_TYPE -> MAX_STARTUP_LENGTH;
+      case FrontendMessageType.TERMINATE, FrontendMessageType.SYNC -> EMPTY_BODY_LENGTH;
+      case FrontendMessageType.QUERY -> MAX_MESSAGE_LENGTH;
+      default -> FrontendMessageType.isUnsupported(type) ? MAX_MESSAGE_LENGTH : 0;
     };
   }
 
-  /** Takes the buffer over, for {@link #resume} to go on with. */
+  // ---- input
+
+  /** Keeps input for {@link #resume}; takes the buffer over. */
   public void buffer(ByteBuf in) {
     reader.feed(in);
   }
 
-  /** Takes the buffer over and goes on with it. */
+  /** Keeps input and processes it; takes the buffer over. */
   public void feed(ByteBuf in) {
     buffer(in);
     resume();
   }
 
   /**
-   * Goes on with what was read, up to an access that has to wait for its answer; looks behind that
-   * for its end.
+   * Processes buffered input up to the first request that has to wait for its answer. A Terminate
+   * message behind that request ends the connection at once: its client waits for no answer.
    */
   public void resume() {
+    writeOrRelease(readMessages());
+    boolean isSubmitted = state == State.REQUEST_PENDING && pendingStatement == null;
+    if ((pendingStatement != null || isSubmitted)
+        && reader.hasMessageAhead(FrontendMessageType.TERMINATE)) {
+      pendingStatement = null;
+      state = State.CLOSED;
+      if (isSubmitted) {
+        callbacks.clientTerminated();
+      }
+    } else if (pendingStatement != null) {
+      submitPendingStatement();
+    }
+    closeIfDone();
+  }
+
+  /** Reads messages up to a request or the end of input; returns what is to be written. */
+  private ByteBuf readMessages() {
     ByteBuf out = allocator.buffer(256);
     try {
       boolean more = true;
-      while (more
-          && (state == State.STARTUP || state == State.IDLE || state == State.SKIPPING_TO_SYNC)) {
+      while (more && state.readsMessages()) {
         more = state == State.STARTUP ? readStartupMessage(out) : readMessage(out);
       }
     } catch (ProtocolException violation) {
       callbacks.statementRejected(violation);
-      MessageWriter.writeErrorResponse(out, true, violation.sqlState, violation.getMessage(), null);
+      MessageWriter.writeErrorResponse(out, ErrorResponse.of(violation));
       state = State.CLOSED;
     }
+    return out;
+  }
+
+  private void writeOrRelease(ByteBuf out) {
     if (out.isReadable()) {
       callbacks.write(out);
     } else {
       out.release();
     }
-    // Whoever has terminated waits for nothing any more, however much it wrote before.
-    if ((pendingStatement != null || state == State.REQUEST_PENDING)
-        && reader.hasMessageAhead(TERMINATE)) {
-      boolean submitted = pendingStatement == null;
-      pendingStatement = null;
-      state = State.CLOSED;
-      if (submitted) {
-        callbacks.clientTerminated();
-      }
-    } else if (pendingStatement != null) {
-      submitPendingStatement();
-    }
-    closeIfDone();
   }
 
-  /** Hands an access over, after what was to be written before its answer. */
   private void submitPendingStatement() {
     ByteBuf text = pendingStatement;
     pendingStatement = null;
@@ -144,69 +139,67 @@
       callbacks.submit(text);
     } catch (ProtocolException rejection) {
       callbacks.statementRejected(rejection);
-      answerError(rejection.sqlState, rejection.getMessage(), null);
-    }
-  }
-
-  private void closeIfDone() {
-    if (draining && isIdle()) {
-      state = State.CLOSED;
-    }
-    if (state == State.CLOSED) {
-      reader.close();
-      callbacks.close();
-    } else {
-      reader.releaseIfEmpty();
+      answerError(ErrorResponse.of(rejection));
     }
   }
 
+  /** Returns whether a whole message was read. */
   private boolean readStartupMessage(ByteBuf out) throws ProtocolException {
     ByteBuf message = reader.nextStartupMessage();
     if (message == null) {
       return false;
     }
-    if (message.readableBytes() < 4) {
+    if (message.readableBytes() < VERSION_BYTES) {
       throw ProtocolException.protocolViolation("a startup message without a version");
     }
     int version = message.readInt();
-    if (version == SSL_REQUEST_CODE || version == GSS_ENCRYPTION_REQUEST_CODE) {
-      out.writeByte('N');
-    } else if (version == CANCEL_REQUEST_CODE) {
-      state =
-          State.CLOSED; // with no answer, by the protocol: nobody learns whether the key was right
-      if (message.readableBytes() == CANCEL_KEY_BYTES) {
-        callbacks.cancelRequest(message.readLong());
-      }
-    } else if (version >> 16 != MessageWriter.PROTOCOL_VERSION >> 16) {
-      throw new ProtocolException("0A000", "only version 3 of the protocol is spoken", true);
-    } else {
-      if (version != MessageWriter.PROTOCOL_VERSION) {
-        MessageWriter.writeNegotiateProtocolVersion(out);
-      }
-      MessageWriter.writeStartupResponse(out, callbacks.cancelKey());
-      state = State.IDLE;
+    switch (version) {
+      case SSL_REQUEST_CODE, GSS_ENCRYPTION_REQUEST_CODE -> out.writeByte(ENCRYPTION_REFUSED);
+      case CANCEL_REQUEST_CODE -> handleCancelRequest(message);
+      default -> startSession(version, out);
     }
     return true;
   }
 
+  /** Has no answer, by the protocol: nobody is to learn whether the key was right. */
+  private void handleCancelRequest(ByteBuf message) {
+    state = State.CLOSED;
+    if (message.readableBytes() == CANCEL_KEY_BYTES) {
+      callbacks.cancelRequest(message.readLong());
+    }
+  }
+
+  private void startSession(int version, ByteBuf out) throws ProtocolException {
+    if (version >> 16 != MessageWriter.PROTOCOL_VERSION >> 16) {
+      throw ProtocolException.fatal(
+          SqlState.FEATURE_NOT_SUPPORTED, "only version 3 of the protocol is spoken");
+    }
+    if (version != MessageWriter.PROTOCOL_VERSION) {
+      MessageWriter.writeNegotiateProtocolVersion(out);
+    }
+    MessageWriter.writeStartupResponse(out, callbacks.cancelKey());
+    state = State.IDLE;
+  }
+
+  /** Returns whether a whole message was read. */
   private boolean readMessage(ByteBuf out) throws ProtocolException {
     ByteBuf message = reader.nextMessage();
     if (message == null) {
       return false;
     }
     char type = reader.type();
-    if (type == TERMINATE) {
+    if (type == FrontendMessageType.TERMINATE) {
       state = State.CLOSED;
-    } else if (type == 'S') {
+    } else if (type == FrontendMessageType.SYNC) {
       state = State.IDLE;
       MessageWriter.writeReadyForQuery(out);
-    } else if (type == 'Q') {
+    } else if (type == FrontendMessageType.QUERY) {
       if (state != State.SKIPPING_TO_SYNC) {
         readQuery(message, out);
       }
-    } else if (state != State.SKIPPING_TO_SYNC && type != 'H') {
-      state = State.SKIPPING_TO_SYNC; // up to the Sync that ends what we do not speak
-      MessageWriter.writeErrorResponse(out, false, "0A000", "only simple queries are taken", null);
+    } else if (state != State.SKIPPING_TO_SYNC && type != FrontendMessageType.FLUSH) {
+      state = State.SKIPPING_TO_SYNC;
+      MessageWriter.writeErrorResponse(out, UNSUPPORTED_MESSAGE);
     }
     return true;
   }
@@ -215,42 +208,42 @@
     try {
       int end = message.indexOf(message.readerIndex(), message.writerIndex(), (byte) 0);
       if (end != message.writerIndex() - 1) {
-        throw new ProtocolException("08P01", "the query does not end with its zero", false);
+        throw ProtocolException.rejected(
+            SqlState.PROTOCOL_VIOLATION, "the query does not end with its zero");
       }
       ByteBuf text = message.slice(message.readerIndex(), end - message.readerIndex());
-      if (text.readableBytes() <= SHOW_COUNTERS.length() + 2 && answerLocally(text, out)) {
+      if (text.readableBytes() <= MAX_LOCAL_QUERY_LENGTH && answerLocally(text, out)) {
         return;
       }
       pendingStatement = text;
       state = State.REQUEST_PENDING;
     } catch (ProtocolException rejection) {
       callbacks.statementRejected(rejection);
-      MessageWriter.writeErrorResponse(
-          out, false, rejection.sqlState, rejection.getMessage(), null);
+      MessageWriter.writeErrorResponse(out, ErrorResponse.of(rejection));
       MessageWriter.writeReadyForQuery(out);
     }
   }
 
-  /** Statements that need no host. */
+  /** Answers the statements that need no host; returns whether this is one. */
   private boolean answerLocally(ByteBuf text, ByteBuf out) throws ProtocolException {
-    String words =
+    String statement =
         text.toString(StandardCharsets.UTF_8).replace(';', ' ').strip().toUpperCase(Locale.ROOT);
-    if (!words.isEmpty() && !words.equals(SHOW_COUNTERS)) {
+    if (!statement.isEmpty() && !statement.equals(SHOW_COUNTERS)) {
       return false;
     }
-    if (words.equals(SHOW_COUNTERS)) {
+    if (statement.equals(SHOW_COUNTERS)) {
       MessageWriter.writeRowDescription(out, "counter", "value");
       MessageWriter.writeCommandComplete(out, "SELECT " + callbacks.writeCounters(out));
     } else if (callbacks.isReady()) {
-      MessageWriter.writeEmptyMessage(out, 'I');
+      MessageWriter.writeEmptyQueryResponse(out);
     } else {
-      throw new ProtocolException("57P03", "not ready yet", false);
+      throw ProtocolException.rejected(SqlState.CANNOT_CONNECT_NOW, "not ready yet");
     }
     MessageWriter.writeReadyForQuery(out);
     return true;
   }
 
-  // ---- answers
+  // ---- answers; one that comes when no request is pending is dropped
 
   @Override
   public void sendResult(ByteBuf row) {
@@ -261,31 +254,26 @@
 
   @Override
   public void sendRejection(long retryAfterNanos) {
-    if (retryAfterNanos > 0) {
+    ErrorResponse rejection = REQUEST_REJECTED.withRetryAfter(retryAfterNanos);
+    if (rejection.hasRetryAfter()) {
       callbacks.retryAfterAnnounced();
     }
-    answerError(
-        "53300", "turned back: trying again is harmless", retryAfterMillis(retryAfterNanos));
-  }
-
-  /** A wait as it is told: whole milliseconds, rounded up; null for none. */
-  public static String retryAfterMillis(long retryAfterNanos) {
-    return retryAfterNanos > 0 ? Long.toString((retryAfterNanos + 999_999) / 1_000_000) : null;
+    answerError(rejection);
   }
 
   @Override
   public void sendFailure() {
-    answerError("58000", "given up: it may have run", null);
+    answerError(REQUEST_FAILED);
   }
 
-  /** Its client asked for that, and is owed an answer all the same. */
+  /** The pending request was cancelled by a CancelRequest; its client still expects an answer. */
   public void answerCancelled() {
-    answerError("57014", "canceling statement due to user request", null);
+    answerError(REQUEST_CANCELLED);
   }
 
-  private void answerError(String sqlState, String message, String detail) {
+  private void answerError(ErrorResponse error) {
     ByteBuf out = allocator.buffer(128);
-    MessageWriter.writeErrorResponse(out, false, sqlState, message, detail);
+    MessageWriter.writeErrorResponse(out, error);
     MessageWriter.writeReadyForQuery(out);
     answer(out);
   }
@@ -300,57 +288,72 @@
     if (reader.unreadBytes() > 0) {
       callbacks.resumeLater();
     } else if (draining) {
-      closeIfDone(); // with the answer: a turn later its client may have asked again
+      closeIfDone(); // in the turn of the answer: a turn later the client may have sent a request
     }
   }
 
-  // ---- the end
+  // ---- state, as the connection's limits need it
 
-  /** From now on the connection closes as soon as no access is in it, read or half read. */
-  public void drain() {
-    draining = true;
-    if (isIdle()) {
-      resume();
-    }
-  }
-
-  /** Whether no access is in it, open or half read. */
+  /** Whether the connection has no request, and no part of a message was read. */
   public boolean isIdle() {
     return (state == State.IDLE || state == State.STARTUP) && reader.unreadBytes() == 0;
   }
 
-  /** Whether it owes us something: its startup message, or the rest of a message. */
+  /** Whether the client's turn is not over: its startup message or the rest of a message is due. */
   public boolean hasIncompleteMessage() {
     return state == State.STARTUP
         || reader.unreadBytes() > 0 && (state == State.IDLE || state == State.SKIPPING_TO_SYNC);
   }
 
+  /** Whether the startup message has not been answered. */
   public boolean isStartingUp() {
     return state == State.STARTUP;
   }
 
-  /** Bytes read that wait behind an access, or for the rest of their message. */
+  /** Buffered bytes: those behind a pending request, or of an incomplete message. */
   public int unreadBytes() {
     return reader.unreadBytes();
   }
 
-  /** Whether an access waits for its answer. */
+  /** Whether a request waits for its answer. */
   public boolean hasPendingRequest() {
     return state == State.REQUEST_PENDING;
   }
 
-  /** Ends a connection that there is no room for. */
-  public void closeWithError(String sqlState, String message, String detail) {
+  // ---- end of the connection
+
+  /** Closes the connection as soon as it {@link #isIdle}, now or later. */
+  public void drain() {
+    draining = true;
+    if (isIdle()) {
+      resume();
+    }
+  }
+
+  /** Sends a fatal error, whatever the state, and closes the connection. */
+  public void closeWithError(ErrorResponse error) {
     ByteBuf out = allocator.buffer(128);
-    MessageWriter.writeErrorResponse(out, true, sqlState, message, detail);
+    MessageWriter.writeErrorResponse(out, error);
     callbacks.write(out);
     state = State.CLOSED;
     closeIfDone();
   }
 
-  /** The connection is gone. */
+  /** The connection is closed: drops what was read. */
   public void connectionClosed() {
     state = State.CLOSED;
     reader.close();
   }
+
+  private void closeIfDone() {
+    if (draining && isIdle()) {
+      state = State.CLOSED;
+    }
+    if (state == State.CLOSED) {
+      reader.close();
+      callbacks.close();
+    } else {
+      reader.releaseIfEmpty();
+    }
+  }
 }
--- a/router/src/main/java/rushwood/protocol/LoadReportParser.java
+++ b/router/src/main/java/rushwood/protocol/LoadReportParser.java
@@ -3,28 +3,37 @@
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 
-/** Reads what hosts say of themselves; what cannot be read counts as not said. */
+/** Parses what hosts report of themselves; what cannot be parsed counts as not reported. */
 final class LoadReportParser {
+  /** Returned by {@link #parsePosition} where no position was reported. */
+  static final long NO_POSITION = -1;
+
+  private static final String POSITION_FIELD = "x0"; // Unix time in seconds
+  private static final String PRIMARY_FIELD = "x1"; // 1 on the primary
+
   private static final double NANOS_PER_SECOND = 1e9;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private LoadReportParser() {}
 
-  /** A Unix time in milliseconds as nanoseconds; negative for none. */
+  /**
+   * Parses a replication position, a Unix time in milliseconds.
+   *
+   * @return the position in nanoseconds, or {@link #NO_POSITION}
+   */
   static long parsePosition(String text) {
     try {
       long millis = Long.parseLong(text);
-      return millis > 0 && millis <= Long.MAX_VALUE / NANOS_PER_MILLI
-          ? millis * NANOS_PER_MILLI
-          : -1;
+      boolean isValid = millis > 0 && millis <= Long.MAX_VALUE / NANOS_PER_MILLI;
+      return isValid ? millis * NANOS_PER_MILLI : NO_POSITION;
     } catch (NumberFormatException e) {
-      return -1;
+      return NO_POSITION;
     }
   }
 
   /**
-   * All of it counts or nothing: where one field cannot be read the others may not be what they
-   * seem.
+   * Parses a list of {@code name=number} pairs, separated by commas. If one pair cannot be parsed
+   * the whole report is dropped, as the other values may not be what they seem.
    */
   static LoadReport parse(String text) {
     double position = Double.NaN;
@@ -36,14 +45,15 @@
         return LoadReport.NONE;
       }
       switch (pair.substring(0, equals).strip()) {
-        case "x0" -> position = value * NANOS_PER_SECOND;
-        case "x1" -> role = HostRole.of(value == 1);
+        case POSITION_FIELD -> position = value * NANOS_PER_SECOND;
+        case PRIMARY_FIELD -> role = HostRole.of(value == 1);
         default -> {}
       }
     }
     return new LoadReport(position, role);
   }
 
+  /** Returns NaN for what is no finite number. */
   private static double parseFinite(String text) {
     try {
       double value = Double.parseDouble(text.strip());
--- a/router/src/main/java/rushwood/protocol/MessageReader.java
+++ b/router/src/main/java/rushwood/protocol/MessageReader.java
@@ -6,27 +6,32 @@
 import java.util.function.IntUnaryOperator;
 
 /**
- * Cuts what is read into messages: slices of the buffer that they came in, joined only where one is
- * cut.
+ * Cuts a stream of bytes into messages. Messages are slices of the buffer in which they arrived and
+ * share its reference count; bytes are copied only where a message spans two buffers.
  */
 public final class MessageReader {
+  private static final int TYPE_BYTES = 1;
+  private static final int NO_TYPE_BYTES = 0;
   private static final int LENGTH_FIELD_BYTES = 4;
 
   private final ByteBufAllocator allocator;
   private final IntUnaryOperator maxLengthOfType;
   private ByteBuf buffer;
   private int type;
-  private int scannedBytes; // bytes of what waits that were looked through
+  private int scannedBytes; // of the unread bytes, those that hasMessageAhead has passed
 
   /**
-   * With the most that the length of a message of a type may say; 0 for types that are not spoken.
+   * Creates a reader without input.
+   *
+   * @param maxLengthOfType the most that the length field of a message of that type may say, 0 for
+   *     an unknown type; a startup message is asked for as type 0
    */
   public MessageReader(ByteBufAllocator allocator, IntUnaryOperator maxLengthOfType) {
     this.allocator = allocator;
     this.maxLengthOfType = maxLengthOfType;
   }
 
-  /** Takes the buffer over. */
+  /** Appends input; takes the buffer over. */
   public void feed(ByteBuf in) {
     if (buffer == null) {
       buffer = in;
@@ -35,18 +40,26 @@
     }
   }
 
-  /** The first message of a client, which has no type; null if it is not all here. */
+  /**
+   * The next message as one without a type, as a client's first; null if it is incomplete.
+   *
+   * @return the body; not retained: valid until the reader is fed, emptied or closed
+   */
   public ByteBuf nextStartupMessage() throws ProtocolException {
-    return cutMessage(0);
+    return cutMessage(NO_TYPE_BYTES);
   }
 
   /**
-   * The next message with its type and length, of which {@link #type} tells; null if not all here.
+   * The next message, null if it is incomplete. Its type is in {@link #type}.
+   *
+   * @return a slice of the whole message whose reader index is at the body; not retained: valid
+   *     until the reader is fed, emptied or closed
    */
   public ByteBuf nextMessage() throws ProtocolException {
-    return cutMessage(1);
+    return cutMessage(TYPE_BYTES);
   }
 
+  /** The type of the message that was returned last. */
   public char type() {
     return (char) type;
   }
@@ -57,11 +70,11 @@
       return null;
     }
     int start = buffer.readerIndex();
-    int nextType = typeBytes == 0 ? 0 : buffer.getUnsignedByte(start);
+    int nextType = typeBytes == NO_TYPE_BYTES ? 0 : buffer.getUnsignedByte(start);
     int maxLength = maxLengthOfType.applyAsInt(nextType);
     if (maxLength < LENGTH_FIELD_BYTES) {
-      throw ProtocolException.protocolViolation(
-          "a message of unknown type"); // told at once: its length may never be full
+      // Rejected by its first byte: the length that it claims may never arrive.
+      throw ProtocolException.protocolViolation("a message of unknown type");
     }
     if (available < typeBytes + LENGTH_FIELD_BYTES) {
       return null;
@@ -80,39 +93,40 @@
   }
 
   /**
-   * Whether the head of a message of that type waits, behind whatever else; each message is looked
-   * at once.
+   * Whether a message of that type begins among the unread bytes, behind any number of others. Each
+   * message is scanned once, however often this is called.
    */
   public boolean hasMessageAhead(char wantedType) {
     while (unreadBytes() - scannedBytes > LENGTH_FIELD_BYTES) {
       int offset = buffer.readerIndex() + scannedBytes;
       int foundType = buffer.getUnsignedByte(offset);
-      int length = buffer.getInt(offset + 1);
+      int length = buffer.getInt(offset + TYPE_BYTES);
       if (foundType == wantedType) {
         return true;
       }
       if (length < LENGTH_FIELD_BYTES
           || length > maxLengthOfType.applyAsInt(foundType)
-          || 1 + length > unreadBytes() - scannedBytes) {
+          || TYPE_BYTES + length > unreadBytes() - scannedBytes) {
         return false;
       }
-      scannedBytes += 1 + length;
+      scannedBytes += TYPE_BYTES + length;
     }
     return false;
   }
 
-  /** Bytes that were read and not yet taken. */
+  /** Bytes that were fed and are not part of a message that was returned. */
   public int unreadBytes() {
     return buffer == null ? 0 : buffer.readableBytes();
   }
 
-  /** Lets go of a buffer of which nothing is left, as before waiting for more. */
+  /** Releases the buffer if nothing in it is unread; call it before waiting for more input. */
   public void releaseIfEmpty() {
     if (buffer != null && !buffer.isReadable()) {
       close();
     }
   }
 
+  /** Drops all unread bytes and releases the buffer; input may still be fed. */
   public void close() {
     if (buffer != null) {
       buffer.release();
--- a/router/src/main/java/rushwood/protocol/MessageWriter.java
+++ b/router/src/main/java/rushwood/protocol/MessageWriter.java
@@ -5,12 +5,21 @@
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
 
-/** Writes the messages of PostgreSQL's protocol 3 that we send. */
+/**
+ * Composes the messages of PostgreSQL's protocol 3 that the router sends. The {@code write...}
+ * methods append to a buffer of the caller; the others return a new buffer that the caller
+ * releases.
+ */
 public final class MessageWriter {
+  /** Protocol 3.0: the major version in the upper 16 bits, the minor version in the lower. */
   static final int PROTOCOL_VERSION = 3 << 16;
 
+  private static final int TEXT_TYPE_OID = 25;
+  private static final char TRANSACTION_STATUS_IDLE = 'I';
+
   private MessageWriter() {}
 
+  /** Returns the index of the length field, for {@link #endMessage} to fill in. */
   private static int beginMessage(ByteBuf out, char type) {
     out.writeByte(type);
     int lengthIndex = out.writerIndex();
@@ -32,80 +41,95 @@
     writeCString(out, value);
   }
 
-  public static void writeEmptyMessage(ByteBuf out, char type) {
-    endMessage(out, beginMessage(out, type));
+  /** The answer to an empty query string. */
+  public static void writeEmptyQueryResponse(ByteBuf out) {
+    endMessage(out, beginMessage(out, BackendMessageType.EMPTY_QUERY_RESPONSE));
   }
 
+  /** The end of an answer: the next statement may be sent. Transactions are never open. */
   public static void writeReadyForQuery(ByteBuf out) {
-    int lengthIndex = beginMessage(out, 'Z');
-    out.writeByte('I');
+    int lengthIndex = beginMessage(out, BackendMessageType.READY_FOR_QUERY);
+    out.writeByte(TRANSACTION_STATUS_IDLE);
     endMessage(out, lengthIndex);
   }
 
-  /** What answers a startup message, with the key by which what runs here can be cancelled. */
+  /**
+   * All messages that answer a startup message, up to ReadyForQuery.
+   *
+   * @param cancelKey process id and secret key by which a CancelRequest names this connection
+   */
   public static void writeStartupResponse(ByteBuf out, long cancelKey) {
-    int lengthIndex = beginMessage(out, 'R');
-    out.writeInt(0);
-    endMessage(out, lengthIndex);
+    writeAuthenticationOk(out);
     writeParameterStatus(out, "server_version", "15.0 (rushwood)");
     writeParameterStatus(out, "server_encoding", "UTF8");
     writeParameterStatus(out, "client_encoding", "UTF8");
     writeParameterStatus(out, "integer_datetimes", "on");
     writeParameterStatus(out, "standard_conforming_strings", "on");
-    lengthIndex = beginMessage(out, 'K');
+    writeBackendKeyData(out, cancelKey);
+    writeReadyForQuery(out);
+  }
+
+  private static void writeAuthenticationOk(ByteBuf out) {
+    int lengthIndex = beginMessage(out, BackendMessageType.AUTHENTICATION);
+    out.writeInt(0);
+    endMessage(out, lengthIndex);
+  }
+
+  private static void writeBackendKeyData(ByteBuf out, long cancelKey) {
+    int lengthIndex = beginMessage(out, BackendMessageType.BACKEND_KEY_DATA);
     out.writeLong(cancelKey);
     endMessage(out, lengthIndex);
-    writeReadyForQuery(out);
   }
 
+  /** A setting or state of the server by its name. */
   public static void writeParameterStatus(ByteBuf out, String name, String value) {
-    int lengthIndex = beginMessage(out, 'S');
+    int lengthIndex = beginMessage(out, BackendMessageType.PARAMETER_STATUS);
     writeCString(out, name);
     writeCString(out, value);
     endMessage(out, lengthIndex);
   }
 
-  /** Told to a client that asks for a minor version that we do not speak. */
+  /** Answers a startup message with an unsupported minor version: 3.0 is spoken, no options. */
   public static void writeNegotiateProtocolVersion(ByteBuf out) {
-    int lengthIndex = beginMessage(out, 'v');
+    int lengthIndex = beginMessage(out, BackendMessageType.NEGOTIATE_PROTOCOL_VERSION);
     out.writeInt(0);
     out.writeInt(0);
     endMessage(out, lengthIndex);
   }
 
-  /** An ErrorResponse; {@code detail} may be null. */
-  public static void writeErrorResponse(
-      ByteBuf out, boolean fatal, String sqlState, String message, String detail) {
-    int lengthIndex = beginMessage(out, 'E');
-    String severity = fatal ? "FATAL" : "ERROR";
-    writeErrorField(out, 'S', severity);
-    writeErrorField(out, 'V', severity);
-    writeErrorField(out, 'C', sqlState);
-    writeErrorField(out, 'M', message);
-    if (detail != null) {
-      writeErrorField(out, 'D', detail);
+  /** The error, with the wait in milliseconds as its detail if there is one. */
+  public static void writeErrorResponse(ByteBuf out, ErrorResponse error) {
+    int lengthIndex = beginMessage(out, BackendMessageType.ERROR_RESPONSE);
+    writeErrorField(out, 'S', error.severity().name());
+    writeErrorField(out, 'V', error.severity().name());
+    writeErrorField(out, 'C', error.sqlState());
+    writeErrorField(out, 'M', error.message());
+    if (error.hasRetryAfter()) {
+      writeErrorField(out, 'D', Long.toString(error.retryAfterMillis()));
     }
     out.writeByte(0);
     endMessage(out, lengthIndex);
   }
 
-  public static void writeRowDescription(ByteBuf out, String... names) {
-    int lengthIndex = beginMessage(out, 'T');
-    out.writeShort(names.length);
-    for (String name : names) {
+  /** Describes rows whose columns are all of type text. */
+  public static void writeRowDescription(ByteBuf out, String... columnNames) {
+    int lengthIndex = beginMessage(out, BackendMessageType.ROW_DESCRIPTION);
+    out.writeShort(columnNames.length);
+    for (String name : columnNames) {
       writeCString(out, name);
-      out.writeInt(0)
-          .writeShort(0)
-          .writeInt(25)
-          .writeShort(-1)
-          .writeInt(-1)
-          .writeShort(0); // as text
+      out.writeInt(0); // table
+      out.writeShort(0); // column of the table
+      out.writeInt(TEXT_TYPE_OID);
+      out.writeShort(-1); // size: variable
+      out.writeInt(-1); // type modifier: none
+      out.writeShort(0); // format: text
     }
     endMessage(out, lengthIndex);
   }
 
+  /** One row, its values as text. */
   public static void writeDataRow(ByteBuf out, String... values) {
-    int lengthIndex = beginMessage(out, 'D');
+    int lengthIndex = beginMessage(out, BackendMessageType.DATA_ROW);
     out.writeShort(values.length);
     for (String value : values) {
       byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
@@ -114,13 +138,14 @@
     endMessage(out, lengthIndex);
   }
 
+  /** The end of a result; the tag names the command and the number of rows. */
   public static void writeCommandComplete(ByteBuf out, String tag) {
-    int lengthIndex = beginMessage(out, 'C');
+    int lengthIndex = beginMessage(out, BackendMessageType.COMMAND_COMPLETE);
     writeCString(out, tag);
     endMessage(out, lengthIndex);
   }
 
-  /** What opens a connection to a host. */
+  /** The first message on a connection to a host. */
   public static ByteBuf startupMessage(ByteBufAllocator allocator) {
     ByteBuf out = allocator.buffer(64);
     out.writeInt(0).writeInt(PROTOCOL_VERSION);
@@ -132,9 +157,10 @@
     return out.setInt(0, out.writerIndex());
   }
 
+  /** A Query message with this statement. */
   public static ByteBuf queryMessage(ByteBufAllocator allocator, String statement) {
     ByteBuf out = allocator.buffer(statement.length() + 6);
-    int lengthIndex = beginMessage(out, 'Q');
+    int lengthIndex = beginMessage(out, FrontendMessageType.QUERY);
     writeCString(out, statement);
     endMessage(out, lengthIndex);
     return out;
--- a/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -16,7 +16,7 @@
   private static final String READ = TestMessages.readStatement("a", ",d=480");
 
   /** Answers each access by its text, at once or when told. */
-  private static final class TestConnection implements FrontendProtocol.Callbacks {
+  private static final class TestConnection implements FrontendCallbacks {
     final ByteBuf out = TestMessages.ALLOCATOR.heapBuffer();
     final List<String> submitted = new ArrayList<>();
     final FrontendProtocol protocol = new FrontendProtocol(TestMessages.ALLOCATOR, this);
@@ -35,7 +35,7 @@
 
     @Override
     public void submit(ByteBuf text) throws ProtocolException {
-      new SqlStatement(text, TestMessages.REQUEST_CLASSES).release();
+      SqlStatementParser.parse(text, TestMessages.REQUEST_CLASSES).release();
       submitted.add(text.toString(StandardCharsets.UTF_8));
       if (answersAtOnce) {
         protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
--- a/router/src/test/java/rushwood/protocol/SqlStatementTest.java
+++ b/router/src/test/java/rushwood/protocol/SqlStatementTest.java
@@ -22,7 +22,7 @@
   private static SqlStatement read(String text) throws ProtocolException {
     ByteBuf buffer = TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8));
     try {
-      return new SqlStatement(buffer, TestMessages.REQUEST_CLASSES);
+      return SqlStatementParser.parse(buffer, TestMessages.REQUEST_CLASSES);
     } finally {
       buffer.release();
     }
@@ -30,8 +30,8 @@
 
   private static void bad(String state, String text) {
     ProtocolException fault = assertThrows(ProtocolException.class, () -> read(text));
-    assertEquals(state, fault.sqlState, text);
-    assertEquals(false, fault.fatal);
+    assertEquals(state, fault.sqlState(), text);
+    assertEquals(false, fault.isFatal());
   }
 
   @Test
--- a/router/src/test/java/rushwood/protocol/TestMessages.java
+++ b/router/src/test/java/rushwood/protocol/TestMessages.java
@@ -121,7 +121,8 @@
   }
 
   public static byte[] errorResponse(String code) {
-    return bytesWrittenBy(out -> MessageWriter.writeErrorResponse(out, false, code, "no", null));
+    return bytesWrittenBy(
+        out -> MessageWriter.writeErrorResponse(out, ErrorResponse.error(code, "no")));
   }
 
   public static byte[] rowResponse(String value) {
