--- a/router/src/main/java/rushwood/net/BackendConnector.java
+++ b/router/src/main/java/rushwood/net/BackendConnector.java
@@ -20,7 +20,10 @@
 import rushwood.protocol.BackendProtocol;
 import rushwood.protocol.MessageWriter;
 
-/** Opens connections to hosts; reads and writes for {@link HostProtocol}. */
+/**
+ * Opens connections to hosts, each a channel that reads and writes for a {@link BackendProtocol}.
+ * Used on the event loop of its channels only.
+ */
 public final class BackendConnector implements BackendConnection.Connector {
   private static final String LOAD_REPORT_QUERY = "SHOW gauges";
 
@@ -29,11 +32,11 @@
   private final ByteBufAllocator allocator;
   private final Counters counters;
 
-  public BackendConnector(EventLoop loop, ByteBufAllocator allocator, Counters counters) {
-    // Who waits decides how long: the pool closes what does not come up.
+  /** Connects over TCP. Connecting has no time limit here: the pool closes what takes too long. */
+  public BackendConnector(EventLoop eventLoop, ByteBufAllocator allocator, Counters counters) {
     this(
         new Bootstrap()
-            .group(loop)
+            .group(eventLoop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0),
@@ -42,7 +45,12 @@
         counters);
   }
 
-  /** With sockets of another kind, and where on those an address is. */
+  /**
+   * Connects with other sockets than TCP's.
+   *
+   * @param bootstrap event loop, kind of channel and options
+   * @param toSocketAddress the address to connect to for a listed address
+   */
   public BackendConnector(
       Bootstrap bootstrap,
       Function<InetSocketAddress, SocketAddress> toSocketAddress,
@@ -60,39 +68,43 @@
   }
 
   @Override
-  public BackendConnection connect(InetSocketAddress to, BackendConnection.Listener events) {
-    ChannelConnection connection = new ChannelConnection(events);
+  public BackendConnection connect(InetSocketAddress address, BackendConnection.Listener listener) {
+    ChannelConnection connection = new ChannelConnection(listener);
     connection.channel =
         bootstrap
             .clone()
             .handler(connection)
-            .connect(toSocketAddress.apply(to))
+            .connect(toSocketAddress.apply(address))
             .addListener(
                 connected -> {
                   if (!connected.isSuccess()) {
-                    // Reset at once it was accepted all the same: a host that is gone refuses, or
-                    // says nothing.
-                    Throwable cause = connected.cause();
-                    connection.accepted =
-                        !(cause instanceof ConnectException
-                            || cause instanceof NoRouteToHostException);
-                    connection.connectionLost();
+                    connection.connectFailed(connected.cause());
                   }
                 })
             .channel();
     return connection;
   }
 
+  /** One connection: the handler of its channel. */
   private final class ChannelConnection extends ChannelInboundHandlerAdapter
       implements BackendConnection {
     private final BackendProtocol protocol;
     private Channel channel;
     private boolean accepted;
-    private boolean written;
-    private boolean closed;
+    private boolean statementWritten;
+    private boolean closed; // the protocol has been told, and hears nothing more
 
-    ChannelConnection(BackendConnection.Listener events) {
-      protocol = new BackendProtocol(allocator, events);
+    ChannelConnection(BackendConnection.Listener listener) {
+      protocol = new BackendProtocol(allocator, listener);
+    }
+
+    /**
+     * A host that is gone refuses a connection or does not react. Any other failure means that it
+     * accepted the connection and reset it at once.
+     */
+    private void connectFailed(Throwable cause) {
+      accepted = !(cause instanceof ConnectException || cause instanceof NoRouteToHostException);
+      connectionLost();
     }
 
     @Override
@@ -138,15 +150,17 @@
     }
 
     @Override
-    public void send(ByteBuf statement, boolean probe) {
-      written = false;
-      protocol.beginStatement(probe);
-      channel.writeAndFlush(statement).addListener(done -> written |= done.isSuccess());
+    public void send(ByteBuf statement, boolean isProbe) {
+      statementWritten = false;
+      protocol.beginStatement(isProbe);
+      channel
+          .writeAndFlush(statement)
+          .addListener(written -> statementWritten |= written.isSuccess());
     }
 
     @Override
     public boolean isStatementWritten() {
-      return written;
+      return statementWritten;
     }
 
     @Override
--- a/router/src/main/java/rushwood/net/WarmupPeers.java
+++ b/router/src/main/java/rushwood/net/WarmupPeers.java
@@ -6,19 +6,23 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.function.Supplier;
+import rushwood.protocol.BackendMessageType;
 import rushwood.protocol.ErrorResponse;
 import rushwood.protocol.MessageReader;
 import rushwood.protocol.MessageWriter;
 import rushwood.protocol.ProtocolException;
+import rushwood.protocol.SqlState;
 
 /**
- * The other side of a rehearsal: clients that ask one statement after the other, hosts that answer
- * at once.
+ * The peers of a router during warm-up: clients that send one statement after the other, and hosts
+ * that answer at once. Channel handlers, one for each channel.
  */
 public abstract class WarmupPeers extends ChannelInboundHandlerAdapter {
   private static final int MAX_MESSAGE_LENGTH = 1 << 16;
-  private static final int QUERIES_PER_CONNECTION =
-      4; // of a connection: a start opens hundreds at once
+
+  // Few, so that opening and closing connections is warmed up too: a router that has just started
+  // is sent hundreds at once.
+  private static final int QUERIES_PER_CONNECTION = 4;
 
   MessageReader reader;
   int answers;
@@ -33,7 +37,7 @@
     reader.feed((ByteBuf) message);
     ByteBuf out = context.alloc().buffer(256);
     while (handleNextMessage(out)) {
-      continue; // each writes its answer
+      continue;
     }
     reader.releaseIfEmpty();
     ChannelFuture written = context.writeAndFlush(out);
@@ -47,22 +51,32 @@
     reader.close();
   }
 
+  /** The other side closed first. */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.close(); // the other side closed first
+    context.close();
   }
 
-  /** Whether a whole message was there. */
+  /** Reads a message and writes the answer to it; returns whether a whole message was there. */
   abstract boolean handleNextMessage(ByteBuf out) throws ProtocolException;
 
-  /** A host; one answer in ten is an error, one a refusal. */
+  /** A host: of ten answers eight are rows, one an error, one that its data is too old. */
   public static final class Backend extends WarmupPeers {
     private static final int ANSWER_KINDS = 10;
+    private static final int ERROR_KIND = 8;
+    private static final int LAGGING_KIND = 9;
+    private static final String INTERNAL_ERROR = "XX000";
+    private static final String REPLICA_REPORT = "x0=0,x1=0";
 
     private final int firstKind;
     private boolean started;
 
-    /** The first answers of many connections are to be of every kind. */
+    /**
+     * Creates a host for one connection.
+     *
+     * @param firstKind the kind of its first answer; with a running number the first answers of
+     *     many connections are of all kinds
+     */
     public Backend(int firstKind) {
       this.firstKind = firstKind;
     }
@@ -72,34 +86,49 @@
       if ((started ? reader.nextMessage() : reader.nextStartupMessage()) == null) {
         return false;
       }
-      if (!started) {
+      if (started) {
+        writeAnswer(out, (firstKind + answers++) % ANSWER_KINDS);
+      } else {
         started = true;
         MessageWriter.writeStartupResponse(out, 0);
-        return true;
       }
-      int kind = (firstKind + answers++) % ANSWER_KINDS;
-      if (kind > 7) {
-        MessageWriter.writeErrorResponse(
-            out, ErrorResponse.error(kind == 8 ? "XX000" : "72000", "rehearsed"));
-      } else {
-        MessageWriter.writeRowDescription(out, "val");
-        MessageWriter.writeDataRow(out, "x0=0,x1=0");
-        MessageWriter.writeCommandComplete(out, "SELECT 1");
+      return true;
+    }
+
+    private static void writeAnswer(ByteBuf out, int kind) {
+      switch (kind) {
+        case ERROR_KIND -> writeError(out, INTERNAL_ERROR);
+        case LAGGING_KIND -> writeError(out, SqlState.SNAPSHOT_TOO_OLD);
+        default -> writeRow(out);
       }
       MessageWriter.writeParameterStatus(out, "part", "replica");
       MessageWriter.writeParameterStatus(out, "caught_up_to", "1");
-      MessageWriter.writeParameterStatus(out, "gauges", "x0=0,x1=0");
+      MessageWriter.writeParameterStatus(out, "gauges", REPLICA_REPORT);
       MessageWriter.writeReadyForQuery(out);
-      return true;
+    }
+
+    private static void writeError(ByteBuf out, String sqlState) {
+      MessageWriter.writeErrorResponse(out, ErrorResponse.error(sqlState, "warm-up"));
+    }
+
+    private static void writeRow(ByteBuf out) {
+      MessageWriter.writeRowDescription(out, "val");
+      MessageWriter.writeDataRow(out, REPLICA_REPORT);
+      MessageWriter.writeCommandComplete(out, "SELECT 1");
     }
   }
 
-  /** A client; asks what it is given after each answer. */
+  /** A client that sends its next statement when the last one is answered. */
   public static final class Client extends WarmupPeers {
     private final Supplier<String> statements;
     private final Runnable reconnect;
 
-    /** With what it asks, and what opens another connection once this one is closed. */
+    /**
+     * Creates a client for one connection.
+     *
+     * @param statements called for each statement
+     * @param reconnect called once the connection is closed
+     */
     public Client(Supplier<String> statements, Runnable reconnect) {
       this.statements = statements;
       this.reconnect = reconnect;
@@ -122,7 +151,8 @@
       if (reader.nextMessage() == null) {
         return false;
       }
-      if (reader.type() == 'Z' && answers++ < QUERIES_PER_CONNECTION) {
+      if (reader.type() == BackendMessageType.READY_FOR_QUERY
+          && answers++ < QUERIES_PER_CONNECTION) {
         ByteBuf query = MessageWriter.queryMessage(out.alloc(), statements.get());
         out.writeBytes(query);
         query.release();
