--- a/router/src/main/java/rushwood/config/RouterConfig.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import rushwood.api.RoutingSettings;
-import rushwood.discovery.EndpointListParser;
+import rushwood.discovery.EndpointList;
 
 /**
  * What the platform gives to a router process, in the file that the variable {@code NODE_CONFIG}
@@ -32,7 +32,7 @@
     InetSocketAddress discoveryAddress,
     long seed,
     int maxSockets,
-    Optional<EndpointListParser.EndpointList> lastKnownEndpoints,
+    Optional<EndpointList> lastKnownEndpoints,
     RoutingSettings settings,
     long connectTimeoutNanos,
     long idleTimeoutNanos,
--- a/router/src/main/java/rushwood/config/RouterConfigFile.java
+++ b/router/src/main/java/rushwood/config/RouterConfigFile.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Optional;
+import rushwood.discovery.EndpointEntryDecoder;
+import rushwood.discovery.EndpointList;
 import rushwood.discovery.EndpointListParser;
 
 /** The configuration file of a router, with the environment variables that precede its fields. */
@@ -77,7 +79,7 @@
    * Decodes the last known endpoint list. A malformed one is used as far as it can be read and
    * never prevents the start.
    */
-  private Optional<EndpointListParser.EndpointList> lastKnownEndpoints() {
+  private Optional<EndpointList> lastKnownEndpoints() {
     JsonElement known = root.get("known");
     if (known == null || known.isJsonNull()) {
       return Optional.empty();
@@ -88,7 +90,7 @@
 
   private InetSocketAddress address(String field, String variable) throws InvalidConfigException {
     try {
-      return EndpointListParser.parseAddress(text(field, variable));
+      return EndpointEntryDecoder.parseAddress(text(field, variable));
     } catch (IllegalArgumentException e) {
       throw new InvalidConfigException(field, "is no address");
     }
--- a/router/src/main/java/rushwood/discovery/DiscoveryClient.java
+++ b/router/src/main/java/rushwood/discovery/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -29,30 +30,32 @@
 import rushwood.dispatch.TimerQueue;
 
 /**
- * Makes the calls for the host list and reads what they bring; when to call is {@link Following}'s
- * word.
+ * HTTP client of the discovery agent. It makes the requests that {@link EndpointRefreshPolicy} asks
+ * for, parses the responses and passes the lists that the policy accepts to a {@link Listener}.
+ *
+ * <p>Runs on one event loop: every method and every listener call, from there.
  */
 public final class DiscoveryClient {
-  /** Where the list and its troubles go. */
+  /** Receives the endpoint lists and the failures. */
   public interface Listener {
-    /** All of it counts. */
-    void listReceived(EndpointListParser.EndpointList list);
+    /** A list that is to be applied in full. */
+    void listReceived(EndpointList list);
 
-    /** Of what cannot be read or believed, the hosts that leave. */
+    /** Endpoints that are draining or removed, from a list that is not applied otherwise. */
     void endpointsLeaving(List<PartialEndpoint> endpoints);
 
-    /** An ask brought nothing that is not held already. */
+    /** A poll brought the list that is held already. */
     void listUnchanged();
 
-    /** A call ended, was silent or brought what cannot be read. */
+    /**
+     * A request failed; {@code reason} goes on after the agent's name, as in "does not respond".
+     */
     void requestFailed(String reason);
 
-    /** A listing counts but for this part of it. */
+    /** A part of a list could not be read; the rest is passed on. */
     void problemFound(String problem);
   }
 
-  private static final String PATH = "/registry/instances";
-
   private final EventLoop loop;
   private final EventLoopClock clock;
   private final TimerQueue timers;
@@ -60,12 +63,14 @@
   private final EndpointRefreshPolicy refreshPolicy;
   private final Map<Integer, DiscoveryRequest> openRequests = new HashMap<>();
   private InetSocketAddress address;
-  private long cachedChecksum; // of the last whole list that counts
+  private long cachedChecksum; // of the last complete list that was applied
   private TimerQueue.ScheduledTask wakeup;
 
   /**
-   * With the time within which sends to a leaving host end, and the version of the list that is
-   * held, 0 for none.
+   * Creates a client that does nothing until {@link #start}.
+   *
+   * @param drainGrace nanoseconds after which a leaving endpoint may get nothing new
+   * @param version version of the list held from an earlier process, 0 for none
    */
   public DiscoveryClient(
       EventLoop loop,
@@ -84,19 +89,21 @@
     refreshPolicy = new EndpointRefreshPolicy(drainGrace, version, random, new HttpTransport());
   }
 
+  /** Polls the agent at once, then keeps the list current. */
   public void start() {
     refreshPolicy.start(clock.now());
   }
 
   /**
-   * Goes on at another address at once; that the old one ends is no failure, and its versions say
-   * nothing.
+   * Polls the agent at another address at once. Versions of the agent before do not compare with
+   * its own, and that requests to the old address end is no failure.
    */
   public void changeAddress(InetSocketAddress newAddress) {
     address = newAddress;
     refreshPolicy.addressChanged(clock.now());
   }
 
+  /** Closes all requests and the timer. */
   public void close() {
     refreshPolicy.stop();
     if (wakeup != null) {
@@ -109,27 +116,7 @@
     public void open(int requestNumber, boolean watch, long sinceVersion) {
       DiscoveryRequest request = new DiscoveryRequest(requestNumber, watch, sinceVersion);
       openRequests.put(requestNumber, request);
-      // A call that does not come up is closed when its time is over.
-      request.channel =
-          new Bootstrap()
-              .group(loop)
-              .channel(NioSocketChannel.class)
-              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
-              .handler(
-                  new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                      channel.pipeline().addLast(new HttpClientCodec(), request);
-                    }
-                  })
-              .connect(address)
-              .addListener(
-                  connected -> {
-                    if (!connected.isSuccess()) {
-                      request.fail("cannot be reached");
-                    }
-                  })
-              .channel();
+      request.connect();
     }
 
     @Override
@@ -138,7 +125,7 @@
       if (request != null) {
         request.close();
         if (timedOut) {
-          listener.requestFailed("is silent");
+          listener.requestFailed("does not respond");
         }
       }
     }
@@ -152,6 +139,7 @@
     }
   }
 
+  /** One request: a poll or a watch. Calls of {@link #fail} after {@link #close} do nothing. */
   private final class DiscoveryRequest extends SimpleChannelInboundHandler<HttpObject> {
     private final int number;
     private final boolean watch;
@@ -164,12 +152,39 @@
       this.number = number;
       this.watch = watch;
       this.sinceVersion = sinceVersion;
-      parser = new EndpointListParser(!watch, refreshPolicy.skippableVersion(), cachedChecksum);
+      parser =
+          watch
+              ? EndpointListParser.forWatch()
+              : EndpointListParser.forPoll(refreshPolicy.skippableVersion(), cachedChecksum);
+    }
+
+    /** Connects without a time limit: the policy closes a request that takes too long. */
+    void connect() {
+      Bootstrap bootstrap =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+              .handler(
+                  new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel initialized) {
+                      initialized.pipeline().addLast(new HttpClientCodec(), DiscoveryRequest.this);
+                    }
+                  });
+      ChannelFuture connecting = bootstrap.connect(address);
+      connecting.addListener(
+          connected -> {
+            if (!connected.isSuccess()) {
+              fail("cannot be reached");
+            }
+          });
+      channel = connecting.channel();
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-      String path = watch ? PATH + "?follow=1&since=" + sinceVersion : PATH;
+      String path = watch ? DiscoveryProtocol.watchPath(sinceVersion) : DiscoveryProtocol.LIST_PATH;
       DefaultFullHttpRequest request =
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
       request
@@ -184,10 +199,10 @@
         return;
       }
       if (message.decoderResult().isFailure()) {
-        fail("writes no HTTP");
+        fail("sent invalid HTTP");
       } else if (message instanceof HttpResponse response
           && !response.status().equals(HttpResponseStatus.OK)) {
-        fail("answers " + response.status().code());
+        fail("answered with HTTP status " + response.status().code());
       } else if (message instanceof HttpContent content) {
         read(content.content(), message instanceof LastHttpContent);
       }
@@ -195,15 +210,8 @@
 
     private void read(ByteBuf content, boolean last) {
       try {
-        EndpointListParser.EndpointList list = parser.next(content);
-        while (list != null && !closed) {
-          accept(list);
-          list = parser.next(content);
-        }
-        if (last && !closed) {
-          parser.finish();
-        }
-      } catch (EndpointListParser.UnreadableListException e) {
+        parse(content, last);
+      } catch (UnreadableListException e) {
         reportLeaving(e.leavingEndpoints());
         fail("writes what cannot be read: " + e.getMessage());
         return;
@@ -212,15 +220,31 @@
         refreshPolicy.dataReceived(clock.now(), number, parser.isBetweenLists());
       }
       if (last && !closed) {
-        if (watch) {
-          fail("ended the watch");
-        } else {
-          refreshPolicy.responseCompleted(clock.now(), number);
-        }
+        endOfResponse();
+      }
+    }
+
+    /** Stops as soon as a list has made the policy close this request. */
+    private void parse(ByteBuf content, boolean last) throws UnreadableListException {
+      EndpointList list = parser.next(content);
+      while (list != null && !closed) {
+        accept(list);
+        list = parser.next(content);
+      }
+      if (last && !closed) {
+        parser.finish();
+      }
+    }
+
+    private void endOfResponse() {
+      if (watch) {
+        fail("ended the watch");
+      } else {
+        refreshPolicy.responseCompleted(clock.now(), number);
       }
     }
 
-    private void accept(EndpointListParser.EndpointList list) {
+    private void accept(EndpointList list) {
       list.problems().forEach(listener::problemFound);
       EndpointRefreshPolicy.Acceptance acceptance =
           refreshPolicy.listReceived(
@@ -241,7 +265,7 @@
       }
     }
 
-    /** Closed by us. An answer that was half read says what it said so far. */
+    /** Closes the request. What was read of an unfinished list still counts. */
     private void close() {
       closed = true;
       if (channel != null) {
@@ -249,7 +273,7 @@
       }
       try {
         parser.finish();
-      } catch (EndpointListParser.UnreadableListException e) {
+      } catch (UnreadableListException e) {
         reportLeaving(e.leavingEndpoints());
       }
     }
--- /dev/null
+++ b/router/src/main/java/rushwood/discovery/DiscoveryProtocol.java
@@ -0,0 +1,59 @@
+package rushwood.discovery;
+
+import rushwood.api.Endpoint;
+
+/**
+ * Names and figures of the discovery agent's protocol. They are fixed by the agent; the rest of the
+ * router uses its own terms.
+ */
+final class DiscoveryProtocol {
+  /** A GET of this path answers with the complete list. */
+  static final String LIST_PATH = "/registry/instances";
+
+  /** An agent sends an empty line on an idle watch this often. */
+  static final long HEARTBEAT_NANOS = 2_000_000_000L;
+
+  static final String VERSION = "version";
+  static final String COMPLETE = "full";
+  static final String ENTRIES = "servers";
+
+  static final String ID = "id";
+  static final String ADDRESS = "addr";
+  static final String ZONE = "zone";
+  static final String GROUP = "cell";
+  static final String STATE = "state";
+  static final String WEIGHT = "weight";
+  static final String STARTED_AT_MILLIS = "started_ms";
+  static final String ROLE = "part";
+  static final String ROLE_PRIMARY = "master";
+
+  private static final String STATE_READY = "Ready";
+  private static final String STATE_DRAINING = "Terminating";
+  private static final String STATE_REMOVED = "Gone";
+  private static final int MAX_QUOTED_LENGTH = 20;
+
+  private DiscoveryProtocol() {}
+
+  /** The path that sends the changes after {@code sinceVersion} and stays open for later ones. */
+  static String watchPath(long sinceVersion) {
+    return LIST_PATH + "?follow=1&since=" + sinceVersion;
+  }
+
+  /**
+   * The state that a value of the field {@code state} stands for.
+   *
+   * @throws InvalidFieldException for an unknown value; its message quotes the first 20 characters
+   */
+  static Endpoint.State parseState(String value) {
+    return switch (value) {
+      case STATE_READY -> Endpoint.State.READY;
+      case STATE_DRAINING -> Endpoint.State.DRAINING;
+      case STATE_REMOVED -> Endpoint.State.REMOVED;
+      default -> throw new InvalidFieldException(STATE, "has the unknown value " + quote(value));
+    };
+  }
+
+  private static String quote(String value) {
+    return value.substring(0, Math.min(MAX_QUOTED_LENGTH, value.length())).replaceAll("\\s", "_");
+  }
+}
--- /dev/null
+++ b/router/src/main/java/rushwood/discovery/EndpointEntryDecoder.java
@@ -0,0 +1,120 @@
+package rushwood.discovery;
+
+import com.google.gson.JsonObject;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.ZoneId;
+import rushwood.dispatch.EndpointAddress;
+import rushwood.dispatch.PartialEndpoint;
+
+/** Decodes one entry of the endpoint list. */
+public final class EndpointEntryDecoder {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final double DEFAULT_WEIGHT = 1;
+  private static final int UNKNOWN_GROUP = -1;
+  private static final String UNKNOWN_ZONE = "";
+
+  private EndpointEntryDecoder() {}
+
+  /**
+   * Decodes a complete entry.
+   *
+   * @throws InvalidFieldException for the first field that cannot be used
+   */
+  static EndpointAddress decode(JsonObject entry) {
+    Endpoint.State state = decodeState(entry);
+    double weight = JsonFields.optionalNumber(entry, DiscoveryProtocol.WEIGHT, DEFAULT_WEIGHT);
+    if (!(weight > 0)) { // NaN included
+      throw InvalidFieldException.missingOrUnreadable(DiscoveryProtocol.WEIGHT);
+    }
+    boolean primary = decodePrimary(entry);
+    Endpoint endpoint =
+        new Endpoint(
+            decodeId(entry),
+            decodeGroup(entry),
+            decodeZone(entry),
+            weight,
+            decodeStartTime(entry),
+            primary,
+            state);
+    String address = JsonFields.requiredText(entry, DiscoveryProtocol.ADDRESS);
+    return new EndpointAddress(endpoint, parseAddress(address));
+  }
+
+  /**
+   * Decodes what matters of an entry that {@link #decode} rejects: the host and, if it is readable,
+   * the state (else null). Empty if not even the host can be read.
+   */
+  static Optional<PartialEndpoint> decodePartial(JsonObject entry) {
+    HostId id;
+    try {
+      id = decodeId(entry);
+    } catch (InvalidFieldException e) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(new PartialEndpoint(id, decodeState(entry)));
+    } catch (InvalidFieldException e) {
+      return Optional.of(new PartialEndpoint(id, null));
+    }
+  }
+
+  /**
+   * Parses an IP address and port, as in {@code 10.1.0.18:6432}. Host names are rejected: nothing
+   * is looked up.
+   *
+   * @throws InvalidFieldException if {@code text} is anything else
+   */
+  public static InetSocketAddress parseAddress(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      String host = text.substring(0, Math.max(0, colon));
+      byte[] ip = NetUtil.createByteArrayFromIpAddressString(host);
+      if (ip != null) {
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+      }
+    } catch (IllegalArgumentException | UnknownHostException e) {
+      // reported below, like an address that is no IP address
+    }
+    throw InvalidFieldException.missingOrUnreadable(DiscoveryProtocol.ADDRESS);
+  }
+
+  private static HostId decodeId(JsonObject entry) {
+    return new HostId(JsonFields.requiredText(entry, DiscoveryProtocol.ID));
+  }
+
+  private static GroupId decodeGroup(JsonObject entry) {
+    return new GroupId(
+        (int) JsonFields.optionalNumber(entry, DiscoveryProtocol.GROUP, UNKNOWN_GROUP));
+  }
+
+  private static ZoneId decodeZone(JsonObject entry) {
+    return new ZoneId(
+        entry.has(DiscoveryProtocol.ZONE)
+            ? JsonFields.requiredText(entry, DiscoveryProtocol.ZONE)
+            : UNKNOWN_ZONE);
+  }
+
+  private static long decodeStartTime(JsonObject entry) {
+    double startedAtMillis =
+        JsonFields.optionalNumber(entry, DiscoveryProtocol.STARTED_AT_MILLIS, 0);
+    return (long) startedAtMillis * NANOS_PER_MILLI;
+  }
+
+  private static boolean decodePrimary(JsonObject entry) {
+    return entry.has(DiscoveryProtocol.ROLE)
+        && JsonFields.requiredText(entry, DiscoveryProtocol.ROLE)
+            .equals(DiscoveryProtocol.ROLE_PRIMARY);
+  }
+
+  private static Endpoint.State decodeState(JsonObject entry) {
+    return DiscoveryProtocol.parseState(JsonFields.requiredText(entry, DiscoveryProtocol.STATE));
+  }
+}
--- a/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
+++ b/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
@@ -2,51 +2,64 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 /**
- * Follows the host list that an agent beside this router holds. What the agent has counts as told
- * to the router at once, whatever became of the calls that should bring it; so the router is never
- * out of touch for longer than part of the grace in which sends to a leaving host have to end. The
- * whole list is asked for first, then its changes are watched; while the watch says nothing the
- * list is asked for again, as nothing else proves that the watch still brings what there is. Asks
- * follow each other at part of the grace while the agent is silent, and never wait longer.
+ * Decides when to poll the discovery agent for the complete list and when to watch its changes, so
+ * that the router's list is never older than part of the drain grace, whatever fails.
+ *
+ * <p>What the agent has counts as announced to the router at once, whether or not a request brought
+ * it. So the complete list is polled first, then its changes are watched, and the list is polled
+ * again at intervals that follow from the grace: no heartbeat of a watch proves that the watch
+ * still brings what there is. {@link PollSchedule} has the times.
+ *
+ * <p>No I/O. Times are nanoseconds of the caller's clock and must not go back. Not thread-safe: all
+ * calls come from the event loop that runs the {@link Transport}.
  */
 public final class EndpointRefreshPolicy {
-  /** What makes the calls. Whatever comes of them is told by their numbers. */
+  /** Opens and closes the requests, which are told apart by their numbers, and keeps the timer. */
   public interface Transport {
-    /** Asks for the whole list, or watches the changes after the version {@code since}. */
+    /**
+     * Opens a request.
+     *
+     * @param watch whether to watch the changes after {@code sinceVersion}, else the complete list
+     *     is polled
+     */
     void open(int requestNumber, boolean watch, long sinceVersion);
 
-    /** It is of no use any more, as it was {@code silent} too long or another does its work. */
+    /**
+     * Closes a request that is of no more use.
+     *
+     * @param timedOut whether that is because the agent did not respond in time
+     */
     void close(int requestNumber, boolean timedOut);
 
+    /** Calls {@link #timerFired} at this time, and at no time that was set before. */
     void scheduleWakeup(long at);
   }
 
-  /** What of a listing counts. */
+  /** How much of a received list is to be applied. */
   public enum Acceptance {
     ALL,
+    /** Only that endpoints are draining or removed: the list may be an old one. */
     LEAVING_ENDPOINTS
   }
 
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final long HEARTBEAT_NANOS =
-      2000 * NANOS_PER_MILLI; // the protocol's: an empty line this often from a watch that lives
+  /**
+   * A watch that is half an interval late has stalled. What is missed counts after 6 s, so that the
+   * poll that follows is in time.
+   */
   private static final long HEARTBEAT_OVERDUE_NANOS =
-      HEARTBEAT_NANOS
-          + HEARTBEAT_NANOS / 2; // half a beat late is a standstill; what is missed counts at 6 s
-  private static final long MIN_INTERVAL_NANOS =
-      25 * NANOS_PER_MILLI; // between asks whatever the grace: 40 a second are some ms of a core's
-  // The protocol's: what discovery has and could tell counts as told 6 s later, starts, weights and
-  // roles as well as
-  // drains. A rest and two patiences, an answer that needs both included, stay two seconds under
-  // that at any grace.
-  private static final long MAX_STALENESS_NANOS = 4000 * NANOS_PER_MILLI;
-  private static final int MAX_TIMEOUTS_PER_RESPONSE =
-      4; // patiences that an answer may take from its first byte to its last, at first
-  private static final int OLDER_LISTS_UNTIL_ACCEPTED =
-      3; // whole lists of an older version, one after the other: so it is now
+      DiscoveryProtocol.HEARTBEAT_NANOS + DiscoveryProtocol.HEARTBEAT_NANOS / 2;
+
+  /** After so many complete lists of an older version in a row, the older version is accepted. */
+  private static final int OLDER_LISTS_UNTIL_ACCEPTED = 3;
+
+  /** A poll, a watch and, while a watch is replaced, its successor. */
+  private static final int MAX_OPEN_REQUESTS = 3;
+
+  private static final int NO_GENERATION = -1;
 
   private static final class OpenRequest {
     final int number;
@@ -65,43 +78,35 @@
   }
 
   private final Transport transport;
-  private final RandomGenerator random;
-  private final long pollInterval;
-  private final long responseTimeout;
-  private final List<OpenRequest> openRequests =
-      new ArrayList<>(3); // an ask, a watch, and for a moment the watch after it
+  private final PollSchedule schedule;
+  private final List<OpenRequest> openRequests = new ArrayList<>(MAX_OPEN_REQUESTS);
   private OpenRequest poll;
   private OpenRequest watch;
   private int nextRequestNumber;
-  private int addressGeneration;
-  private int listedGeneration = -1; // that the last whole list is from
+  private int addressGeneration; // counts the agent's addresses
+  private int listedGeneration = NO_GENERATION; // of the agent that sent the last complete list
   private long version;
-  private int consecutiveOlderLists; // lists, one after the other
-  private boolean listUncertain; // not all of the last news could be read or believed
-  private long maxPollDuration;
-  private long regularPollAt = Long.MAX_VALUE; // the watch is quiet until then
-  private long urgentPollAt = Long.MAX_VALUE; // something is known to be wrong
-  private long earliestPollAt = Long.MIN_VALUE;
+  private int consecutiveOlderLists;
+  private boolean listUncertain; // the last list was not accepted, or not readable, in full
   private boolean stopped = true;
 
   /**
-   * For the time within which sends to a leaving host have to end, and the version that is held
-   * from before.
+   * Creates a policy that does nothing until {@link #start}.
+   *
+   * @param drainGrace nanoseconds after which a leaving endpoint may get nothing new
+   * @param version version of the list held from an earlier process, 0 for none
    */
   public EndpointRefreshPolicy(
       long drainGrace, long version, RandomGenerator random, Transport transport) {
     this.transport = transport;
-    this.random = random;
     this.version = version;
-    long maxStaleness = Math.min(drainGrace, MAX_STALENESS_NANOS);
-    pollInterval = Math.max(MIN_INTERVAL_NANOS, maxStaleness / 2);
-    responseTimeout = Math.max(MIN_INTERVAL_NANOS, maxStaleness / 4);
-    maxPollDuration = MAX_TIMEOUTS_PER_RESPONSE * responseTimeout;
+    schedule = new PollSchedule(drainGrace, random);
   }
 
-  /** The version that a call made now need not bring again, or -1. */
-  public long skippableVersion() {
-    return listUncertain || listedGeneration != addressGeneration ? -1 : version;
+  /** The version that a poll made now need not decode again; empty if any list is wanted. */
+  public OptionalLong skippableVersion() {
+    boolean listed = listedGeneration == addressGeneration;
+    return listUncertain || !listed ? OptionalLong.empty() : OptionalLong.of(version);
   }
 
   public void start(long now) {
@@ -110,85 +115,102 @@
   }
 
   /**
-   * The agent is at another place; what the old one's watch says counts until the new one has told
-   * its list.
+   * The agent is at another address. It is polled at once; the watch at the old address counts
+   * until the new agent has sent its list.
    */
   public void addressChanged(long now) {
     addressGeneration++;
     if (poll != null) {
       closeRequest(poll, false);
     }
-    earliestPollAt = now;
-    pollUrgently(now);
+    schedule.pollImmediately(now);
+    scheduleWakeup();
   }
 
+  /** Closes all requests and opens no more. */
   public void stop() {
     stopped = true;
     List.copyOf(openRequests).forEach(request -> closeRequest(request, false));
   }
 
-  // ---- what comes of the calls
+  // ---- events of the requests
 
   /**
-   * Something came; {@code between} if it left nothing half read. A watch that owes the rest is as
-   * good as quiet.
+   * Data has arrived. Of a watch it counts only if it ended {@code betweenLists}: half a list is as
+   * good as silence. It proves that the watch lives, not that it brings what there is, so the next
+   * poll stays as scheduled.
    */
   public void dataReceived(long now, int requestNumber, boolean betweenLists) {
     OpenRequest request = findRequest(requestNumber);
-    if (request == null || request.watch && !betweenLists) {
-      return;
+    if (request != null && (betweenLists || !request.watch)) {
+      request.lastDataAt = now;
     }
-    // A word on a watch proves that the watch lives, not that it brings what there is: the next ask
-    // stands.
-    request.lastDataAt = now;
   }
 
   /**
-   * With what a call brought: {@code told} is its version, -1 if it has none, {@code sound} if all
-   * could be read.
+   * A list has arrived.
+   *
+   * @param complete whether it is the complete list
+   * @param listVersion its version, empty if it could not be read
+   * @param wellFormed whether all of it could be read
+   * @return how much of it to apply
    */
   public Acceptance listReceived(
-      long now, int requestNumber, boolean complete, long listVersion, boolean wellFormed) {
+      long now, int requestNumber, boolean complete, OptionalLong listVersion, boolean wellFormed) {
     OpenRequest request = findRequest(requestNumber);
     if (request == null) {
       return Acceptance.LEAVING_ENDPOINTS;
     }
-    boolean firstFromAddress =
-        complete
-            && request.addressGeneration == addressGeneration
-            && listedGeneration != addressGeneration;
-    boolean goesBack =
-        listVersion >= 0
-            && listVersion < version
-            && !(firstFromAddress && addressGeneration > 0); // a new agent's versions are its own
-    if (goesBack && (!complete || ++consecutiveOlderLists < OLDER_LISTS_UNTIL_ACCEPTED)) {
+    if (isOlder(request, complete, listVersion) && !acceptOlder(complete)) {
       listUncertain = true;
       pollUrgently(now);
       return Acceptance.LEAVING_ENDPOINTS;
     }
     listUncertain = !wellFormed;
     if (!wellFormed) {
-      urgentPollAt = Math.min(urgentPollAt, now + jitteredPollInterval());
+      schedule.pollWithinInterval(now);
       scheduleWakeup();
     }
-    boolean changed =
-        listVersion < 0 || listVersion != version || listedGeneration != request.addressGeneration;
-    version = listVersion >= 0 ? listVersion : version;
+    boolean changed = isChange(request, listVersion);
+    version = listVersion.orElse(version);
     if (complete) {
       consecutiveOlderLists = 0;
       listedGeneration = request.addressGeneration;
     }
-    if (request == poll
-        && (changed || watch == null || now - watch.lastDataAt > HEARTBEAT_OVERDUE_NANOS)) {
-      replaceWatch(now, Math.max(0, listVersion));
+    if (request == poll && (changed || !watchIsAlive(now))) {
+      replaceWatch(now, listVersion.orElse(0));
     }
     return Acceptance.ALL;
   }
 
-  /**
-   * What the old watch did not bring the new one does, and it begins before the old one ends:
-   * nothing falls between.
-   */
+  /** Whether the version goes back. That of the first list of another agent may: it is its own. */
+  private boolean isOlder(OpenRequest request, boolean complete, OptionalLong listVersion) {
+    boolean firstFromNewAgent =
+        complete
+            && addressGeneration > 0
+            && request.addressGeneration == addressGeneration
+            && listedGeneration != addressGeneration;
+    return listVersion.isPresent() && listVersion.getAsLong() < version && !firstFromNewAgent;
+  }
+
+  private boolean acceptOlder(boolean complete) {
+    if (complete) {
+      consecutiveOlderLists++;
+    }
+    return complete && consecutiveOlderLists >= OLDER_LISTS_UNTIL_ACCEPTED;
+  }
+
+  private boolean isChange(OpenRequest request, OptionalLong listVersion) {
+    return listVersion.isEmpty()
+        || listVersion.getAsLong() != version
+        || listedGeneration != request.addressGeneration;
+  }
+
+  private boolean watchIsAlive(long now) {
+    return watch != null && now - watch.lastDataAt <= HEARTBEAT_OVERDUE_NANOS;
+  }
+
+  /** The new watch is opened before the old one is closed: no change falls between them. */
   private void replaceWatch(long now, long sinceVersion) {
     OpenRequest previous = watch;
     watch = openRequest(now, true, sinceVersion);
@@ -197,23 +219,19 @@
     }
   }
 
-  /** An ask was answered to its end; a watch is to stay open. */
+  /** The agent has ended a response; that of a watch should stay open, so its end is a failure. */
   public void responseCompleted(long now, int requestNumber) {
     OpenRequest request = findRequest(requestNumber);
     if (request != null && request == poll) {
       closeRequest(request, false);
-      maxPollDuration = MAX_TIMEOUTS_PER_RESPONSE * responseTimeout;
-      regularPollAt = now + jitteredPollInterval();
+      schedule.pollCompleted(now);
       scheduleWakeup();
     } else {
       requestFailed(now, requestNumber);
     }
   }
 
-  /**
-   * It ended or brought what cannot be read: the list is asked for at once, but that an ask is not
-   * long ago.
-   */
+  /** A request could not be made, broke off or brought what cannot be read. */
   public void requestFailed(long now, int requestNumber) {
     OpenRequest request = findRequest(requestNumber);
     if (request != null) {
@@ -227,58 +245,41 @@
 
   // ---- time
 
+  /** The time given to {@link Transport#scheduleWakeup} has come. */
   public void timerFired(long now) {
     if (stopped) {
       return;
     }
     if (poll != null && now >= pollDeadline()) {
-      // The agent answers at once or is silent. An answer that came but would not end may be a long
-      // one.
       boolean responseStarted = poll.lastDataAt > poll.openedAt;
-      maxPollDuration =
-          responseStarted
-              ? Math.min(2 * maxPollDuration, Math.max(maxPollDuration, HEARTBEAT_NANOS))
-              : maxPollDuration;
       closeRequest(poll, true);
-      earliestPollAt = now; // it has waited
-      pollUrgently(now);
+      schedule.pollTimedOut(now, responseStarted);
+      scheduleWakeup();
     }
-    if (poll == null && now >= nextPollAt()) {
-      regularPollAt = Long.MAX_VALUE;
-      urgentPollAt = Long.MAX_VALUE;
-      earliestPollAt = now + responseTimeout / 2 + random.nextLong(responseTimeout / 2);
+    if (poll == null && now >= schedule.nextPollAt()) {
+      schedule.pollStarted(now);
       poll = openRequest(now, false, 0);
     }
     scheduleWakeup();
   }
 
   private void pollUrgently(long now) {
-    urgentPollAt = Math.min(urgentPollAt, now);
+    schedule.pollUrgently(now);
     scheduleWakeup();
   }
 
   private long pollDeadline() {
-    return Math.min(poll.lastDataAt + responseTimeout, poll.openedAt + maxPollDuration);
-  }
-
-  private long nextPollAt() {
-    long at = Math.min(regularPollAt, urgentPollAt);
-    return at == Long.MAX_VALUE ? at : Math.max(at, earliestPollAt);
+    return schedule.deadline(poll.openedAt, poll.lastDataAt);
   }
 
   private void scheduleWakeup() {
-    long at = poll != null ? pollDeadline() : nextPollAt();
+    long at = poll != null ? pollDeadline() : schedule.nextPollAt();
     if (!stopped && at < Long.MAX_VALUE) {
       transport.scheduleWakeup(at);
     }
   }
 
-  /** Up to a quarter less than may be: routers that began together do not stay in step. */
-  private long jitteredPollInterval() {
-    return pollInterval - random.nextLong(pollInterval / 4);
-  }
-
-  // ---- calls
+  // ---- requests
 
   private OpenRequest openRequest(long now, boolean isWatch, long sinceVersion) {
     OpenRequest request = new OpenRequest(nextRequestNumber++, isWatch, addressGeneration, now);
@@ -294,6 +295,7 @@
     transport.close(request.number, timedOut);
   }
 
+  /** Null for a request that has been closed: its late events say nothing. */
   private OpenRequest findRequest(int requestNumber) {
     for (OpenRequest request : openRequests) {
       if (request.number == requestNumber) {
--- a/router/src/main/java/rushwood/server/EndpointListHandler.java
+++ b/router/src/main/java/rushwood/server/EndpointListHandler.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import rushwood.discovery.DiscoveryClient;
-import rushwood.discovery.EndpointListParser;
+import rushwood.discovery.EndpointList;
 import rushwood.dispatch.Counter;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.PartialEndpoint;
@@ -31,7 +31,7 @@
   }
 
   @Override
-  public void listReceived(EndpointListParser.EndpointList list) {
+  public void listReceived(EndpointList list) {
     if (list.complete()) {
       counters.increment(Counter.ENDPOINT_LISTS_REPLACED);
       dispatcher.endpointsReplaced(list.endpoints(), list.partialEndpoints(), false);
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -8,7 +8,7 @@
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
 import rushwood.discovery.DiscoveryClient;
-import rushwood.discovery.EndpointListParser;
+import rushwood.discovery.EndpointList;
 import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EndpointAddress;
@@ -141,7 +141,7 @@
 
   private DiscoveryClient createDiscoveryClient(DiscoveryClient.Listener listener) {
     long lastKnownVersion =
-        config.lastKnownEndpoints().map(EndpointListParser.EndpointList::version).orElse(0L);
+        config.lastKnownEndpoints().map(list -> list.version().orElse(0)).orElse(0L);
     return new DiscoveryClient(
         eventLoop,
         config.discoveryAddress(),
@@ -156,7 +156,7 @@
   private void loadLastKnownEndpoints(RequestDispatcher dispatcher) {
     List<EndpointAddress> endpoints = List.of();
     if (config.lastKnownEndpoints().isPresent()) {
-      EndpointListParser.EndpointList list = config.lastKnownEndpoints().get();
+      EndpointList list = config.lastKnownEndpoints().get();
       list.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
       endpoints = list.endpoints();
     }
--- a/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -43,15 +44,12 @@
     return new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(json));
   }
 
-  private static List<EndpointListParser.EndpointList> parse(
-      EndpointListParser parser, List<ByteBuf> parts)
-      throws EndpointListParser.UnreadableListException {
-    List<EndpointListParser.EndpointList> lists = new ArrayList<>();
+  private static List<EndpointList> parse(EndpointListParser parser, List<ByteBuf> parts)
+      throws UnreadableListException {
+    List<EndpointList> lists = new ArrayList<>();
     try {
       for (ByteBuf part : parts) {
-        for (EndpointListParser.EndpointList next = parser.next(part);
-            next != null;
-            next = parser.next(part)) {
+        for (EndpointList next = parser.next(part); next != null; next = parser.next(part)) {
           lists.add(next);
         }
       }
@@ -62,10 +60,9 @@
     return lists;
   }
 
-  private static List<EndpointListParser.EndpointList> parse(String text)
-      throws EndpointListParser.UnreadableListException {
+  private static List<EndpointList> parse(String text) throws UnreadableListException {
     return parse(
-        new EndpointListParser(),
+        EndpointListParser.forWatch(),
         List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))));
   }
 
@@ -73,21 +70,21 @@
     TestMessages.forEachFragmentation(
         text.getBytes(StandardCharsets.UTF_8),
         parts -> {
-          List<EndpointListParser.EndpointList> lists;
+          List<EndpointList> lists;
           try {
-            lists = parse(new EndpointListParser(), parts);
-          } catch (EndpointListParser.UnreadableListException e) {
+            lists = parse(EndpointListParser.forWatch(), parts);
+          } catch (UnreadableListException e) {
             throw new AssertionError(e);
           }
           assertEquals(2, lists.size());
-          assertEquals(41, lists.get(0).version());
+          assertEquals(OptionalLong.of(41), lists.get(0).version());
           assertEquals(
               List.of(true, true, true),
               List.of(
                   lists.get(0).complete(),
                   lists.get(0).endpoints().isEmpty(),
                   lists.get(0).problems().isEmpty()));
-          assertEquals(43, lists.get(1).version());
+          assertEquals(OptionalLong.of(43), lists.get(1).version());
           EndpointAddress endpoint = lists.get(1).endpoints().get(0);
           Endpoint host = endpoint.endpoint();
           assertEquals("/10.1.0.18:6432", endpoint.address().toString());
@@ -111,7 +108,7 @@
             + "\n");
   }
 
-  /** The layout says nothing: an indented list is the same list, whole or in a watch. */
+  /** White space does not matter: an indented list is the same list, of a poll or a watch. */
   @Test
   void indentedListsSplitAnywhere() {
     assertParsedHoweverSplit(
@@ -126,13 +123,13 @@
   }
 
   /**
-   * One bad entry spoils no other; what it says of its host's leaving counts, and its fault names
-   * the field.
+   * An invalid entry does not affect the others. Host and state that can be read of it count, and
+   * the problem names the field.
    */
   @Test
-  void invalidEntryDoesNotSpoilOthers() throws EndpointListParser.UnreadableListException {
+  void invalidEntryDoesNotSpoilOthers() throws UnreadableListException {
     assertInvalidEntry(
-        "state has the unknown word Sleeping",
+        "state has the unknown value Sleeping",
         new PartialEndpoint(new HostId("s-1"), null),
         DRAINING_ENTRY.replace("Terminating", "Sleeping"));
     assertInvalidEntry(
@@ -157,18 +154,19 @@
         DRAINING_ENTRY.replace("\"cell\":3", "\"cell\":\"x\""));
     assertInvalidEntry(
         "id is missing or cannot be read", null, DRAINING_ENTRY.replace("\"s-1\"", "null"));
-    assertInvalidEntry("servers has what is no entry", null, "7");
-    assertInvalidEntry("servers has what is no entry", null, "[" + DRAINING_ENTRY + "]");
+    assertInvalidEntry("servers has an element that is no entry", null, "7");
+    assertInvalidEntry("servers has an element that is no entry", null, "[" + DRAINING_ENTRY + "]");
     assertInvalidEntry(
-        "servers has what is no entry", null, DRAINING_ENTRY.replace("\"state\"", "\"state\"7"));
+        "servers has an element that is no entry",
+        null,
+        DRAINING_ENTRY.replace("\"state\"", "\"state\"7"));
   }
 
   private static void assertInvalidEntry(
-      String problem, PartialEndpoint partial, String invalidEntry)
-      throws EndpointListParser.UnreadableListException {
+      String problem, PartialEndpoint partial, String invalidEntry) throws UnreadableListException {
     for (String text :
         List.of(READY_ENTRY + "," + invalidEntry, invalidEntry + "," + READY_ENTRY)) {
-      EndpointListParser.EndpointList list = parse(list(1, true, text)).get(0);
+      EndpointList list = parse(list(1, true, text)).get(0);
       assertEquals("s-2", list.endpoints().get(0).endpoint().id().value());
       assertEquals(1, list.endpoints().size());
       assertEquals(List.of(problem), list.problems());
@@ -179,39 +177,35 @@
     }
   }
 
-  /** Where the list has no version or kind its entries count all the same. */
+  /** Without a version or the flag for a complete list the entries count all the same. */
   @Test
-  void invalidHeaderKeepsEntries() throws EndpointListParser.UnreadableListException {
-    EndpointListParser.EndpointList list = parse("{\"servers\":[" + DRAINING_ENTRY + "]}").get(0);
+  void invalidHeaderKeepsEntries() throws UnreadableListException {
+    EndpointList list = parse("{\"servers\":[" + DRAINING_ENTRY + "]}").get(0);
     assertEquals(List.of(DRAINING_ENDPOINT), list.leavingEndpoints());
-    assertEquals(-1, list.version());
+    assertEquals(OptionalLong.empty(), list.version());
     assertEquals(false, list.complete());
     assertEquals(2, list.problems().size());
     list =
         parse(
-                new EndpointListParser(true, -1, 0),
+                EndpointListParser.forPoll(OptionalLong.empty(), 0),
                 List.of(TestMessages.buffer("{\"version\":3}".getBytes())))
             .get(0);
     assertEquals(false, list.complete(), "without entries it does not say that there are none");
   }
 
-  /**
-   * Cut at any byte: a host that leaves is known from the last byte of its state on, in mid-entry
-   * too.
-   */
+  /** Cut at any byte: a draining host is known from the end of its state on, in mid-entry too. */
   @Test
   void truncatedListReportsLeavingEndpoints() {
     for (String complete :
         List.of(
             list(9, true, READY_ENTRY + "," + DRAINING_ENTRY),
             indented(list(9, true, READY_ENTRY + "," + DRAINING_ENTRY)))) {
-      int told = complete.indexOf("Terminating") + "Terminating\",".length();
+      int stateEnd = complete.indexOf("Terminating") + "Terminating\",".length();
       for (int cut = complete.indexOf('{') + 1; cut < complete.length(); cut++) {
         String part = complete.substring(0, cut);
-        EndpointListParser.UnreadableListException e =
-            assertThrows(EndpointListParser.UnreadableListException.class, () -> parse(part));
+        UnreadableListException e = assertThrows(UnreadableListException.class, () -> parse(part));
         assertEquals(
-            cut >= told ? List.of(DRAINING_ENDPOINT) : List.of(), e.leavingEndpoints(), part);
+            cut >= stateEnd ? List.of(DRAINING_ENDPOINT) : List.of(), e.leavingEndpoints(), part);
       }
     }
   }
@@ -232,53 +226,54 @@
   }
 
   private static void assertUnreadable(String reason, String text) {
-    EndpointListParser.UnreadableListException e =
-        assertThrows(EndpointListParser.UnreadableListException.class, () -> parse(text));
+    UnreadableListException e = assertThrows(UnreadableListException.class, () -> parse(text));
     assertTrue(e.getMessage().contains(reason), e.getMessage());
     assertEquals(
         text.contains("s-1") ? List.of(DRAINING_ENDPOINT) : List.of(), e.leavingEndpoints());
   }
 
-  /**
-   * The list that is held is not read again, however it is laid out; any other is, of whatever
-   * version.
-   */
+  /** The cached list is not decoded again, whatever its white space; any other list is. */
   @Test
-  void cachedListIsNotDecodedAgain() throws EndpointListParser.UnreadableListException {
+  void cachedListIsNotDecodedAgain() throws UnreadableListException {
     String text = list(41, true, DRAINING_ENTRY + "," + READY_ENTRY);
-    long checksum = parseComplete(text, -1, 0).checksum();
+    long checksum = parseComplete(text, OptionalLong.empty(), 0).checksum();
     for (String same : List.of(text, indented(text), text.replace(",", " ,\n"))) {
       assertEquals(
-          new EndpointListParser.EndpointList(
-              41, true, true, checksum, List.of(), List.of(), List.of()),
-          parseComplete(same, 41, checksum));
+          new EndpointList(
+              OptionalLong.of(41), true, true, checksum, List.of(), List.of(), List.of()),
+          parseComplete(same, OptionalLong.of(41), checksum));
     }
-    assertEquals(2, parseComplete(text, 40, checksum).endpoints().size());
-    assertEquals(2, parseComplete(text, -1, checksum).endpoints().size());
+    assertEquals(2, parseComplete(text, OptionalLong.of(40), checksum).endpoints().size());
+    assertEquals(2, parseComplete(text, OptionalLong.empty(), checksum).endpoints().size());
     assertEquals(
         Endpoint.State.READY,
-        parseComplete(text.replace("Terminating", "Ready"), 41, checksum)
+        parseComplete(text.replace("Terminating", "Ready"), OptionalLong.of(41), checksum)
             .endpoints()
             .get(0)
             .endpoint()
             .state());
     assertEquals(
         DRAINING_ENDPOINT,
-        parseComplete(text.replace("Ready", "Gone"), 41, checksum).leavingEndpoints().get(0));
-    assertEquals(2, parseComplete(text.replaceFirst("41", "42"), 41, checksum).endpoints().size());
+        parseComplete(text.replace("Ready", "Gone"), OptionalLong.of(41), checksum)
+            .leavingEndpoints()
+            .get(0));
+    assertEquals(
+        2,
+        parseComplete(text.replaceFirst("41", "42"), OptionalLong.of(41), checksum)
+            .endpoints()
+            .size());
   }
 
-  private static EndpointListParser.EndpointList parseComplete(
-      String text, long cachedVersion, long checksum)
-      throws EndpointListParser.UnreadableListException {
+  private static EndpointList parseComplete(String text, OptionalLong cachedVersion, long checksum)
+      throws UnreadableListException {
     return parse(
-            new EndpointListParser(true, cachedVersion, checksum),
+            EndpointListParser.forPoll(cachedVersion, checksum),
             List.of(TestMessages.buffer(text.getBytes(StandardCharsets.UTF_8))))
         .get(0);
   }
 
   @Test
-  void thousandsOfEntries() throws EndpointListParser.UnreadableListException {
+  void thousandsOfEntries() throws UnreadableListException {
     String entries =
         IntStream.range(0, 2048)
             .mapToObj(i -> DRAINING_ENTRY.replace("s-1", "s-" + i))
--- a/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
@@ -3,156 +3,30 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
-/** Follows an agent of the test's own in virtual time, a millisecond a step. */
+/** The policy against a simulated agent, in virtual time. */
 class EndpointRefreshPolicyTest {
   private static final long MS = 1_000_000L;
   private static final long[] DRAIN_GRACES_MILLIS = {
     100, 250, 1000, 2000, 4000, 10_000, 15_000, 60_000
-  }; // ms
+  };
 
-  /** The agent, and the router that follows it. */
-  private static final class SimulatedAgent implements EndpointRefreshPolicy.Transport {
-    enum Behavior {
-      ANSWERS,
-      SILENT,
-      REFUSES,
-      TRUNCATES,
-      DRIPS
-    }
-
-    final EndpointRefreshPolicy policy;
-    final Map<Integer, Long> watches = new TreeMap<>(); // what each was told last
-    final Map<Integer, Long> polls = new TreeMap<>(); // when each came
-    final List<Integer> silentWatches = new ArrayList<>();
-    final List<Long> pollTimes = new ArrayList<>();
-    Behavior behavior = Behavior.ANSWERS;
-    boolean wellFormed = true;
-    boolean heartbeatsOnly; // watches beat, and bring nothing
-    long now = 1_000_000;
-    long version = 41;
-    long publishedAt = now;
-    long receivedVersion = -1;
-    long maxDelay; // from when the agent had a version until the router had it
-    long wakeupAt = Long.MAX_VALUE;
-    int opened;
-
-    SimulatedAgent(long drainGrace, long knownVersion, long seed) {
-      policy =
-          new EndpointRefreshPolicy(
-              drainGrace * MS, knownVersion, new SplittableRandom(seed), this);
-    }
-
-    SimulatedAgent start() {
-      policy.start(now * MS);
-      return this;
-    }
-
-    @Override
-    public void open(int requestNumber, boolean watch, long sinceVersion) {
-      opened++;
-      if (watch) {
-        watches.put(requestNumber, sinceVersion);
-      } else {
-        pollTimes.add(now);
-        polls.put(requestNumber, now);
-      }
-    }
-
-    @Override
-    public void close(int requestNumber, boolean timedOut) {
-      watches.remove(requestNumber);
-      polls.remove(requestNumber);
-    }
-
-    @Override
-    public void scheduleWakeup(long at) {
-      wakeupAt = at;
-    }
-
-    void publishChange() {
-      version++;
-      publishedAt = now;
-    }
-
-    void receive(EndpointRefreshPolicy.Acceptance acceptance) {
-      if (acceptance == EndpointRefreshPolicy.Acceptance.ALL && receivedVersion < version) {
-        receivedVersion = version;
-        maxDelay = Math.max(maxDelay, now - publishedAt);
-      }
-    }
-
-    void runFor(long millis) {
-      for (long end = now + millis; now < end; now++) {
-        if (now * MS >= wakeupAt) {
-          wakeupAt = Long.MAX_VALUE;
-          policy.timerFired(now * MS);
-        }
-        List.copyOf(polls.keySet()).forEach(this::answerPoll);
-        List.copyOf(watches.keySet()).forEach(this::feedWatch);
-      }
-    }
-
-    private void answerPoll(int requestNumber) {
-      if (now <= polls.get(requestNumber)) {
-        return; // answers take a step
-      }
-      switch (behavior) {
-        case ANSWERS -> {
-          receive(policy.listReceived(now * MS, requestNumber, true, version, wellFormed));
-          policy.dataReceived(now * MS, requestNumber, true);
-          policy.responseCompleted(now * MS, requestNumber);
-        }
-        case REFUSES, TRUNCATES -> policy.requestFailed(now * MS, requestNumber);
-        case DRIPS -> policy.dataReceived(now * MS, requestNumber, false);
-        case SILENT -> {}
-      }
-    }
-
-    private void feedWatch(int requestNumber) {
-      if (behavior != Behavior.ANSWERS || silentWatches.contains(requestNumber)) {
-        return;
-      }
-      if (heartbeatsOnly) {
-        if (now % 200 == 0) {
-          policy.dataReceived(now * MS, requestNumber, true);
-        }
-      } else if (watches.get(requestNumber) < version) {
-        watches.put(requestNumber, version);
-        receive(policy.listReceived(now * MS, requestNumber, false, version, wellFormed));
-        policy.dataReceived(now * MS, requestNumber, true);
-      } else if (now % 2000 == 0) {
-        policy.dataReceived(now * MS, requestNumber, true);
-      }
-    }
-
-    void silenceWatches() {
-      silentWatches.addAll(watches.keySet());
-    }
-
-    void breakWatches() {
-      List.copyOf(watches.keySet())
-          .forEach(
-              requestNumber -> {
-                watches.remove(requestNumber);
-                policy.requestFailed(now * MS, requestNumber);
-              });
-    }
-  }
+  /** Every change counts as announced after this time, whatever the grace. */
+  private static final long ANNOUNCED_AFTER_MILLIS = 6000;
 
   private interface Scenario {
     void run(SimulatedAgent agent, SplittableRandom random);
   }
 
   /**
-   * Whatever the agent has the router has well inside any grace: a quarter of it is left for all
-   * else.
+   * The router has whatever the agent has within three quarters of the grace; the last quarter is
+   * left for all else. 40 seeds at each grace.
    */
   private static void assertDelayWithinGrace(Scenario scenario) {
     for (long drainGrace : DRAIN_GRACES_MILLIS) {
@@ -165,8 +39,7 @@
         scenario.run(agent, random);
         agent.runFor(20_000);
         assertEquals(agent.version, agent.receivedVersion);
-        long bound =
-            Math.min(drainGrace, 6000) * 3 / 4 + 2; // and what counts 6 s later at the latest
+        long bound = Math.min(drainGrace, ANNOUNCED_AFTER_MILLIS) * 3 / 4 + 2;
         assertTrue(
             agent.maxDelay <= bound,
             agent.maxDelay + " ms with a grace of " + drainGrace + ", seed " + seed);
@@ -194,7 +67,7 @@
         });
   }
 
-  /** Its signs of life prove nothing of what it brings. */
+  /** A heartbeat does not prove that a watch brings the changes. */
   @Test
   void watchWithHeartbeatsOnlyStaysWithinGrace() {
     assertDelayWithinGrace(
@@ -218,7 +91,7 @@
         });
   }
 
-  /** However long it was away, and whichever way: the waits do not grow. */
+  /** The waits do not grow, however long the agent was away and in whichever way. */
   @Test
   void recoveryOfTheAgentStaysWithinGrace() {
     for (SimulatedAgent.Behavior behavior :
@@ -241,9 +114,7 @@
     }
   }
 
-  /**
-   * An answer that never ends is cut off, each later one allowed more time, and asked for again.
-   */
+  /** A response that never ends is cut off and polled again; each later one gets more time. */
   @Test
   void endlessResponseIsCutOff() {
     assertDelayWithinGrace(
@@ -259,10 +130,10 @@
     agent.runFor(10_000);
     assertTrue(
         agent.pollTimes.size() > 5 && agent.pollTimes.size() < 20,
-        "not in a hurry: " + agent.pollTimes.size());
+        "polls with growing time limits: " + agent.pollTimes.size());
   }
 
-  /** From the first moment of a new process, which holds an older list, and of a new agent. */
+  /** A new process that holds an older list, and a new agent with versions of its own. */
   @Test
   void listArrivesAtOnceAtStartAndAfterAddressChange() {
     for (long drainGrace : DRAIN_GRACES_MILLIS) {
@@ -271,7 +142,7 @@
       assertEquals(41, agent.receivedVersion);
       assertTrue(agent.maxDelay <= 2);
       agent.policy.addressChanged(agent.now * MS);
-      agent.version = 7; // its own count
+      agent.version = 7; // the new agent's own count
       agent.receivedVersion = 6;
       agent.publishedAt = agent.now;
       agent.maxDelay = 0;
@@ -291,7 +162,9 @@
     agent.policy.addressChanged(agent.now * MS);
     agent.runFor(3000);
     int old = agent.watches.keySet().iterator().next();
-    agent.receive(agent.policy.listReceived(agent.now * MS, old, false, ++agent.version, true));
+    agent.receive(
+        agent.policy.listReceived(
+            agent.now * MS, old, false, OptionalLong.of(++agent.version), true));
     assertEquals(42, agent.receivedVersion);
     agent.behavior = SimulatedAgent.Behavior.ANSWERS;
     agent.publishChange();
@@ -301,8 +174,8 @@
   }
 
   /**
-   * A version that goes back: only leaving hosts count, the list is asked for at once, and believed
-   * at the third.
+   * Of an older version only the leaving endpoints count; the list is polled at once, and the third
+   * complete one in a row is accepted.
    */
   @Test
   void olderVersionIsAcceptedAtTheThirdCompleteList() {
@@ -311,8 +184,9 @@
     int watch = agent.watches.keySet().iterator().next();
     assertEquals(
         EndpointRefreshPolicy.Acceptance.LEAVING_ENDPOINTS,
-        agent.policy.listReceived(agent.now * MS, watch, false, 12, true));
-    assertEquals(-1, agent.policy.skippableVersion(), "the next list is read whole");
+        agent.policy.listReceived(agent.now * MS, watch, false, OptionalLong.of(12), true));
+    assertEquals(
+        OptionalLong.empty(), agent.policy.skippableVersion(), "the next list is decoded in full");
     int before = agent.pollTimes.size();
     agent.runFor(600);
     assertEquals(before + 1, agent.pollTimes.size());
@@ -325,25 +199,27 @@
     assertEquals(
         EndpointRefreshPolicy.Acceptance.LEAVING_ENDPOINTS,
         agent.policy.listReceived(
-            agent.now * MS, agent.watches.keySet().iterator().next(), true, 4, true));
+            agent.now * MS,
+            agent.watches.keySet().iterator().next(),
+            true,
+            OptionalLong.of(4),
+            true));
   }
 
-  /** What could not be read in full is asked for soon, and is not passed over then. */
+  /** A list that could not be read in full is polled within the interval and decoded again. */
   @Test
   void listWithAnInvalidEntryIsPolledAgain() {
     SimulatedAgent agent = new SimulatedAgent(10_000, 40, 5).start();
     agent.wellFormed = false;
     agent.runFor(10);
-    assertEquals(-1, agent.policy.skippableVersion());
+    assertEquals(OptionalLong.empty(), agent.policy.skippableVersion());
     agent.wellFormed = true;
     agent.runFor(2010);
     assertEquals(2, agent.pollTimes.size());
-    assertEquals(41, agent.policy.skippableVersion());
+    assertEquals(OptionalLong.of(41), agent.policy.skippableVersion());
   }
 
-  /**
-   * What it costs the agent, and that a hundred routers that begin together do not stay in step.
-   */
+  /** The agent's load stays bounded, and 100 routers that start together do not stay in step. */
   @Test
   void pollRateIsBoundedAndJittered() {
     for (Map.Entry<Long, Integer> each :
@@ -352,14 +228,14 @@
       healthy.runFor(60_000);
       assertTrue(
           healthy.pollTimes.size() <= each.getValue(),
-          healthy.pollTimes.size() + " asks with " + each.getKey());
+          healthy.pollTimes.size() + " polls with a grace of " + each.getKey());
       assertEquals(healthy.pollTimes.size() + 1, healthy.opened, "one watch");
       SimulatedAgent failing = new SimulatedAgent(each.getKey(), 40, 1).start();
       failing.behavior = SimulatedAgent.Behavior.REFUSES;
       failing.runFor(60_000);
       assertTrue(
           failing.pollTimes.size() <= 60_000 / (Math.min(4000, each.getKey()) / 8) + 1,
-          failing.pollTimes.size() + " asks in vain");
+          failing.pollTimes.size() + " failing polls");
     }
     Map<Long, Integer> together = new TreeMap<>();
     for (int router = 0; router < 100; router++) {
--- a/router/src/test/java/rushwood/server/RouterConfigTest.java
+++ b/router/src/test/java/rushwood/server/RouterConfigTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushwood.config.InvalidConfigException;
@@ -49,7 +50,7 @@
     assertEquals("/127.0.0.9:7", config.listenAddress().toString());
     assertEquals("/127.0.0.1:2", config.discoveryAddress().toString());
     assertEquals(0xfc1f30d27a5be964L, config.seed());
-    assertEquals(41, config.lastKnownEndpoints().orElseThrow().version());
+    assertEquals(OptionalLong.of(41), config.lastKnownEndpoints().orElseThrow().version());
     assertEquals(2, config.settings().requestClasses().size());
     assertEquals(500_000_000, config.settings().requestClasses().get(0).maxStalenessNanos());
     assertEquals(250_000_000, config.connectTimeoutNanos());
