Rewrite design-follow as design-discovery; design-fleet is design-membership

Need: the pages named types and terms that are gone. Change: the page on discovery in the code's terms, both pages renamed and their links with them; on-call quotes the log texts as they are now. Result: no link to the old names is left but in the incident's page, which stays as written.

--- a/router/src/main/java/rushwood/membership/Membership.java
+++ b/router/src/main/java/rushwood/membership/Membership.java
@@ -15,7 +15,7 @@
 /**
  * One router's view of its tier: SWIM's probes, indirect probes and piggybacked news, with
  * suspicion, incarnations and Lifeguard's local health and shrinking timeouts ({@code
- * docs/design-fleet.md}). No I/O: time comes in as whole nanoseconds, chance from a seed, and what
+ * docs/design-membership.md}). No I/O: time comes in as whole nanoseconds, chance from a seed, and what
  * is to be sent goes out as {@link Out}s for the caller to write.
  */
 public final class Membership {
