--- a/router/src/main/java/rushwood/membership/DatagramCodec.java
+++ b/router/src/main/java/rushwood/membership/DatagramCodec.java
@@ -3,101 +3,131 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.zip.CRC32;
 
 /**
- * The bytes of one {@link Message}, 256 at most as the platform allows: version, kind, the sender's
- * incarnation, the number, the target, the count of words, the words, and a CRC-32 of all before
- * it. What does not add up whole is refused whole: a datagram is never partly trusted.
+ * Encodes a {@link PeerMessage} as one datagram, big-endian: format version (1 byte), kind (1),
+ * sender's incarnation (8), sequence number (4), target (6), number of updates (1), the updates (21
+ * each) and a CRC-32 of all before it (4). A member is its IPv4 address and port.
+ *
+ * <p>A datagram with any fault is rejected as a whole.
  */
 public final class DatagramCodec {
-  /** The platform voids a run for a longer one. */
+  /** Longest datagram; the platform voids a run for a longer one. */
   public static final int MAX_BYTES = 256;
 
-  static final byte VERSION = 1;
-  static final int HEADER_BYTES = 1 + 1 + 8 + 4 + 6 + 1;
-  static final int UPDATE_BYTES = 6 + 1 + 8 + 6;
-  static final int CHECKSUM_BYTES = 4;
+  /** Most updates of a datagram. {@link #MAX_BYTES} have room for 10.8. */
+  static final int MAX_UPDATES = 10;
+
+  private static final byte FORMAT_VERSION = 1;
+  private static final int MEMBER_BYTES = Integer.BYTES + Short.BYTES;
+  private static final int HEADER_BYTES =
+      Byte.BYTES + Byte.BYTES + Long.BYTES + Integer.BYTES + MEMBER_BYTES + Byte.BYTES;
+  private static final int UPDATE_BYTES = MEMBER_BYTES + Byte.BYTES + Long.BYTES + MEMBER_BYTES;
+  private static final int CHECKSUM_BYTES = Integer.BYTES;
+  private static final int UPDATE_COUNT_OFFSET = HEADER_BYTES - Byte.BYTES;
   private static final MemberState[] STATES = MemberState.values();
   private static final PeerMessage.Kind[] KINDS = PeerMessage.Kind.values();
 
   static {
-    if (HEADER_BYTES + Membership.MAX_UPDATES_PER_DATAGRAM * UPDATE_BYTES + CHECKSUM_BYTES
-        > MAX_BYTES) {
+    if (encodedBytes(MAX_UPDATES) > MAX_BYTES) {
       throw new ExceptionInInitializerError(
-          "a datagram with the most words would not fit in " + MAX_BYTES);
+          MAX_UPDATES + " updates do not fit into " + MAX_BYTES + " bytes");
     }
   }
 
   private DatagramCodec() {}
 
+  /**
+   * Encodes a message.
+   *
+   * @throws IllegalArgumentException if it has more than ten updates
+   */
   public static byte[] encode(PeerMessage message) {
-    if (message.updates().size() > Membership.MAX_UPDATES_PER_DATAGRAM) {
-      throw new IllegalArgumentException(
-          message.updates().size() + " words, " + Membership.MAX_UPDATES_PER_DATAGRAM + " at most");
+    List<MembershipUpdate> updates = message.updates();
+    if (updates.size() > MAX_UPDATES) {
+      throw new IllegalArgumentException(updates.size() + " updates, " + MAX_UPDATES + " at most");
     }
-    ByteBuffer out =
-        ByteBuffer.allocate(
-            HEADER_BYTES + message.updates().size() * UPDATE_BYTES + CHECKSUM_BYTES);
-    out.put(VERSION)
-        .put((byte) message.kind().ordinal())
-        .putLong(message.incarnation())
-        .putInt(message.sequenceNumber());
+    ByteBuffer out = ByteBuffer.allocate(encodedBytes(updates.size()));
+    out.put(FORMAT_VERSION);
+    out.put((byte) message.kind().ordinal());
+    out.putLong(message.incarnation());
+    out.putInt(message.sequenceNumber());
     writeMember(out, message.target());
-    out.put((byte) message.updates().size());
-    for (MembershipUpdate update : message.updates()) {
-      writeMember(out, update.member());
-      out.put((byte) update.state().ordinal()).putLong(update.incarnation());
-      writeMember(out, update.origin());
-    }
+    out.put((byte) updates.size());
+    updates.forEach(update -> writeUpdate(out, update));
     out.putInt(crc(out.array(), out.position()));
     return out.array();
   }
 
-  /**
-   * The message, or null where anything of it is wrong: length, version, kind, count, a state, the
-   * check.
-   */
-  public static PeerMessage decode(byte[] bytes, int length) {
-    if (length < HEADER_BYTES + CHECKSUM_BYTES || length > MAX_BYTES || length > bytes.length) {
-      return null;
+  /** Decodes the first {@code length} bytes; empty if anything of the datagram is wrong. */
+  public static Optional<PeerMessage> decode(byte[] bytes, int length) {
+    if (!isIntact(bytes, length)) {
+      return Optional.empty();
     }
     ByteBuffer in = ByteBuffer.wrap(bytes, 0, length);
-    int count = bytes[HEADER_BYTES - 1] & 0xff;
-    if (count > Membership.MAX_UPDATES_PER_DATAGRAM
-        || length != HEADER_BYTES + count * UPDATE_BYTES + CHECKSUM_BYTES
-        || in.getInt(length - CHECKSUM_BYTES) != crc(bytes, length - CHECKSUM_BYTES)) {
-      return null;
-    }
-    if (in.get() != VERSION) {
-      return null;
-    }
-    int kind = in.get() & 0xff;
-    if (kind >= KINDS.length) {
-      return null;
+    byte formatVersion = in.get();
+    int kind = Byte.toUnsignedInt(in.get());
+    if (formatVersion != FORMAT_VERSION || kind >= KINDS.length) {
+      return Optional.empty();
     }
     long incarnation = in.getLong();
     int sequenceNumber = in.getInt();
     MemberId target = readMember(in);
-    in.get();
-    List<MembershipUpdate> updates = new ArrayList<>(count);
-    for (int i = 0; i < count; i++) {
-      MemberId member = readMember(in);
-      int state = in.get() & 0xff;
-      if (state >= STATES.length) {
-        return null;
+    int updateCount = Byte.toUnsignedInt(in.get());
+    List<MembershipUpdate> updates = new ArrayList<>(updateCount);
+    for (int i = 0; i < updateCount; i++) {
+      Optional<MembershipUpdate> update = readUpdate(in);
+      if (update.isEmpty()) {
+        return Optional.empty();
       }
-      updates.add(new MembershipUpdate(member, STATES[state], in.getLong(), readMember(in)));
+      updates.add(update.get());
     }
-    return new PeerMessage(KINDS[kind], incarnation, sequenceNumber, target, updates);
+    return Optional.of(new PeerMessage(KINDS[kind], incarnation, sequenceNumber, target, updates));
+  }
+
+  /** Whether the length is that of the updates announced, and the checksum is right. */
+  private static boolean isIntact(byte[] bytes, int length) {
+    if (length < encodedBytes(0) || length > MAX_BYTES || length > bytes.length) {
+      return false;
+    }
+    int updateCount = Byte.toUnsignedInt(bytes[UPDATE_COUNT_OFFSET]);
+    if (updateCount > MAX_UPDATES || length != encodedBytes(updateCount)) {
+      return false;
+    }
+    int checked = length - CHECKSUM_BYTES;
+    return ByteBuffer.wrap(bytes).getInt(checked) == crc(bytes, checked);
+  }
+
+  private static int encodedBytes(int updateCount) {
+    return HEADER_BYTES + updateCount * UPDATE_BYTES + CHECKSUM_BYTES;
+  }
+
+  private static void writeUpdate(ByteBuffer out, MembershipUpdate update) {
+    writeMember(out, update.member());
+    out.put((byte) update.state().ordinal());
+    out.putLong(update.incarnation());
+    writeMember(out, update.origin());
+  }
+
+  private static Optional<MembershipUpdate> readUpdate(ByteBuffer in) {
+    MemberId member = readMember(in);
+    int state = Byte.toUnsignedInt(in.get());
+    long incarnation = in.getLong();
+    MemberId origin = readMember(in);
+    return state < STATES.length
+        ? Optional.of(new MembershipUpdate(member, STATES[state], incarnation, origin))
+        : Optional.empty();
   }
 
   private static void writeMember(ByteBuffer out, MemberId id) {
-    out.putInt(id.address()).putShort((short) id.port());
+    out.putInt(id.address());
+    out.putShort((short) id.port());
   }
 
   private static MemberId readMember(ByteBuffer in) {
-    return new MemberId(in.getInt(), in.getShort() & 0xffff);
+    return new MemberId(in.getInt(), Short.toUnsignedInt(in.getShort()));
   }
 
   private static int crc(byte[] bytes, int length) {
--- a/router/src/main/java/rushwood/membership/GossipReports.java
+++ b/router/src/main/java/rushwood/membership/GossipReports.java
@@ -7,12 +7,18 @@
 import java.util.TreeSet;
 
 /**
- * What peers said they saw of database hosts, each word with its age: a word older than the bound
- * is not used, and a host counts as seen so by the fleet only when {@code quorum} members said it
- * independently, so that one lying or stale peer cannot take a host out. Bounded in hosts and in
- * words a host; words age out at the next look.
+ * What peers reported of database hosts, each report with its age. A report beyond the maximum age
+ * is not used, and an observation counts only if a quorum of members reported it independently, so
+ * that one faulty or outdated peer cannot take a host out of service. The number of hosts and of
+ * reports for each is bounded; expired reports are removed when their host is looked up.
  */
 public final class GossipReports {
+  /** Deployments have up to 1,024 hosts; twice that leaves room while a list changes. */
+  static final int MAX_ENDPOINTS = 2048;
+
+  /** A quorum in a deployment of 100 routers needs fewer. */
+  static final int MAX_REPORTS_PER_ENDPOINT = 32;
+
   /** What a member saw of a host. */
   public enum Observation {
     UNREACHABLE,
@@ -22,15 +28,19 @@
     LAGGING
   }
 
-  /** A word: who saw it, what, and when by the receiver's clock (its age at sending taken off). */
+  /** {@code observedAt}: by the receiver's clock, the age at sending taken off. */
   private record Report(MemberId reporter, Observation observation, long observedAt) {}
 
-  // Hosts a tier has: up to 1,024 are to be borne; twice that guards against a list that changes as
-  // it grows.
-  static final int MAX_ENDPOINTS = 2048;
-  // Words kept a host: a quorum of a tier of 100 needs some; more than the tier's size says nothing
-  // new.
-  static final int MAX_REPORTS_PER_ENDPOINT = 32;
+  /**
+   * The reports of one observation.
+   *
+   * @param reporters how many members made it
+   * @param youngestAgeNanos of the latest report; {@link Long#MAX_VALUE} if there is none
+   * @param hasQuorum whether the reporters are enough to act on
+   */
+  public record Summary(int reporters, long youngestAgeNanos, boolean hasQuorum) {
+    static final Summary NONE = new Summary(0, Long.MAX_VALUE, false);
+  }
 
   private final Map<String, Deque<Report>> reportsByEndpoint = new TreeMap<>();
   private final long maxAgeNanos;
@@ -38,37 +48,39 @@
   private long droppedReports;
 
   /**
-   * Words older than {@code oldest} nanoseconds are not used; {@code quorum} members make the
-   * fleet's word.
+   * Creates an empty collection.
+   *
+   * @param maxAgeNanos age from which a report is not used; above zero
+   * @param quorum how many members have to report the same; 1 at least
+   * @throws InvalidSettingException for a parameter outside its bounds
    */
   public GossipReports(long maxAgeNanos, int quorum) {
-    if (maxAgeNanos <= 0 || quorum < 1) {
-      throw new IllegalArgumentException(
-          "fleet.knowledge: oldest above zero and a quorum of 1 at least");
+    if (maxAgeNanos <= 0) {
+      throw new InvalidSettingException("maxAgeNanos", "must be above zero");
+    }
+    if (quorum < 1) {
+      throw new InvalidSettingException("quorum", "must be 1 at least");
     }
     this.maxAgeNanos = maxAgeNanos;
     this.quorum = quorum;
   }
 
   /**
-   * {@code by} said at {@code now} that it saw {@code seen} of {@code host} {@code age} nanoseconds
-   * ago.
+   * Adds a report, in place of an earlier one of the same reporter and observation. It is dropped
+   * and counted if it is too old, if its age is negative, or if there are too many hosts.
+   *
+   * @param ageNanos how long before {@code now} the observation was made
    */
   public void add(
       long now, MemberId reporter, String endpoint, Observation observation, long ageNanos) {
-    if (ageNanos < 0 || ageNanos >= maxAgeNanos) {
+    boolean hasRoom =
+        reportsByEndpoint.containsKey(endpoint) || reportsByEndpoint.size() < MAX_ENDPOINTS;
+    if (ageNanos < 0 || ageNanos >= maxAgeNanos || !hasRoom) {
       droppedReports++;
-      return; // a word from the future or too old is worth nothing
-    }
-    Deque<Report> reports = reportsByEndpoint.get(endpoint);
-    if (reports == null) {
-      if (reportsByEndpoint.size() >= MAX_ENDPOINTS) {
-        droppedReports++;
-        return;
-      }
-      reports = new ArrayDeque<>();
-      reportsByEndpoint.put(endpoint, reports);
+      return;
     }
+    Deque<Report> reports =
+        reportsByEndpoint.computeIfAbsent(endpoint, absent -> new ArrayDeque<>());
     reports.removeIf(
         report -> report.reporter().equals(reporter) && report.observation() == observation);
     reports.addLast(new Report(reporter, observation, now - ageNanos));
@@ -77,12 +89,7 @@
     }
   }
 
-  /**
-   * How many members saw {@code seen} of the host within the bound, and the youngest word's age;
-   * none is 0. Reading is also what forgets: words older than the bound are removed here, so a host
-   * asked about is never held with stale words, and one never asked about is held by {@link
-   * #MOST_WORDS} at most.
-   */
+  /** Summarizes the reports of one observation, and removes the host's expired reports. */
   public Summary summarize(long now, String endpoint, Observation observation) {
     Deque<Report> reports = reportsByEndpoint.get(endpoint);
     if (reports == null) {
@@ -106,7 +113,7 @@
         : new Summary(reporters.size(), youngestAge, reporters.size() >= quorum);
   }
 
-  /** A word is taken back: the member saw the host well, and what it said before stands no more. */
+  /** Removes a reporter's reports of a host but that it is the primary: it found it healthy. */
   public void retract(MemberId reporter, String endpoint) {
     Deque<Report> reports = reportsByEndpoint.get(endpoint);
     if (reports != null) {
@@ -116,7 +123,7 @@
     }
   }
 
-  /** Words refused: too old, from the future, or for a host past the bound. */
+  /** How many reports were not added. */
   public long droppedReports() {
     return droppedReports;
   }
@@ -124,12 +131,4 @@
   int endpointCount() {
     return reportsByEndpoint.size();
   }
-
-  /**
-   * What the fleet says of one host: by how many members, the youngest word's age, whether that is
-   * a quorum.
-   */
-  public record Summary(int reporters, long youngestAgeNanos, boolean hasQuorum) {
-    static final Summary NONE = new Summary(0, Long.MAX_VALUE, false);
-  }
 }
--- a/router/src/main/java/rushwood/membership/MemberId.java
+++ b/router/src/main/java/rushwood/membership/MemberId.java
@@ -1,26 +1,38 @@
 package rushwood.membership;
 
 /**
- * A router of the tier, by the IPv4 address and port that its peers send to: six bytes on the wire.
+ * A router, by the IPv4 address and port that its peers send to. Ordered by address, then port.
+ *
+ * @param address the four octets, the first in the highest byte
+ * @param port 0 to 65535
  */
 public record MemberId(int address, int port) implements Comparable<MemberId> {
+  private static final int MAX_PORT = 0xffff;
+  private static final int OCTETS = 4;
+  private static final int MAX_OCTET = 255;
+
+  /** Checks the port. */
   public MemberId {
-    if (port < 0 || port > 0xffff) {
+    if (port < 0 || port > MAX_PORT) {
       throw new IllegalArgumentException("port " + port + " is not one of 0 to 65535");
     }
   }
 
-  /** From "a.b.c.d:port"; a name or an IPv6 address is no member's. */
+  /**
+   * Parses "a.b.c.d:port".
+   *
+   * @throws IllegalArgumentException for anything else, as a host name or an IPv6 address
+   */
   public static MemberId parse(String text) {
     int colon = text.lastIndexOf(':');
     String[] parts = colon < 0 ? new String[0] : text.substring(0, colon).split("\\.", -1);
-    if (parts.length != 4) {
+    if (parts.length != OCTETS) {
       throw new IllegalArgumentException("'" + text + "' is not an IPv4 address with a port");
     }
     int address = 0;
     for (String part : parts) {
       int octet = Integer.parseInt(part);
-      if (octet < 0 || octet > 255) {
+      if (octet < 0 || octet > MAX_OCTET) {
         throw new IllegalArgumentException("'" + text + "' has an octet outside 0 to 255");
       }
       address = address << 8 | octet;
@@ -36,14 +48,8 @@
 
   @Override
   public String toString() {
-    return (address >>> 24)
-        + "."
-        + (address >>> 16 & 0xff)
-        + "."
-        + (address >>> 8 & 0xff)
-        + "."
-        + (address & 0xff)
-        + ":"
-        + port;
+    return String.format(
+        "%d.%d.%d.%d:%d",
+        address >>> 24, address >>> 16 & 0xff, address >>> 8 & 0xff, address & 0xff, port);
   }
 }
--- a/router/src/main/java/rushwood/membership/MemberState.java
+++ b/router/src/main/java/rushwood/membership/MemberState.java
@@ -1,16 +1,19 @@
 package rushwood.membership;
 
 /**
- * What a member is in a view. At one incarnation a later state in this order beats an earlier one;
- * a higher incarnation beats every state of a lower one.
+ * State of a member. At one incarnation a later state in this order overrides an earlier one. The
+ * wire has the ordinal: the order must not change.
  */
 public enum MemberState {
   ALIVE,
+  /** Did not answer a probe; may still refute that. */
   SUSPECT,
+  /** Did not refute the suspicion in time. */
   DEAD,
+  /** Said itself that it shuts down. */
   LEFT;
 
-  /** Whether it is sent to: probed, asked to relay, counted in the view's size. */
+  /** Whether such a member is probed, asked to relay and counted in the view's size. */
   public boolean isActive() {
     return this == ALIVE || this == SUSPECT;
   }
--- a/router/src/main/java/rushwood/membership/MembershipSettings.java
+++ b/router/src/main/java/rushwood/membership/MembershipSettings.java
@@ -1,14 +1,22 @@
 package rushwood.membership;
 
 /**
- * The figures of membership, times in nanoseconds. {@code period}: between probes; {@code
- * ackWithin}: for a direct ack, before indirect probes go out; {@code indirect}: how many members
- * relay a probe that was missed; {@code suspicionMin} and {@code suspicionMax}: how long a suspect
- * stays so, with many confirmations and with none; {@code confirmations}: how many shrink it to the
- * least; {@code sends}: how often each word is passed on, times log2 of the view's size plus one;
- * {@code deadKeep}: how long a dead or left member is remembered; {@code settleAfter}: a view that
- * has not changed for so long has settled; {@code healthMost}: the most that this router's own
- * misses lengthen its timeouts, in periods.
+ * The parameters of membership.
+ *
+ * @param probePeriodNanos between the starts of two probes
+ * @param ackTimeoutNanos until a probe without an ack is tried through other members; below the
+ *     period
+ * @param indirectProbes how many members are asked to relay such a probe; 0 to 8
+ * @param minSuspicionNanos from suspicion to death with {@code maxConfirmations}; one period at
+ *     least
+ * @param maxSuspicionNanos from suspicion to death without a confirmation
+ * @param maxConfirmations how many independent confirmations count; 1 at least
+ * @param retransmitMultiplier sends of an update, for each doubling of the member count; 1 to 16
+ * @param deadRetentionNanos how long a dead member is still probed now and then; {@code
+ *     maxSuspicionNanos} at least
+ * @param stableAfterNanos a view that has not changed for so long is stable; one period at least
+ * @param maxLocalHealthScore how many periods this router's own trouble may add to its timeouts; 0
+ *     to 8
  */
 public record MembershipSettings(
     long probePeriodNanos,
@@ -22,28 +30,47 @@
     long stableAfterNanos,
     int maxLocalHealthScore) {
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MAX_INDIRECT_PROBES = 8;
+  private static final int MAX_RETRANSMIT_MULTIPLIER = 16;
+  private static final int MAX_HEALTH_SCORE = 8;
 
+  /**
+   * Checks the bounds.
+   *
+   * @throws InvalidSettingException for the first parameter outside its bounds
+   */
   public MembershipSettings {
-    require(probePeriodNanos > 0, "period", "must be above zero");
+    require(probePeriodNanos > 0, "probePeriodNanos", "must be above zero");
     require(
         ackTimeoutNanos > 0 && ackTimeoutNanos < probePeriodNanos,
-        "ack_within",
-        "must be above zero and under the period");
-    require(indirectProbes >= 0 && indirectProbes <= 8, "indirect", "must be 0 to 8");
-    require(minSuspicionNanos >= probePeriodNanos, "suspicion_min", "must be one period at least");
+        "ackTimeoutNanos",
+        "must be above zero and below probePeriodNanos");
+    requireBetween(0, MAX_INDIRECT_PROBES, indirectProbes, "indirectProbes");
+    require(
+        minSuspicionNanos >= probePeriodNanos,
+        "minSuspicionNanos",
+        "must be probePeriodNanos at least");
+    require(
+        maxSuspicionNanos >= minSuspicionNanos,
+        "maxSuspicionNanos",
+        "must be minSuspicionNanos at least");
+    require(maxConfirmations >= 1, "maxConfirmations", "must be 1 at least");
+    requireBetween(1, MAX_RETRANSMIT_MULTIPLIER, retransmitMultiplier, "retransmitMultiplier");
     require(
-        maxSuspicionNanos >= minSuspicionNanos, "suspicion_max", "must be suspicion_min at least");
-    require(maxConfirmations >= 1, "confirmations", "must be 1 at least");
-    require(retransmitMultiplier >= 1 && retransmitMultiplier <= 16, "sends", "must be 1 to 16");
-    require(deadRetentionNanos >= maxSuspicionNanos, "dead_keep", "must be suspicion_max at least");
-    require(stableAfterNanos >= probePeriodNanos, "settle_after", "must be one period at least");
-    require(maxLocalHealthScore >= 0 && maxLocalHealthScore <= 8, "health_most", "must be 0 to 8");
+        deadRetentionNanos >= maxSuspicionNanos,
+        "deadRetentionNanos",
+        "must be maxSuspicionNanos at least");
+    require(
+        stableAfterNanos >= probePeriodNanos,
+        "stableAfterNanos",
+        "must be probePeriodNanos at least");
+    requireBetween(0, MAX_HEALTH_SCORE, maxLocalHealthScore, "maxLocalHealthScore");
   }
 
   /**
-   * Memberlist's figures for a local network (period 1 s, ack 0.5 s, 3 relays, suspicion 4 to 6
-   * periods, 4 sends a log), made four times quicker: our routers are restarted within two seconds,
-   * and a view that takes ten to settle is of no use on a day of half a minute.
+   * Memberlist's values for a local network (period 1 s, ack 0.5 s, 3 relays, suspicion 4 to 6
+   * periods, 4 sends for each doubling), made four times quicker: routers are restarted within two
+   * seconds, and a view that takes ten to become stable would always be out of date.
    */
   public static MembershipSettings defaults() {
     return new MembershipSettings(
@@ -59,9 +86,13 @@
         8);
   }
 
+  private static void requireBetween(int min, int max, int value, String field) {
+    require(value >= min && value <= max, field, "must be " + min + " to " + max);
+  }
+
   private static void require(boolean holds, String field, String reason) {
     if (!holds) {
-      throw new IllegalArgumentException("fleet." + field + " " + reason);
+      throw new InvalidSettingException(field, reason);
     }
   }
 }
--- a/router/src/main/java/rushwood/membership/MembershipUpdate.java
+++ b/router/src/main/java/rushwood/membership/MembershipUpdate.java
@@ -1,14 +1,14 @@
 package rushwood.membership;
 
 /**
- * A word about one member: its state at an incarnation, and who said it first ({@code by}, for
- * suspicions).
+ * What is said of one member.
+ *
+ * @param incarnation of {@code member}, to which the state applies
+ * @param origin the member that said so first; counts as a confirmation of a suspicion
  */
 public record MembershipUpdate(
     MemberId member, MemberState state, long incarnation, MemberId origin) {
-  /**
-   * Whether this word overrides what is held of the member at {@code held} in {@code heldState}.
-   */
+  /** Whether this update is to replace what is held of the member. */
   boolean overrides(MemberState currentState, long currentIncarnation) {
     if (incarnation != currentIncarnation) {
       return incarnation > currentIncarnation;
--- a/router/src/main/java/rushwood/membership/PeerMessage.java
+++ b/router/src/main/java/rushwood/membership/PeerMessage.java
@@ -3,9 +3,12 @@
 import java.util.List;
 
 /**
- * One datagram between routers. {@code PING} asks its receiver for an {@code ACK} of the same
- * number; {@code PING_REQ} asks its receiver to ping {@code target} and pass the ack back. {@code
- * incarnation} is the sender's own.
+ * One datagram between routers.
+ *
+ * @param incarnation of the sender
+ * @param sequenceNumber an ack has that of the ping that it answers
+ * @param target the member that is probed; of an ack, the sender
+ * @param updates about any members, carried along
  */
 public record PeerMessage(
     Kind kind,
@@ -13,12 +16,17 @@
     int sequenceNumber,
     MemberId target,
     List<MembershipUpdate> updates) {
+
+  /** The wire has the ordinal: the order must not change. */
   public enum Kind {
+    /** Asks the receiver for an ack. */
     PING,
     ACK,
+    /** Asks the receiver to ping the target and to pass the ack on. */
     PING_REQ
   }
 
+  /** Copies the updates. */
   public PeerMessage {
     updates = List.copyOf(updates);
   }
--- a/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
@@ -12,7 +12,7 @@
 
 /** The policy against a simulated agent, in virtual time. */
 class EndpointRefreshPolicyTest {
-  private static final long MS = 1_000_000L;
+  private static final long MILLISECOND = 1_000_000L;
   private static final long[] DRAIN_GRACES_MILLIS = {
     100, 250, 1000, 2000, 4000, 10_000, 15_000, 60_000
   };
@@ -141,7 +141,7 @@
       agent.runFor(5);
       assertEquals(41, agent.receivedVersion);
       assertTrue(agent.maxDelay <= 2);
-      agent.policy.addressChanged(agent.now * MS);
+      agent.policy.addressChanged(agent.now * MILLISECOND);
       agent.version = 7; // the new agent's own count
       agent.receivedVersion = 6;
       agent.publishedAt = agent.now;
@@ -159,12 +159,12 @@
     SimulatedAgent agent = new SimulatedAgent(250, 40, 3).start();
     agent.runFor(100);
     agent.behavior = SimulatedAgent.Behavior.SILENT;
-    agent.policy.addressChanged(agent.now * MS);
+    agent.policy.addressChanged(agent.now * MILLISECOND);
     agent.runFor(3000);
     int old = agent.watches.keySet().iterator().next();
     agent.receive(
         agent.policy.listReceived(
-            agent.now * MS, old, false, OptionalLong.of(++agent.version), true));
+            agent.now * MILLISECOND, old, false, OptionalLong.of(++agent.version), true));
     assertEquals(42, agent.receivedVersion);
     agent.behavior = SimulatedAgent.Behavior.ANSWERS;
     agent.publishChange();
@@ -184,7 +184,8 @@
     int watch = agent.watches.keySet().iterator().next();
     assertEquals(
         EndpointRefreshPolicy.Acceptance.LEAVING_ENDPOINTS,
-        agent.policy.listReceived(agent.now * MS, watch, false, OptionalLong.of(12), true));
+        agent.policy.listReceived(
+            agent.now * MILLISECOND, watch, false, OptionalLong.of(12), true));
     assertEquals(
         OptionalLong.empty(), agent.policy.skippableVersion(), "the next list is decoded in full");
     int before = agent.pollTimes.size();
@@ -199,7 +200,7 @@
     assertEquals(
         EndpointRefreshPolicy.Acceptance.LEAVING_ENDPOINTS,
         agent.policy.listReceived(
-            agent.now * MS,
+            agent.now * MILLISECOND,
             agent.watches.keySet().iterator().next(),
             true,
             OptionalLong.of(4),
@@ -254,8 +255,8 @@
     agent.policy.stop();
     assertEquals(0, agent.watches.size() + agent.polls.size());
     int opened = agent.opened;
-    agent.policy.timerFired(agent.now * MS);
-    agent.policy.requestFailed(agent.now * MS, 0);
+    agent.policy.timerFired(agent.now * MILLISECOND);
+    agent.policy.requestFailed(agent.now * MILLISECOND, 0);
     agent.runFor(1000);
     assertEquals(opened, agent.opened);
   }
--- a/router/src/test/java/rushwood/discovery/SimulatedAgent.java
+++ b/router/src/test/java/rushwood/discovery/SimulatedAgent.java
@@ -21,7 +21,7 @@
     DRIPS
   }
 
-  private static final long MS = 1_000_000L;
+  private static final long MILLISECOND = 1_000_000L;
   private static final long HEARTBEAT_MILLIS = 2000;
 
   final EndpointRefreshPolicy policy;
@@ -42,11 +42,12 @@
 
   SimulatedAgent(long drainGrace, long knownVersion, long seed) {
     policy =
-        new EndpointRefreshPolicy(drainGrace * MS, knownVersion, new SplittableRandom(seed), this);
+        new EndpointRefreshPolicy(
+            drainGrace * MILLISECOND, knownVersion, new SplittableRandom(seed), this);
   }
 
   SimulatedAgent start() {
-    policy.start(now * MS);
+    policy.start(now * MILLISECOND);
     return this;
   }
 
@@ -89,9 +90,9 @@
   /** Runs so many steps: the router's timer, then the polls, then the watches. */
   void runFor(long millis) {
     for (long end = now + millis; now < end; now++) {
-      if (now * MS >= wakeupAt) {
+      if (now * MILLISECOND >= wakeupAt) {
         wakeupAt = Long.MAX_VALUE;
-        policy.timerFired(now * MS);
+        policy.timerFired(now * MILLISECOND);
       }
       List.copyOf(polls.keySet()).forEach(this::answerPoll);
       List.copyOf(watches.keySet()).forEach(this::feedWatch);
@@ -106,12 +107,12 @@
       case ANSWERS -> {
         receive(
             policy.listReceived(
-                now * MS, requestNumber, true, OptionalLong.of(version), wellFormed));
-        policy.dataReceived(now * MS, requestNumber, true);
-        policy.responseCompleted(now * MS, requestNumber);
+                now * MILLISECOND, requestNumber, true, OptionalLong.of(version), wellFormed));
+        policy.dataReceived(now * MILLISECOND, requestNumber, true);
+        policy.responseCompleted(now * MILLISECOND, requestNumber);
       }
-      case REFUSES, TRUNCATES -> policy.requestFailed(now * MS, requestNumber);
-      case DRIPS -> policy.dataReceived(now * MS, requestNumber, false);
+      case REFUSES, TRUNCATES -> policy.requestFailed(now * MILLISECOND, requestNumber);
+      case DRIPS -> policy.dataReceived(now * MILLISECOND, requestNumber, false);
       case SILENT -> {}
     }
   }
@@ -122,16 +123,16 @@
     }
     if (heartbeatsOnly) {
       if (now % 200 == 0) {
-        policy.dataReceived(now * MS, requestNumber, true);
+        policy.dataReceived(now * MILLISECOND, requestNumber, true);
       }
     } else if (watches.get(requestNumber) < version) {
       watches.put(requestNumber, version);
       receive(
           policy.listReceived(
-              now * MS, requestNumber, false, OptionalLong.of(version), wellFormed));
-      policy.dataReceived(now * MS, requestNumber, true);
+              now * MILLISECOND, requestNumber, false, OptionalLong.of(version), wellFormed));
+      policy.dataReceived(now * MILLISECOND, requestNumber, true);
     } else if (now % HEARTBEAT_MILLIS == 0) {
-      policy.dataReceived(now * MS, requestNumber, true);
+      policy.dataReceived(now * MILLISECOND, requestNumber, true);
     }
   }
 
@@ -146,7 +147,7 @@
         .forEach(
             requestNumber -> {
               watches.remove(requestNumber);
-              policy.requestFailed(now * MS, requestNumber);
+              policy.requestFailed(now * MILLISECOND, requestNumber);
             });
   }
 }
--- a/router/src/test/java/rushwood/membership/ConvergenceMeasurement.java
+++ b/router/src/test/java/rushwood/membership/ConvergenceMeasurement.java
@@ -6,8 +6,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Time from one crash until every member holds it dead, and datagrams a second per member, against
- * the tier's size on the virtual tier. Long: only with -Drushwood.measure=true, out of CI.
+ * Measures the time from a crash until every other member holds it dead, and the datagrams a second
+ * of each member, by the number of members on a virtual clock. Takes minutes, so it runs only with
+ * {@code -Drushwood.measure=true} and not in CI.
  */
 class ConvergenceMeasurement {
   @Test
@@ -22,9 +23,8 @@
       double bytes = 0;
       for (int seed = 0; seed < seeds; seed++) {
         SimulatedMembers cluster = new SimulatedMembers(size, seed, settings);
-        cluster.runFor(
-            (4 + size / 40)
-                * SimulatedMembers.SECOND); // until each has heard of each: 1,000 need some 25 s
+        // Until each has heard of each: 1,000 members need some 25 s.
+        cluster.runFor((4 + size / 40) * SimulatedMembers.SECOND);
         long sent = cluster.sentDatagrams;
         long sentBytes = cluster.sentBytes;
         long from = cluster.now;
@@ -32,7 +32,7 @@
         elapsed[seed] =
             cluster.timeUntil(
                 () -> cluster.allSee(size / 2, MemberState.DEAD),
-                20 * SimulatedMembers.MS,
+                20 * SimulatedMembers.MILLISECOND,
                 60 * SimulatedMembers.SECOND);
         double seconds = (cluster.now - from) / 1e9;
         rate += (cluster.sentDatagrams - sent) / seconds / size / seeds;
@@ -40,7 +40,7 @@
       }
       Arrays.sort(elapsed);
       System.out.printf(
-          "size %5d  settled after a crash: median %.2f s, worst %.2f s  "
+          "size %5d  dead everywhere after a crash: median %.2f s, worst %.2f s  "
               + "datagrams %.1f/s, bytes %.0f/s a member%n",
           size, elapsed[seeds / 2] / 1e9, elapsed[seeds - 1] / 1e9, rate, bytes);
     }
--- a/router/src/test/java/rushwood/membership/GossipReportsTest.java
+++ b/router/src/test/java/rushwood/membership/GossipReportsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import rushwood.membership.GossipReports.Observation;
 
 class GossipReportsTest {
   private static final long SECOND = 1_000_000_000L;
@@ -16,56 +17,53 @@
   void oneReporterIsNoQuorum() {
     GossipReports reports = new GossipReports(5 * SECOND, 2);
     for (int i = 0; i < 10; i++) {
-      reports.add(i * SECOND / 10, A, "s-1", GossipReports.Observation.UNREACHABLE, 0);
+      reports.add(i * SECOND / 10, A, "s-1", Observation.UNREACHABLE, 0);
     }
-    assertEquals(
-        1, reports.summarize(SECOND, "s-1", GossipReports.Observation.UNREACHABLE).reporters());
-    assertFalse(
-        reports.summarize(SECOND, "s-1", GossipReports.Observation.UNREACHABLE).hasQuorum());
-    reports.add(SECOND, B, "s-1", GossipReports.Observation.UNREACHABLE, SECOND / 2);
-    GossipReports.Summary summary =
-        reports.summarize(SECOND, "s-1", GossipReports.Observation.UNREACHABLE);
+    assertEquals(1, reports.summarize(SECOND, "s-1", Observation.UNREACHABLE).reporters());
+    assertFalse(reports.summarize(SECOND, "s-1", Observation.UNREACHABLE).hasQuorum());
+    reports.add(SECOND, B, "s-1", Observation.UNREACHABLE, SECOND / 2);
+    GossipReports.Summary summary = reports.summarize(SECOND, "s-1", Observation.UNREACHABLE);
     assertTrue(summary.hasQuorum());
-    assertEquals(SECOND / 10, summary.youngestAgeNanos(), "the youngest word");
+    assertEquals(SECOND / 10, summary.youngestAgeNanos(), "age of the youngest report");
   }
 
   @Test
   void expiredReportsAreIgnoredAndRemoved() {
     GossipReports reports = new GossipReports(5 * SECOND, 1);
-    reports.add(0, A, "s-1", GossipReports.Observation.COLD, 6 * SECOND);
-    reports.add(0, B, "s-1", GossipReports.Observation.COLD, -1);
+    reports.add(0, A, "s-1", Observation.COLD, 6 * SECOND);
+    reports.add(0, B, "s-1", Observation.COLD, -1);
     assertEquals(2, reports.droppedReports());
-    reports.add(0, C, "s-2", GossipReports.Observation.COLD, 4 * SECOND);
-    assertTrue(reports.summarize(SECOND / 2, "s-2", GossipReports.Observation.COLD).hasQuorum());
+    reports.add(0, C, "s-2", Observation.COLD, 4 * SECOND);
+    assertTrue(reports.summarize(SECOND / 2, "s-2", Observation.COLD).hasQuorum());
     assertEquals(
         0,
-        reports.summarize(SECOND, "s-2", GossipReports.Observation.COLD).reporters(),
-        "four seconds old, then five");
+        reports.summarize(SECOND, "s-2", Observation.COLD).reporters(),
+        "four seconds old when added, five now");
     assertEquals(0, reports.endpointCount());
   }
 
   @Test
   void retractRemovesTheReportersReports() {
     GossipReports reports = new GossipReports(5 * SECOND, 2);
-    reports.add(0, A, "s-1", GossipReports.Observation.UNREACHABLE, 0);
-    reports.add(0, B, "s-1", GossipReports.Observation.UNREACHABLE, 0);
+    reports.add(0, A, "s-1", Observation.UNREACHABLE, 0);
+    reports.add(0, B, "s-1", Observation.UNREACHABLE, 0);
     reports.retract(A, "s-1");
-    assertFalse(reports.summarize(1, "s-1", GossipReports.Observation.UNREACHABLE).hasQuorum());
+    assertFalse(reports.summarize(1, "s-1", Observation.UNREACHABLE).hasQuorum());
   }
 
   @Test
   void endpointsAndReportsAreBounded() {
     GossipReports reports = new GossipReports(5 * SECOND, 1);
     for (int i = 0; i < GossipReports.MAX_ENDPOINTS + 10; i++) {
-      reports.add(0, A, "s-" + i, GossipReports.Observation.LAGGING, 0);
+      reports.add(0, A, "s-" + i, Observation.LAGGING, 0);
     }
     assertEquals(GossipReports.MAX_ENDPOINTS, reports.endpointCount());
     assertEquals(10, reports.droppedReports());
     for (int i = 0; i < 100; i++) {
-      reports.add(0, new MemberId(i, 2), "s-0", GossipReports.Observation.UNREACHABLE, 0);
+      reports.add(0, new MemberId(i, 2), "s-0", Observation.UNREACHABLE, 0);
     }
     assertEquals(
         GossipReports.MAX_REPORTS_PER_ENDPOINT,
-        reports.summarize(0, "s-0", GossipReports.Observation.UNREACHABLE).reporters());
+        reports.summarize(0, "s-0", Observation.UNREACHABLE).reporters());
   }
 }
--- a/router/src/test/java/rushwood/membership/SimulatedMembers.java
+++ b/router/src/test/java/rushwood/membership/SimulatedMembers.java
@@ -5,17 +5,20 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 
 /**
- * A tier of members on a virtual clock, each datagram through the codec: loss, delay, links cut one
- * way, stalls (SIGSTOP: what comes waits in the socket), crashes and restarts. Seeded: the same run
- * every time.
+ * Members on a virtual clock that send each other encoded datagrams, with loss, delay, partitions,
+ * stalls (as by SIGSTOP: datagrams wait in the socket), crashes and restarts. The same seed gives
+ * the same run.
  */
 final class SimulatedMembers {
-  static final long MS = 1_000_000L;
-  static final long SECOND = 1_000 * MS;
+  static final long MILLISECOND = 1_000_000L;
+  static final long SECOND = 1_000 * MILLISECOND;
   static final long START = 1_796_000_000L * SECOND; // Unix time in December 2026
 
+  private static final int MAX_SAMPLES = 64;
+
   private record Datagram(long arrivesAt, long order, int from, int to, byte[] bytes) {}
 
   final List<MemberId> ids = new ArrayList<>();
@@ -33,6 +36,8 @@
   double lossRate;
   long sentDatagrams;
   long sentBytes;
+
+  /** The first datagrams sent. */
   final List<byte[]> sampleDatagrams = new ArrayList<>();
 
   SimulatedMembers(int size, long seed, MembershipSettings settings) {
@@ -50,6 +55,7 @@
     }
   }
 
+  /** Starts a member, or restarts it at the same address. */
   void start(int i) {
     crashed[i] = false;
     members[i] = new Membership(ids.get(i), ids, settings, networkRandom.nextLong(), now);
@@ -63,7 +69,7 @@
     stalledUntil[i] = now + span;
   }
 
-  /** Two sides: each member below {@code edge} hears none above, and the other way round. */
+  /** Cuts or restores the links between the members below {@code edge} and the others. */
   void setPartitioned(int edge, boolean partitioned) {
     for (int a = 0; a < members.length; a++) {
       for (int b = 0; b < members.length; b++) {
@@ -72,13 +78,14 @@
     }
   }
 
+  /** Delivers datagrams and runs timers in the order of their times, for {@code span} ns. */
   void runFor(long span) {
     long endAt = now + span;
     while (true) {
       long next = endAt;
       int nextMember = -1;
       for (int i = 0; i < members.length; i++) {
-        long due = Math.max(members[i].nextDue(), stalledUntil[i]);
+        long due = Math.max(members[i].nextTickAt(), stalledUntil[i]);
         if (!crashed[i] && due < next) {
           next = due;
           nextMember = i;
@@ -109,15 +116,14 @@
       inFlight.add(new Datagram(stalledUntil[to], order++, datagram.from(), to, datagram.bytes()));
       return;
     }
-    PeerMessage message = DatagramCodec.decode(datagram.bytes(), datagram.bytes().length);
-    if (message == null) {
-      throw new AssertionError("a datagram of ours did not decode");
-    }
+    PeerMessage message =
+        DatagramCodec.decode(datagram.bytes(), datagram.bytes().length)
+            .orElseThrow(() -> new AssertionError("a sent datagram cannot be decoded"));
     send(to, members[to].received(now, ids.get(datagram.from()), message));
   }
 
-  void send(int from, List<Membership.OutgoingMessage> messages) {
-    for (Membership.OutgoingMessage outgoing : messages) {
+  void send(int from, List<OutgoingMessage> messages) {
+    for (OutgoingMessage outgoing : messages) {
       byte[] encoded = DatagramCodec.encode(outgoing.message());
       if (encoded.length > DatagramCodec.MAX_BYTES) {
         throw new AssertionError(encoded.length + " bytes in one datagram");
@@ -125,21 +131,31 @@
       sentDatagrams++;
       sentBytes += encoded.length;
       int to = ids.indexOf(outgoing.to());
-      if (sampleDatagrams.size() < 64) {
+      if (sampleDatagrams.size() < MAX_SAMPLES) {
         sampleDatagrams.add(encoded);
       }
       if (to < 0 || linkCut[from][to] || networkRandom.nextDouble() < lossRate) {
         continue;
       }
       inFlight.add(
-          new Datagram(now + MS / 2 + networkRandom.nextLong(2 * MS), order++, from, to, encoded));
+          new Datagram(
+              now + MILLISECOND / 2 + networkRandom.nextLong(2 * MILLISECOND),
+              order++,
+              from,
+              to,
+              encoded));
     }
   }
 
+  /** The state of a member in the view of another. */
+  MemberState stateSeenBy(int viewer, int member) {
+    return members[viewer].stateOf(ids.get(member)).orElseThrow();
+  }
+
   /** Whether every member that is up holds {@code member} in {@code state}. */
   boolean allSee(int member, MemberState state) {
     for (int i = 0; i < members.length; i++) {
-      if (i != member && !crashed[i] && members[i].stateOf(ids.get(member)) != state) {
+      if (i != member && !crashed[i] && stateSeenBy(i, member) != state) {
         return false;
       }
     }
@@ -150,7 +166,7 @@
    * The first time, stepping by {@code step}, at which the condition holds; -1 if not within {@code
    * span}.
    */
-  long timeUntil(java.util.function.BooleanSupplier condition, long step, long span) {
+  long timeUntil(BooleanSupplier condition, long step, long span) {
     long from = now;
     while (now - from <= span) {
       if (condition.getAsBoolean()) {
@@ -161,12 +177,14 @@
     return -1;
   }
 
+  /** Pairs of a member that is up and another that it holds dead. */
   long deadViews() {
     long count = 0;
     for (int i = 0; i < members.length; i++) {
       for (int j = 0; j < members.length; j++) {
-        count +=
-            !crashed[i] && i != j && members[i].stateOf(ids.get(j)) == MemberState.DEAD ? 1 : 0;
+        if (!crashed[i] && i != j && stateSeenBy(i, j) == MemberState.DEAD) {
+          count++;
+        }
       }
     }
     return count;
