Take the relaying of others' probes out of the prober

Need: Prober did two jobs, probing for itself and for others. Change: ProbeRelay holds the second; two comments of PollSchedule in plain words.

--- a/router/src/main/java/rushwood/discovery/PollSchedule.java
+++ b/router/src/main/java/rushwood/discovery/PollSchedule.java
@@ -78,7 +78,7 @@
   }
 
   /**
-   * The poll was given up at its deadline. If a response had started, the next may take twice as
+   * The poll was closed at its deadline. If a response had started, the next may take twice as
    * long, up to the heartbeat interval: the list may simply be long.
    */
   void pollTimedOut(long now, boolean responseStarted) {
@@ -89,7 +89,7 @@
     pollImmediately(now); // the timeout was the wait
   }
 
-  /** When a poll that was opened at {@code openedAt} and last sent data then is given up. */
+  /** When a poll that was opened at {@code openedAt} and last sent data then is closed. */
   long deadline(long openedAt, long lastDataAt) {
     return Math.min(lastDataAt + responseTimeout, openedAt + maxPollDuration);
   }
--- a/router/src/main/java/rushwood/membership/Membership.java
+++ b/router/src/main/java/rushwood/membership/Membership.java
@@ -25,6 +25,7 @@
   private final Outbox outbox;
   private final SuspicionTimers suspicionTimers;
   private final Prober prober;
+  private final ProbeRelay probeRelay;
 
   /**
    * Starts with all peers alive.
@@ -55,6 +56,7 @@
             counters,
             random,
             this::applyUpdate);
+    probeRelay = new ProbeRelay(self, settings, members, outbox, timers);
     dissemination.add(self.update(MemberState.ALIVE));
     prober.start(now);
   }
@@ -85,12 +87,18 @@
     message.updates().forEach(update -> applyUpdate(now, update));
     switch (message.kind()) {
       case PING -> outbox.send(from, PeerMessage.Kind.ACK, message.sequenceNumber(), self.id());
-      case PING_REQ -> prober.relay(now, from, message);
-      case ACK -> prober.ackReceived(from, message.sequenceNumber());
+      case PING_REQ -> probeRelay.relay(now, from, message);
+      case ACK -> ackReceived(from, message.sequenceNumber());
     }
     return outbox.drain();
   }
 
+  private void ackReceived(MemberId from, int sequenceNumber) {
+    if (!prober.ackReceived(from, sequenceNumber)) {
+      probeRelay.ackReceived(sequenceNumber);
+    }
+  }
+
   /** This router shuts down: it tells some members so and probes no more. */
   public List<OutgoingMessage> leave() {
     self.leave();
--- a/router/src/main/java/rushwood/membership/Prober.java
+++ b/router/src/main/java/rushwood/membership/Prober.java
@@ -2,20 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 
 /**
  * SWIM's failure detector: pings one member a period, asks others to ping it if no ack comes in
- * time, and suspects it if none has come by the next period. It relays the probes of others too.
+ * time, and suspects it if none has come by the next period.
  */
 final class Prober {
   /** Of so many probes one goes to a member that was declared dead lately. */
   private static final int REVIVAL_PROBE_INTERVAL = 4;
 
-  private static final int MAX_RELAYED_PROBES = MemberTable.MAX_MEMBERS;
-
   private final LocalMember self;
   private final MembershipSettings settings;
   private final MemberTable members;
@@ -25,7 +21,6 @@
   private final MembershipCounters counters;
   private final SplittableRandom random;
   private final UpdateHandler updateHandler;
-  private final Map<Integer, RelayedProbe> relayedProbes = new TreeMap<>();
   private final List<MemberId> probeOrder = new ArrayList<>();
   private int nextProbeIndex;
   private int probesStarted;
@@ -42,9 +37,6 @@
     }
   }
 
-  /** A probe made for {@code requester}, which numbered it {@code sequenceNumber}. */
-  private record RelayedProbe(MemberId requester, int sequenceNumber) {}
-
   /** {@code updateHandler} gets the update that suspects a member. */
   Prober(
       LocalMember self,
@@ -155,30 +147,19 @@
     }
   }
 
-  /** An ack for this router's probe, direct or relayed, or for one that it relays. */
-  void ackReceived(MemberId from, int sequenceNumber) {
-    if (currentProbe != null && sequenceNumber == currentProbe.sequenceNumber) {
-      if (!currentProbe.acked && from.equals(currentProbe.target)) {
-        localHealth.improve();
-      }
-      currentProbe.acked = true;
-      return;
+  /**
+   * An ack has arrived.
+   *
+   * @return whether it is for this router's own probe, answered directly or through a relay
+   */
+  boolean ackReceived(MemberId from, int sequenceNumber) {
+    if (currentProbe == null || sequenceNumber != currentProbe.sequenceNumber) {
+      return false;
     }
-    RelayedProbe relayed = relayedProbes.remove(sequenceNumber);
-    if (relayed != null) {
-      outbox.send(relayed.requester(), PeerMessage.Kind.ACK, relayed.sequenceNumber(), self.id());
-    }
-  }
-
-  /** Pings the target of a ping request; an ack within a period is passed on to the requester. */
-  void relay(long now, MemberId requester, PeerMessage request) {
-    MemberId target = request.target();
-    if (members.get(target) == null || relayedProbes.size() >= MAX_RELAYED_PROBES) {
-      return;
+    if (!currentProbe.acked && from.equals(currentProbe.target)) {
+      localHealth.improve();
     }
-    int sequenceNumber = outbox.nextSequenceNumber();
-    relayedProbes.put(sequenceNumber, new RelayedProbe(requester, request.sequenceNumber()));
-    outbox.send(target, PeerMessage.Kind.PING, sequenceNumber, target);
-    timers.schedule(now + settings.probePeriodNanos(), () -> relayedProbes.remove(sequenceNumber));
+    currentProbe.acked = true;
+    return true;
   }
 }
