Document the remaining public items of discovery and membership

Need: one public method and eight enum constants had no doc comment. Change: a line each that says what it does or means.

--- a/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
+++ b/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
@@ -41,6 +41,7 @@
 
   /** How much of a received list is to be applied. */
   public enum Acceptance {
+    /** All of it. */
     ALL,
     /** Only that endpoints are draining or removed: the list may be an old one. */
     LEAVING_ENDPOINTS
@@ -109,6 +110,7 @@
     return listUncertain || !listed ? OptionalLong.empty() : OptionalLong.of(version);
   }
 
+  /** Polls the agent at once. */
   public void start(long now) {
     stopped = false;
     pollUrgently(now);
--- a/router/src/main/java/rushwood/membership/GossipReports.java
+++ b/router/src/main/java/rushwood/membership/GossipReports.java
@@ -21,10 +21,15 @@
 
   /** What a member saw of a host. */
   public enum Observation {
+    /** It takes no connections. */
     UNREACHABLE,
+    /** It has started a short time ago and is slow. */
     COLD,
+    /** It is about to leave. */
     DRAINING,
+    /** It takes the writes of its group. */
     PRIMARY,
+    /** It is a replica far behind its primary. */
     LAGGING
   }
 
--- a/router/src/main/java/rushwood/membership/MemberState.java
+++ b/router/src/main/java/rushwood/membership/MemberState.java
@@ -5,6 +5,7 @@
  * wire has the ordinal: the order must not change.
  */
 public enum MemberState {
+  /** Answers probes, or nothing else has been heard of it. */
   ALIVE,
   /** Did not answer a probe; may still refute that. */
   SUSPECT,
--- a/router/src/main/java/rushwood/membership/PeerMessage.java
+++ b/router/src/main/java/rushwood/membership/PeerMessage.java
@@ -21,6 +21,7 @@
   public enum Kind {
     /** Asks the receiver for an ack. */
     PING,
+    /** Answers a ping. */
     ACK,
     /** Asks the receiver to ping the target and to pass the ack on. */
     PING_REQ
