Discovery and membership within the style rules: at most seven constructor parameters

Need: DiscoveryClient took eight and Prober nine parameters; datagrams carried enum ordinals, which Error Prone warns of; two switches had no default. Change: DiscoveryClient.Settings; ProbeTargets chooses whom to probe, and Prober reports to a listener; the codec has its own order of kinds and states, the same bytes.

--- a/router/src/main/java/rushwood/discovery/DiscoveryClient.java
+++ b/router/src/main/java/rushwood/discovery/DiscoveryClient.java
@@ -56,6 +56,15 @@
     void problemFound(String problem);
   }
 
+  /**
+   * What the client needs to know of the router and its agent.
+   *
+   * @param address the agent's
+   * @param drainGraceNanos time after which a leaving endpoint may get nothing new
+   * @param heldVersion version of the list held from an earlier process, 0 for none
+   */
+  public record Settings(InetSocketAddress address, long drainGraceNanos, long heldVersion) {}
+
   private final EventLoop loop;
   private final EventLoopClock clock;
   private final TimerQueue timers;
@@ -66,27 +75,22 @@
   private long cachedChecksum; // of the last complete list that was applied
   private TimerQueue.ScheduledTask wakeup;
 
-  /**
-   * Creates a client that does nothing until {@link #start}.
-   *
-   * @param drainGrace nanoseconds after which a leaving endpoint may get nothing new
-   * @param version version of the list held from an earlier process, 0 for none
-   */
+  /** Creates a client that does nothing until {@link #start}. */
   public DiscoveryClient(
       EventLoop loop,
-      InetSocketAddress address,
       EventLoopClock clock,
       TimerQueue timers,
-      long drainGrace,
-      long version,
+      Settings settings,
       RandomGenerator random,
       Listener listener) {
     this.loop = loop;
-    this.address = address;
     this.clock = clock;
     this.timers = timers;
     this.listener = listener;
-    refreshPolicy = new EndpointRefreshPolicy(drainGrace, version, random, new HttpTransport());
+    address = settings.address();
+    refreshPolicy =
+        new EndpointRefreshPolicy(
+            settings.drainGraceNanos(), settings.heldVersion(), random, new HttpTransport());
   }
 
   /** Polls the agent at once, then keeps the list current. */
--- a/router/src/main/java/rushwood/membership/DatagramCodec.java
+++ b/router/src/main/java/rushwood/membership/DatagramCodec.java
@@ -27,8 +27,14 @@
   private static final int UPDATE_BYTES = MEMBER_BYTES + Byte.BYTES + Long.BYTES + MEMBER_BYTES;
   private static final int CHECKSUM_BYTES = Integer.BYTES;
   private static final int UPDATE_COUNT_OFFSET = HEADER_BYTES - Byte.BYTES;
-  private static final MemberState[] STATES = MemberState.values();
-  private static final PeerMessage.Kind[] KINDS = PeerMessage.Kind.values();
+
+  /** A kind is sent as its index. */
+  private static final List<PeerMessage.Kind> KINDS =
+      List.of(PeerMessage.Kind.PING, PeerMessage.Kind.ACK, PeerMessage.Kind.PING_REQ);
+
+  /** A state is sent as its index. */
+  private static final List<MemberState> STATES =
+      List.of(MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT);
 
   static {
     if (encodedBytes(MAX_UPDATES) > MAX_BYTES) {
@@ -51,7 +57,7 @@
     }
     ByteBuffer out = ByteBuffer.allocate(encodedBytes(updates.size()));
     out.put(FORMAT_VERSION);
-    out.put((byte) message.kind().ordinal());
+    out.put((byte) KINDS.indexOf(message.kind()));
     out.putLong(message.incarnation());
     out.putInt(message.sequenceNumber());
     writeMember(out, message.target());
@@ -69,7 +75,7 @@
     ByteBuffer in = ByteBuffer.wrap(bytes, 0, length);
     byte formatVersion = in.get();
     int kind = Byte.toUnsignedInt(in.get());
-    if (formatVersion != FORMAT_VERSION || kind >= KINDS.length) {
+    if (formatVersion != FORMAT_VERSION || kind >= KINDS.size()) {
       return Optional.empty();
     }
     long incarnation = in.getLong();
@@ -84,7 +90,8 @@
       }
       updates.add(update.get());
     }
-    return Optional.of(new PeerMessage(KINDS[kind], incarnation, sequenceNumber, target, updates));
+    return Optional.of(
+        new PeerMessage(KINDS.get(kind), incarnation, sequenceNumber, target, updates));
   }
 
   /** Whether the length is that of the updates announced, and the checksum is right. */
@@ -106,7 +113,7 @@
 
   private static void writeUpdate(ByteBuffer out, MembershipUpdate update) {
     writeMember(out, update.member());
-    out.put((byte) update.state().ordinal());
+    out.put((byte) STATES.indexOf(update.state()));
     out.putLong(update.incarnation());
     writeMember(out, update.origin());
   }
@@ -116,8 +123,8 @@
     int state = Byte.toUnsignedInt(in.get());
     long incarnation = in.getLong();
     MemberId origin = readMember(in);
-    return state < STATES.length
-        ? Optional.of(new MembershipUpdate(member, STATES[state], incarnation, origin))
+    return state < STATES.size()
+        ? Optional.of(new MembershipUpdate(member, STATES.get(state), incarnation, origin))
         : Optional.empty();
   }
 
--- a/router/src/main/java/rushwood/membership/MemberState.java
+++ b/router/src/main/java/rushwood/membership/MemberState.java
@@ -1,9 +1,6 @@
 package rushwood.membership;
 
-/**
- * State of a member. At one incarnation a later state in this order overrides an earlier one. The
- * wire has the ordinal: the order must not change.
- */
+/** State of a member. At one incarnation a later state in this order overrides an earlier one. */
 public enum MemberState {
   /** Answers probes, or nothing else has been heard of it. */
   ALIVE,
--- a/router/src/main/java/rushwood/membership/Membership.java
+++ b/router/src/main/java/rushwood/membership/Membership.java
@@ -45,17 +45,9 @@
     dissemination = new UpdateDissemination(self, members, settings.retransmitMultiplier());
     outbox = new Outbox(self, dissemination);
     suspicionTimers = new SuspicionTimers(self, settings, localHealth, timers, this::applyUpdate);
-    prober =
-        new Prober(
-            self,
-            settings,
-            members,
-            localHealth,
-            outbox,
-            timers,
-            counters,
-            random,
-            this::applyUpdate);
+    ProbeTargets targets =
+        new ProbeTargets(members, settings.deadRetentionNanos(), counters, random);
+    prober = new Prober(settings, targets, localHealth, outbox, timers, new ProbeEvents());
     probeRelay = new ProbeRelay(self, settings, members, outbox, timers);
     dissemination.add(self.update(MemberState.ALIVE));
     prober.start(now);
@@ -89,6 +81,7 @@
       case PING -> outbox.send(from, PeerMessage.Kind.ACK, message.sequenceNumber(), self.id());
       case PING_REQ -> probeRelay.relay(now, from, message);
       case ACK -> ackReceived(from, message.sequenceNumber());
+      default -> throw new IllegalStateException("kind " + message.kind());
     }
     return outbox.drain();
   }
@@ -102,6 +95,7 @@
   /** This router shuts down: it tells some members so and probes no more. */
   public List<OutgoingMessage> leave() {
     self.leave();
+    prober.stop();
     MembershipUpdate left = self.update(MemberState.LEFT);
     dissemination.add(left);
     List<MemberId> active = members.active();
@@ -161,6 +155,25 @@
 
   // ---- updates
 
+  private final class ProbeEvents implements Prober.Listener {
+    @Override
+    public void probeMissed(long now, MemberId target) {
+      counters.countMissedProbe();
+      localHealth.degrade();
+      Member member = members.get(target);
+      if (member != null && member.state() == MemberState.ALIVE) {
+        applyUpdate(
+            now,
+            new MembershipUpdate(target, MemberState.SUSPECT, member.incarnation(), self.id()));
+      }
+    }
+
+    @Override
+    public void probeAnswered() {
+      localHealth.improve();
+    }
+  }
+
   private void applyUpdate(long now, MembershipUpdate update) {
     if (update.member().equals(self.id())) {
       refuteIfWrong(update);
--- a/router/src/main/java/rushwood/membership/PeerMessage.java
+++ b/router/src/main/java/rushwood/membership/PeerMessage.java
@@ -17,7 +17,7 @@
     MemberId target,
     List<MembershipUpdate> updates) {
 
-  /** The wire has the ordinal: the order must not change. */
+  /** What the receiver is to do. */
   public enum Kind {
     /** Asks the receiver for an ack. */
     PING,
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -144,11 +144,10 @@
         config.lastKnownEndpoints().map(list -> list.version().orElse(0)).orElse(0L);
     return new DiscoveryClient(
         eventLoop,
-        config.discoveryAddress(),
         clock,
         timerQueue,
-        config.drainGraceNanos(),
-        Math.max(0, lastKnownVersion),
+        new DiscoveryClient.Settings(
+            config.discoveryAddress(), config.drainGraceNanos(), Math.max(0, lastKnownVersion)),
         new SplittableRandom(config.seed() + 1),
         listener);
   }
--- a/router/src/test/java/rushwood/discovery/SimulatedAgent.java
+++ b/router/src/test/java/rushwood/discovery/SimulatedAgent.java
@@ -113,7 +113,10 @@
       }
       case REFUSES, TRUNCATES -> policy.requestFailed(now * MILLISECOND, requestNumber);
       case DRIPS -> policy.dataReceived(now * MILLISECOND, requestNumber, false);
-      case SILENT -> {}
+      case SILENT -> {
+        // the poll stays open
+      }
+      default -> throw new IllegalStateException("behavior " + behavior);
     }
   }
 
