--- a/router/src/main/java/rushwood/overload/AmbiguousWrites.java
+++ b/router/src/main/java/rushwood/overload/AmbiguousWrites.java
@@ -55,10 +55,6 @@
     }
   }
 
-  long memoryBytes() {
-    return idByFingerprint.memoryBytes();
-  }
-
   private boolean isHeld(long now, long fingerprint) {
     return idByFingerprint.get(fingerprint, now) != FingerprintCache.ABSENT;
   }
--- a/router/src/main/java/rushwood/overload/FingerprintCache.java
+++ b/router/src/main/java/rushwood/overload/FingerprintCache.java
@@ -4,9 +4,9 @@
  * Remembers a value for each of a limited number of fingerprints until a time: a set-associative
  * cache in arrays of fixed size. In a full bucket the entry that expires first is evicted.
  */
-public final class FingerprintCache {
+final class FingerprintCache {
   /** What {@link #get} returns where nothing is remembered; values are 0 or more. */
-  public static final long ABSENT = -1;
+  static final long ABSENT = -1;
 
   private static final int ENTRIES_PER_BUCKET = 4;
   // 4,096 fingerprints: half a second of 8,000 rejected requests a second.
@@ -23,7 +23,7 @@
    * @param buckets how many buckets of four entries there are
    * @throws IllegalArgumentException unless {@code buckets} is a power of two
    */
-  public FingerprintCache(int buckets) {
+  FingerprintCache(int buckets) {
     if (Integer.bitCount(buckets) != 1) {
       throw new IllegalArgumentException("buckets must be a power of two: " + buckets);
     }
@@ -39,7 +39,7 @@
   }
 
   /** Bytes held by the entries, whether they are used or not. */
-  public long memoryBytes() {
+  long memoryBytes() {
     return 3L * Long.BYTES * fingerprints.length;
   }
 
@@ -47,7 +47,7 @@
    * Remembers a value, 0 or more, until {@code expires} or until its bucket overflows. It replaces
    * an earlier value of that fingerprint.
    */
-  public void put(long fingerprint, long expires, long value, long now) {
+  void put(long fingerprint, long expires, long value, long now) {
     int start = bucketStart(fingerprint);
     int entry = findReplaceable(start, fingerprint, now);
     remove(fingerprint);
@@ -69,7 +69,7 @@
   }
 
   /** The value that is remembered now, or {@link #ABSENT}. */
-  public long get(long fingerprint, long now) {
+  long get(long fingerprint, long now) {
     int start = bucketStart(fingerprint);
     for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
       if (fingerprints[i] == fingerprint && expiresAt[i] > now) {
@@ -80,7 +80,7 @@
   }
 
   /** Forgets the value of that fingerprint, if there is one. */
-  public void remove(long fingerprint) {
+  void remove(long fingerprint) {
     int start = bucketStart(fingerprint);
     for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
       expiresAt[i] = fingerprints[i] == fingerprint ? 0 : expiresAt[i];
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -81,12 +81,12 @@
   }
 
   /** The state of the whole router. */
-  public OverloadDetector.State state() {
+  OverloadDetector.State state() {
     return statistics.routerState();
   }
 
   /** The state of a group; normal if the endpoint list does not name it. */
-  public OverloadDetector.State state(GroupId group) {
+  OverloadDetector.State state(GroupId group) {
     return statistics.groupState(group);
   }
 
@@ -99,13 +99,6 @@
     return trackedRequests.size();
   }
 
-  /** Bytes held by the data structures of fixed size. */
-  public long memoryBytes() {
-    return unansweredSketch.memoryBytes()
-        + retryAfterAdvisor.memoryBytes()
-        + ambiguousWrites.memoryBytes();
-  }
-
   // Events for the routing policy.
 
   @Override
--- a/router/src/main/java/rushwood/overload/OverloadDetector.java
+++ b/router/src/main/java/rushwood/overload/OverloadDetector.java
@@ -8,9 +8,9 @@
  * it is. Each change of state needs its signs in several ticks in a row, and leaving a state needs
  * weaker rates than entering it (hysteresis).
  */
-public final class OverloadDetector {
+final class OverloadDetector {
   /** The state of what is observed, from normal to overloaded and back. */
-  public enum State {
+  enum State {
     /** Few requests are refused, or few of them are repeats. */
     NORMAL,
     /** Requests are refused and repeated more than chance and single clients explain. */
@@ -21,13 +21,13 @@
     RECOVERING;
 
     /** Whether retries are limited by a budget in this state. */
-    public boolean limitsRetries() {
+    boolean limitsRetries() {
       return this == OVERLOADED || this == RECOVERING;
     }
   }
 
   /** The interval between two calls of {@link #tick}, in nanoseconds. */
-  public static final long TICK_NANOS = 100_000_000L;
+  static final long TICK_NANOS = 100_000_000L;
 
   private static final int TICKS_PER_SECOND = (int) (1_000_000_000L / TICK_NANOS);
 
@@ -67,38 +67,38 @@
   private int betterTicks;
 
   /** A request arrived; {@code repeated} if it repeats one that had no answer. */
-  public void recordArrival(boolean repeated) {
+  void recordArrival(boolean repeated) {
     arrivalsInTick++;
     repeatsInTick += repeated ? 1 : 0;
   }
 
   /** A request was rejected or timed out, or its host could not be reached. */
-  public void recordRefused() {
+  void recordRefused() {
     refusedInTick++;
   }
 
   /** An attempt succeeded. */
-  public void recordCompleted() {
+  void recordCompleted() {
     completedInTick++;
   }
 
   /** The state as of the last tick. */
-  public State state() {
+  State state() {
     return state;
   }
 
   /** Successful attempts a second, smoothed over the last ticks. */
-  public double completionRate() {
+  double completionRate() {
     return completed * 1e9 / TICK_NANOS;
   }
 
   /** The highest {@link #completionRate} seen; it decays to half within 35 s. */
-  public double peakCompletionRate() {
+  double peakCompletionRate() {
     return peakCompleted * 1e9 / TICK_NANOS;
   }
 
   /** Ends a tick and returns whether the state changed. */
-  public boolean tick() {
+  boolean tick() {
     updateRates();
     State next = nextState();
     boolean changed = next != state;
--- a/router/src/main/java/rushwood/overload/RepeatSketch.java
+++ b/router/src/main/java/rushwood/overload/RepeatSketch.java
@@ -43,7 +43,7 @@
   }
 
   /** Bytes held by the cells, whether they are used or not. */
-  public long memoryBytes() {
+  long memoryBytes() {
     return 2L * ROWS * (mask + 1);
   }
 
--- a/router/src/main/java/rushwood/overload/RetryAfterAdvisor.java
+++ b/router/src/main/java/rushwood/overload/RetryAfterAdvisor.java
@@ -72,8 +72,4 @@
     counts.addReturnedAsAdvised();
     return waitNanos;
   }
-
-  long memoryBytes() {
-    return schedule.memoryBytes() + waitByFingerprint.memoryBytes();
-  }
 }
--- a/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
+++ b/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
@@ -47,12 +47,6 @@
     Arrays.fill(lastReservedAt, Long.MIN_VALUE / 2);
   }
 
-  /** Bytes held by the slots, whether they are used or not. */
-  public long memoryBytes() {
-    int bytesPerSlot = Integer.BYTES + Integer.BYTES * SHARES + Long.BYTES;
-    return (long) (slotCount + 1) * bytesPerSlot + Long.BYTES * SHARES;
-  }
-
   /** Sets how many requests a second the hosts are expected to serve; 0 if that is unknown. */
   public void setExpectedRate(double requestsPerSecond) {
     capacityPerSlot = requestsPerSecond * SLOT_NANOS / 1e9;
--- a/router/src/main/java/rushwood/overload/RetryBudget.java
+++ b/router/src/main/java/rushwood/overload/RetryBudget.java
@@ -4,7 +4,7 @@
  * Limits retries to a share of the first attempts and a number a second that is always allowed: a
  * token bucket in which each first attempt puts a part of a token and each retry takes one.
  */
-public final class RetryBudget {
+final class RetryBudget {
   // Two seconds of the constant rate may be saved: the failure of a host breaks many attempts at
   // once.
   private static final double SAVED_SECONDS = 2;
@@ -18,7 +18,7 @@
   private long refilledAt = NEVER;
 
   /** Creates a full bucket. */
-  public RetryBudget(double tokensPerFirstAttempt, double tokensPerSecond) {
+  RetryBudget(double tokensPerFirstAttempt, double tokensPerSecond) {
     this.tokensPerFirstAttempt = tokensPerFirstAttempt;
     this.tokensPerSecond = tokensPerSecond;
     maxTokens = Math.max(MIN_CAPACITY, tokensPerSecond * SAVED_SECONDS);
@@ -26,19 +26,19 @@
   }
 
   /** A first attempt was sent. */
-  public void recordFirstAttempt(long now) {
+  void recordFirstAttempt(long now) {
     refill(now);
     tokens = Math.min(maxTokens, tokens + tokensPerFirstAttempt);
   }
 
   /** A retry was sent, whether it was allowed or not. */
-  public void recordRetry(long now) {
+  void recordRetry(long now) {
     refill(now);
     tokens = Math.max(0, tokens - 1);
   }
 
   /** Whether there is a token for a retry; takes none. */
-  public boolean isRetryAllowed(long now) {
+  boolean isRetryAllowed(long now) {
     refill(now);
     return tokens >= 1;
   }
