--- /dev/null
+++ b/router/src/test/java/rushwood/policy/ScenarioPlayer.java
@@ -0,0 +1,319 @@
+package rushwood.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Assertions;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.HostRole;
+import rushwood.api.LoadReport;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.RoutingSettings;
+import rushwood.api.SessionId;
+import rushwood.api.ZoneId;
+import rushwood.policy.ScenarioScript.Command;
+
+/**
+ * Plays a scenario against a routing policy. Times are milliseconds since its start; words in
+ * brackets may be left out.
+ *
+ * <pre>
+ * set SETTING VALUE                before the first event; the settings are listed below
+ * class NAME IDEMPOTENCY CONSISTENCY [bound MS] [objective MS] [deadline MS] [window MS]
+ *     [scope SCOPE] [late SHARE]   defines a request class; CONSISTENCY may be WRITE
+ * host NAME [primary yes] [state STATE] [started MS] [group N] [zone Z]
+ *                                  defines an endpoint, or defines it anew
+ * at MS                            moves the clock there, firing timers on the way
+ * endpoints HOST...                the complete endpoint list; at the start the cached one
+ * update HOST...                   changed endpoints
+ * refresh-fails                    a request for the endpoint list failed
+ * request NAME CLASS [deadline MS from now] [session S] [group N]
+ * result NAME OUTCOME [from HOST] [role ROLE] [took MS] [position MS] [reports ROLE]
+ *                                  the end of the last attempt, or of the one at that host
+ * probe-result HOST yes|no [position MS] [reports ROLE]
+ * disconnect NAME                  the client of the request goes away
+ * shutdown MS                      the router is to end at that time
+ * </pre>
+ *
+ * <p>What the policy does becomes a list of lines: {@code send REQUEST HOST}, {@code cancel REQUEST
+ * ATTEMPT}, {@code reject REQUEST RETRY-AFTER}, {@code fail REQUEST}, {@code probe HOST}, {@code
+ * subscribe} and {@code log TEXT}. {@code expect PATTERN} takes the next line that matches, passing
+ * over others; {@code never PATTERN} fails if a line since the last expected one matches; {@code
+ * count N PATTERN} fails unless N lines since the last {@code mark} match. A pattern matches the
+ * beginning of a line word by word; * stands for any word.
+ */
+final class ScenarioPlayer implements PolicyActions {
+  private static final long MS = 1_000_000L;
+  private static final long START = 1_000_000 * MS;
+
+  private final Map<String, String> settings = defaultSettings();
+  private final Map<String, RequestClass> requestClasses = new LinkedHashMap<>();
+  private final Map<String, String> defaultDeadlines = new HashMap<>();
+  private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+  private final Map<String, List<String>> attemptHosts = new HashMap<>();
+  private final List<String> performed = new ArrayList<>();
+  private final TreeSet<Long> timers = new TreeSet<>();
+  private RoutingPolicy policy;
+  private long now = START;
+  private int expectedUntil;
+  private int mark;
+
+  private static Map<String, String> defaultSettings() {
+    Map<String, String> settings = new HashMap<>();
+    settings.put("routers", "1");
+    settings.put("lagging-reads", "REJECTS");
+    settings.put("max-attempts", "10");
+    settings.put("warmup", "10000");
+    settings.put("cold-share", "0.2");
+    settings.put("tracks-writes", "false");
+    settings.put("subscribes", "false");
+    settings.put("removal-binding", "true");
+    return settings;
+  }
+
+  void execute(Command command) {
+    switch (command.word(0)) {
+      case "set" -> settings.put(command.word(1), command.word(2));
+      case "class" -> defineRequestClass(command);
+      case "host" -> defineEndpoint(command);
+      case "at" -> advance(START + nanos(command.word(1)));
+      case "endpoints" -> policy().endpointsReplaced(now, endpointsOf(command), now == START);
+      case "update" -> policy().endpointsUpdated(now, endpointsOf(command));
+      case "refresh-fails" -> policy().endpointRefreshFailed(now);
+      case "request" -> request(command);
+      case "result" -> finishAttempt(command);
+      case "probe-result" -> finishProbe(command);
+      case "shutdown" -> policy().shuttingDown(now, START + nanos(command.word(1)));
+      case "disconnect" -> policy().clientDisconnected(now, new RequestId(command.word(1)));
+      case "mark" -> mark = performed.size();
+      case "expect" -> expect(command);
+      case "never" -> expectNone(command);
+      case "count" -> expectCount(command);
+      default -> Assertions.fail(command.source() + ": unknown word " + command.word(0));
+    }
+  }
+
+  private static long nanos(String millis) {
+    return Math.round(Double.parseDouble(millis) * MS);
+  }
+
+  private RoutingPolicy policy() {
+    if (policy == null) {
+      policy = new DefaultRoutingPolicy(routingSettings(), new SplittableRandom(1), this);
+    }
+    return policy;
+  }
+
+  private RoutingSettings routingSettings() {
+    return new RoutingSettings(
+        Integer.parseInt(settings.get("routers")),
+        List.copyOf(requestClasses.values()),
+        Boolean.parseBoolean(settings.get("subscribes")),
+        RoutingSettings.LaggingReadBehavior.valueOf(settings.get("lagging-reads")),
+        true,
+        Boolean.parseBoolean(settings.get("tracks-writes")),
+        true,
+        true,
+        true,
+        500 * MS,
+        Integer.parseInt(settings.get("max-attempts")),
+        5 * MS,
+        Boolean.parseBoolean(settings.get("removal-binding")),
+        Double.parseDouble(settings.get("cold-share")),
+        nanos(settings.get("warmup")),
+        2,
+        1000 * MS,
+        10_000 * MS);
+  }
+
+  private void defineRequestClass(Command command) {
+    String name = command.word(1);
+    boolean isWrite = command.word(3).equals("WRITE");
+    defaultDeadlines.put(name, command.operand("deadline", "1500"));
+    requestClasses.put(
+        name,
+        new RequestClass(
+            name,
+            requestClasses.size(),
+            nanos(command.operand("objective", "400")),
+            RequestClass.Idempotency.valueOf(command.word(2)),
+            RequestClass.KeyScope.valueOf(command.operand("scope", "GROUP")),
+            nanos(command.operand("window", "3000")),
+            isWrite,
+            isWrite
+                ? RequestClass.Consistency.EVENTUAL
+                : RequestClass.Consistency.valueOf(command.word(3)),
+            nanos(command.operand("bound", "500")),
+            Double.parseDouble(command.operand("late", "0"))));
+  }
+
+  private void defineEndpoint(Command command) {
+    String started = command.operand("started", null);
+    endpoints.put(
+        command.word(1),
+        new Endpoint(
+            new HostId(command.word(1)),
+            new GroupId(Integer.parseInt(command.operand("group", "1"))),
+            new ZoneId(command.operand("zone", "z")),
+            1,
+            started == null ? 0 : START + nanos(started),
+            command.operand("primary", "no").equals("yes"),
+            Endpoint.State.valueOf(command.operand("state", "READY"))));
+  }
+
+  private List<Endpoint> endpointsOf(Command command) {
+    return command.words().stream().skip(1).map(endpoints::get).toList();
+  }
+
+  private void request(Command command) {
+    RequestClass requestClass = requestClasses.get(command.word(2));
+    String session = command.operand("session", null);
+    String deadline = command.operand("deadline", defaultDeadlines.get(command.word(2)));
+    policy()
+        .requestReceived(
+            now,
+            new Request(
+                new RequestId(command.word(1)),
+                requestClass,
+                session == null ? null : new SessionId(session),
+                new GroupId(Integer.parseInt(command.operand("group", "1"))),
+                now + nanos(deadline),
+                0));
+  }
+
+  private void finishAttempt(Command command) {
+    List<String> hosts = attemptHosts.get(command.word(1));
+    AttemptOutcome outcome = AttemptOutcome.valueOf(command.word(2));
+    String host = command.operand("from", hosts.get(hosts.size() - 1));
+    policy()
+        .attemptFinished(
+            now,
+            new AttemptResult(
+                new RequestId(command.word(1)),
+                hosts.lastIndexOf(host),
+                new HostId(host),
+                outcome,
+                nanos(command.operand("took", "50")),
+                outcome == AttemptOutcome.SUCCESS,
+                role(command.operand("role", null)),
+                -1,
+                loadReport(command)));
+  }
+
+  private void finishProbe(Command command) {
+    HostId host = new HostId(command.word(1));
+    policy().probeFinished(now, host, command.word(2).equals("yes"), loadReport(command));
+  }
+
+  private static LoadReport loadReport(Command command) {
+    String position = command.operand("position", null);
+    return position == null
+        ? LoadReport.NONE
+        : new LoadReport(START + nanos(position), role(command.operand("reports", null)));
+  }
+
+  private static HostRole role(String word) {
+    return word == null ? HostRole.UNKNOWN : HostRole.of(word.equals("primary"));
+  }
+
+  private void advance(long time) {
+    while (!timers.isEmpty() && timers.first() <= time) {
+      now = Math.max(now, timers.pollFirst());
+      policy().timerFired(now);
+    }
+    now = time;
+  }
+
+  private void expect(Command command) {
+    for (int i = expectedUntil; i < performed.size(); i++) {
+      if (matches(command, 1, performed.get(i))) {
+        expectedUntil = i + 1;
+        return;
+      }
+    }
+    Assertions.fail(command.source() + ": no " + command + " in " + performedSinceExpected());
+  }
+
+  private void expectNone(Command command) {
+    if (performedSinceExpected().stream().anyMatch(line -> matches(command, 1, line))) {
+      Assertions.fail(command.source() + ": " + command + " in " + performedSinceExpected());
+    }
+  }
+
+  private List<String> performedSinceExpected() {
+    return performed.subList(expectedUntil, performed.size());
+  }
+
+  private void expectCount(Command command) {
+    long found = performed.stream().skip(mark).filter(line -> matches(command, 2, line)).count();
+    if (found != Long.parseLong(command.word(1))) {
+      Assertions.fail(command.source() + ": " + found + " of " + command + " in " + performed);
+    }
+  }
+
+  /** Whether the words of the command from that index on match the beginning of the line. */
+  private static boolean matches(Command command, int from, String line) {
+    List<String> pattern = command.words().subList(from, command.words().size());
+    String[] words = line.split(" ");
+    for (int i = 0; i < pattern.size(); i++) {
+      boolean isAny = pattern.get(i).equals("*");
+      if (i >= words.length || !isAny && !pattern.get(i).equals(words[i])) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {
+    attemptHosts.computeIfAbsent(request.value(), each -> new ArrayList<>()).add(host.value());
+    performed.add("send " + request + " " + host);
+  }
+
+  @Override
+  public void cancel(RequestId request, int attemptNumber) {
+    performed.add("cancel " + request + " " + attemptNumber);
+  }
+
+  @Override
+  public void reject(RequestId request, long retryAfterNanos) {
+    performed.add("reject " + request + " " + retryAfterNanos / MS);
+  }
+
+  @Override
+  public void fail(RequestId request) {
+    performed.add("fail " + request);
+  }
+
+  @Override
+  public void probe(HostId host) {
+    performed.add("probe " + host);
+  }
+
+  @Override
+  public void wakeAt(long time) {
+    timers.add(Math.max(time, now + 1));
+  }
+
+  @Override
+  public void subscribeToEndpoints() {
+    performed.add("subscribe");
+  }
+
+  @Override
+  public void log(String line) {
+    performed.add("log " + line);
+  }
+}
