--- a/router/src/test/java/rushwood/policy/ScenarioPlayer.java
+++ b/router/src/test/java/rushwood/policy/ScenarioPlayer.java
@@ -269,7 +269,7 @@
     String[] words = line.split(" ");
     for (int i = 0; i < pattern.size(); i++) {
       boolean isAny = pattern.get(i).equals("*");
-      if (i >= words.length || !isAny && !pattern.get(i).equals(words[i])) {
+      if (i >= words.length || (!isAny && !pattern.get(i).equals(words[i]))) {
         return false;
       }
     }
--- /dev/null
+++ b/router/src/test/java/rushwood/policy/SlowStartSimulation.java
@@ -0,0 +1,353 @@
+package rushwood.policy;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.HostRole;
+import rushwood.api.LoadReport;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingSettings;
+import rushwood.api.ZoneId;
+
+/**
+ * Simulates, in virtual time, many routers and four hosts, of which one has just started. Request
+ * rate, service times, slots and the hosts' cold start are drawn from a seed.
+ */
+final class SlowStartSimulation {
+  /** What happens while the host is cold. */
+  enum Situation {
+    EVEN_TRAFFIC,
+    UNEVEN_TRAFFIC,
+    QUIET_THEN_BURST,
+    OTHER_HOSTS_FAIL,
+    ROUTERS_START,
+    ALL_START
+  }
+
+  private record Event(long time, long order, Runnable task) {}
+
+  private static final long MS = 1_000_000L;
+  private static final long START = 1_000_000_000 * MS;
+
+  /** By then the host bears several times as much as at first. */
+  private static final long DURATION = 8_000 * MS;
+
+  private static final long LEAD_TIME = 3_000 * MS;
+  private static final long CHANGE_TIME = 2_500 * MS;
+  private static final long REQUEST_TIMEOUT = 1_500 * MS;
+  private static final int HOST_COUNT = 4;
+  private static final HostId PRIMARY = new HostId("h0");
+  private static final HostId COLD_HOST = new HostId("h3");
+  private static final GroupId GROUP = new GroupId(0);
+  private static final RequestClass READ =
+      new RequestClass(
+          "read",
+          0,
+          400 * MS,
+          RequestClass.Idempotency.IDEMPOTENT,
+          RequestClass.KeyScope.GLOBAL,
+          0,
+          false,
+          RequestClass.Consistency.EVENTUAL,
+          0,
+          0);
+
+  private final SplittableRandom random;
+  private final Situation situation;
+  private final RoutingSettings settings;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::order));
+  private final Map<HostId, Host> hosts = new TreeMap<>(Comparator.comparing(HostId::value));
+  private final List<Long> attemptsAtColdHost = new ArrayList<>();
+  private final int slots;
+  private final long serviceTime;
+  private long now = START;
+  private long nextOrder;
+
+  SlowStartSimulation(long seed, int routerCount, Situation situation) {
+    random = new SplittableRandom(seed);
+    this.situation = situation;
+    slots = 2 + random.nextInt(4);
+    serviceTime = (30 + random.nextInt(50)) * MS;
+    settings = drawSettings(routerCount);
+    for (int i = 0; i < HOST_COUNT; i++) {
+      HostId id = new HostId("h" + i);
+      hosts.put(id, new Host(id.equals(COLD_HOST) || situation == Situation.ALL_START));
+    }
+    startRouters(routerCount);
+  }
+
+  private RoutingSettings drawSettings(int routerCount) {
+    double[] multiples = {2.5, 3, 4};
+    long[] windows = {1000, 1500, 3000};
+    return new RoutingSettings(
+        routerCount,
+        List.of(READ),
+        false,
+        RoutingSettings.LaggingReadBehavior.REJECTS,
+        false,
+        false,
+        true,
+        true,
+        true,
+        500 * MS,
+        10,
+        5 * MS,
+        true,
+        0.15 + 0.15 * random.nextInt(2),
+        (9000 + random.nextInt(7000)) * MS,
+        multiples[random.nextInt(3)],
+        windows[random.nextInt(3)] * MS,
+        10_000 * MS);
+  }
+
+  private void startRouters(int routerCount) {
+    List<Router> routers = new ArrayList<>();
+    double totalShare = 0;
+    for (int i = 0; i < routerCount; i++) {
+      Router router = new Router(i, situation == Situation.UNEVEN_TRAFFIC ? 1.0 / (i + 1) : 1);
+      routers.add(router);
+      totalShare += router.trafficShare;
+    }
+    double requestsPerSecond =
+        (0.4 + 0.3 * random.nextDouble()) * HOST_COUNT * slots * 1e9 / serviceTime;
+    for (Router router : routers) {
+      router.start((long) (1e9 * totalShare / (requestsPerSecond * router.trafficShare)));
+    }
+  }
+
+  void run() {
+    if (situation == Situation.OTHER_HOSTS_FAIL) {
+      schedule(
+          START + CHANGE_TIME,
+          () -> hosts.forEach((id, host) -> host.isDead = !id.equals(COLD_HOST)));
+    }
+    while (events.peek().time < START + DURATION) {
+      Event next = events.poll();
+      now = next.time;
+      next.task.run();
+    }
+  }
+
+  int attemptsAtColdHost() {
+    return attemptsAtColdHost.size();
+  }
+
+  /**
+   * The most by which the attempts of any collapse window exceeded what the cold host bears: N
+   * attempts of mean work, and 2 x root of N + 2 for chance. Negative if no window did.
+   */
+  double maxExcess() {
+    double worst = Double.NEGATIVE_INFINITY;
+    Deque<Long> window = new ArrayDeque<>();
+    for (long sentAt : attemptsAtColdHost) {
+      window.add(sentAt);
+      while (window.peek() <= sentAt - settings.collapseWindowNanos()) {
+        window.poll();
+      }
+      double capacity = capacity(window.peek());
+      worst = Math.max(worst, window.size() - capacity - 2 * Math.sqrt(capacity) - 2);
+    }
+    return worst;
+  }
+
+  /** The attempts that the cold host bears in a collapse window when it has just started. */
+  double initialCapacity() {
+    return capacity(START);
+  }
+
+  private double capacity(long time) {
+    return settings.collapseMultiple()
+        * coldShare(time)
+        * settings.collapseWindowNanos()
+        * slots
+        / serviceTime;
+  }
+
+  /** The share of its capacity that the cold host has at the least. */
+  private double coldShare(long time) {
+    double initial = settings.coldStartShare();
+    return Math.min(1, initial + (1 - initial) * (time - START) / settings.warmupNanos());
+  }
+
+  private boolean isQuiet() {
+    return situation == Situation.QUIET_THEN_BURST
+        && now > START - 1000 * MS
+        && now < START + CHANGE_TIME;
+  }
+
+  private void schedule(long time, Runnable task) {
+    events.add(new Event(Math.max(time, now), nextOrder++, task));
+  }
+
+  /** A number drawn from the exponential distribution with mean 1. */
+  private double drawExponential() {
+    return -Math.log(1 - random.nextDouble());
+  }
+
+  private final class Host {
+    final boolean isCold;
+    private final PriorityQueue<Long> slotsFreeAt = new PriorityQueue<>();
+    boolean isDead;
+
+    Host(boolean isCold) {
+      this.isCold = isCold;
+      for (int i = 0; i < slots; i++) {
+        slotsFreeAt.add(START);
+      }
+    }
+
+    /** Serves a request in the slot that is free first; returns when it is done. */
+    long serve() {
+      double duration = drawExponential() * serviceTime / (isCold ? coldShare(now) : 1);
+      long doneAt = Math.max(now, slotsFreeAt.poll()) + (long) duration;
+      slotsFreeAt.add(doneAt);
+      return doneAt;
+    }
+  }
+
+  private final class Router implements PolicyActions {
+    private final int number;
+    private final double trafficShare;
+    private final Map<RequestId, Integer> attemptCounts = new HashMap<>();
+    private long requestInterval;
+    private DefaultRoutingPolicy policy;
+    private long timerAt;
+    private int requestCount;
+
+    Router(int number, double trafficShare) {
+      this.number = number;
+      this.trafficShare = trafficShare;
+    }
+
+    /** Starts with the cold host, or before and hears of the cold host when it starts. */
+    void start(long requestInterval) {
+      this.requestInterval = requestInterval;
+      if (situation == Situation.ROUTERS_START || situation == Situation.ALL_START) {
+        schedule(START, this::startPolicy);
+        return;
+      }
+      schedule(START - LEAD_TIME, this::startPolicy);
+      List<Endpoint> change = List.of(endpoint(COLD_HOST, true));
+      schedule(START, () -> policy.endpointsUpdated(now, change));
+    }
+
+    private void startPolicy() {
+      SplittableRandom policyRandom = new SplittableRandom(number * 7919L + nextOrder);
+      policy = new DefaultRoutingPolicy(settings, policyRandom, this);
+      List<Endpoint> endpoints = new ArrayList<>();
+      hosts.forEach(
+          (id, host) -> {
+            if (now >= START || !id.equals(COLD_HOST)) {
+              endpoints.add(endpoint(id, host.isCold));
+            }
+          });
+      policy.endpointsReplaced(now, endpoints, true);
+      scheduleNextRequest();
+    }
+
+    private Endpoint endpoint(HostId id, boolean isCold) {
+      return new Endpoint(
+          id,
+          GROUP,
+          new ZoneId("z"),
+          1,
+          isCold ? START : 0,
+          id.equals(PRIMARY),
+          Endpoint.State.READY);
+    }
+
+    private void scheduleNextRequest() {
+      schedule(
+          now + (long) (drawExponential() * requestInterval),
+          () -> {
+            if (!isQuiet()) {
+              RequestId id = new RequestId(number + "-" + requestCount++);
+              policy.requestReceived(
+                  now, new Request(id, READ, null, GROUP, now + REQUEST_TIMEOUT, 0));
+            }
+            scheduleNextRequest();
+          });
+    }
+
+    @Override
+    public void send(RequestId request, HostId id, long timeoutNanos, long startWithinNanos) {
+      int attemptNumber = attemptCounts.merge(request, 1, Integer::sum) - 1;
+      if (id.equals(COLD_HOST)) {
+        attemptsAtColdHost.add(now);
+      }
+      Host host = hosts.get(id);
+      long sentAt = now;
+      long doneAt = host.isDead ? sentAt + MS : host.serve();
+      boolean timesOut = doneAt > sentAt + timeoutNanos;
+      AttemptOutcome servedOutcome = timesOut ? AttemptOutcome.TIMED_OUT : AttemptOutcome.SUCCESS;
+      AttemptOutcome outcome = host.isDead ? AttemptOutcome.CONNECT_FAILED : servedOutcome;
+      schedule(
+          timesOut ? sentAt + timeoutNanos : doneAt,
+          () ->
+              policy.attemptFinished(
+                  now,
+                  new AttemptResult(
+                      request,
+                      attemptNumber,
+                      id,
+                      outcome,
+                      now - sentAt,
+                      outcome == AttemptOutcome.SUCCESS,
+                      HostRole.of(id.equals(PRIMARY)),
+                      -1,
+                      LoadReport.NONE)));
+    }
+
+    @Override
+    public void cancel(RequestId request, int attemptNumber) {
+      // The answer comes all the same: the host has had the work.
+    }
+
+    @Override
+    public void reject(RequestId request, long retryAfterNanos) {}
+
+    @Override
+    public void fail(RequestId request) {}
+
+    @Override
+    public void probe(HostId host) {
+      schedule(
+          now + MS,
+          () -> policy.probeFinished(now, host, !hosts.get(host).isDead, LoadReport.NONE));
+    }
+
+    @Override
+    public void wakeAt(long time) {
+      timerAt = time;
+      schedule(
+          time,
+          () -> {
+            if (timerAt == time) {
+              policy.timerFired(now);
+            }
+          });
+    }
+
+    @Override
+    public void subscribeToEndpoints() {}
+
+    @Override
+    public void log(String line) {}
+  }
+}
