--- a/router/src/main/java/rushwood/policy/LostAnswerDetector.java
+++ b/router/src/main/java/rushwood/policy/LostAnswerDetector.java
@@ -61,8 +61,8 @@
     PendingRequest pending = attempt.pending;
     double retryEnd = now + context.serviceTimes().expected(pending);
     boolean isHopeless =
-        attempt.presumedLost && retryEnd < pending.objectiveDeadline
-            || attempt.host.isUnresponsive() && isLate(attempt, now);
+        (attempt.presumedLost && retryEnd < pending.objectiveDeadline)
+            || (attempt.host.isUnresponsive() && isLate(attempt, now));
     return isHopeless && (pending.isIdempotent() || pending.hasIdempotencyKey());
   }
 }
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -16,16 +16,16 @@
   boolean isUsable(HostState host, long now) {
     return host.isHealthy()
         || probes.isTrialDue(host, now)
-        || host.group.hasNoHealthyMember()
-            && (!host.isUnreachable() || context.overloadSignals().canConnect(now, host.id));
+        || (host.group.hasNoHealthyMember()
+            && (!host.isUnreachable() || context.overloadSignals().canConnect(now, host.id)));
   }
 
   /** A broken connection says nothing of a host that answers, or has other attempts in flight. */
   void attemptFinished(Attempt attempt, AttemptResult result, long now) {
     HostState host = attempt.host;
     boolean failed =
-        result.outcome() == AttemptOutcome.CONNECT_FAILED && !host.hasAnsweredSince(attempt)
-            || result.outcome() == AttemptOutcome.CONNECTION_LOST && host.inFlight.size() <= 1;
+        (result.outcome() == AttemptOutcome.CONNECT_FAILED && !host.hasAnsweredSince(attempt))
+            || (result.outcome() == AttemptOutcome.CONNECTION_LOST && host.inFlight.size() <= 1);
     if (failed) {
       eject(host, Health.UNREACHABLE, now);
     } else if (result.outcome().isHostResponse()) {
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -55,7 +55,7 @@
   private void roleObserved(HostState host, HostRole role, long evidenceAt) {
     GroupState group = host.group;
     boolean isDoubtful = evidenceAt < host.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
-    if (group == null || !role.isKnown() || role == HostRole.PRIMARY && isDoubtful) {
+    if (group == null || !role.isKnown() || (role == HostRole.PRIMARY && isDoubtful)) {
       return;
     }
     host.roleKnownAt = Math.max(host.roleKnownAt, evidenceAt);
--- a/router/src/main/java/rushwood/policy/ReplicaSelector.java
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -48,7 +48,7 @@
       HostState host = members.get((start + i) % members.size());
       if (isAcceptable(suitability(pending, host, now), best)
           && limiter.hasFreeSlot(pending, host, now)
-          && (selected == null || !isLong && isBetter(pending, host, selected, now))) {
+          && (selected == null || (!isLong && isBetter(pending, host, selected, now)))) {
         selected = host;
       }
     }
@@ -83,7 +83,7 @@
   /** Better suited, or equally suited with less load for its weight. */
   private boolean isBetter(PendingRequest pending, HostState host, HostState other, long now) {
     int difference = suitability(pending, host, now).compareTo(suitability(pending, other, now));
-    return difference < 0 || difference == 0 && host.load() < other.load();
+    return difference < 0 || (difference == 0 && host.load() < other.load());
   }
 
   private Suitability suitability(PendingRequest pending, HostState host, long now) {
@@ -92,7 +92,7 @@
     }
     boolean isLong = isLongRead(pending);
     boolean needsPrimary = pending.requires(Consistency.STRONG);
-    if (isLong && takesLongReads(host, now) || needsPrimary && host.isPrimary()) {
+    if ((isLong && takesLongReads(host, now)) || (needsPrimary && host.isPrimary())) {
       return Suitability.FRESH;
     }
     if (isLong || host.isPrimary()) {
--- a/router/src/main/java/rushwood/policy/RetryPolicy.java
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -22,7 +22,7 @@
   }
 
   private static boolean isSafe(PendingRequest pending, long now) {
-    return isRepeatable(pending) || pending.hasIdempotencyKey() && now < retryDeadline(pending);
+    return isRepeatable(pending) || (pending.hasIdempotencyKey() && now < retryDeadline(pending));
   }
 
   /** Whether an attempt there keeps what the request's idempotency promises: keys have a scope. */
