--- /dev/null
+++ b/router/src/test/java/rushwood/policy/PolicyFixtures.java
@@ -0,0 +1,64 @@
+package rushwood.policy;
+
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestId;
+
+/** Objects that tests of single classes of the policy need. */
+final class PolicyFixtures {
+  static final long SECOND = 1_000_000_000L;
+
+  private PolicyFixtures() {}
+
+  /** An idempotent read of class 0 that arrives at time 0, with a deadline a second later. */
+  static PendingRequest pendingRead(String id) {
+    return pendingRead(id, new GroupState());
+  }
+
+  static PendingRequest pendingRead(String id, GroupState group) {
+    RequestClass read =
+        new RequestClass(
+            "read",
+            0,
+            SECOND / 2,
+            RequestClass.Idempotency.IDEMPOTENT,
+            RequestClass.KeyScope.GLOBAL,
+            0,
+            false,
+            RequestClass.Consistency.EVENTUAL,
+            0,
+            0);
+    Request request = new Request(new RequestId(id), read, null, new GroupId(0), SECOND, 0);
+    return new PendingRequest(request, group, 0);
+  }
+
+  /** Actions that do nothing; tests override what they look at. */
+  static class NoActions implements PolicyActions {
+    @Override
+    public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {}
+
+    @Override
+    public void cancel(RequestId request, int attemptNumber) {}
+
+    @Override
+    public void reject(RequestId request, long retryAfterNanos) {}
+
+    @Override
+    public void fail(RequestId request) {}
+
+    @Override
+    public void probe(HostId host) {}
+
+    @Override
+    public void wakeAt(long time) {}
+
+    @Override
+    public void subscribeToEndpoints() {}
+
+    @Override
+    public void log(String line) {}
+  }
+}
