--- a/router/src/main/java/rushwood/net/ConnectionRegistry.java
+++ b/router/src/main/java/rushwood/net/ConnectionRegistry.java
@@ -35,7 +35,8 @@
   /** A key that no other connection has: a process id, here a running number, and a secret. */
   long nextCancelKey() {
     issuedCancelKeys++;
-    return (long) issuedCancelKeys << Integer.SIZE | random.nextInt() & 0xffffffffL;
+    long secret = Integer.toUnsignedLong(random.nextInt());
+    return (long) issuedCancelKeys << Integer.SIZE | secret;
   }
 
   /** Adds a new connection, whose client has sent nothing yet. */
--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -103,10 +103,12 @@
   private boolean exceedsPipelineLimit(int unreadBytes) {
     boolean isBlocked =
         protocol.hasPendingRequest() || rejections.isPaused() || !channel.isWritable();
+    if (isBlocked && unreadBytes > MAX_PIPELINED_BYTES) {
+      return true;
+    }
     StatementMemory memory = shared.statementMemory();
     boolean memoryIsShort = isBlocked ? memory.isLow() : memory.isExhausted();
-    return isBlocked && unreadBytes > MAX_PIPELINED_BYTES
-        || memoryIsShort && unreadBytes > MAX_PIPELINED_BYTES_LOW_MEMORY;
+    return memoryIsShort && unreadBytes > MAX_PIPELINED_BYTES_LOW_MEMORY;
   }
 
   /**
--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -66,7 +66,6 @@
    * Creates a server without connections and starts its timeout checks.
    *
    * @param requestClasses the classes that statements may name
-   * @param retryAfterNanos the wait that a refused client is told, not positive for none
    * @param random the source of the secret part of cancel keys
    */
   public FrontendServer(
@@ -75,16 +74,14 @@
       TimerQueue timers,
       Counters counters,
       List<RequestClass> requestClasses,
-      ConnectionAdmission admission,
-      DescriptorBudget descriptorBudget,
-      LongSupplier retryAfterNanos,
+      ConnectionLimits limits,
       RandomGenerator random) {
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
-    this.admission = admission;
-    this.descriptorBudget = descriptorBudget;
-    this.retryAfterNanos = retryAfterNanos;
+    admission = limits.admission();
+    descriptorBudget = limits.descriptorBudget();
+    retryAfterNanos = limits.retryAfterNanos();
     registry = new ConnectionRegistry(admission, descriptorBudget, random);
     lingeringConnections = new LingeringConnections(clock);
     context =
@@ -183,8 +180,9 @@
   /** Runs once all that has arrived is read: evicts what may be closed, then refuses the newest. */
   private void enforceConnectionLimit() {
     evictionScheduled = false;
-    while (admission.isOverLimit() && evictNext()) {
-      continue;
+    boolean more = true;
+    while (more) {
+      more = admission.isOverLimit() && evictNext();
     }
     for (AdmittedConnection newest = admission.newestWithoutRequest();
         admission.isOverLimit() && newest != null;
--- a/router/src/main/java/rushwood/net/WarmupPeers.java
+++ b/router/src/main/java/rushwood/net/WarmupPeers.java
@@ -36,8 +36,9 @@
   public void channelRead(ChannelHandlerContext context, Object message) throws ProtocolException {
     reader.feed((ByteBuf) message);
     ByteBuf out = context.alloc().buffer(256);
-    while (handleNextMessage(out)) {
-      continue;
+    boolean more = true;
+    while (more) {
+      more = handleNextMessage(out);
     }
     reader.releaseIfEmpty();
     ChannelFuture written = context.writeAndFlush(out);
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -301,8 +301,11 @@
 
   /** Whether the client's turn is not over: its startup message or the rest of a message is due. */
   public boolean hasIncompleteMessage() {
-    return state == State.STARTUP
-        || reader.unreadBytes() > 0 && (state == State.IDLE || state == State.SKIPPING_TO_SYNC);
+    return switch (state) {
+      case STARTUP -> true;
+      case IDLE, SKIPPING_TO_SYNC -> reader.unreadBytes() > 0;
+      case REQUEST_PENDING, CLOSED -> false;
+    };
   }
 
   /** Whether the startup message has not been answered. */
--- a/router/src/main/java/rushwood/protocol/SqlStatementParser.java
+++ b/router/src/main/java/rushwood/protocol/SqlStatementParser.java
@@ -42,9 +42,7 @@
 
   private static final ByteProcessor KEY_CHARACTERS =
       each -> each > ' ' && each < 127 && each != '\'' && each != '\\';
-  private static final ByteProcessor HEX_DIGITS =
-      each ->
-          each >= '0' && each <= '9' || each >= 'a' && each <= 'f' || each >= 'A' && each <= 'F';
+  private static final ByteProcessor HEX_DIGITS = SqlStatementParser::isHexDigit;
   private static final ByteProcessor FIELD_CHARACTERS =
       each -> each > ' ' && each < 127 && "'\"*/=,;\\".indexOf(each) < 0;
 
@@ -87,6 +85,14 @@
         text.retain(), isWrite, key, id, requestClass, group, timeout, lastWriteAt);
   }
 
+  private static boolean isHexDigit(byte value) {
+    return isBetween('0', value, '9') || isBetween('a', value, 'f') || isBetween('A', value, 'F');
+  }
+
+  private static boolean isBetween(char min, byte value, char max) {
+    return value >= min && value <= max;
+  }
+
   private static byte[] ascii(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -16,6 +16,7 @@
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
 import rushwood.net.BackendConnector;
+import rushwood.net.ConnectionLimits;
 import rushwood.net.FrontendServer;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.ConnectionAdmission;
@@ -132,10 +133,11 @@
         timerQueue,
         counters,
         config.settings().requestClasses(),
-        new ConnectionAdmission(
-            descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
-        descriptorBudget,
-        () -> overloadController.retryAfterForRefusedConnection(clock.now()),
+        new ConnectionLimits(
+            new ConnectionAdmission(
+                descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
+            descriptorBudget,
+            () -> overloadController.retryAfterForRefusedConnection(clock.now())),
         new SplittableRandom(config.seed() + 2));
   }
 
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -35,6 +35,7 @@
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
 import rushwood.net.BackendConnector;
+import rushwood.net.ConnectionLimits;
 import rushwood.net.FrontendServer;
 import rushwood.net.WarmupPeers;
 import rushwood.overload.ConnectBackoff;
@@ -168,9 +169,7 @@
         timerQueue,
         counters,
         requestClasses,
-        new ConnectionAdmission(CLIENT_COUNT, 0),
-        descriptorBudget,
-        () -> 0,
+        new ConnectionLimits(new ConnectionAdmission(CLIENT_COUNT, 0), descriptorBudget, () -> 0),
         new SplittableRandom(config.seed()));
   }
 
