Name the protocol's test cases, split the statement parser's, check the callbacks

The 26 rejected statements are parameterised cases of SqlStatementParserTest. The only expected texts that change are the fixture's own event names.

--- a/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -23,7 +24,7 @@
           TestMessages.parameterStatus("gauges", "x0=1767225600.5,x1=1,queue=3"),
           TestMessages.readyForQuery());
 
-  /** A connection that has come up and been asked, unless told otherwise. */
+  /** Records what the protocol reports of a connection. */
   private static final class TestBackend implements BackendConnection.Listener {
     final BackendProtocol protocol = new BackendProtocol(TestMessages.ALLOCATOR, this);
     final List<String> events = new ArrayList<>();
@@ -33,19 +34,19 @@
 
     @Override
     public void connected() {
-      events.add("opened");
+      events.add("connected");
     }
 
     @Override
-    public void responseReceived(BackendResponse received, boolean again) {
-      events.add(received.outcome() + (again ? " again" : ""));
+    public void responseReceived(BackendResponse received, boolean reusable) {
+      events.add(received.outcome() + (reusable ? " reusable" : ""));
       response = received;
       row = received.row() == null ? null : TestMessages.readAndRelease(received.row());
     }
 
     @Override
     public void connectionLost(boolean accepted) {
-      events.add("broken");
+      events.add("connection lost");
     }
 
     TestBackend feed(byte[]... parts) {
@@ -67,23 +68,21 @@
     }
   }
 
-  private static TestBackend statementSent(boolean probe) {
+  /** A connection on which a statement was sent. */
+  private static TestBackend statementSent(boolean isProbe) {
     TestBackend backend = new TestBackend().feed(TestMessages.startupResponse());
-    assertEquals(List.of("opened"), backend.events);
+    assertEquals(List.of("connected"), backend.events);
     backend.events.clear();
-    backend.protocol.beginStatement(probe);
+    backend.protocol.beginStatement(isProbe);
     return backend;
   }
 
   @AfterEach
-  void released() {
+  void allBuffersAreReleased() {
     TestMessages.assertAllReleased();
   }
 
-  /**
-   * The outcome of what a host writes, however it is cut; a connection that ends after it if not
-   * usable.
-   */
+  /** Checks what is reported of a host's answer, however its bytes are cut. */
   private static void check(String expected, byte[]... written) {
     TestMessages.forEachFragmentation(
         TestMessages.concat(written),
@@ -95,13 +94,13 @@
   }
 
   @Test
-  void rowIsPassedOnToTheByte() {
+  void rowIsPassedOnUnchanged() {
     byte[] row = TestMessages.rowResponse("value");
     TestMessages.forEachFragmentation(
         TestMessages.concat(row, STATUS_AND_READY),
         pieces -> {
           TestBackend backend = statementSent(false).feed(pieces);
-          assertEquals(List.of("SUCCESS again"), backend.events);
+          assertEquals(List.of("SUCCESS reusable"), backend.events);
           assertArrayEquals(row, backend.row);
           assertEquals(HostRole.REPLICA, backend.response.role());
           assertEquals(1767225600123_000_000L, backend.response.position());
@@ -111,29 +110,33 @@
   }
 
   @Test
-  void outcomeTable() {
-    check("REPLICA_LAGGING again", TestMessages.errorResponse("25006"), STATUS_AND_READY);
-    check("REPLICA_LAGGING again", TestMessages.errorResponse("72000"), STATUS_AND_READY);
-    check("ERROR again", TestMessages.errorResponse("XX000"), STATUS_AND_READY);
-    check("ERROR again", TestMessages.errorResponse("08P01"), TestMessages.readyForQuery());
-    check("OVERLOADED again", TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
+  void errorsAreToldApartBySqlState() {
+    check("REPLICA_LAGGING reusable", TestMessages.errorResponse("25006"), STATUS_AND_READY);
+    check("REPLICA_LAGGING reusable", TestMessages.errorResponse("72000"), STATUS_AND_READY);
+    check("ERROR reusable", TestMessages.errorResponse("XX000"), STATUS_AND_READY);
+    check("ERROR reusable", TestMessages.errorResponse("08P01"), TestMessages.readyForQuery());
+    check("OVERLOADED reusable", TestMessages.errorResponse("53300"), TestMessages.readyForQuery());
   }
 
   @Test
-  void whatIsNoAnswerBreaksTheConnection() {
+  void malformedAnswersEndTheConnection() {
     check("MALFORMED", TestMessages.readyForQuery());
     check("SUCCESS", TestMessages.rowResponse("v"), TestMessages.rowResponse("v"));
     check("MALFORMED", TestMessages.message('D', new byte[] {0, 1, 0, 0, 0, 0}));
     check("MALFORMED", TestMessages.message('T', new byte[] {0, 2}));
     check("MALFORMED", TestMessages.message('S', new byte[] {'a'}));
-    check("MALFORMED", TestMessages.message('E', "SERROR\0C53300\0".getBytes()));
-    check("MALFORMED", TestMessages.message('E', "SERROR\0C!\0\0".getBytes()));
+    check(
+        "MALFORMED",
+        TestMessages.message('E', "SERROR\0C53300\0".getBytes(StandardCharsets.US_ASCII)));
+    check(
+        "MALFORMED",
+        TestMessages.message('E', "SERROR\0C!\0\0".getBytes(StandardCharsets.US_ASCII)));
     check("MALFORMED", TestMessages.startupResponse());
   }
 
-  /** Told at the head of a message: the rest of it may never come. */
+  /** Found at the head of a message, as the rest of it may never arrive. */
   @Test
-  void whatCannotBeReadIsToldAtOnce() {
+  void malformedHeadsAreReportedAtOnce() {
     check("MALFORMED", new byte[] {'?'});
     check("MALFORMED", new byte[] {'D', (byte) 0xb2, -48, 94, 0});
     check("MALFORMED", new byte[] {'Z', 0, 0, 0, 6});
@@ -142,40 +145,39 @@
 
   /** Hosts hold values far above those that clients may write. */
   @Test
-  void largeValues() {
+  void largeValuesAreRead() {
     TestBackend backend =
         statementSent(false)
             .feed(TestMessages.rowResponse("v".repeat(600_000)), TestMessages.readyForQuery());
-    assertEquals(List.of("SUCCESS again"), backend.events);
+    assertEquals(List.of("SUCCESS reusable"), backend.events);
   }
 
-  /** Lengths within a row that do not fit it, to the byte. */
   @Test
-  void lengthsThatDoNotFit() {
+  void rowsWithWrongLengthsAreNotPassedOn() {
     byte[] row = TestMessages.rowResponse("value");
     for (int at : new int[] {4, 6, 33, 35, 39, 49}) {
       for (int by : new int[] {1, 2, 127}) {
-        byte[] spoilt = row.clone();
-        spoilt[at] += by;
-        TestBackend backend = statementSent(false).feed(spoilt, TestMessages.readyForQuery());
-        assertTrue(backend.row == null, "passed on with byte " + at + " spoilt");
+        byte[] malformed = row.clone();
+        malformed[at] = (byte) (row[at] + by);
+        TestBackend backend = statementSent(false).feed(malformed, TestMessages.readyForQuery());
+        assertTrue(backend.row == null, "passed on with byte " + at + " changed");
         backend.protocol.close();
       }
     }
   }
 
   @Test
-  void endsInMidRow() {
+  void connectionLostWithinARow() {
     byte[] row = TestMessages.rowResponse("value");
     for (int cut = 0; cut < row.length; cut++) {
       TestBackend backend = statementSent(false).feed(Arrays.copyOf(row, cut));
       backend.protocol.connectionLost(true);
-      assertEquals(List.of("broken"), backend.events);
+      assertEquals(List.of("connection lost"), backend.events);
     }
   }
 
   @Test
-  void anEndAfterAWholeAnswerTakesNothingBack() {
+  void completeAnswerCountsWithoutReadyForQuery() {
     TestBackend whole = statementSent(false).feed(TestMessages.rowResponse("v"));
     whole.protocol.connectionLost(true);
     assertEquals(List.of("SUCCESS"), whole.events);
@@ -185,31 +187,31 @@
   }
 
   @Test
-  void openingRefused() {
+  void refusedConnections() {
     TestBackend full = new TestBackend().feed(TestMessages.errorResponse("53300"));
     assertEquals(List.of("OVERLOADED"), full.events);
     TestBackend down = new TestBackend().feed(TestMessages.errorResponse("57P03"));
     assertEquals(List.of("CONNECT_FAILED"), down.events);
     TestBackend password =
         new TestBackend().feed(TestMessages.message('R', new byte[] {0, 0, 0, 3}));
-    assertEquals(List.of("broken"), password.events);
+    assertEquals(List.of("connection lost"), password.events);
   }
 
   @Test
-  void anAnswerNobodyAskedForBreaksTheConnection() {
+  void unrequestedAnswerEndsTheConnection() {
     TestBackend backend =
         statementSent(false).feed(TestMessages.rowResponse("v"), TestMessages.readyForQuery());
     backend.feed(TestMessages.rowResponse("w"));
-    assertEquals(List.of("SUCCESS again", "broken"), backend.events);
+    assertEquals(List.of("SUCCESS reusable", "connection lost"), backend.events);
   }
 
-  /** A second copy or noise in the same read never becomes the answer to the next statement. */
+  /** Data behind an answer in the same read never becomes the answer to the next statement. */
   @Test
-  void surplusEndsTheUseOfAConnection() {
-    for (byte[] surplus :
+  void connectionWithExcessDataIsNotReused() {
+    for (byte[] excess :
         List.of(TestMessages.rowResponse("v"), new byte[] {0}, TestMessages.readyForQuery())) {
       TestBackend backend =
-          statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY, surplus);
+          statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY, excess);
       assertEquals(List.of("SUCCESS"), backend.events);
       assertEquals(HostRole.REPLICA, backend.response.role());
     }
@@ -220,7 +222,7 @@
   }
 
   @Test
-  void oneUseTellsNothingOfTheNext() {
+  void statusOfAnAnswerDoesNotCountForTheNext() {
     TestBackend backend =
         statementSent(false).feed(TestMessages.rowResponse("v"), STATUS_AND_READY);
     backend.protocol.beginStatement(false);
@@ -231,11 +233,11 @@
   }
 
   @Test
-  void probeTellsTheReport() {
+  void rowOfAProbeIsALoadReport() {
     TestBackend backend =
         statementSent(true)
             .feed(TestMessages.rowResponse("x0=12.5,x1=0"), TestMessages.readyForQuery());
-    assertEquals(List.of("SUCCESS again"), backend.events);
+    assertEquals(List.of("SUCCESS reusable"), backend.events);
     assertEquals(12.5e9, backend.response.report().position());
     assertEquals(HostRole.REPLICA, backend.response.report().role());
     TestBackend bad =
@@ -251,7 +253,7 @@
   }
 
   @Test
-  void closedByUsNothingIsTold() {
+  void nothingIsReportedAfterClose() {
     TestBackend backend = statementSent(false).feed(TestMessages.rowResponse("v"));
     backend.protocol.close();
     backend.protocol.connectionLost(true);
--- a/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.api.Test;
 
 class FrontendProtocolTest {
-  private static final String WELCOME = "R S S S S S K Z";
+  private static final String STARTUP_RESPONSE = "R S S S S S K Z";
   private static final String READ = TestMessages.readStatement("a", ",d=480");
 
-  /** Answers each access by its text, at once or when told. */
+  /** Records what the protocol asks for; answers each request at once, or as the test says. */
   private static final class TestConnection implements FrontendCallbacks {
     final ByteBuf out = TestMessages.ALLOCATOR.heapBuffer();
     final List<String> submitted = new ArrayList<>();
@@ -23,10 +23,10 @@
     boolean ready = true;
     boolean answersAtOnce = true;
     boolean closed;
-    boolean left;
+    boolean terminated;
     long cancelledKey;
-    boolean booked;
-    boolean resume;
+    boolean retryAfterAnnounced;
+    boolean resumeRequested;
 
     @Override
     public boolean isReady() {
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public void statementRejected(ProtocolException fault) {}
+    public void statementRejected(ProtocolException cause) {}
 
     @Override
     public void write(ByteBuf written) {
@@ -59,7 +59,7 @@
 
     @Override
     public void retryAfterAnnounced() {
-      booked = true;
+      retryAfterAnnounced = true;
     }
 
     @Override
@@ -79,18 +79,18 @@
 
     @Override
     public void clientTerminated() {
-      left = true;
+      terminated = true;
     }
 
     @Override
     public void resumeLater() {
-      resume = true;
+      resumeRequested = true;
     }
 
     TestConnection feed(List<ByteBuf> parts) {
       for (ByteBuf part : parts) {
         if (closed) {
-          part.release(); // as the driver does
+          part.release(); // as the connection does
         } else {
           protocol.feed(part);
           runTurn();
@@ -104,13 +104,13 @@
     }
 
     void runTurn() {
-      while (resume && !closed) {
-        resume = false;
+      while (resumeRequested && !closed) {
+        resumeRequested = false;
         protocol.resume();
       }
     }
 
-    /** What was written since the last look. */
+    /** The messages that were written since the last call. */
     String writtenTypes() {
       byte[] bytes = new byte[out.readableBytes()];
       out.readBytes(bytes);
@@ -119,7 +119,7 @@
   }
 
   @AfterEach
-  void released() {
+  void allBuffersAreReleased() {
     TestMessages.assertAllReleased();
   }
 
@@ -137,7 +137,7 @@
   @Test
   void startupFollowedByQueries() {
     check(
-        WELCOME + " T D C Z I Z T D C Z",
+        STARTUP_RESPONSE + " T D C Z I Z T D C Z",
         false,
         TestMessages.startup(),
         TestMessages.query(READ),
@@ -146,26 +146,49 @@
   }
 
   @Test
-  void encryptionIsDeclinedAndTheClientGoesOn() {
-    byte[] asked = TestMessages.startup(80877103, "");
+  void encryptionIsRefusedAndTheClientGoesOn() {
+    byte[] sslRequest = TestMessages.startup(80877103, "");
     TestMessages.forEachFragmentation(
-        TestMessages.concat(asked, TestMessages.startup()),
+        TestMessages.concat(sslRequest, TestMessages.startup()),
         pieces -> {
           TestConnection connection = new TestConnection().feed(pieces);
           assertEquals('N', connection.out.readByte());
-          assertEquals(WELCOME, connection.writtenTypes());
+          assertEquals(STARTUP_RESPONSE, connection.writtenTypes());
           connection.protocol.connectionClosed();
         });
   }
 
   @Test
-  void otherOpenings() {
-    check("", true, TestMessages.startup(80877102, "12345678"));
+  void cancelRequestIsPassedOnWithoutAnAnswer() {
+    byte[] cancelRequest = TestMessages.startup(80877102, "12345678");
+    check("", true, cancelRequest);
+    TestConnection connection = new TestConnection().feed(cancelRequest);
+    assertEquals(0x3132333435363738L, connection.cancelledKey);
+  }
+
+  @Test
+  void terminateBehindAPendingRequestEndsTheConnection() {
+    TestConnection connection = new TestConnection();
+    connection.answersAtOnce = false;
+    connection.feed(TestMessages.startup(), TestMessages.query(READ));
+    assertEquals(false, connection.terminated);
+    connection.feed(TestMessages.query(READ), TestMessages.message('X', new byte[0]));
+    assertTrue(connection.terminated);
+    assertTrue(connection.closed);
+    assertEquals(List.of(READ), connection.submitted);
+  }
+
+  @Test
+  void onlyVersionThreeIsSpoken() {
     check("E(0A000)", true, TestMessages.startup(2 << 16, "\0"));
     check(
-        "v " + WELCOME,
+        "v " + STARTUP_RESPONSE,
         false,
         TestMessages.startup(MessageWriter.PROTOCOL_VERSION + 2, "user\0client\0\0"));
+  }
+
+  @Test
+  void malformedStartupMessagesEndTheConnection() {
     check("E(08P01)", true, new byte[] {0, 0, 0, 5, 0});
     check("E(08P01)", true, "GET / HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
   }
@@ -173,7 +196,7 @@
   @Test
   void extendedQueriesAreSkippedUpToTheirSync() {
     check(
-        WELCOME + " E(0A000) Z T D C Z",
+        STARTUP_RESPONSE + " E(0A000) Z T D C Z",
         false,
         TestMessages.startup(),
         TestMessages.message('P', new byte[9]),
@@ -186,16 +209,21 @@
   }
 
   @Test
-  void framingThatIsLostEndsTheConnection() {
-    check(WELCOME + " E(08P01)", true, TestMessages.startup(), new byte[] {'Q', 0, 0, 0, 3});
-    check(WELCOME + " E(08P01)", true, TestMessages.startup(), new byte[] {'Q', 127, 0, 0, 0});
+  void malformedMessagesEndTheConnection() {
     check(
-        WELCOME + " E(08P01)",
+        STARTUP_RESPONSE + " E(08P01)", true, TestMessages.startup(), new byte[] {'Q', 0, 0, 0, 3});
+    check(
+        STARTUP_RESPONSE + " E(08P01)",
+        true,
+        TestMessages.startup(),
+        new byte[] {'Q', 127, 0, 0, 0});
+    check(
+        STARTUP_RESPONSE + " E(08P01)",
         true,
         TestMessages.startup(),
         TestMessages.message('?', new byte[0]));
     check(
-        WELCOME,
+        STARTUP_RESPONSE,
         true,
         TestMessages.startup(),
         TestMessages.message('X', new byte[0]),
@@ -203,43 +231,46 @@
   }
 
   @Test
-  void badStatementsReachNoHost() {
+  void rejectedStatementsAreNotSubmitted() {
     for (String statement :
         List.of("SELECT 1", "DROP TABLE state", "SELECT val /* id=1", READ + " x")) {
       TestConnection connection =
           new TestConnection()
               .feed(
                   TestMessages.startup(), TestMessages.query(statement), TestMessages.query(READ));
-      assertEquals(WELCOME + " E(42601) Z T D C Z", connection.writtenTypes());
+      assertEquals(STARTUP_RESPONSE + " E(42601) Z T D C Z", connection.writtenTypes());
       assertEquals(List.of(READ), connection.submitted);
     }
     check(
-        WELCOME + " E(08P01) Z",
+        STARTUP_RESPONSE + " E(08P01) Z",
         false,
         TestMessages.startup(),
         TestMessages.message('Q', new byte[] {'S'}));
   }
 
   @Test
-  void notReadyAnswersNoEmptyQuery() {
+  void emptyQueryIsAnsweredWithAnErrorUntilReady() {
     TestConnection connection = new TestConnection();
     connection.ready = false;
     assertEquals(
-        WELCOME + " E(57P03) Z",
+        STARTUP_RESPONSE + " E(57P03) Z",
         connection.feed(TestMessages.startup(), TestMessages.query("")).writtenTypes());
     connection.ready = true;
     assertEquals("I Z", connection.feed(TestMessages.query("")).writtenTypes());
   }
 
   @Test
-  void countersAreShown() {
+  void showCountersIsAnsweredLocally() {
     check(
-        WELCOME + " T D C Z", false, TestMessages.startup(), TestMessages.query("show counters;"));
+        STARTUP_RESPONSE + " T D C Z",
+        false,
+        TestMessages.startup(),
+        TestMessages.query("show counters;"));
   }
 
-  /** Each access waits for the answer of the one before; each has one answer, of its own kind. */
+  /** A request is submitted when the one before is answered, and has exactly one answer. */
   @Test
-  void oneAnswerEachInOrder() {
+  void eachRequestHasOneAnswerInOrder() {
     TestConnection connection = new TestConnection();
     connection.answersAtOnce = false;
     connection.feed(
@@ -247,12 +278,12 @@
         TestMessages.query(READ),
         TestMessages.query(READ),
         TestMessages.query(READ));
-    assertEquals(WELCOME, connection.writtenTypes());
+    assertEquals(STARTUP_RESPONSE, connection.writtenTypes());
     assertEquals(1, connection.submitted.size());
     connection.protocol.sendRejection(250_000_000);
     assertEquals("E(53300) Z", connection.writtenTypes());
     connection.protocol.sendFailure();
-    assertEquals("", connection.writtenTypes(), "a second answer to the same access");
+    assertEquals("", connection.writtenTypes(), "a second answer to the same request");
     connection.runTurn();
     assertEquals(2, connection.submitted.size());
     connection.protocol.sendFailure();
@@ -260,21 +291,22 @@
     assertEquals("E(58000) Z", connection.writtenTypes());
     connection.protocol.connectionClosed();
     connection.protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
-    assertEquals("", connection.writtenTypes(), "an answer to a client that has left");
+    assertEquals("", connection.writtenTypes(), "an answer after the connection was closed");
   }
 
   @Test
-  void adviceStandsInTheDetail() {
+  void retryAfterIsTheDetailOfARejection() {
     TestConnection connection = new TestConnection();
     connection.answersAtOnce = false;
     connection.feed(TestMessages.startup(), TestMessages.query(READ));
     connection.protocol.sendRejection(250_000_000);
     assertTrue(connection.out.toString(StandardCharsets.UTF_8).contains("D250\0"));
+    assertTrue(connection.retryAfterAnnounced);
     connection.protocol.connectionClosed();
   }
 
   @Test
-  void finishingClosesBetweenAccessesOnly() {
+  void drainingClosesOnlyIdleConnections() {
     TestConnection idle = new TestConnection().feed(TestMessages.startup());
     idle.protocol.drain();
     assertTrue(idle.closed);
@@ -285,11 +317,11 @@
     busy.protocol.drain();
     busy.protocol.sendFailure();
     busy.runTurn();
-    assertEquals(false, busy.closed, "an access is half read");
+    assertEquals(false, busy.closed, "half of a request was read");
     busy.feed(Arrays.copyOfRange(second, 9, second.length));
     busy.protocol.sendFailure();
     busy.runTurn();
     assertTrue(busy.closed);
-    assertEquals(WELCOME + " E(58000) Z E(58000) Z", busy.writtenTypes());
+    assertEquals(STARTUP_RESPONSE + " E(58000) Z E(58000) Z", busy.writtenTypes());
   }
 }
--- /dev/null
+++ b/router/src/test/java/rushwood/protocol/SqlStatementParserTest.java
@@ -0,0 +1,72 @@
+package rushwood.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class SqlStatementParserTest {
+  private static final String READ = TestMessages.readStatement("a", ",d=1");
+  private static final String WRITE = TestMessages.writeStatement("a", ",d=1");
+
+  @AfterEach
+  void allBuffersAreReleased() {
+    TestMessages.assertAllReleased();
+  }
+
+  static List<String> statementsInAnotherForm() {
+    return List.of(
+        TestMessages.readStatement("a", ""),
+        TestMessages.readStatement("a", ",d=1,d=2"),
+        TestMessages.readStatement("", ",d=1"),
+        TestMessages.readStatement("a", ",d=1,x"),
+        "SELECT val FROM state /* id=a,c=pass,d=1,cluster=2 */",
+        "/* id=a,c=pass,d=1 */",
+        "*/",
+        READ + ";",
+        READ.replace("state", "other"),
+        READ.replace("k1", "k'1"),
+        READ.replace("k1", ""),
+        READ.replace("k1", "k\u00e9"),
+        TestMessages.readStatement("a", ",d=1,x=a\nb"),
+        READ.replace(" */", " */ -- */"),
+        WRITE.replace("9f03", "9f0"),
+        WRITE.replace("9f03", "9g03"),
+        WRITE.replace("RETURNING val ", ""));
+  }
+
+  @ParameterizedTest
+  @MethodSource("statementsInAnotherForm")
+  void statementsInAnotherFormAreSyntaxErrors(String text) {
+    assertRejected("42601", text);
+  }
+
+  static List<String> statementsWithInvalidFields() {
+    return List.of(
+        TestMessages.readStatement("a", ",d=3600001"),
+        TestMessages.readStatement("a", ",d=0"),
+        TestMessages.readStatement("a", ",d=-1"),
+        TestMessages.readStatement("a", ",d=99999999999"),
+        TestMessages.readStatement("a", ",d=1,after=x"),
+        READ.replace("c=pass", "c=none"),
+        READ.replace("c=pass", "c=pay"),
+        READ.replace("cluster=2", "cluster=two"),
+        TestMessages.readStatement("a".repeat(200), ",d=1"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("statementsWithInvalidFields")
+  void invalidFieldsAreInvalidParameterValues(String text) {
+    assertRejected("22023", text);
+  }
+
+  private static void assertRejected(String sqlState, String text) {
+    ProtocolException rejection =
+        assertThrows(ProtocolException.class, () -> TestMessages.parse(text));
+    assertEquals(sqlState, rejection.sqlState(), text);
+    assertEquals(false, rejection.isFatal());
+  }
+}
--- a/router/src/test/java/rushwood/protocol/TestMessages.java
+++ b/router/src/test/java/rushwood/protocol/TestMessages.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -12,7 +13,7 @@
 import java.util.function.Consumer;
 import rushwood.api.RequestClass;
 
-/** Writes and reads messages for the tests, and keeps count of buffers that are not given back. */
+/** Composes and reads messages for tests, and finds buffers that were not released. */
 public final class TestMessages {
   public static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
   public static final List<RequestClass> REQUEST_CLASSES =
@@ -55,15 +56,16 @@
 
   private TestMessages() {}
 
+  /** A buffer that {@link #assertAllReleased} checks. */
   public static ByteBuf buffer(byte[] bytes) {
     ByteBuf buffer = ALLOCATOR.buffer(bytes.length).writeBytes(bytes);
     ALLOCATED.add(buffer);
     return buffer;
   }
 
-  /** Fails if a buffer that was handed out since the last call was not released. */
+  /** Fails if a buffer that was created since the last call was not released. */
   public static void assertAllReleased() {
-    ALLOCATED.forEach(each -> assertEquals(0, each.refCnt(), "a buffer is kept"));
+    ALLOCATED.forEach(each -> assertEquals(0, each.refCnt(), "a buffer was not released"));
     ALLOCATED.clear();
   }
 
@@ -120,11 +122,12 @@
     return message('S', (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8));
   }
 
-  public static byte[] errorResponse(String code) {
+  public static byte[] errorResponse(String sqlState) {
     return bytesWrittenBy(
-        out -> MessageWriter.writeErrorResponse(out, ErrorResponse.error(code, "no")));
+        out -> MessageWriter.writeErrorResponse(out, ErrorResponse.error(sqlState, "no")));
   }
 
+  /** A row of one column, without ReadyForQuery. */
   public static byte[] rowResponse(String value) {
     return bytesWrittenBy(
         out -> {
@@ -134,33 +137,42 @@
         });
   }
 
-  public static String readStatement(String id, String more) {
+  /** A read with further fields of its comment, which each begin with a comma. */
+  public static String readStatement(String id, String furtherFields) {
     return "SELECT val FROM state WHERE uid = 'k1' /* id="
         + id
         + ",c=pass,t=acme,cluster=2"
-        + more
+        + furtherFields
         + " */";
   }
 
-  public static String writeStatement(String id, String more) {
+  /** A write with further fields of its comment, which each begin with a comma. */
+  public static String writeStatement(String id, String furtherFields) {
     return "INSERT INTO state (uid, val) VALUES ('k1', '\\x9f03') RETURNING val /* id="
         + id
         + ",c=pay,t=acme,cluster=2"
-        + more
+        + furtherFields
         + " */";
   }
 
-  /** The types of whole messages, an error's with its code: "T D C E(53300) Z". */
+  /** Parses a statement of a client; the caller releases it. */
+  static SqlStatement parse(String text) throws ProtocolException {
+    ByteBuf buffer = buffer(text.getBytes(StandardCharsets.UTF_8));
+    try {
+      return SqlStatementParser.parse(buffer, REQUEST_CLASSES);
+    } finally {
+      buffer.release();
+    }
+  }
+
+  /** The types of whole messages, an error's with its SQLSTATE: "T D C E(53300) Z". */
   public static String messageTypes(byte[] bytes) {
     StringBuilder types = new StringBuilder();
-    for (int at = 0; at < bytes.length; ) {
+    int at = 0;
+    while (at < bytes.length) {
       char type = (char) bytes[at];
       types.append(types.length() == 0 ? "" : " ").append(type);
-      int length =
-          (bytes[at + 1] & 255) << 24
-              | (bytes[at + 2] & 255) << 16
-              | (bytes[at + 3] & 255) << 8
-              | bytes[at + 4] & 255;
+      int length = ByteBuffer.wrap(bytes).getInt(at + 1);
       if (type == 'E') {
         String body = new String(bytes, at + 5, length - 4, StandardCharsets.UTF_8);
         types.append('(').append(body, body.indexOf("\0C") + 2, body.indexOf("\0M")).append(')');
@@ -170,7 +182,7 @@
     return types.toString();
   }
 
-  /** Hands the bytes over in one piece, then byte by byte, then cut in two at every place. */
+  /** Runs the test with the bytes in one piece, byte by byte, and cut in two at every place. */
   public static void forEachFragmentation(byte[] bytes, Consumer<List<ByteBuf>> test) {
     test.accept(List.of(buffer(bytes)));
     List<ByteBuf> single = new ArrayList<>();
