--- a/cli/src/main/java/rushwood/cli/Rushwood.java
+++ b/cli/src/main/java/rushwood/cli/Rushwood.java
@@ -58,7 +58,7 @@
       name = "serve",
       mixinStandardHelpOptions = true,
       description =
-          "Runs one router, told by NODE_CONFIG; bin/rushwood starts it with the operator's flags.")
+          "Runs one router, configured by NODE_CONFIG; bin/rushwood starts it with the operator's flags.")
   static final class ServeCommand implements Callable<Integer> {
     @Override
     public Integer call() throws Exception {
--- a/testbed/src/main/java/rushwood/testbed/load/ClientPopulation.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ClientPopulation.java
@@ -35,8 +35,8 @@
     return counts.unfinished();
   }
 
-  /** Records the population's figures, each name with that prefix. */
-  void reportFigures(String prefix) {
-    counts.reportTo(context.result(), prefix);
+  /** Records the figures; the index is that of the population in the experiment's file. */
+  void reportFigures(int populationIndex) {
+    counts.reportTo(context.result(), populationIndex);
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
@@ -72,8 +72,8 @@
 
   /** Records how many tries and writes ran more than once. */
   public void recordDuplicates(WriteLedger ledger) {
-    recordFigure("doubled_tries", ledger.duplicatedTries());
-    recordFigure("doubled_writes", ledger.duplicatedWrites());
+    recordFigure(ReportNames.DUPLICATED_TRIES, ledger.duplicatedTries());
+    recordFigure(ReportNames.DUPLICATED_WRITES, ledger.duplicatedWrites());
   }
 
   /** Adds to a series at a time, in nanoseconds from the experiment's start. */
@@ -94,7 +94,7 @@
    */
   public void recordCompletionPercentiles() {
     for (double percentile : REPORTED_PERCENTILES) {
-      recordFigure("done_p" + (int) percentile, completionSeconds(percentile));
+      recordFigure(ReportNames.completionPercentile(percentile), completionSeconds(percentile));
     }
   }
 
--- a/testbed/src/main/java/rushwood/testbed/load/PopulationCounts.java
+++ b/testbed/src/main/java/rushwood/testbed/load/PopulationCounts.java
@@ -1,6 +1,7 @@
 package rushwood.testbed.load;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 
 /** What is counted over the clients of one population, on their event loop. */
 final class PopulationCounts {
@@ -65,18 +66,23 @@
     connects++;
   }
 
-  void reportTo(ExperimentResult result, String prefix) {
-    result.recordFigure(prefix + ".clients", clients);
-    result.recordFigure(prefix + ".fulfilled", succeeded);
-    result.recordFigure(prefix + "." + ReportNames.SHARE_SUCCEEDED, (double) succeeded / clients);
-    result.recordFigure(prefix + "." + ReportNames.OUTCOME_UNKNOWN, outcomeUnknown);
-    result.recordFigure(prefix + "." + ReportNames.TRIES_EXHAUSTED, triesExhausted);
-    result.recordFigure(prefix + "." + ReportNames.UNFINISHED, unfinished());
-    result.recordFigure(prefix + "." + ReportNames.REJECTED, rejected);
-    result.recordFigure(prefix + ".turned_back_with_wait", rejectedWithRetryAfter);
-    result.recordFigure(prefix + ".connects", connects);
-    result.recordFigure(prefix + ".closed_though_told_to_return", closedDespiteRetryAfter);
-    result.recordFigure(prefix + ".tries_without_answer", unansweredTries);
-    result.recordFigure(prefix + ".answers_too_many", surplusAnswers);
+  /** Records the figures of the population at that index of the experiment's file. */
+  void reportTo(ExperimentResult result, int populationIndex) {
+    BiConsumer<String, Number> record =
+        (name, value) ->
+            result.recordFigure(
+                ReportNames.ofPopulation(populationIndex, name), value.doubleValue());
+    record.accept(ReportNames.CLIENTS, clients);
+    record.accept(ReportNames.SUCCEEDED, succeeded);
+    record.accept(ReportNames.SHARE_SUCCEEDED, (double) succeeded / clients);
+    record.accept(ReportNames.OUTCOME_UNKNOWN, outcomeUnknown);
+    record.accept(ReportNames.TRIES_EXHAUSTED, triesExhausted);
+    record.accept(ReportNames.UNFINISHED, unfinished());
+    record.accept(ReportNames.REJECTED, rejected);
+    record.accept(ReportNames.REJECTED_WITH_RETRY_AFTER, rejectedWithRetryAfter);
+    record.accept(ReportNames.CONNECTS, connects);
+    record.accept(ReportNames.CLOSED_DESPITE_RETRY_AFTER, closedDespiteRetryAfter);
+    record.accept(ReportNames.UNANSWERED_TRIES, unansweredTries);
+    record.accept(ReportNames.SURPLUS_ANSWERS, surplusAnswers);
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -67,7 +67,7 @@
   private void startHost(String id, HostModel.Parameters parameters, long seed)
       throws InterruptedException {
     HostModel model = new HostModel(parameters, id.equals(PRIMARY), seed);
-    StandinHost host = new StandinHost(id, model, loop, System::nanoTime, statement -> {});
+    StandinHost host = new StandinHost(model, loop, System::nanoTime, statement -> {});
     host.listen();
     host.onArrival(statement -> recordRequest(id, statement));
     hosts.put(id, host);
--- a/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import rushwood.testbed.model.HostModel;
 import rushwood.testbed.model.WriteLedger;
@@ -96,7 +97,7 @@
     for (int i = 0; i < experiment.hosts().size(); i++) {
       HostSpec spec = experiment.hosts().get(i);
       HostModel model = experiment.newHostModel(i);
-      StandinHost host = new StandinHost(spec.id(), model, loop, clock, this::recordExecution);
+      StandinHost host = new StandinHost(model, loop, clock, this::recordExecution);
       host.listen();
       hosts.put(spec.id(), host);
       publish(spec);
@@ -173,25 +174,29 @@
   private void sample(String id, HostModel model, long now) {
     long elapsed = now - startNanos;
     result.addToSeries(ReportNames.activeRequestsSeries(id), elapsed, model.activeRequests(now));
-    result.addToSeries("warmth of " + id, elapsed, model.isUp() ? model.relativeSpeed(now) : 0);
+    result.addToSeries(
+        ReportNames.relativeSpeedSeries(id), elapsed, model.isUp() ? model.relativeSpeed(now) : 0);
   }
 
   private void reportFigures() {
     for (int i = 0; i < populations.size(); i++) {
-      populations.get(i).reportFigures("crowd" + i);
-    }
-    hosts.forEach(
-        (id, host) -> {
-          result.recordFigure(id + ".worst_cold_push", host.model().worstColdOverload());
-          result.recordFigure(id + ".falls", host.model().overloadCrashes());
-          result.recordFigure(id + ".offered", host.receivedRequests());
-          result.recordFigure(id + ".accepted", host.acceptedConnections());
-          result.recordFigure(id + ".overfull", host.overloadedReplies());
-        });
+      populations.get(i).reportFigures(i);
+    }
+    hosts.forEach(this::reportHostFigures);
     result.recordDuplicates(ledger);
-    result.recordFigure("untrue_answers", ledger.falseSuccesses());
+    result.recordFigure(ReportNames.FALSE_SUCCESSES, ledger.falseSuccesses());
     result.recordCompletionPercentiles();
-    result.recordFigure("router_cpu_seconds", router.cpuNanos() / 1e9);
+    result.recordFigure(ReportNames.ROUTER_CPU_SECONDS, router.cpuNanos() / 1e9);
+  }
+
+  private void reportHostFigures(String id, StandinHost host) {
+    BiConsumer<String, Number> record =
+        (name, value) -> result.recordFigure(ReportNames.ofHost(id, name), value.doubleValue());
+    record.accept(ReportNames.WORST_COLD_OVERLOAD, host.model().worstColdOverload());
+    record.accept(ReportNames.OVERLOAD_CRASHES, host.model().overloadCrashes());
+    record.accept(ReportNames.RECEIVED_REQUESTS, host.receivedRequests());
+    record.accept(ReportNames.ACCEPTED_CONNECTIONS, host.acceptedConnections());
+    record.accept(ReportNames.OVERLOADED_REPLIES, host.overloadedReplies());
   }
 
   /** Carries out the experiment's events, on the event loop. */
--- a/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -16,8 +16,8 @@
 import rushwood.testbed.standin.Statement;
 
 /**
- * Reads sent to one router at even intervals, on as many connections as it takes, and counted by
- * what came of them. All methods are called on the event loop.
+ * Reads sent to one router at even intervals, on as many connections as it takes. What is answered
+ * does not matter; a request whose connection ends is not sent again. Used on the event loop only.
  */
 public final class SteadyLoad {
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
@@ -32,9 +32,6 @@
   private final Deque<Connection> idle = new ArrayDeque<>();
   private ScheduledFuture<?> sendTask;
   private long sent;
-  private long succeeded;
-  private long failed;
-  private long connectionsLost;
 
   /** The id of each request begins with {@code idPrefix}. */
   public SteadyLoad(
@@ -61,21 +58,6 @@
     return sent;
   }
 
-  /** Requests that were answered with a row. */
-  public long succeeded() {
-    return succeeded;
-  }
-
-  /** Requests that were answered with an error. */
-  public long failed() {
-    return failed;
-  }
-
-  /** Requests whose connection ended before the answer, or could not be opened. */
-  public long connectionsLost() {
-    return connectionsLost;
-  }
-
   private void sendNext() {
     Connection connection = idle.poll();
     if (connection == null) {
@@ -89,25 +71,13 @@
   private final class Connection extends SimpleChannelInboundHandler<ProtocolMessage> {
     private Channel channel;
     private boolean ready;
-    private boolean awaitingAnswer;
-    private boolean errorReceived;
 
     private void connect() {
-      channel =
-          Loopback.connect(loop, router, this)
-              .addListener(
-                  connecting -> {
-                    if (!connecting.isSuccess()) {
-                      connectionEnded();
-                    }
-                  })
-              .channel();
+      channel = Loopback.connect(loop, router, this).channel();
     }
 
     /** Sends a request, or will as soon as the router is ready for the first one. */
     private void send() {
-      awaitingAnswer = true;
-      errorReceived = false;
       if (ready) {
         writeQuery();
       }
@@ -132,34 +102,20 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ProtocolMessage message) {
-      if (message.type() == ProtocolMessage.ERROR_RESPONSE) {
-        errorReceived = true;
-      } else if (message.type() == ProtocolMessage.READY_FOR_QUERY) {
-        handleReady();
+      if (message.type() != ProtocolMessage.READY_FOR_QUERY) {
+        return;
       }
-    }
-
-    private void handleReady() {
-      if (!ready) {
+      if (ready) {
+        idle.push(this);
+      } else {
         ready = true;
         writeQuery();
-        return;
       }
-      awaitingAnswer = false;
-      succeeded += errorReceived ? 0 : 1;
-      failed += errorReceived ? 1 : 0;
-      idle.push(this);
-    }
-
-    private void connectionEnded() {
-      idle.remove(this);
-      connectionsLost += awaitingAnswer ? 1 : 0;
-      awaitingAnswer = false;
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      connectionEnded();
+      idle.remove(this);
     }
 
     @Override
--- a/testbed/src/main/java/rushwood/testbed/model/HostModel.java
+++ b/testbed/src/main/java/rushwood/testbed/model/HostModel.java
@@ -15,7 +15,7 @@
  */
 public final class HostModel {
   /** How old the data of a {@link RequestKind#BOUNDED_READ} may be, in nanoseconds. */
-  public static final long MAX_STALENESS = 500_000_000L;
+  public static final long MAX_STALENESS_NANOS = 500_000_000L;
 
   /**
    * The capacity of a host.
@@ -160,8 +160,7 @@
         parameters.coldStartSpeed() + (1 - parameters.coldStartSpeed()) * Math.max(0, warmedShare));
   }
 
-  /** Whether it is slower than when warm. */
-  public boolean isWarmingUp(long now) {
+  private boolean isWarmingUp(long now) {
     return relativeSpeed(now) < 1;
   }
 
@@ -191,7 +190,9 @@
     if (kind == RequestKind.WRITE && !primary) {
       return new OfferResult(OfferStatus.NOT_PRIMARY, now);
     }
-    if (kind == RequestKind.BOUNDED_READ && !primary && parameters.lagNanos() > MAX_STALENESS) {
+    if (kind == RequestKind.BOUNDED_READ
+        && !primary
+        && parameters.lagNanos() > MAX_STALENESS_NANOS) {
       return new OfferResult(OfferStatus.REPLICA_LAGGING, now);
     }
     if (activeRequests(now) >= parameters.slots() + parameters.queue()) {
--- a/testbed/src/main/java/rushwood/testbed/model/RequestKind.java
+++ b/testbed/src/main/java/rushwood/testbed/model/RequestKind.java
@@ -4,7 +4,10 @@
 public enum RequestKind {
   /** Runs on the primary only. */
   WRITE,
-  /** Runs on the primary, or on a replica that lags by {@link HostModel#MAX_STALENESS} at most. */
+  /**
+   * Runs on the primary, or on a replica that lags by {@link HostModel#MAX_STALENESS_NANOS} at
+   * most.
+   */
   BOUNDED_READ,
   /** Runs on any host, however far it lags. */
   EVENTUAL_READ
--- a/testbed/src/main/java/rushwood/testbed/simulation/EventQueue.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/EventQueue.java
@@ -1,5 +1,6 @@
 package rushwood.testbed.simulation;
 
+import java.util.Comparator;
 import java.util.PriorityQueue;
 
 /**
@@ -7,17 +8,13 @@
  * which they were scheduled, so a run can be repeated exactly. Times are in nanoseconds.
  */
 final class EventQueue {
-  private record Event(long at, long order, Runnable task) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
-    }
-  }
+  private record Event(long at, long sequence, Runnable task) {}
 
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
   private final long start;
   private long now;
-  private long nextOrder;
+  private long nextSequence;
 
   EventQueue(long start) {
     this.start = start;
@@ -36,7 +33,7 @@
 
   /** Schedules a task; a time that has passed means now. */
   void schedule(long at, Runnable task) {
-    events.add(new Event(Math.max(now, at), nextOrder++, task));
+    events.add(new Event(Math.max(now, at), nextSequence++, task));
   }
 
   /** Schedules a task at that time from the start. */
--- a/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
@@ -111,12 +111,12 @@
   }
 
   private void reportFigures() {
-    result.recordFigure("routers", routers.size());
+    result.recordFigure(ReportNames.ROUTERS, routers.size());
     counts.reportTo(result);
-    result.recordFigure("worst_cold_push", store.worstColdOverload());
-    result.recordFigure("falls", store.overloadCrashes());
-    result.recordFigure("seconds_until_done", counts.lastSuccessSeconds());
-    result.recordFigure("seconds_of_work_owed", counts.succeeded() / store.totalRate());
+    result.recordFigure(ReportNames.WORST_COLD_OVERLOAD, store.worstColdOverload());
+    result.recordFigure(ReportNames.OVERLOAD_CRASHES, store.overloadCrashes());
+    result.recordFigure(ReportNames.LAST_SUCCESS_SECONDS, counts.lastSuccessSeconds());
+    result.recordFigure(ReportNames.WORK_SECONDS, counts.succeeded() / store.totalRate());
     result.recordDuplicates(ledger);
     result.recordCompletionPercentiles();
   }
--- a/testbed/src/main/java/rushwood/testbed/simulation/SimulationCounts.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/SimulationCounts.java
@@ -73,16 +73,16 @@
   }
 
   void reportTo(ExperimentResult result) {
-    result.recordFigure("clients", clients);
+    result.recordFigure(ReportNames.CLIENTS, clients);
     result.recordFigure(ReportNames.SHARE_SUCCEEDED, (double) succeeded / clients);
     result.recordFigure(ReportNames.OUTCOME_UNKNOWN, outcomeUnknown);
     result.recordFigure(ReportNames.TRIES_EXHAUSTED, triesExhausted);
     result.recordFigure(ReportNames.UNFINISHED, unfinished);
     result.recordFigure(ReportNames.REJECTED, rejected);
     rejectedByGroup.forEach(
-        (group, count) -> result.recordFigure(ReportNames.REJECTED + "_of_group_" + group, count));
-    result.recordFigure("tries", tries);
-    result.recordFigure("shots", attempts);
-    result.recordFigure("dials_at_hosts_down", connectsWhileDown);
+        (group, count) -> result.recordFigure(ReportNames.rejectedOfGroup(group), count));
+    result.recordFigure(ReportNames.TRIES, tries);
+    result.recordFigure(ReportNames.ATTEMPTS, attempts);
+    result.recordFigure(ReportNames.CONNECTS_WHILE_DOWN, connectsWhileDown);
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
@@ -76,11 +76,6 @@
     throw new IOException("the router did not start: " + Files.readString(log));
   }
 
-  /** Its process id. */
-  public long pid() {
-    return process.pid();
-  }
-
   /** CPU time so far, in nanoseconds. */
   public long cpuNanos() {
     return process.toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
@@ -93,7 +88,7 @@
 
   /** Sends it a signal, by its name without SIG. */
   public void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
 
   /** Sends it SIGTERM and does not wait. */
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -22,7 +22,6 @@
   private static final long MS = 1_000_000L;
   private static final String EVENTUAL_CLASS = "any";
 
-  private final String id;
   private final HostModel model;
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -40,12 +39,7 @@
    * @param executionListener is told of each statement that was executed
    */
   public StandinHost(
-      String id,
-      HostModel model,
-      EventLoop loop,
-      LongSupplier clock,
-      Consumer<Statement> executionListener) {
-    this.id = id;
+      HostModel model, EventLoop loop, LongSupplier clock, Consumer<Statement> executionListener) {
     this.model = model;
     this.loop = loop;
     this.clock = clock;
@@ -58,10 +52,7 @@
     channel.pipeline().addLast(MessageDecoder.forServer(), new ConnectionHandler());
   }
 
-  public String id() {
-    return id;
-  }
-
+  /** How it behaves; used on the loop. */
   public HostModel model() {
     return model;
   }
