--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -14,7 +14,7 @@
   private static final double MAX_RELATIVE_STEP = 0.25; // of a limit below two: slots are shared
   private static final double LATENCY_RATIO_SMOOTHING = 0.1; // about the last ten answers count
   private static final double FULL_WEIGHT_GAP_NANOS = 2e9; // answers this far apart count in full
-  private static final double TARGET_LATENCY_RATIO = 0.35; // the rest is for waiting here
+  private static final double TARGET_LATENCY_RATIO = 0.35; // the rest is for the wait queue
   private static final long MAX_IDLE_CREDIT_NANOS = 3_000_000_000L; // sessions come in bursts
   private static final double MAX_WORK_MULTIPLE = 3; // of the expected service time
 
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -18,8 +18,8 @@
  * its {@link PolicyActions}, then calls the methods of {@link RoutingPolicy} (rushwood/api/
  * RoutingPolicy.java, which defines the interface) in the order of events, from one thread. What is
  * decided is carried out through the actions before a call returns. The policy has no clock: each
- * call tells the time, and {@link PolicyActions#wakeAt} asks for one. The same settings, seed and
- * calls give the same decisions.
+ * call carries the time, and timers are asked for with {@link PolicyActions#wakeAt}. The same
+ * settings, seed and calls give the same decisions.
  */
 public final class DefaultRoutingPolicy implements RoutingPolicy {
   static final long MILLISECOND = 1_000_000L;
--- a/router/src/main/java/rushwood/policy/LostAnswerDetector.java
+++ b/router/src/main/java/rushwood/policy/LostAnswerDetector.java
@@ -13,7 +13,7 @@
   private static final double LOSS_RATIO_SMOOTHING = 0.05; // the weight of a certain loss
   private static final int ANSWER_WEIGHT_DIVISOR = 20; // an answer weighs so much less
 
-  /** One attempt in so many waits until its loss is certain: its answer shows the loss ratio. */
+  /** One attempt in this many waits until its loss is certain, to measure the loss ratio. */
   private static final int CONTROL_SAMPLE_INTERVAL = 4;
 
   private final PolicyContext context;
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -14,7 +14,7 @@
   /** How long evidence of a role counts while no primary is known. */
   private static final long ROLE_VALIDITY = 3 * DefaultRoutingPolicy.CHECK_INTERVAL;
 
-  /** A host that refused a write is handing over: not taken for the primary for so long. */
+  /** A host that refused a write is handing over; it is not taken for the primary for this long. */
   private static final long HANDOVER_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
 
   private static final int DISCOVERY_DIVISOR = 2; // half of all attempts may look for the primary
@@ -38,8 +38,8 @@
   }
 
   /**
-   * Takes in a host's report. A primary's position is the present, so it tells when the report was
-   * made: a late one cannot bring back a primary that a later answer has unseated.
+   * Records a host's report. A primary's position is the present, so it is the time of the report:
+   * a late one cannot restore a primary that a later answer has unseated.
    */
   void reportReceived(HostState host, LoadReport report, long now) {
     long position = (long) report.position();
--- a/router/src/main/java/rushwood/policy/ProbePolicy.java
+++ b/router/src/main/java/rushwood/policy/ProbePolicy.java
@@ -46,7 +46,7 @@
     return host.isUnreachable() && now >= host.nextTrialAt;
   }
 
-  /** An unresponsive host may answer probes, so only a request can tell whether it serves again. */
+  /** An unresponsive host may answer probes, so only a request shows whether it serves again. */
   boolean isTrialDue(HostState host, long now) {
     return host.isUnresponsive() && now >= host.nextTrialAt && budget.has(1);
   }
@@ -61,7 +61,7 @@
   /**
    * Probes the replica whose position was heard longest ago, if that is longer than {@code maxAge}.
    * Half of the probes are left for unreachable hosts, which come back by nothing else: where
-   * answers tell no position, reads took every probe and such a host stayed away for good.
+   * answers carry no position, reads took every probe and such a host never came back.
    */
   void probeLeastRecentlyHeard(GroupState group, long maxAge, long now) {
     boolean yields = context.random().nextBoolean();
--- a/router/src/main/java/rushwood/policy/QueuePolicy.java
+++ b/router/src/main/java/rushwood/policy/QueuePolicy.java
@@ -42,7 +42,7 @@
   /**
    * The order of waiting requests, smallest first: those that can still be answered in time by
    * deadline; then the late ones, the newest first, so that scarce slots do not go to those that
-   * are about to time out. One that waited as it was told to precedes what came meanwhile.
+   * are about to time out. Clients that kept to a Retry-After precede what arrived meanwhile.
    */
   private long priority(PendingRequest pending, long now) {
     double expected = context.serviceTimes().expected(pending);
--- a/router/src/main/java/rushwood/policy/ReplicaSelector.java
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -14,7 +14,7 @@
   private static final int CATCH_UP_DIVISOR = 2; // of what a replica is behind: a guess
   private static final long MIN_CATCH_UP_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
   private static final long MAX_CATCH_UP_TIME = 20 * DefaultRoutingPolicy.CHECK_INTERVAL;
-  private static final int LONG_READ_DIVISOR = 3; // one replica in so many takes long reads
+  private static final int LONG_READ_DIVISOR = 3; // one replica in this many takes long reads
 
   /**
    * Returns the host for a read, or null if it has to wait. Two replicas drawn by weight decide if
--- a/router/src/main/java/rushwood/policy/RetryPolicy.java
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -5,7 +5,7 @@
 /** Decides whether a request may be sent (again), to which hosts, and until when. */
 record RetryPolicy(PolicyContext context) {
   private static final int MAX_ERRORS = 2; // of two hosts: the request is at fault, not a host
-  private static final double WINDOW_SHARE = 0.9; // of a key's window; the rest is for the way
+  private static final double WINDOW_SHARE = 0.9; // of a key's window; the rest: for the network
 
   /** Whether another attempt may be made now: within the limits, the retry budget and safety. */
   boolean canAttempt(PendingRequest pending, long now) {
@@ -42,7 +42,7 @@
     return first == null ? Long.MAX_VALUE : first.sentAt + (long) (window * WINDOW_SHARE);
   }
 
-  /** How long the client of a rejected request is told to wait: others may be queueing here. */
+  /** The Retry-After of a rejected request: while others wait, a quick repeat does not help. */
   long retryAfter(PendingRequest pending, long now) {
     boolean othersWaiting = !pending.group.firstAttempts.isEmpty();
     return context.overloadSignals().retryAfterNanos(now, pending.request, othersWaiting);
--- a/router/src/main/java/rushwood/policy/SlowStart.java
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -2,8 +2,8 @@
 
 /**
  * Limits what a host gets after its process has started to a share, growing with its age, of slots
- * and of the work that warm hosts complete. All routers together so stay well under what would make
- * a cold host collapse, without talking to each other.
+ * and of the work that warm hosts complete. So all routers together stay well below what would make
+ * a cold host collapse, without exchanging messages.
  */
 record SlowStart(PolicyContext context) {
   private static final double MULTIPLE_SHARE = 0.5; // of the collapse multiple; rest: for chance
--- a/router/src/main/java/rushwood/policy/package-info.java
+++ b/router/src/main/java/rushwood/policy/package-info.java
@@ -1,10 +1,16 @@
 /**
- * The routing policy. {@link rushwood.policy.DefaultRoutingPolicy} is the entry point; the classes
- * that decide (and hold every tuned value) are the files named by {@code policy} in {@code
- * deploy/balancer.toml}. All other classes only keep state or provide a mechanism: {@code
- * PolicyContext}, {@code HostTable}, {@code HostState}, {@code GroupState}, {@code RequestTable},
- * {@code PendingRequest}, {@code Attempt}, {@code WaitQueue}, {@code DeadlineQueue}, {@code
- * ServiceTimes}, {@code SessionWrites}, {@code TokenBucket} and {@code ExponentialAverage}.
+ * The routing policy: which host gets a request, when, whether again, and what is rejected. {@link
+ * rushwood.policy.DefaultRoutingPolicy} is the entry point.
+ *
+ * <p>The files that {@code policy} names in {@code deploy/balancer.toml} hold every decision and
+ * every tuned value: retries, deadlines, freshness, the primary, replica selection, concurrency
+ * limits, slow start, outliers, lost answers, probes and the order of the wait queue. All other
+ * classes carry requests along ({@code RequestLifecycle}), wire the parts together ({@code
+ * PolicyComponents}, {@code PolicyContext}), hold state ({@code HostTable}, {@code HostState},
+ * {@code GroupState}, {@code RequestTable}, {@code PendingRequest}, {@code Attempt}, {@code
+ * SessionWrites}) or are mechanisms without a value of their own ({@code WaitQueue}, {@code
+ * DeadlineQueue}, {@code EndpointSubscription}, {@code ServiceTimes}, {@code TokenBucket}, {@code
+ * ExponentialAverage}).
  *
  * <p>Nothing here is synchronized: one thread calls a policy. Times are nanoseconds of the caller's
  * clock.
