Mend Error Prone's three findings in discovery and membership

Need: two casts bound tighter than they read, one test took the platform's charset. Change: a local for each cast; UTF-8 named.

--- a/router/src/main/java/rushwood/discovery/EndpointEntryDecoder.java
+++ b/router/src/main/java/rushwood/discovery/EndpointEntryDecoder.java
@@ -103,9 +103,9 @@
   }
 
   private static long decodeStartTime(JsonObject entry) {
-    double startedAtMillis =
-        JsonFields.optionalNumber(entry, DiscoveryProtocol.STARTED_AT_MILLIS, 0);
-    return (long) startedAtMillis * NANOS_PER_MILLI;
+    long startedAtMillis =
+        (long) JsonFields.optionalNumber(entry, DiscoveryProtocol.STARTED_AT_MILLIS, 0);
+    return startedAtMillis * NANOS_PER_MILLI;
   }
 
   private static boolean decodePrimary(JsonObject entry) {
--- a/router/src/main/java/rushwood/membership/SuspicionTimers.java
+++ b/router/src/main/java/rushwood/membership/SuspicionTimers.java
@@ -55,6 +55,7 @@
         Math.log(Math.max(0, confirmations) + 1.0) / Math.log(settings.maxConfirmations() + 1.0);
     long span = settings.maxSuspicionNanos() - settings.minSuspicionNanos();
     double shrunk = settings.maxSuspicionNanos() - span * Math.min(1.0, share);
-    return (long) Math.max(settings.minSuspicionNanos(), shrunk) * localHealth.timeoutFactor();
+    long bounded = (long) Math.max(settings.minSuspicionNanos(), shrunk);
+    return bounded * localHealth.timeoutFactor();
   }
 }
--- a/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -188,7 +188,7 @@
     list =
         parse(
                 EndpointListParser.forPoll(OptionalLong.empty(), 0),
-                List.of(TestMessages.buffer("{\"version\":3}".getBytes())))
+                List.of(TestMessages.buffer("{\"version\":3}".getBytes(StandardCharsets.UTF_8))))
             .get(0);
     assertEquals(false, list.complete(), "without entries it does not say that there are none");
   }
