--- a/router/src/main/java/rushwood/server/MillisecondWaitStrategy.java
+++ b/router/src/main/java/rushwood/server/MillisecondWaitStrategy.java
@@ -7,15 +7,18 @@
 import io.netty.channel.IoRegistration;
 
 /**
- * Has the event loop wait a whole millisecond for what is due within one. The library's waits are
- * whole milliseconds, rounded to the nearest: before most due times it asks the sockets again and
- * again for up to half a millisecond, as fast as it can. A router has a hundred due times a second
- * and part of a core. Harm: what is due comes up to a millisecond late.
+ * Makes the event loop wait up to the next whole millisecond for a timer that is due within one.
+ *
+ * <p>Netty's selector waits whole milliseconds, rounded to the nearest. Before most timers it then
+ * polls the sockets without waiting for up to half a millisecond, as fast as it can; a router has a
+ * hundred timers a second and a part of a core. Harm: a timer fires up to a millisecond late.
  */
 final class MillisecondWaitStrategy implements IoHandler {
-  private static final long HALF_MILLISECOND_NANOS =
-      500_000; // what the library adds before it cuts off
-  private static final long NO_DEADLINE_NANOS = Long.MAX_VALUE / 2;
+  /** What Netty adds to a delay before it cuts off the fraction of a millisecond. */
+  private static final long HALF_MILLISECOND_NANOS = 500_000;
+
+  /** A longer delay stands for no timer at all. */
+  private static final long MAX_DELAY_NANOS = Long.MAX_VALUE / 2;
 
   private final IoHandler delegate;
 
@@ -23,10 +26,12 @@
     this.delegate = delegate;
   }
 
+  /** Returns a factory whose handlers are those of {@code factory}, with delays rounded up. */
   static IoHandlerFactory wrap(IoHandlerFactory factory) {
     return executor -> new MillisecondWaitStrategy(factory.newHandler(executor));
   }
 
+  /** The context that the event loop gives, with its delay rounded up to a whole millisecond. */
   private record RoundedUpContext(IoHandlerContext delegate) implements IoHandlerContext {
     @Override
     public boolean canBlock() {
@@ -36,7 +41,7 @@
     @Override
     public long delayNanos(long now) {
       long delay = delegate.delayNanos(now);
-      return delay <= 0 || delay > NO_DEADLINE_NANOS ? delay : delay + HALF_MILLISECOND_NANOS - 1;
+      return delay <= 0 || delay > MAX_DELAY_NANOS ? delay : delay + HALF_MILLISECOND_NANOS - 1;
     }
 
     @Override
--- a/router/src/test/java/rushwood/server/RouterConfigTest.java
+++ b/router/src/test/java/rushwood/config/RouterConfigTest.java
@@ -1,7 +1,9 @@
-package rushwood.server;
+package rushwood.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static rushwood.config.RouterConfigFixture.VALID_CONFIG;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -11,28 +13,8 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import rushwood.config.InvalidConfigException;
-import rushwood.config.RouterConfig;
 
 class RouterConfigTest {
-  static final String VALID_SETTINGS =
-      """
-            {"classes":[{"name":"pass","aim":0.4,"deadline":1.5,"semantics":"repeatable","key_scope":"all","window":5.0},
-                        {"name":"pay","aim":0.75,"deadline":5,"semantics":"once","key_scope":"all","window":5.0}],
-             "discovery":"automatic","n_instances":1,"resolution":0.005,
-             "domain":{"behind":"reject","lag_allowed":[0.5,0.0],"needs_by_class":["recent","update"],
-                       "token_mode":"client"},
-             "limits":{"conn_idle":30.0,"dial_timeout":0.25,"max_retry_after":0.5,"may_cancel":true,"most_tries":10,
-                       "probes":true,"retry_after":true},
-             "load_report":{"how":"inline","names":["x0","x1"]},
-             "rules":{"ask_within":10.0,"cold":14.0,"cold_from":0.15,"fall":1.0,"tip_multiple":4.0}}""";
-  static final String VALID_CONFIG =
-      "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\","
-          + "\"seed\":\"fc1f30d27a5be964\",\"limits\":{\"sockets\":256},"
-          + "\"known\":{\"version\":41,\"full\":true,\"servers\":[]},\"settings\":"
-          + VALID_SETTINGS
-          + "}";
-
   @TempDir Path folder;
 
   private RouterConfig read(String json, Map<String, String> more)
@@ -58,10 +40,11 @@
   }
 
   private void assertInvalid(String field, String json) {
-    InvalidConfigException bad =
+    InvalidConfigException error =
         assertThrows(InvalidConfigException.class, () -> read(json, Map.of()));
-    assertEquals(true, bad.getMessage().startsWith(field + " "), bad.getMessage());
-    assertEquals(false, bad.getMessage().contains("\n"));
+    assertEquals(field, error.field());
+    assertEquals(field + " " + error.reason(), error.getMessage());
+    assertFalse(error.getMessage().contains("\n"), "more than one line");
   }
 
   @Test
--- a/router/src/test/java/rushwood/server/ClientDisconnectTest.java
+++ b/router/src/test/java/rushwood/server/ClientDisconnectTest.java
@@ -2,6 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rushwood.protocol.TestMessages.concat;
+import static rushwood.protocol.TestMessages.message;
+import static rushwood.protocol.TestMessages.query;
+import static rushwood.protocol.TestMessages.startup;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -11,18 +15,19 @@
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import rushwood.protocol.TestMessages;
 
 /**
- * Nothing begins for a client that has gone. Where its access waits no host is in service, or its
- * connection does not come up; then the client goes, then the host takes whatever it is sent. Hosts
- * cannot be told to stop, so that only what is not begun can be kept back.
+ * No attempt begins for a client that has disconnected. Its request waits because no endpoint is
+ * ready, or because the connection to the backend is not open yet; then the client disconnects,
+ * then backends take whatever they are sent. Attempts cannot be cancelled here, so that only those
+ * that have not begun can be withheld.
  */
 class ClientDisconnectTest extends RouterProcessFixture {
-  private static final String LONG_READ =
-      TestMessages.readStatement("ID", ",d=8000"); // half of it is its time in the line
-  private static final int DISCONNECT_MILLIS =
-      150; // ms, over the 100 within which an attempt may still begin
+  private static final int LONG_TIMEOUT_MILLIS = 8000; // half of it may be spent in the wait queue
+
+  /** Longer than the 100 ms after the disconnect within which an attempt may still begin. */
+  private static final int DISCONNECT_MILLIS = 150;
+
   private static final int CLIENT_COUNT = 50;
 
   private final List<TestClient> clients = new ArrayList<>();
@@ -49,13 +54,13 @@
     return client;
   }
 
-  /** No host is in service any more: what comes waits in the line. */
+  /** Makes all endpoints drain, so that new requests wait in the queue. */
   private TestClient drainAllBackends() throws Exception {
     TestClient staying = connectClient();
-    assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "first")));
+    assertEquals(SERVED, staying.query(read("first")));
     publishEndpoints(
         endpointJson("a", primary, "Terminating"), endpointJson("b", replica, "Terminating"));
-    while (!readCounters(staying).contains("endpoint_lists_updated=1")) {
+    while (!staying.readCounters().contains("endpoint_lists_updated=1")) {
       Thread.sleep(5);
     }
     replica.receivedStatements.clear();
@@ -67,21 +72,21 @@
     String counters = "";
     while (!counters.contains("requests_received=" + requests + " ")) {
       try (TestClient observer = new TestClient(port)) {
-        counters = readCounters(observer);
+        counters = observer.readCounters();
       }
     }
   }
 
   /**
-   * Fifty that wait in the line leave in that way; one that stays is served, and no host hears of
-   * the others.
+   * Disconnects fifty clients whose requests are queued: another queued client is served, and no
+   * backend receives a request of the fifty.
    */
   private void disconnectWhileQueued(ClientAction action) throws Exception {
-    TestClient staying = drainAllBackends();
+    drainAllBackends();
     List<TestClient> leaving = new ArrayList<>();
     for (int i = 0; i < CLIENT_COUNT; i++) {
       leaving.add(connectClient());
-      leaving.get(i).send(withId(LONG_READ, "gone" + i));
+      leaving.get(i).send(read("gone" + i, LONG_TIMEOUT_MILLIS));
     }
     awaitAcceptedRequests(CLIENT_COUNT + 1);
     for (TestClient each : leaving) {
@@ -89,17 +94,15 @@
     }
     Thread.sleep(DISCONNECT_MILLIS);
     TestClient late = connectClient();
-    late.send(withId(LONG_READ, "stays"));
+    late.send(read("stays", LONG_TIMEOUT_MILLIS));
     awaitAcceptedRequests(CLIENT_COUNT + 2);
     publishEndpoints(endpointJson("a", primary, "Ready"), endpointJson("b", replica, "Ready"));
-    assertEquals("T D C Z", late.readResponse());
+    assertEquals(SERVED, late.readResponse());
     assertNothingSentForDisconnected();
   }
 
   private void assertNothingSentForDisconnected() {
-    List<String> received = new ArrayList<>(replica.receivedStatements);
-    received.addAll(primary.receivedStatements);
-    assertEquals(List.of(), received.stream().filter(each -> each.contains("id=gone")).toList());
+    assertEquals(List.of(), receivedWithId("gone"));
   }
 
   @Test
@@ -116,40 +119,33 @@
         });
   }
 
-  /** It says so and leaves its socket open. */
+  /** The client says that it ends and leaves its socket open. */
   @Test
   void terminateMessage() throws Exception {
-    disconnectWhileQueued(
-        client -> client.socket.getOutputStream().write(TestMessages.message('X', new byte[0])));
+    disconnectWhileQueued(client -> client.sendBytes(message('X', new byte[0])));
   }
 
-  /** Behind statements that it had written ahead. */
+  /** The same after statements that it had pipelined. */
   @Test
   void terminateMessageAfterPipelinedStatements() throws Exception {
     disconnectWhileQueued(
         client ->
-            client
-                .socket
-                .getOutputStream()
-                .write(
-                    TestMessages.concat(
-                        TestMessages.query(withId(LONG_READ, "gone-next")),
-                        TestMessages.query(""),
-                        TestMessages.message('X', new byte[0]))));
+            client.sendBytes(
+                concat(
+                    query(read("gone-next", LONG_TIMEOUT_MILLIS)),
+                    query(""),
+                    message('X', new byte[0]))));
   }
 
-  /** It wrote more ahead than is kept, and its end stands behind that. */
+  /** The client has pipelined more than is buffered before it closes the connection. */
   @Test
   void connectionClosedAfterMoreThanIsBuffered() throws Exception {
-    byte[] much =
-        TestMessages.query(
-            TestMessages.writeStatement("gone-next", ",d=900")
-                .replace("9f03", "9f".repeat(60_000)));
+    byte[] much = query(largeWrite("gone-next", 60_000));
     int[] count = new int[1];
     disconnectWhileQueued(
         client -> {
           for (int i = 0; i < (count[0] < 3 ? 12 : 1); i++) {
-            client.socket.getOutputStream().write(much);
+            client.sendBytes(much);
           }
           count[0]++;
           client.close();
@@ -159,32 +155,30 @@
   private void sendCancelRequest(byte[] key) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      socket
-          .getOutputStream()
-          .write(TestMessages.concat(new byte[] {0, 0, 0, 16, 4, -46, 22, 46}, key));
-      assertEquals(-1, socket.getInputStream().read(), "it is not answered");
+      socket.getOutputStream().write(concat(new byte[] {0, 0, 0, 16, 4, -46, 22, 46}, key));
+      assertEquals(-1, socket.getInputStream().read(), "a cancel request has no response");
     }
   }
 
-  /** By the key that it was given; then the session goes on. */
+  /** A cancel request with the key of the client; its session goes on. */
   @Test
   void cancelRequest() throws Exception {
     disconnectWhileQueued(
         client -> {
           sendCancelRequest(client.cancelKey);
           assertEquals("E(57014) Z", client.readResponse());
-          assertEquals("I Z", client.query(""));
+          assertEquals(EMPTY, client.query(""));
         });
   }
 
-  /** A wrong key, one of a session that rests, one of a session that is over: nothing happens. */
+  /** With a wrong key, that of an idle session or of one that is over, nothing happens. */
   @Test
   void cancelRequestWithWrongKey() throws Exception {
     TestClient over = connectClient();
     over.close();
     TestClient staying = drainAllBackends();
     TestClient waiting = connectClient();
-    waiting.send(withId(LONG_READ, "waits"));
+    waiting.send(read("waits", LONG_TIMEOUT_MILLIS));
     awaitAcceptedRequests(2);
     byte[] wrong = Arrays.copyOf(waiting.cancelKey, 8);
     wrong[7] ^= 1;
@@ -192,19 +186,18 @@
       sendCancelRequest(key);
     }
     publishEndpoints(endpointJson("a", primary, "Ready"), endpointJson("b", replica, "Ready"));
-    assertEquals("T D C Z", waiting.readResponse());
-    assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "second")));
+    assertEquals(SERVED, waiting.readResponse());
+    assertEquals(SERVED, staying.query(read("second")));
   }
 
-  /** The connection that its attempt was to go on comes up after it left. */
+  /** The connection for its attempt opens after the client has disconnected. */
   @Test
   void disconnectWhileBackendConnectionIsPending() throws Exception {
     for (ClientAction action :
         List.<ClientAction>of(
             TestClient::close,
             client -> sendCancelRequest(client.cancelKey),
-            client ->
-                client.socket.getOutputStream().write(TestMessages.message('X', new byte[0])))) {
+            client -> client.sendBytes(message('X', new byte[0])))) {
       CountDownLatch connectionsOpen = new CountDownLatch(1);
       replica.startupGate = connectionsOpen;
       primary.startupGate = connectionsOpen;
@@ -214,78 +207,68 @@
       TestClient staying = connectClient();
       int before = acceptedRequests(staying);
       TestClient leaving = connectClient();
-      leaving.send(withId(LONG_READ, "gone" + before));
+      leaving.send(read("gone" + before, LONG_TIMEOUT_MILLIS));
       awaitAcceptedRequests(before + 1);
       action.apply(leaving);
       Thread.sleep(DISCONNECT_MILLIS);
       connectionsOpen.countDown();
       Thread.sleep(100);
       assertNothingSentForDisconnected();
-      assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "stays" + before)));
+      assertEquals(SERVED, staying.query(read("stays" + before)));
     }
   }
 
   private static int acceptedRequests(TestClient client) throws IOException {
-    return Integer.parseInt(readCounters(client).replaceAll(".*requests_received=(\\d+) .*", "$1"));
+    return Integer.parseInt(
+        client.readCounters().replaceAll(".*requests_received=(\\d+) .*", "$1"));
   }
 
   /**
-   * The process stands still; clients ask and leave, on connections that are open and on new ones,
-   * also unaccepted.
+   * Clients send requests and disconnect while the router is suspended, on open connections and on
+   * ones that it has not accepted.
    */
   @Test
   void disconnectWhileRouterIsSuspended() throws Exception {
     TestClient staying = connectClient();
-    assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "first")));
+    assertEquals(SERVED, staying.query(read("first")));
     List<TestClient> known = new ArrayList<>();
     for (int i = 0; i < CLIENT_COUNT; i++) {
       known.add(connectClient());
     }
     sendSignal("STOP");
     for (int i = 0; i < CLIENT_COUNT; i++) {
-      known.get(i).send(withId(LONG_READ, "gone-known" + i));
+      known.get(i).send(read("gone-known" + i, LONG_TIMEOUT_MILLIS));
       known.get(i).close();
       try (Socket unaccepted = new Socket("127.0.0.1", port)) {
         unaccepted
             .getOutputStream()
-            .write(
-                TestMessages.concat(
-                    TestMessages.startup(), TestMessages.query(withId(LONG_READ, "gone" + i))));
+            .write(concat(startup(), query(read("gone" + i, LONG_TIMEOUT_MILLIS))));
       }
     }
     Thread.sleep(DISCONNECT_MILLIS);
     sendSignal("CONT");
-    assertEquals("T D C Z", staying.query(withId(READ_STATEMENT, "second")));
+    assertEquals(SERVED, staying.query(read("second")));
     Thread.sleep(100);
     assertNothingSentForDisconnected();
   }
 
-  /** A slot is handed over in the turn in which its receiver's end waits unread. */
+  /** A slot becomes free in the turn in which the disconnect of the next client is still unread. */
   @Test
   void disconnectWhileASlotIsReleased() throws Exception {
     CountDownLatch release = new CountDownLatch(1);
     primary.responder =
-        statement -> {
-          try {
-            release.await();
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
-          return TestMessages.concat(
-              TestMessages.rowResponse("v"),
-              TestMessages.parameterStatus("part", "master"),
-              TestMessages.readyForQuery());
-        };
-    TestClient staying = connectClient();
+        StandInBackend.respondBehind(
+            release, statement -> StandInBackend.rowResponse("v", "master"));
+    connectClient(); // stays connected
     List<TestClient> waiting = new ArrayList<>();
     for (int i = 0; i < CLIENT_COUNT; i++) {
       waiting.add(connectClient());
-      waiting.get(i).send(TestMessages.writeStatement("gone" + i, ",d=4000"));
+      waiting.get(i).send(write("gone" + i, 4000));
     }
     awaitAcceptedRequests(CLIENT_COUNT);
     Thread.sleep(DISCONNECT_MILLIS);
     int started = primary.receivedStatements.size();
-    assertTrue(started > 0 && started < CLIENT_COUNT, started + " of them were begun at once");
+    assertTrue(started > 0 && started < CLIENT_COUNT, started + " attempts began at once");
     sendSignal("STOP");
     release.countDown();
     for (TestClient each : waiting) {
@@ -297,6 +280,6 @@
     assertEquals(
         started,
         primary.receivedStatements.size(),
-        "no slot that was freed went to one that had left");
+        "no free slot went to a client that had disconnected");
   }
 }
--- /dev/null
+++ b/router/src/test/java/rushwood/server/ConnectionLimitTest.java
@@ -0,0 +1,204 @@
+package rushwood.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rushwood.protocol.TestMessages.concat;
+import static rushwood.protocol.TestMessages.messageTypes;
+import static rushwood.protocol.TestMessages.query;
+import static rushwood.protocol.TestMessages.readyForQuery;
+import static rushwood.protocol.TestMessages.startup;
+import static rushwood.protocol.TestMessages.startupResponse;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Clients that take all connections, or more memory than there is. */
+class ConnectionLimitTest extends RouterProcessFixture {
+  private static final int SERVED_RESPONSE_LENGTH =
+      concat(startupResponse(), new byte[] {'I', 0, 0, 0, 4}, readyForQuery()).length;
+
+  /** Hundreds of silent connections are all ended, and a client that asks then is served. */
+  @Test
+  void silentConnectionsExhaustSockets() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < 200; i++) {
+        sockets.add(new Socket("127.0.0.1", port));
+      }
+      for (Socket each : sockets) {
+        each.setSoTimeout(TIMEOUT_MILLIS);
+        // refused at once, closed for another client or closed because it was silent for too long
+        int first = each.getInputStream().read();
+        assertTrue(first == 'E' || first < 0);
+      }
+    } finally {
+      for (Socket each : sockets) {
+        each.close();
+      }
+    }
+    TestClient client = null;
+    for (int waitedMillis = 0;
+        waitedMillis < TIMEOUT_MILLIS && client == null;
+        waitedMillis += 50) {
+      Thread.sleep(50);
+      try {
+        client = new TestClient(port);
+      } catch (AssertionError | IOException notAccepted) {
+        continue; // the router has not ended all of them yet
+      }
+    }
+    assertEquals(SERVED, client.query(read("r1")));
+    client.close();
+  }
+
+  /** Idle clients are closed for new ones, the one that has been idle the longest first. */
+  @Test
+  void idleClientsAreClosedForNewOnes() throws Exception {
+    List<TestClient> idle = new ArrayList<>();
+    try (TestClient client = new TestClient(port)) {
+      for (int i = 0; i < 175; i++) {
+        idle.add(new TestClient(port));
+        assertEquals(EMPTY, idle.get(i).query(""));
+      }
+      Thread.sleep(150);
+      assertEquals(EMPTY, client.query(""));
+      TestClient late = new TestClient(port);
+      idle.add(late);
+      assertEquals(SERVED, late.query(read("r1")));
+      assertEquals(SERVED, client.query(read("r2")), "it was not idle for long");
+      assertTrue(idle.get(0).isEnded());
+    } finally {
+      for (TestClient each : idle) {
+        each.close();
+      }
+    }
+  }
+
+  /** Large messages of which many clients have sent a part do not exhaust the memory. */
+  @Test
+  void partialMessagesDoNotExhaustMemory() throws Exception {
+    byte[] half = new byte[250_000];
+    half[0] = 'Q';
+    half[2] = 3; // of a length of 262,143
+    half[3] = -1;
+    half[4] = -1;
+    List<TestClient> clients = new ArrayList<>();
+    try (TestClient client = new TestClient(port)) {
+      for (int i = 0; i < 100; i++) {
+        clients.add(new TestClient(port));
+        TestClient sender = clients.get(i);
+        StandInServer.startThread(() -> sender.sendBytes(half));
+      }
+      String counters = client.readCounters();
+      for (int waitedMillis = 0;
+          waitedMillis < TIMEOUT_MILLIS && counters.contains("clients_refused=0");
+          waitedMillis += 10) {
+        Thread.sleep(10);
+        counters = client.readCounters();
+      }
+      assertTrue(!counters.contains("clients_refused=0"), counters);
+      for (int i = 0; i < 20; i++) {
+        String answer = client.query(read("r" + i));
+        assertServedOrRejected(answer);
+      }
+    } finally {
+      for (TestClient each : clients) {
+        each.close();
+      }
+    }
+  }
+
+  /** Hundreds connect and write at once: each is served, or can read why it is not. */
+  @Test
+  void connectionsBeyondTheLimit() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < 230; i++) {
+        Socket socket = new Socket("127.0.0.1", port);
+        sockets.add(socket);
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        socket.getOutputStream().write(concat(startup(), query("")));
+      }
+      int refused = 0;
+      for (Socket each : sockets) {
+        String types = messageTypes(each.getInputStream().readNBytes(SERVED_RESPONSE_LENGTH));
+        refused += types.endsWith("E(53300)") ? 1 : 0;
+        assertTrue(
+            types.isEmpty() || types.equals(STARTED + " " + EMPTY) || types.endsWith("E(53300)"),
+            types);
+      }
+      assertTrue(refused > 0, "some were refused, and could read it");
+    } finally {
+      for (Socket each : sockets) {
+        each.close();
+      }
+    }
+  }
+
+  /**
+   * A client that pipelines more than is buffered gets the response of its open request, and then
+   * an error before its connection ends.
+   */
+  @Test
+  void pipeliningBeyondTheLimit() throws Exception {
+    replica.responder =
+        StandInBackend.respondAfter(statement -> 400, StandInBackend.rowResponse("v", "replica"));
+    byte[] much = query(largeWrite("ahead", 64 << 10));
+    try (TestClient client = new TestClient(port)) {
+      client.send(read("r1"));
+      for (int i = 0; i < 24; i++) {
+        client.sendBytes(much); // three times what is buffered
+      }
+      String types = messageTypes(client.readToEnd());
+      assertTrue(types.startsWith("T D C Z ") && types.endsWith(" E(53300)"), types);
+    }
+  }
+
+  /**
+   * Sixty clients pipeline a megabyte each before any of it is read: the memory suffices, and other
+   * clients get responses.
+   */
+  @Test
+  void pipeliningByManyClients() throws Exception {
+    byte[] much = query(largeWrite("ahead", 60_000));
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    for (int i = 0; i < 8; i++) {
+      all.writeBytes(much);
+    }
+    List<TestClient> clients = new ArrayList<>();
+    try (TestClient staying = new TestClient(port)) {
+      for (int i = 0; i < 60; i++) {
+        clients.add(new TestClient(port));
+      }
+      sendSignal("STOP");
+      for (TestClient each : clients) {
+        StandInServer.startThread(() -> each.sendBytes(all.toByteArray()));
+      }
+      Thread.sleep(500);
+      sendSignal("CONT");
+      for (int i = 0; i < 20; i++) {
+        String answer = staying.query(read("r" + i));
+        assertServedOrRejected(answer);
+      }
+      Thread.sleep(300);
+      String counters = staying.readCounters();
+      assertTrue(
+          counters.contains("exceptions_caught=0 ") && !counters.contains("clients_refused=0 "),
+          counters);
+      assertEquals(SERVED, staying.query(read("last")));
+    } finally {
+      for (TestClient each : clients) {
+        each.close();
+      }
+    }
+    assertEquals(
+        List.of(),
+        processOutput.stream()
+            .filter(each -> each.contains("OutOf") || each.contains("WARN"))
+            .toList());
+  }
+}
--- a/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
+++ b/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
@@ -2,23 +2,23 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rushwood.protocol.TestMessages.startup;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rushwood.protocol.TestMessages;
 
 /**
- * What discovery has and could tell counts 6 s later, with a grace of 15 s too: a start as well as
- * a drain.
+ * A change that discovery has and could tell takes effect within 6 s, a new endpoint as well as a
+ * draining one, also with a drain grace of 15 s.
  */
 class EndpointUpdateDeadlineTest extends RouterProcessFixture {
-  private static final long MAX_UPDATE_MILLIS = 6000; // ms
-  private static final String READ = TestMessages.readStatement("ID", ",d=900");
+  private static final long MAX_UPDATE_MILLIS = 6000;
 
   private StandInBackend newBackend;
   private int requestCount;
@@ -38,7 +38,7 @@
     newBackend.close();
   }
 
-  /** In the whole list alone: whatever watches there are say nothing of it. */
+  /** Changes the complete list alone: no watch gets an event. */
   private void updateListWithoutWatchEvent() {
     discovery.endpointList =
         endpointListJson(
@@ -48,10 +48,7 @@
             endpointJson("c", newBackend, "Ready"));
   }
 
-  /**
-   * Within the time the host that starts is sent to, and after that nothing goes to the one that
-   * drains.
-   */
+  /** Asserts that the new backend gets requests in time, and the draining one none from then on. */
   private void assertUpdateTakesEffect(TestClient client) throws Exception {
     long from = System.nanoTime();
     newBackend.receivedStatements.clear();
@@ -59,13 +56,13 @@
         .noneMatch(each -> each.startsWith("SELECT val"))) {
       assertTrue(
           System.nanoTime() - from < MAX_UPDATE_MILLIS * 1_000_000,
-          "not sent to within " + MAX_UPDATE_MILLIS + " ms");
-      assertEquals("T D C Z", client.query(withId(READ, "r" + requestCount++)));
+          "no request sent to the new backend within " + MAX_UPDATE_MILLIS + " ms");
+      assertEquals(SERVED, client.query(read("r" + requestCount++)));
       Thread.sleep(10);
     }
     replica.receivedStatements.clear();
     for (int i = 0; i < 20; i++) {
-      assertEquals("T D C Z", client.query(withId(READ, "r" + requestCount++)));
+      assertEquals(SERVED, client.query(read("r" + requestCount++)));
     }
     assertEquals(
         List.of(),
@@ -73,9 +70,9 @@
   }
 
   private TestClient connectClient() throws Exception {
-    awaitWatchRequest(discovery, 41);
+    awaitWatchRequest(discovery, FIRST_LIST_VERSION);
     TestClient client = new TestClient(port);
-    assertEquals("T D C Z", client.query(withId(READ, "r" + requestCount++)));
+    assertEquals(SERVED, client.query(read("r" + requestCount++)));
     return client;
   }
 
@@ -89,10 +86,10 @@
 
   @Test
   void watchWithHeartbeatsOnly() throws Exception {
-    boolean[] over = new boolean[1];
+    AtomicBoolean isOver = new AtomicBoolean();
     StandInServer.startThread(
         () -> {
-          while (!over[0]) {
+          while (!isOver.get()) {
             discovery.watchEvents.add("");
             Thread.sleep(100);
           }
@@ -101,11 +98,11 @@
       updateListWithoutWatchEvent();
       assertUpdateTakesEffect(client);
     } finally {
-      over[0] = true;
+      isOver.set(true);
     }
   }
 
-  /** The next calls are taken and never answered. */
+  /** The next calls are accepted and never answered. */
   @Test
   void stalledCalls() throws Exception {
     try (TestClient client = connectClient()) {
@@ -116,7 +113,7 @@
     }
   }
 
-  /** It is away when the host starts; its return counts. */
+  /** Discovery is away when the list changes; the time counts from its return. */
   @Test
   void discoveryBecomesReachableAgain() throws Exception {
     try (TestClient client = connectClient()) {
@@ -129,14 +126,14 @@
     }
   }
 
-  /** Idle clients take every descriptor that they can, and discovery ends its connections then. */
+  /** Idle clients take all descriptors that they can get; then discovery closes its connections. */
   @Test
   void clientsTakeAllDescriptors() throws Exception {
     List<Socket> idle = new ArrayList<>();
     try (TestClient client = connectClient()) {
       for (int i = 0; i < 300; i++) {
         Socket socket = new Socket("127.0.0.1", port);
-        socket.getOutputStream().write(TestMessages.startup());
+        socket.getOutputStream().write(startup());
         idle.add(socket);
       }
       discovery.closeConnections();
--- a/router/src/test/java/rushwood/server/MillisecondWaitStrategyTest.java
+++ b/router/src/test/java/rushwood/server/MillisecondWaitStrategyTest.java
@@ -16,10 +16,7 @@
 class MillisecondWaitStrategyTest {
   private static final int TIMER_COUNT = 100;
 
-  /**
-   * An event loop with due times and nothing else looks at its sockets once for each, not all the
-   * time before.
-   */
+  /** An event loop that has only timers polls its sockets about once for each of them. */
   @Test
   void doesNotSpinBeforeTimers() throws Exception {
     AtomicInteger polls = new AtomicInteger();
@@ -47,10 +44,10 @@
       }
       assertTrue(done.await(20, TimeUnit.SECONDS));
       assertTrue(
-          polls.get() < TIMER_COUNT * 3 / 2, polls + " looks for " + TIMER_COUNT + " due times");
+          polls.get() < TIMER_COUNT * 3 / 2, polls + " polls for " + TIMER_COUNT + " timers");
       assertTrue(
           maxDelayNanos[0] < 500_000_000,
-          "the latest was " + maxDelayNanos[0] / 1_000_000 + " ms late");
+          "a timer fired " + maxDelayNanos[0] / 1_000_000 + " ms late");
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
--- a/router/src/test/java/rushwood/server/RouterProcessFixture.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -3,226 +3,40 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.ByteArrayOutputStream;
-import java.io.Closeable;
-import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
+import rushwood.config.RouterConfigFixture;
 import rushwood.protocol.TestMessages;
 
 /**
- * A router in a process of its own, with stand-in hosts, discovery and clients of ours on loopback.
+ * A router in a process of its own, with a primary, a replica and discovery as stand-ins on
+ * loopback.
  */
 abstract class RouterProcessFixture {
-  static final int TIMEOUT_MILLIS = 20_000; // ms until a test that hangs fails
-  static final String READ_STATEMENT = TestMessages.readStatement("ID", ",d=900");
-
-  /** Accepts connections and serves each on a thread. */
-  abstract static class StandInServer implements Closeable {
-    final ServerSocket socket;
-    private final List<Socket> openSockets = new ArrayList<>();
-
-    StandInServer() throws IOException {
-      socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-      startThread(
-          () -> {
-            while (true) {
-              Socket next = socket.accept();
-              synchronized (openSockets) {
-                openSockets.add(next);
-              }
-              startThread(() -> serve(next));
-            }
-          });
-    }
-
-    interface ThrowingTask {
-      void run() throws IOException, InterruptedException;
-    }
-
-    static void startThread(ThrowingTask job) {
-      Thread thread =
-          new Thread(
-              () -> {
-                try {
-                  job.run();
-                } catch (IOException | InterruptedException e) {
-                  return; // the connection or the test is over
-                }
-              });
-      thread.setDaemon(true);
-      thread.start();
-    }
-
-    abstract void serve(Socket client) throws IOException, InterruptedException;
-
-    /** Ends all connections that are open. */
-    void closeConnections() throws IOException {
-      synchronized (openSockets) {
-        for (Socket each : openSockets) {
-          each.close();
-        }
-        openSockets.clear();
-      }
-    }
-
-    @Override
-    public void close() throws IOException {
-      socket.close();
-      closeConnections();
-    }
-  }
+  /** Until a test that hangs fails. */
+  static final int TIMEOUT_MILLIS = 20_000;
 
-  /**
-   * A host; what it answers can be changed, and an answer that does not end with ready is cut off.
-   */
-  static final class StandInBackend extends StandInServer {
-    final BlockingQueue<String> receivedStatements = new LinkedBlockingQueue<>();
-    final String role;
-    volatile Function<String, byte[]> responder;
-    volatile boolean resetsConnections;
-    volatile boolean keepsConnectionOpen; // also behind an answer that does not end
-    volatile CountDownLatch startupGate =
-        new CountDownLatch(0); // new connections come up once it is at zero
-
-    StandInBackend(String role) throws IOException {
-      this.role = role;
-      responder =
-          statement ->
-              TestMessages.concat(
-                  TestMessages.rowResponse(role),
-                  TestMessages.parameterStatus("part", role),
-                  TestMessages.readyForQuery());
-    }
-
-    @Override
-    void serve(Socket client) throws IOException, InterruptedException {
-      if (resetsConnections) {
-        client.setSoLinger(true, 0);
-        client.close();
-        return;
-      }
-      DataInputStream in = new DataInputStream(client.getInputStream());
-      in.readNBytes(in.readInt() - 4);
-      startupGate.await();
-      client.getOutputStream().write(TestMessages.startupResponse());
-      while (true) {
-        in.readByte();
-        byte[] text = in.readNBytes(in.readInt() - 4);
-        String statement = new String(text, 0, text.length - 1, StandardCharsets.UTF_8);
-        receivedStatements.add(statement);
-        byte[] response = responder.apply(statement);
-        client.getOutputStream().write(response);
-        if (!keepsConnectionOpen && (response.length < 6 || response[response.length - 6] != 'Z')) {
-          client.close();
-          return;
-        }
-      }
-    }
-  }
+  /** How long the client of a statement waits where the test does not say. */
+  static final int REQUEST_TIMEOUT_MILLIS = 900;
 
-  /** Discovery: the whole list, then a watch that tells what the test puts in. */
-  static final class StandInDiscovery extends StandInServer {
-    volatile int unansweredCalls; // calls that are taken and never answered, from now on
-    final BlockingQueue<String> watchEvents = new LinkedBlockingQueue<>();
-    final BlockingQueue<String> requestedPaths = new LinkedBlockingQueue<>();
-    volatile String endpointList;
-
-    StandInDiscovery() throws IOException {}
-
-    @Override
-    void serve(Socket client) throws IOException, InterruptedException {
-      BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
-      String line = in.readLine();
-      if (line == null) {
-        return; // given up before it was asked
-      }
-      String path = line.split(" ")[1];
-      requestedPaths.add(path);
-      if (unansweredCalls > 0) {
-        unansweredCalls--;
-        return;
-      }
-      OutputStream out = client.getOutputStream();
-      if (!path.contains("follow")) {
-        out.write(
-            ("HTTP/1.1 200 OK\r\nContent-Length: "
-                    + endpointList.length()
-                    + "\r\n\r\n"
-                    + endpointList)
-                .getBytes());
-        return;
-      }
-      out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
-      while (true) {
-        String change = watchEvents.take() + "\n";
-        out.write((Integer.toHexString(change.length()) + "\r\n" + change + "\r\n").getBytes());
-      }
-    }
-  }
+  /** The version of the list that discovery has at the start. */
+  static final int FIRST_LIST_VERSION = 41;
 
-  /** A client connection that has said hello. */
-  static final class TestClient implements Closeable {
-    final Socket socket;
-    byte[] cancelKey; // by which what runs here can be cancelled
-
-    TestClient(int port) throws IOException {
-      socket = new Socket("127.0.0.1", port);
-      socket.setSoTimeout(TIMEOUT_MILLIS);
-      socket.getOutputStream().write(TestMessages.startup());
-      assertEquals("R S S S S S K Z", readResponse());
-    }
-
-    void send(String statement) throws IOException {
-      socket.getOutputStream().write(TestMessages.query(statement));
-    }
-
-    String query(String statement) throws IOException {
-      send(statement);
-      return readResponse();
-    }
-
-    /** Messages up to ready. */
-    String readResponse() throws IOException {
-      ByteArrayOutputStream all = new ByteArrayOutputStream();
-      DataInputStream in = new DataInputStream(socket.getInputStream());
-      byte type;
-      do {
-        type = in.readByte();
-        byte[] body = in.readNBytes(in.readInt() - 4);
-        all.writeBytes(TestMessages.message((char) type, body));
-        cancelKey = type == 'K' ? body : cancelKey;
-      } while (type != 'Z');
-      return TestMessages.messageTypes(all.toByteArray());
-    }
-
-    boolean isEnded() throws IOException {
-      return socket.getInputStream().read() < 0;
-    }
-
-    @Override
-    public void close() throws IOException {
-      socket.close();
-    }
-  }
+  // Responses, as the types of their messages.
+  static final String STARTED = "R S S S S S K Z";
+  static final String SERVED = "T D C Z";
+  static final String EMPTY = "I Z";
+  static final String REJECTED = "E(53300) Z";
+  static final String FAILED = "E(58000) Z";
 
   @TempDir Path folder;
   StandInBackend primary;
@@ -231,7 +45,7 @@
   Process process;
   final BlockingQueue<String> processOutput = new LinkedBlockingQueue<>();
   int port;
-  int listVersion = 40;
+  int listVersion = FIRST_LIST_VERSION - 1;
 
   @BeforeEach
   void startRouter() throws Exception {
@@ -241,6 +55,26 @@
     port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
   }
 
+  @AfterEach
+  void stopRouter() throws Exception {
+    process.toHandle().destroyForcibly(); // unlike Process.destroyForcibly, leaves its output open
+    assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    assertEquals(List.of(), processOutput.stream().filter(line -> line.contains("LEAK")).toList());
+    discovery.close();
+    primary.close();
+    replica.close();
+  }
+
+  /** The settings that the router is started with. */
+  String settingsJson() {
+    return RouterConfigFixture.VALID_SETTINGS;
+  }
+
+  /** The port that the router listens on; 0 for any. */
+  int listenPort() {
+    return 0;
+  }
+
   void startStandIns() throws Exception {
     primary = new StandInBackend("master");
     replica = new StandInBackend("replica");
@@ -251,7 +85,7 @@
     writeConfig(discovery);
   }
 
-  /** Starts the process; it does not serve yet. */
+  /** Starts the process and returns before it listens. */
   void launchProcess() throws Exception {
     ProcessBuilder builder =
         new ProcessBuilder(
@@ -269,31 +103,21 @@
                 "serve")
             .redirectErrorStream(true);
     builder.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
-    builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + discovery.socket.getLocalPort());
+    builder.environment().put("NODE_DISCOVERY", discovery.address());
     process = builder.start();
     StandInServer.startThread(() -> process.inputReader().lines().forEach(processOutput::add));
   }
 
-  /** Of the configuration. */
-  String settingsJson() {
-    return RouterConfigTest.VALID_SETTINGS;
-  }
-
-  /** Where it listens; 0 for anywhere. */
-  int listenPort() {
-    return 0;
-  }
-
-  Path writeConfig(StandInDiscovery discovery) throws IOException {
+  Path writeConfig(StandInDiscovery configuredDiscovery) throws IOException {
     return Files.writeString(
         folder.resolve("config.json"),
         "{\"name\":\"n0\",\"seed\":\"7\","
             + "\"listen\":\"127.0.0.1:"
             + listenPort()
-            + "\",\"discovery\":\"127.0.0.1:"
-            + discovery.socket.getLocalPort()
+            + "\",\"discovery\":\""
+            + configuredDiscovery.address()
             + "\",\"limits\":{\"sockets\":256},\"known\":"
-            + discovery.endpointList
+            + configuredDiscovery.endpointList
             + ",\"settings\":"
             + settingsJson()
             + "}");
@@ -308,99 +132,109 @@
         0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
   }
 
-  @AfterEach
-  void stopRouter() throws Exception {
-    process.toHandle().destroyForcibly(); // leaves its output open
-    assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-    assertEquals(List.of(), processOutput.stream().filter(line -> line.contains("LEAK")).toList());
-    discovery.close();
-    primary.close();
-    replica.close();
+  /** Sends SIGTERM at once and returns the time; the process's output stays open. */
+  long terminate() {
+    process.toHandle().destroy();
+    return System.nanoTime();
   }
 
-  String endpointListJson(boolean whole, String... entries) {
+  /** Returns a list with the next version. */
+  String endpointListJson(boolean complete, String... entries) {
+    listVersion++;
     return "{\"version\":"
-        + ++listVersion
+        + listVersion
         + ",\"full\":"
-        + whole
+        + complete
         + ",\"servers\":["
         + String.join(",", entries)
         + "]}";
   }
 
-  /** Discovery has it from now on: a watch brings it, and so does the whole list. */
-  void publishEndpoints(String... entries) {
-    String change = endpointListJson(false, entries);
-    discovery.endpointList = change.replace("\"full\":false", "\"full\":true");
-    discovery.watchEvents.add(change);
-  }
-
   static String endpointJson(String id, StandInBackend backend, String state) {
     return "{\"id\":\""
         + id
-        + "\",\"addr\":\"127.0.0.1:"
-        + backend.socket.getLocalPort()
-        + "\",\"cell\":2,"
-        + "\"state\":\""
+        + "\",\"addr\":\""
+        + backend.address()
+        + "\",\"cell\":2,\"state\":\""
         + state
         + "\",\"weight\":1.0,\"part\":\""
         + backend.role
         + "\"}";
   }
 
-  /**
-   * The whole list was asked for, as often as it took, and then a watch on what changes after that
-   * version.
-   */
-  static void awaitWatchRequest(StandInDiscovery discovery, int version)
+  /** Makes discovery answer with these endpoints and send them to a watch. */
+  void publishEndpoints(String... entries) {
+    String change = endpointListJson(false, entries);
+    discovery.endpointList = change.replace("\"full\":false", "\"full\":true");
+    discovery.watchEvents.add(change);
+  }
+
+  /** Waits for a watch on what changes after the version; calls for the list may precede it. */
+  static void awaitWatchRequest(StandInDiscovery watchedDiscovery, int version)
       throws InterruptedException {
-    String next = takeNext(discovery.requestedPaths);
+    String next = takeNext(watchedDiscovery.requestedPaths);
     while (next.equals("/registry/instances")) {
-      next = takeNext(discovery.requestedPaths);
+      next = takeNext(watchedDiscovery.requestedPaths);
     }
     assertEquals("/registry/instances?follow=1&since=" + version, next);
   }
 
   String awaitLogLine(String text) throws InterruptedException {
-    for (String line = takeNext(processOutput); ; line = takeNext(processOutput)) {
-      if (line.contains(text)) {
-        return line;
-      }
+    String line = takeNext(processOutput);
+    while (!line.contains(text)) {
+      line = takeNext(processOutput);
     }
+    return line;
   }
 
-  static String takeNext(BlockingQueue<String> from) throws InterruptedException {
-    String next = from.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  static String takeNext(BlockingQueue<String> queue) throws InterruptedException {
+    String next = queue.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     assertTrue(next != null, "nothing came");
     return next;
   }
 
-  /** The next statement of a client that a host saw. */
+  /** Takes the next statement of a client that the backend has received; probes are skipped. */
   static String nextStatement(StandInBackend backend) throws InterruptedException {
     String next = takeNext(backend.receivedStatements);
-    return next.startsWith("SHOW") ? nextStatement(backend) : next;
+    while (next.startsWith("SHOW")) {
+      next = takeNext(backend.receivedStatements);
+    }
+    return next;
+  }
+
+  /** Returns what both backends have received with an id that begins with {@code idPrefix}. */
+  List<String> receivedWithId(String idPrefix) {
+    return receivedStatements().stream().filter(each -> each.contains("id=" + idPrefix)).toList();
+  }
+
+  List<String> receivedStatements() {
+    List<String> received = new ArrayList<>(replica.receivedStatements);
+    received.addAll(primary.receivedStatements);
+    return received;
+  }
+
+  static String read(String id) {
+    return read(id, REQUEST_TIMEOUT_MILLIS);
+  }
+
+  static String read(String id, int timeoutMillis) {
+    return TestMessages.readStatement(id, ",d=" + timeoutMillis);
+  }
+
+  static String write(String id) {
+    return write(id, REQUEST_TIMEOUT_MILLIS);
+  }
+
+  static String write(String id, int timeoutMillis) {
+    return TestMessages.writeStatement(id, ",d=" + timeoutMillis);
   }
 
-  static String withId(String statement, String id) {
-    return statement.replace("ID", id);
+  /** Returns a write of a value of that many bytes. */
+  static String largeWrite(String id, int valueBytes) {
+    return write(id).replace("9f03", "9f".repeat(valueBytes));
   }
 
-  static String readCounters(TestClient client) throws IOException {
-    client.send("SHOW counters");
-    StringBuilder text = new StringBuilder();
-    DataInputStream in = new DataInputStream(client.socket.getInputStream());
-    byte type;
-    do {
-      type = in.readByte();
-      byte[] body = in.readNBytes(in.readInt() - 4);
-      if (type == 'D') {
-        int name = body[5];
-        text.append(new String(body, 6, name))
-            .append('=')
-            .append(new String(body, 10 + name, body.length - 10 - name))
-            .append(' ');
-      }
-    } while (type != 'Z');
-    return text.toString();
+  static void assertServedOrRejected(String response) {
+    assertTrue(response.equals(SERVED) || response.equals(REJECTED), response);
   }
 }
--- /dev/null
+++ b/router/src/test/java/rushwood/server/StandInServer.java
@@ -0,0 +1,75 @@
+package rushwood.server;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A server on loopback that serves each connection on a thread of its own. */
+abstract class StandInServer implements Closeable {
+  private static final int LISTEN_BACKLOG = 50;
+
+  final ServerSocket socket;
+  private final List<Socket> openSockets = new ArrayList<>(); // guarded by itself
+
+  StandInServer() throws IOException {
+    socket = new ServerSocket(0, LISTEN_BACKLOG, InetAddress.getByName("127.0.0.1"));
+    startThread(this::acceptConnections);
+  }
+
+  /** What a thread runs until the connection or the test is over. */
+  interface ThrowingTask {
+    void run() throws IOException, InterruptedException;
+  }
+
+  /** Starts a daemon thread that ends silently with an exception of its connection. */
+  static void startThread(ThrowingTask task) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                task.run();
+              } catch (IOException | InterruptedException e) {
+                return; // the connection or the test is over
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void acceptConnections() throws IOException {
+    while (true) {
+      Socket next = socket.accept();
+      synchronized (openSockets) {
+        openSockets.add(next);
+      }
+      startThread(() -> serve(next));
+    }
+  }
+
+  /** Serves one connection until it ends. */
+  abstract void serve(Socket connection) throws IOException, InterruptedException;
+
+  String address() {
+    return "127.0.0.1:" + socket.getLocalPort();
+  }
+
+  /** Closes all open connections; new ones are still accepted. */
+  void closeConnections() throws IOException {
+    synchronized (openSockets) {
+      for (Socket each : openSockets) {
+        each.close();
+      }
+      openSockets.clear();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+    closeConnections();
+  }
+}
--- /dev/null
+++ b/router/src/test/java/rushwood/server/TestClient.java
@@ -0,0 +1,87 @@
+package rushwood.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import rushwood.protocol.TestMessages;
+
+/**
+ * A client connection on which the startup is done. Responses are told as the types of their
+ * messages, see {@link TestMessages#messageTypes}.
+ */
+final class TestClient implements Closeable {
+  final Socket socket;
+  byte[] cancelKey; // with which another connection can cancel what runs here
+
+  TestClient(int port) throws IOException {
+    socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(RouterProcessFixture.TIMEOUT_MILLIS);
+    socket.getOutputStream().write(TestMessages.startup());
+    assertEquals(RouterProcessFixture.STARTED, readResponse());
+  }
+
+  void send(String statement) throws IOException {
+    sendBytes(TestMessages.query(statement));
+  }
+
+  void sendBytes(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+  }
+
+  String query(String statement) throws IOException {
+    send(statement);
+    return readResponse();
+  }
+
+  /** Reads messages up to ReadyForQuery. */
+  String readResponse() throws IOException {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    byte type;
+    do {
+      type = in.readByte();
+      byte[] body = in.readNBytes(in.readInt() - 4);
+      all.writeBytes(TestMessages.message((char) type, body));
+      cancelKey = type == 'K' ? body : cancelKey;
+    } while (type != 'Z');
+    return TestMessages.messageTypes(all.toByteArray());
+  }
+
+  /** Reads the counters as {@code name=value} pairs, each followed by a space. */
+  String readCounters() throws IOException {
+    send("SHOW counters");
+    StringBuilder text = new StringBuilder();
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    byte type;
+    do {
+      type = in.readByte();
+      byte[] body = in.readNBytes(in.readInt() - 4);
+      if (type == 'D') {
+        int nameLength = body[5];
+        String name = new String(body, 6, nameLength);
+        String value = new String(body, 10 + nameLength, body.length - 10 - nameLength);
+        text.append(name).append('=').append(value).append(' ');
+      }
+    } while (type != 'Z');
+    return text.toString();
+  }
+
+  /** Reads all bytes up to the end of the connection; fails if it is reset instead. */
+  byte[] readToEnd() throws IOException {
+    return socket.getInputStream().readAllBytes();
+  }
+
+  /** Reads on and returns whether the router has ended the connection. */
+  boolean isEnded() throws IOException {
+    return socket.getInputStream().read() < 0;
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- a/router/src/test/java/rushwood/server/WarmupTest.java
+++ b/router/src/test/java/rushwood/server/WarmupTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushwood.config.RouterConfig;
+import rushwood.config.RouterConfigFixture;
 import rushwood.dispatch.Counter;
 import rushwood.dispatch.Counters;
 
@@ -24,7 +25,7 @@
    */
   @Test
   void runsTheCodeOfRealRequests(@TempDir Path folder) throws Exception {
-    Path file = Files.writeString(folder.resolve("config.json"), RouterConfigTest.VALID_CONFIG);
+    Path file = Files.writeString(folder.resolve("config.json"), RouterConfigFixture.VALID_CONFIG);
     UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     Counters counters =
--- /dev/null
+++ b/router/src/test/java/rushwood/simulator/SimulatorAdapterTest.java
@@ -0,0 +1,43 @@
+package rushwood.simulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** What the simulator is told of input that cannot be read. */
+class SimulatorAdapterTest {
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+  private int run(String... lines) throws IOException {
+    byte[] input = (String.join("\n", lines) + "\n").getBytes(StandardCharsets.UTF_8);
+    return SimulatorAdapter.run(
+        new ByteArrayInputStream(input), output, new PrintStream(errors, true));
+  }
+
+  @Test
+  void endsTheSimulationWhereARouterIsNamed() throws IOException {
+    assertEquals(
+        0,
+        run(
+            "mark\tclock=1.0",
+            "target_instance\trouter=4",
+            "power_on\tentropy=7\tn_instances=many",
+            "eof_batch"));
+    assertEquals(
+        "as\trouter=4\ndie\tmessage=line 3 (power_on): n_instances is not a number\nok\n",
+        output.toString());
+  }
+
+  @Test
+  void endsTheProcessWhereNoRouterIsNamed() throws IOException {
+    assertEquals(1, run("mark\tclock=1.0", "due", "eof_batch"));
+    assertEquals("rushwood: line 2 (due): router is not named\n", errors.toString());
+    assertEquals("", output.toString());
+  }
+}
