--- a/Makefile
+++ b/Makefile
@@ -15,5 +15,5 @@
 run: build # one router, told by NODE_CONFIG
 	$$(sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
-tools: # bin/rushwood with its laboratory
+tools: # bin/rushwood with the testbed
 	mvn -B -q -Dmaven.test.skip=true package
--- a/testbed/src/main/java/rushwood/testbed/load/Experiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/Experiment.java
@@ -11,6 +11,7 @@
 import com.networknt.schema.ValidationMessage;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -99,7 +100,8 @@
   /**
    * Reads and checks a file.
    *
-   * @throws IOException with one line that names the invalid field and the reason
+   * @throws InvalidExperimentException if it is no experiment
+   * @throws IOException if it cannot be read
    */
   public static Experiment read(Path file) throws IOException {
     return parse(Files.readString(file));
@@ -108,20 +110,26 @@
   /**
    * Reads and checks a document.
    *
-   * @throws IOException with one line that names the invalid field and the reason
+   * @throws InvalidExperimentException if it is no experiment
    */
-  public static Experiment parse(String json) throws IOException {
+  public static Experiment parse(String json) throws InvalidExperimentException {
     try {
       JsonNode document = MAPPER.readTree(json);
-      try (InputStream schema = Experiment.class.getResourceAsStream(SCHEMA)) {
-        List<String> violations = violations(document, schema);
-        if (!violations.isEmpty()) {
-          throw new IOException(violations.get(0));
-        }
+      List<String> violations = violations(document);
+      if (!violations.isEmpty()) {
+        throw new InvalidExperimentException(violations.get(0));
       }
       return MAPPER.treeToValue(document, Experiment.class);
     } catch (JsonProcessingException e) {
-      throw new IOException("no JSON: " + e.getOriginalMessage(), e);
+      throw new InvalidExperimentException("no JSON: " + e.getOriginalMessage(), e);
+    }
+  }
+
+  private static List<String> violations(JsonNode document) {
+    try (InputStream schema = Experiment.class.getResourceAsStream(SCHEMA)) {
+      return violations(document, schema);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e); // a resource of this jar
     }
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
@@ -167,8 +167,8 @@
       throw notSimulated("term");
     }
 
-    private IllegalArgumentException notSimulated(String event) {
-      return new IllegalArgumentException(event + " is not played in virtual time");
+    private UnsupportedOperationException notSimulated(String event) {
+      return new UnsupportedOperationException(event + " is not played in virtual time");
     }
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
@@ -48,7 +48,12 @@
     builder.environment().put("NODE_CONFIG", config.toString());
     builder.environment().put("RUSHWOOD_SETTINGS", build.settings());
     process = builder.start();
-    awaitReady(listen);
+    try {
+      awaitReady(listen);
+    } catch (IOException | InterruptedException e) {
+      close();
+      throw e;
+    }
   }
 
   private static List<String> command(Build build) {
--- a/testbed/src/test/java/rushwood/testbed/load/ExperimentTest.java
+++ b/testbed/src/test/java/rushwood/testbed/load/ExperimentTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import rushwood.testbed.load.ScheduledEvent.Type;
 import rushwood.testbed.model.RetryBehavior;
 
 class ExperimentTest {
@@ -22,8 +21,8 @@
     String rest = ",\"hosts\":[{\"id\":\"a\",\"rate\":1}]," + CLIENTS + "}";
     for (Map.Entry<String, String> invalid :
         Map.of("{}", "required", head + 0 + rest, "lasts", "[", "no JSON").entrySet()) {
-      IOException rejected =
-          assertThrows(IOException.class, () -> Experiment.parse(invalid.getKey()));
+      InvalidExperimentException rejected =
+          assertThrows(InvalidExperimentException.class, () -> Experiment.parse(invalid.getKey()));
       assertTrue(rejected.getMessage().contains(invalid.getValue()), rejected.getMessage());
       assertEquals(1, rejected.getMessage().lines().count());
     }
@@ -53,8 +52,8 @@
         experiment.hosts());
     assertEquals(
         List.of(
-            new ScheduledEvent(1, Type.SILENCE_DISCOVERY, null),
-            new ScheduledEvent(2, Type.CRASH, "h")),
+            new ScheduledEvent(1, ScheduledEvent.Type.SILENCE_DISCOVERY, null),
+            new ScheduledEvent(2, ScheduledEvent.Type.CRASH, "h")),
         experiment.events());
     assertEquals(
         List.of(
@@ -69,7 +68,7 @@
         List.of("die", "start", "promote", "demote", "hang", "wake", "silence", "list", "term");
     for (int i = 0; i < events.size(); i++) {
       String event = "\"events\":[{\"at\":0,\"what\":\"" + events.get(i) + "\"}]";
-      assertEquals(Type.values()[i], parse(event, "polite").events().get(0).type());
+      assertEquals(ScheduledEvent.Type.values()[i], parse(event, "polite").events().get(0).type());
     }
     List<String> manners = List.of("polite", "one_clock", "rude");
     for (int i = 0; i < manners.size(); i++) {
