Tests of the policy: one set of actions that do nothing

Need: the slow-start simulation and the deadline queue's test each had their own. Change: NoPolicyActions beside the interface, in the test sources; other fixtures can take it up.

--- a/router/src/main/java/rushwood/policy/PolicyComponents.java
+++ b/router/src/main/java/rushwood/policy/PolicyComponents.java
@@ -1,6 +1,9 @@
 package rushwood.policy;
 
-/** The components of one router's policy, wired together. */
+/**
+ * The components of one router's policy, wired together. Those without state of their own are
+ * records of the components that they depend on.
+ */
 final class PolicyComponents {
   final DeadlinePolicy deadlines;
   final RetryPolicy retries;
--- /dev/null
+++ b/router/src/test/java/rushwood/api/NoPolicyActions.java
@@ -0,0 +1,28 @@
+package rushwood.api;
+
+/** Actions that do nothing; a test overrides those that it looks at. */
+public class NoPolicyActions implements PolicyActions {
+  @Override
+  public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {}
+
+  @Override
+  public void cancel(RequestId request, int attemptNumber) {}
+
+  @Override
+  public void reject(RequestId request, long retryAfterNanos) {}
+
+  @Override
+  public void fail(RequestId request) {}
+
+  @Override
+  public void probe(HostId host) {}
+
+  @Override
+  public void wakeAt(long time) {}
+
+  @Override
+  public void subscribeToEndpoints() {}
+
+  @Override
+  public void log(String line) {}
+}
--- a/router/src/test/java/rushwood/policy/DeadlineQueueTest.java
+++ b/router/src/test/java/rushwood/policy/DeadlineQueueTest.java
@@ -7,12 +7,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import rushwood.api.NoPolicyActions;
 
 class DeadlineQueueTest {
   private final List<Long> timers = new ArrayList<>();
   private final DeadlineQueue queue =
       new DeadlineQueue(
-          new PolicyFixtures.NoActions() {
+          new NoPolicyActions() {
             @Override
             public void wakeAt(long time) {
               timers.add(time);
--- a/router/src/test/java/rushwood/policy/PolicyFixtures.java
+++ b/router/src/test/java/rushwood/policy/PolicyFixtures.java
@@ -1,8 +1,6 @@
 package rushwood.policy;
 
 import rushwood.api.GroupId;
-import rushwood.api.HostId;
-import rushwood.api.PolicyActions;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
@@ -34,31 +32,4 @@
     Request request = new Request(new RequestId(id), read, null, new GroupId(0), SECOND, 0);
     return new PendingRequest(request, group, 0);
   }
-
-  /** Actions that do nothing; tests override what they look at. */
-  static class NoActions implements PolicyActions {
-    @Override
-    public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {}
-
-    @Override
-    public void cancel(RequestId request, int attemptNumber) {}
-
-    @Override
-    public void reject(RequestId request, long retryAfterNanos) {}
-
-    @Override
-    public void fail(RequestId request) {}
-
-    @Override
-    public void probe(HostId host) {}
-
-    @Override
-    public void wakeAt(long time) {}
-
-    @Override
-    public void subscribeToEndpoints() {}
-
-    @Override
-    public void log(String line) {}
-  }
 }
--- a/router/src/test/java/rushwood/policy/SlowStartSimulation.java
+++ b/router/src/test/java/rushwood/policy/SlowStartSimulation.java
@@ -17,7 +17,7 @@
 import rushwood.api.HostId;
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
-import rushwood.api.PolicyActions;
+import rushwood.api.NoPolicyActions;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
@@ -221,7 +221,8 @@
     }
   }
 
-  private final class Router implements PolicyActions {
+  /** A router with its traffic. Hosts do not cancel: they do the work of every attempt. */
+  private final class Router extends NoPolicyActions {
     private final int number;
     private final double trafficShare;
     private final Map<RequestId, Integer> attemptCounts = new HashMap<>();
@@ -314,17 +315,6 @@
                       LoadReport.NONE)));
     }
 
-    @Override
-    public void cancel(RequestId request, int attemptNumber) {
-      // The answer comes all the same: the host has had the work.
-    }
-
-    @Override
-    public void reject(RequestId request, long retryAfterNanos) {}
-
-    @Override
-    public void fail(RequestId request) {}
-
     @Override
     public void probe(HostId host) {
       schedule(
@@ -343,11 +333,5 @@
             }
           });
     }
-
-    @Override
-    public void subscribeToEndpoints() {}
-
-    @Override
-    public void log(String line) {}
   }
 }
