Routing settings are built by name

Change: RoutingSettings.builder(); the settings' decoder, the tests' fixtures and the benchmark name each component, in the order in which they were evaluated before. The overload tests' recording actions override only what they record.

--- a/router/src/main/java/rushwood/api/RoutingSettings.java
+++ b/router/src/main/java/rushwood/api/RoutingSettings.java
@@ -51,4 +51,164 @@
     /** It lets the read wait until it has caught up. */
     WAITS
   }
+
+  /** Starts with nothing allowed, no classes and zero everywhere. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Collects the settings by name; each method sets the component of that name. */
+  public static final class Builder {
+    private int routerCount;
+    private List<RequestClass> requestClasses = List.of();
+    private boolean subscribesToEndpoints;
+    private LaggingReadBehavior laggingReadBehavior = LaggingReadBehavior.SERVES;
+    private boolean hasLoadReports;
+    private boolean tracksSessionWrites;
+    private boolean canProbe;
+    private boolean canCancel;
+    private boolean canSendRetryAfter;
+    private long maxRetryAfterNanos;
+    private int maxAttempts;
+    private long clockResolutionNanos;
+    private boolean isRemovalBinding;
+    private double coldStartShare;
+    private long warmupNanos;
+    private double collapseMultiple;
+    private long collapseWindowNanos;
+    private long refreshWithinNanos;
+
+    private Builder() {}
+
+    /** Sets {@link RoutingSettings#routerCount()}. */
+    public Builder routerCount(int value) {
+      routerCount = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#requestClasses()}. */
+    public Builder requestClasses(List<RequestClass> value) {
+      requestClasses = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#subscribesToEndpoints()}. */
+    public Builder subscribesToEndpoints(boolean value) {
+      subscribesToEndpoints = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#laggingReadBehavior()}. */
+    public Builder laggingReadBehavior(LaggingReadBehavior value) {
+      laggingReadBehavior = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#hasLoadReports()}. */
+    public Builder hasLoadReports(boolean value) {
+      hasLoadReports = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#tracksSessionWrites()}. */
+    public Builder tracksSessionWrites(boolean value) {
+      tracksSessionWrites = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#canProbe()}. */
+    public Builder canProbe(boolean value) {
+      canProbe = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#canCancel()}. */
+    public Builder canCancel(boolean value) {
+      canCancel = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#canSendRetryAfter()}. */
+    public Builder canSendRetryAfter(boolean value) {
+      canSendRetryAfter = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#maxRetryAfterNanos()}. */
+    public Builder maxRetryAfterNanos(long value) {
+      maxRetryAfterNanos = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#maxAttempts()}. */
+    public Builder maxAttempts(int value) {
+      maxAttempts = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#clockResolutionNanos()}. */
+    public Builder clockResolutionNanos(long value) {
+      clockResolutionNanos = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#isRemovalBinding()}. */
+    public Builder isRemovalBinding(boolean value) {
+      isRemovalBinding = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#coldStartShare()}. */
+    public Builder coldStartShare(double value) {
+      coldStartShare = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#warmupNanos()}. */
+    public Builder warmupNanos(long value) {
+      warmupNanos = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#collapseMultiple()}. */
+    public Builder collapseMultiple(double value) {
+      collapseMultiple = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#collapseWindowNanos()}. */
+    public Builder collapseWindowNanos(long value) {
+      collapseWindowNanos = value;
+      return this;
+    }
+
+    /** Sets {@link RoutingSettings#refreshWithinNanos()}. */
+    public Builder refreshWithinNanos(long value) {
+      refreshWithinNanos = value;
+      return this;
+    }
+
+    /** Creates the settings. */
+    public RoutingSettings build() {
+      return new RoutingSettings(
+          routerCount,
+          requestClasses,
+          subscribesToEndpoints,
+          laggingReadBehavior,
+          hasLoadReports,
+          tracksSessionWrites,
+          canProbe,
+          canCancel,
+          canSendRetryAfter,
+          maxRetryAfterNanos,
+          maxAttempts,
+          clockResolutionNanos,
+          isRemovalBinding,
+          coldStartShare,
+          warmupNanos,
+          collapseMultiple,
+          collapseWindowNanos,
+          refreshWithinNanos);
+    }
+  }
 }
--- a/router/src/main/java/rushwood/config/SettingsDecoder.java
+++ b/router/src/main/java/rushwood/config/SettingsDecoder.java
@@ -49,25 +49,26 @@
     boolean hasLoadReports = !values.getOrDefault("load_report.how", "off").equals("off");
     boolean tracksSessionWrites =
         values.getOrDefault("domain.token_mode", "client").equals("router");
-    return new RoutingSettings(
-        (int) number("n_instances"),
-        requestClasses(),
-        subscribesToEndpoints(),
-        laggingReadBehavior(),
-        hasLoadReports,
-        tracksSessionWrites,
-        flag("limits.probes"),
-        flag("limits.may_cancel"),
-        flag("limits.retry_after"),
-        nanos("limits.max_retry_after"),
-        (int) number("limits.most_tries"),
-        nanos("resolution"),
-        !flag("rules.removal_not_binding"),
-        number("rules.cold_from"),
-        nanos("rules.cold"),
-        number("rules.tip_multiple"),
-        nanos("rules.fall"),
-        nanos("rules.ask_within"));
+    return RoutingSettings.builder()
+        .routerCount((int) number("n_instances"))
+        .requestClasses(requestClasses())
+        .subscribesToEndpoints(subscribesToEndpoints())
+        .laggingReadBehavior(laggingReadBehavior())
+        .hasLoadReports(hasLoadReports)
+        .tracksSessionWrites(tracksSessionWrites)
+        .canProbe(flag("limits.probes"))
+        .canCancel(flag("limits.may_cancel"))
+        .canSendRetryAfter(flag("limits.retry_after"))
+        .maxRetryAfterNanos(nanos("limits.max_retry_after"))
+        .maxAttempts((int) number("limits.most_tries"))
+        .clockResolutionNanos(nanos("resolution"))
+        .isRemovalBinding(!flag("rules.removal_not_binding"))
+        .coldStartShare(number("rules.cold_from"))
+        .warmupNanos(nanos("rules.cold"))
+        .collapseMultiple(number("rules.tip_multiple"))
+        .collapseWindowNanos(nanos("rules.fall"))
+        .refreshWithinNanos(nanos("rules.ask_within"))
+        .build();
   }
 
   /**
--- a/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
@@ -10,7 +10,7 @@
 import rushwood.api.HostId;
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
-import rushwood.api.PolicyActions;
+import rushwood.api.NoPolicyActions;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
@@ -49,32 +49,29 @@
           0,
           0);
   private static final RoutingSettings SETTINGS =
-      new RoutingSettings(
-          1,
-          List.of(PAYMENT, READ),
-          false,
-          RoutingSettings.LaggingReadBehavior.REJECTS,
-          false,
-          false,
-          false,
-          true,
-          true,
-          500 * MS,
-          10,
-          5 * MS,
-          true,
-          0.15,
-          14_000 * MS,
-          4,
-          1000 * MS,
-          10_000 * MS);
+      RoutingSettings.builder()
+          .routerCount(1)
+          .requestClasses(List.of(PAYMENT, READ))
+          .laggingReadBehavior(RoutingSettings.LaggingReadBehavior.REJECTS)
+          .canCancel(true)
+          .canSendRetryAfter(true)
+          .maxRetryAfterNanos(500 * MS)
+          .maxAttempts(10)
+          .clockResolutionNanos(5 * MS)
+          .isRemovalBinding(true)
+          .coldStartShare(0.15)
+          .warmupNanos(14_000 * MS)
+          .collapseMultiple(4)
+          .collapseWindowNanos(1000 * MS)
+          .refreshWithinNanos(10_000 * MS)
+          .build();
 
   final OverloadController controller;
   private final List<String> recorded = new ArrayList<>();
   private long now = 1_000_000 * MS;
   private int nextId;
 
-  private final class RecordingActions implements PolicyActions {
+  private final class RecordingActions extends NoPolicyActions {
     @Override
     public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {
       recorded.add("send " + request + " " + host);
@@ -95,15 +92,6 @@
       recorded.add("fail " + request);
     }
 
-    @Override
-    public void probe(HostId host) {}
-
-    @Override
-    public void wakeAt(long time) {}
-
-    @Override
-    public void subscribeToEndpoints() {}
-
     @Override
     public void log(String line) {
       recorded.add(line);
--- a/router/src/test/java/rushwood/policy/ScenarioPlayer.java
+++ b/router/src/test/java/rushwood/policy/ScenarioPlayer.java
@@ -117,25 +117,27 @@
   }
 
   private RoutingSettings routingSettings() {
-    return new RoutingSettings(
-        Integer.parseInt(settings.get("routers")),
-        List.copyOf(requestClasses.values()),
-        Boolean.parseBoolean(settings.get("subscribes")),
-        RoutingSettings.LaggingReadBehavior.valueOf(settings.get("lagging-reads")),
-        true,
-        Boolean.parseBoolean(settings.get("tracks-writes")),
-        true,
-        true,
-        true,
-        500 * MS,
-        Integer.parseInt(settings.get("max-attempts")),
-        5 * MS,
-        Boolean.parseBoolean(settings.get("removal-binding")),
-        Double.parseDouble(settings.get("cold-share")),
-        nanos(settings.get("warmup")),
-        2,
-        1000 * MS,
-        10_000 * MS);
+    return RoutingSettings.builder()
+        .routerCount(Integer.parseInt(settings.get("routers")))
+        .requestClasses(List.copyOf(requestClasses.values()))
+        .subscribesToEndpoints(Boolean.parseBoolean(settings.get("subscribes")))
+        .laggingReadBehavior(
+            RoutingSettings.LaggingReadBehavior.valueOf(settings.get("lagging-reads")))
+        .hasLoadReports(true)
+        .tracksSessionWrites(Boolean.parseBoolean(settings.get("tracks-writes")))
+        .canProbe(true)
+        .canCancel(true)
+        .canSendRetryAfter(true)
+        .maxRetryAfterNanos(500 * MS)
+        .maxAttempts(Integer.parseInt(settings.get("max-attempts")))
+        .clockResolutionNanos(5 * MS)
+        .isRemovalBinding(Boolean.parseBoolean(settings.get("removal-binding")))
+        .coldStartShare(Double.parseDouble(settings.get("cold-share")))
+        .warmupNanos(nanos(settings.get("warmup")))
+        .collapseMultiple(2)
+        .collapseWindowNanos(1000 * MS)
+        .refreshWithinNanos(10_000 * MS)
+        .build();
   }
 
   private void defineRequestClass(Command command) {
--- a/router/src/test/java/rushwood/policy/SlowStartSimulation.java
+++ b/router/src/test/java/rushwood/policy/SlowStartSimulation.java
@@ -95,25 +95,23 @@
   private RoutingSettings drawSettings(int routerCount) {
     double[] multiples = {2.5, 3, 4};
     long[] windows = {1000, 1500, 3000};
-    return new RoutingSettings(
-        routerCount,
-        List.of(READ),
-        false,
-        RoutingSettings.LaggingReadBehavior.REJECTS,
-        false,
-        false,
-        true,
-        true,
-        true,
-        500 * MS,
-        10,
-        5 * MS,
-        true,
-        0.15 + 0.15 * random.nextInt(2),
-        (9000 + random.nextInt(7000)) * MS,
-        multiples[random.nextInt(3)],
-        windows[random.nextInt(3)] * MS,
-        10_000 * MS);
+    return RoutingSettings.builder()
+        .routerCount(routerCount)
+        .requestClasses(List.of(READ))
+        .laggingReadBehavior(RoutingSettings.LaggingReadBehavior.REJECTS)
+        .canProbe(true)
+        .canCancel(true)
+        .canSendRetryAfter(true)
+        .maxRetryAfterNanos(500 * MS)
+        .maxAttempts(10)
+        .clockResolutionNanos(5 * MS)
+        .isRemovalBinding(true)
+        .coldStartShare(0.15 + 0.15 * random.nextInt(2))
+        .warmupNanos((9000 + random.nextInt(7000)) * MS)
+        .collapseMultiple(multiples[random.nextInt(3)])
+        .collapseWindowNanos(windows[random.nextInt(3)] * MS)
+        .refreshWithinNanos(10_000 * MS)
+        .build();
   }
 
   private void startRouters(int routerCount) {
--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -62,25 +62,22 @@
           0,
           0);
   private static final RoutingSettings SETTINGS =
-      new RoutingSettings(
-          1,
-          List.of(REQUEST_CLASS),
-          false,
-          RoutingSettings.LaggingReadBehavior.REJECTS,
-          false,
-          false,
-          false,
-          true,
-          true,
-          500 * MS,
-          10,
-          5 * MS,
-          true,
-          0.15,
-          14_000 * MS,
-          4,
-          1000 * MS,
-          10_000 * MS);
+      RoutingSettings.builder()
+          .routerCount(1)
+          .requestClasses(List.of(REQUEST_CLASS))
+          .laggingReadBehavior(RoutingSettings.LaggingReadBehavior.REJECTS)
+          .canCancel(true)
+          .canSendRetryAfter(true)
+          .maxRetryAfterNanos(500 * MS)
+          .maxAttempts(10)
+          .clockResolutionNanos(5 * MS)
+          .isRemovalBinding(true)
+          .coldStartShare(0.15)
+          .warmupNanos(14_000 * MS)
+          .collapseMultiple(4)
+          .collapseWindowNanos(1000 * MS)
+          .refreshWithinNanos(10_000 * MS)
+          .build();
 
   // The sketch holds fewer fingerprints than cells, as in a router.
   private static final int SKETCH_CELLS = 1 << 14;
