Clear Error Prone's findings in the tests of server; RouterConfig.decodeSettings by its name

Need: Error Prone named implicit charsets, a non-atomic update of a volatile counter and ungrouped conditions in the tests of server and simulator; RouterConfig.settings(String) looked like the record's accessor. Change: UTF-8 and AtomicInteger named, conditions grouped; connectOnceAccepted in place of a loop with a null client.

--- a/router/src/main/java/rushwood/config/RouterConfig.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -67,7 +67,7 @@
    *
    * @throws InvalidConfigException for the first field that is missing or cannot be read
    */
-  public static RoutingSettings settings(String json) throws InvalidConfigException {
+  public static RoutingSettings decodeSettings(String json) throws InvalidConfigException {
     return RouterConfigFile.settingsDecoder(JsonParser.parseString(json)).decodeSettings();
   }
 
--- a/router/src/test/java/rushwood/server/BackendFailureTest.java
+++ b/router/src/test/java/rushwood/server/BackendFailureTest.java
@@ -98,7 +98,8 @@
                 - started;
         started += executions;
         assertTrue(
-            executions == 1 && answer.equals(FAILED) || executions == 0 && answer.equals(REJECTED),
+            (executions == 1 && answer.equals(FAILED))
+                || (executions == 0 && answer.equals(REJECTED)),
             "sent " + executions + " times and answered " + answer);
         for (int more = 0; more < 20; more++) { // the probe budget is a share of the requests
           client.query(read("r" + i + "-" + more));
--- a/router/src/test/java/rushwood/server/ConnectionLimitTest.java
+++ b/router/src/test/java/rushwood/server/ConnectionLimitTest.java
@@ -40,19 +40,22 @@
         each.close();
       }
     }
-    TestClient client = null;
-    for (int waitedMillis = 0;
-        waitedMillis < TIMEOUT_MILLIS && client == null;
-        waitedMillis += 50) {
+    try (TestClient client = connectOnceAccepted()) {
+      assertEquals(SERVED, client.query(read("r1")));
+    }
+  }
+
+  /** Tries to connect until the router has ended enough of the other connections. */
+  private TestClient connectOnceAccepted() throws InterruptedException {
+    for (int waitedMillis = 0; waitedMillis < TIMEOUT_MILLIS; waitedMillis += 50) {
       Thread.sleep(50);
       try {
-        client = new TestClient(port);
-      } catch (AssertionError | IOException notAccepted) {
-        continue; // the router has not ended all of them yet
+        return new TestClient(port);
+      } catch (AssertionError | IOException e) {
+        // not accepted yet
       }
     }
-    assertEquals(SERVED, client.query(read("r1")));
-    client.close();
+    throw new AssertionError("no connection was accepted");
   }
 
   /** Idle clients are closed for new ones, the one that has been idle the longest first. */
--- a/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
+++ b/router/src/test/java/rushwood/server/EndpointUpdateDeadlineTest.java
@@ -106,7 +106,7 @@
   @Test
   void stalledCalls() throws Exception {
     try (TestClient client = connectClient()) {
-      discovery.unansweredCalls = 2;
+      discovery.unansweredCalls.set(2);
       discovery.closeConnections();
       updateListWithoutWatchEvent();
       assertUpdateTakesEffect(client);
@@ -117,11 +117,11 @@
   @Test
   void discoveryBecomesReachableAgain() throws Exception {
     try (TestClient client = connectClient()) {
-      discovery.unansweredCalls = 1000;
+      discovery.unansweredCalls.set(1000);
       discovery.closeConnections();
       updateListWithoutWatchEvent();
       Thread.sleep(2500);
-      discovery.unansweredCalls = 0;
+      discovery.unansweredCalls.set(0);
       assertUpdateTakesEffect(client);
     }
   }
--- a/router/src/test/java/rushwood/server/GracefulShutdownTest.java
+++ b/router/src/test/java/rushwood/server/GracefulShutdownTest.java
@@ -175,7 +175,7 @@
       String answered = messageTypes(client.socket.getInputStream().readAllBytes());
       assertTrue(
           answered.equals(SERVED)
-              || answered.isEmpty() && !replica.receivedStatements.toString().contains("id=r2,"),
+              || (answered.isEmpty() && !replica.receivedStatements.toString().contains("id=r2,")),
           "whole, or never sent on: " + answered);
       assertExitsInTime(signalledAt);
     }
--- a/router/src/test/java/rushwood/server/RouterServerTest.java
+++ b/router/src/test/java/rushwood/server/RouterServerTest.java
@@ -1,5 +1,6 @@
 package rushwood.server;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rushwood.protocol.TestMessages.concat;
@@ -34,7 +35,7 @@
   void malformedInputDoesNotStopTheRouter() throws Exception {
     for (byte[] bytes :
         List.of(
-            "GET / HTTP/1.1\r\n\r\n".getBytes(),
+            "GET / HTTP/1.1\r\n\r\n".getBytes(UTF_8),
             new byte[] {0, 0, 0, 8, 4, -46, 22, 46},
             concat(startup(), new byte[] {'Q', -1, -1, -1, -1}),
             startup())) {
@@ -42,7 +43,7 @@
         socket.getOutputStream().write(bytes);
       }
     }
-    replica.responder = statement -> "garbage\n\n\n".getBytes();
+    replica.responder = statement -> "garbage\n\n\n".getBytes(UTF_8);
     try (TestClient client = new TestClient(port)) {
       assertEquals(SERVED, client.query(read("r1")));
     }
--- a/router/src/test/java/rushwood/server/StandInDiscovery.java
+++ b/router/src/test/java/rushwood/server/StandInDiscovery.java
@@ -1,5 +1,7 @@
 package rushwood.server;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -7,28 +9,32 @@
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Discovery: answers with the endpoint list, or as a watch with the events that a test adds. */
 final class StandInDiscovery extends StandInServer {
   final BlockingQueue<String> watchEvents = new LinkedBlockingQueue<>();
   final BlockingQueue<String> requestedPaths = new LinkedBlockingQueue<>();
   volatile String endpointList;
-  volatile int unansweredCalls; // how many of the next calls are taken and never answered
+  final AtomicInteger unansweredCalls = new AtomicInteger(); // of the next ones that are accepted
 
   StandInDiscovery() throws IOException {}
 
   @Override
   void serve(Socket connection) throws IOException, InterruptedException {
-    BufferedReader in = new BufferedReader(new InputStreamReader(connection.getInputStream()));
+    BufferedReader in =
+        new BufferedReader(new InputStreamReader(connection.getInputStream(), UTF_8));
     String line = in.readLine();
     if (line == null) {
       return; // closed before it asked
     }
     String path = line.split(" ")[1];
     requestedPaths.add(path);
-    if (unansweredCalls > 0) {
-      unansweredCalls--;
-    } else if (path.contains("follow")) {
+    boolean isUnanswered = unansweredCalls.getAndUpdate(calls -> Math.max(0, calls - 1)) > 0;
+    if (isUnanswered) {
+      return;
+    }
+    if (path.contains("follow")) {
       serveWatch(connection.getOutputStream());
     } else {
       serveList(connection.getOutputStream());
@@ -38,14 +44,14 @@
   private void serveList(OutputStream out) throws IOException {
     String list = endpointList;
     String head = "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n";
-    out.write((head + list).getBytes());
+    out.write((head + list).getBytes(UTF_8));
   }
 
   private void serveWatch(OutputStream out) throws IOException, InterruptedException {
-    out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+    out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(UTF_8));
     while (true) {
       String event = watchEvents.take() + "\n";
-      out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
+      out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(UTF_8));
     }
   }
 }
--- a/router/src/test/java/rushwood/server/StartupSignalTest.java
+++ b/router/src/test/java/rushwood/server/StartupSignalTest.java
@@ -41,7 +41,7 @@
   /** SIGTERM before the router listens: it never does, and ends at once. */
   @Test
   void terminatedBeforeItListens() throws Exception {
-    discovery.unansweredCalls = 1000;
+    discovery.unansweredCalls.set(1000);
     for (long delayMillis : new long[] {0, 300, 600, 900, 1200}) {
       launchProcess();
       Thread.sleep(delayMillis);
--- a/router/src/test/java/rushwood/server/TestClient.java
+++ b/router/src/test/java/rushwood/server/TestClient.java
@@ -1,5 +1,6 @@
 package rushwood.server;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.ByteArrayOutputStream;
@@ -62,8 +63,8 @@
       byte[] body = in.readNBytes(in.readInt() - 4);
       if (type == 'D') {
         int nameLength = body[5];
-        String name = new String(body, 6, nameLength);
-        String value = new String(body, 10 + nameLength, body.length - 10 - nameLength);
+        String name = new String(body, 6, nameLength, UTF_8);
+        String value = new String(body, 10 + nameLength, body.length - 10 - nameLength, UTF_8);
         text.append(name).append('=').append(value).append(' ');
       }
     } while (type != 'Z');
--- a/router/src/test/java/rushwood/simulator/SimulatorAdapterTest.java
+++ b/router/src/test/java/rushwood/simulator/SimulatorAdapterTest.java
@@ -1,12 +1,12 @@
 package rushwood.simulator;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
 /** What the simulator is told of input that cannot be read. */
@@ -15,9 +15,9 @@
   private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
 
   private int run(String... lines) throws IOException {
-    byte[] input = (String.join("\n", lines) + "\n").getBytes(StandardCharsets.UTF_8);
+    byte[] input = (String.join("\n", lines) + "\n").getBytes(UTF_8);
     return SimulatorAdapter.run(
-        new ByteArrayInputStream(input), output, new PrintStream(errors, true));
+        new ByteArrayInputStream(input), output, new PrintStream(errors, true, UTF_8));
   }
 
   @Test
@@ -31,13 +31,13 @@
             "eof_batch"));
     assertEquals(
         "as\trouter=4\ndie\tmessage=line 3 (power_on): n_instances is not a number\nok\n",
-        output.toString());
+        output.toString(UTF_8));
   }
 
   @Test
   void endsTheProcessWhereNoRouterIsNamed() throws IOException {
     assertEquals(1, run("mark\tclock=1.0", "due", "eof_batch"));
-    assertEquals("rushwood: line 2 (due): router is not named\n", errors.toString());
-    assertEquals("", output.toString());
+    assertEquals("rushwood: line 2 (due): router is not named\n", errors.toString(UTF_8));
+    assertEquals("", output.toString(UTF_8));
   }
 }
--- a/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/Simulation.java
@@ -45,7 +45,7 @@
       throws InvalidConfigException {
     this.experiment = experiment;
     this.overloadSettings = overloadSettings;
-    settings = RouterConfig.settings(RouterSettings.forExperiment(experiment).toString());
+    settings = RouterConfig.decodeSettings(RouterSettings.forExperiment(experiment).toString());
     result = new ExperimentResult(experiment.name());
     store = new VirtualStore(experiment, events, ledger);
     context = new SimulationContext(events, store, counts, result);
