--- a/router/src/main/java/rushwood/server/ConfigReloader.java
+++ b/router/src/main/java/rushwood/server/ConfigReloader.java
@@ -44,6 +44,7 @@
     this.onConfigAccepted = onConfigAccepted;
   }
 
+  /** Reads the configuration again on each signal from now on, and at once if one is pending. */
   void listen(HangUpSignal hangUpSignal) {
     hangUpSignal.forwardTo(() -> eventLoop.execute(this::onHangUp));
   }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -24,7 +24,12 @@
 import rushwood.overload.OverloadController;
 import rushwood.overload.OverloadCounts;
 
-/** Creates the parts of a router and connects them with each other. Used on the event loop only. */
+/**
+ * Creates the parts of a router and connects them with each other. Used on the event loop only.
+ *
+ * <p>Each part that draws random numbers has a source of its own, derived from the seed of the
+ * configuration, so that the draws of one part do not change those of another.
+ */
 final class RouterAssembler {
   /**
    * Descriptors of {@code limits.sockets} that neither admitted clients nor connections to backends
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -20,7 +20,8 @@
  * One running router.
  *
  * <p>{@link #start} and {@link #stop} are called by two threads, the main thread and the shutdown
- * hook; all else runs on the event loop. {@code listener} is guarded by this object's lock.
+ * hook; all else runs on the event loop. This object's lock orders the two: a stop sees either no
+ * listener or one that is bound.
  */
 public final class RouterServer {
   /** How long a start waits for discovery, which is on this machine and answers at once. */
@@ -40,7 +41,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile boolean stopRequested;
   private RouterComponents components; // set on the event loop before start() goes on
-  private Channel listener;
+  private Channel listener; // set under the lock, null until the router listens
   private InetSocketAddress discoveryAddress; // used on the event loop only
   private boolean stopping; // used on the event loop only
 
--- a/router/src/main/java/rushwood/server/ShutdownSequence.java
+++ b/router/src/main/java/rushwood/server/ShutdownSequence.java
@@ -16,7 +16,7 @@
  * <p>Used on the event loop only.
  */
 final class ShutdownSequence {
-  private static final long MILLIS = 1_000_000L;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /**
    * The platform sends SIGKILL no earlier than the longest request timeout, of which it counts this
@@ -25,15 +25,15 @@
    * clients here for seconds: with connections closed after 0.55 s, half of the attempts to connect
    * to two routers failed meanwhile.
    */
-  private static final long MAX_COUNTED_REQUEST_TIMEOUT_NANOS = 3000 * MILLIS;
+  private static final long MAX_COUNTED_REQUEST_TIMEOUT_NANOS = 3000 * NANOS_PER_MILLI;
 
-  private static final long KILL_GRACE_NANOS = 700 * MILLIS;
+  private static final long KILL_GRACE_NANOS = 700 * NANOS_PER_MILLI;
 
   /** From the last answer to SIGKILL: covers a short suspension and the time to exit. */
-  private static final long EXIT_RESERVE_NANOS = 200 * MILLIS;
+  private static final long EXIT_RESERVE_NANOS = 200 * NANOS_PER_MILLI;
 
   /** From the last request taken to the last answer: most requests are answered in less. */
-  private static final long LAST_REQUEST_RESERVE_NANOS = 300 * MILLIS;
+  private static final long LAST_REQUEST_RESERVE_NANOS = 300 * NANOS_PER_MILLI;
 
   /**
    * A process that is suspended as it ends leaves what came meanwhile without an answer. One that
@@ -46,13 +46,13 @@
    * Connections are closed this long after SIGTERM at the earliest: new ones have stopped coming
    * after 0.4 s, and the platform counts no request as lost that comes in the first 0.7 s.
    */
-  private static final long MIN_SERVING_NANOS = 550 * MILLIS;
+  private static final long MIN_SERVING_NANOS = 550 * NANOS_PER_MILLI;
 
   /** From SIGTERM to the event loop: two threads start for it, on a part of a core. */
-  private static final long SIGNAL_DELAY_NANOS = 100 * MILLIS;
+  private static final long SIGNAL_DELAY_NANOS = 100 * NANOS_PER_MILLI;
 
   /** Between looks at whether all requests are answered. */
-  private static final long POLL_INTERVAL_NANOS = 50 * MILLIS;
+  private static final long POLL_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
 
   private final RouterComponents components;
   private final Channel listener;
@@ -84,6 +84,7 @@
     lastAnswerTime = killTime - EXIT_RESERVE_NANOS;
   }
 
+  /** Tells the parts that the router shuts down and serves on until it is time to drain. */
   void start() {
     components.dispatcher().shuttingDown(lastAnswerTime);
     components.frontend().shuttingDown();
