--- a/router/src/main/java/rushwood/overload/ConnectBackoff.java
+++ b/router/src/main/java/rushwood/overload/ConnectBackoff.java
@@ -46,7 +46,7 @@
     return !enabled
         || backoff == null
         || !backoff.isBackingOff()
-        || backoff.attemptsInFlight == 0 && now >= backoff.nextAttemptAt;
+        || (backoff.attemptsInFlight == 0 && now >= backoff.nextAttemptAt);
   }
 
   /** An attempt starts; one of the other three methods ends it. */
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -242,7 +242,7 @@
       return defaultSignals.retryAfterNanos(now, request, othersWaiting);
     }
     boolean isNormal = state(request.group()) == OverloadDetector.State.NORMAL;
-    if (!settings.canSendRetryAfter() || !othersWaiting && isNormal) {
+    if (!settings.canSendRetryAfter() || (!othersWaiting && isNormal)) {
       return 0;
     }
     return retryAfterAdvisor.reserve(now, request, trackedRequests.waiting());
--- a/router/src/main/java/rushwood/overload/RepeatSketch.java
+++ b/router/src/main/java/rushwood/overload/RepeatSketch.java
@@ -79,7 +79,7 @@
   }
 
   private int cell(long hash, int row) {
-    return (int) (hash >>> row * 16 ^ hash >>> (row * 16 + 29) % 64) & mask;
+    return (int) ((hash >>> (row * 16)) ^ (hash >>> ((row * 16 + 29) % 64))) & mask;
   }
 
   private void rotateIfDue(long now) {
--- a/testbed/src/main/java/rushwood/testbed/load/Experiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/Experiment.java
@@ -97,6 +97,14 @@
     return schema.validate(document).stream().map(ValidationMessage::getMessage).sorted().toList();
   }
 
+  private static List<String> violations(JsonNode document) {
+    try (InputStream schema = Experiment.class.getResourceAsStream(SCHEMA)) {
+      return violations(document, schema);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e); // a resource of this jar
+    }
+  }
+
   /**
    * Reads and checks a file.
    *
@@ -124,12 +132,4 @@
       throw new InvalidExperimentException("no JSON: " + e.getOriginalMessage(), e);
     }
   }
-
-  private static List<String> violations(JsonNode document) {
-    try (InputStream schema = Experiment.class.getResourceAsStream(SCHEMA)) {
-      return violations(document, schema);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e); // a resource of this jar
-    }
-  }
 }
