--- a/router/src/test/java/rushwood/server/StartupSignalTest.java
+++ b/router/src/test/java/rushwood/server/StartupSignalTest.java
@@ -25,7 +25,10 @@
       socket.getOutputStream().write(concat(startup(), query(read("r" + i))));
       long signalledAt = terminate();
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      assertEquals(STARTED + " " + SERVED, messageTypes(socket.getInputStream().readAllBytes()));
+      assertEquals(
+          STARTED + " " + SERVED,
+          messageTypes(socket.getInputStream().readAllBytes()),
+          processOutput::toString);
       socket.close();
       assertExitsInTime(signalledAt);
     }
