--- a/cli/src/main/java/rushwood/cli/package-info.java
+++ b/cli/src/main/java/rushwood/cli/package-info.java
@@ -1,5 +1,5 @@
 /**
  * The command line {@code bin/rushwood}: its sub-commands, exit codes and the JSON that scripts
- * read. Each command is a class of its own; {@link rushwood.cli.Rushwood} is where they start.
+ * read. Each command is a class of its own; {@link rushwood.cli.Rushwood} is the entry point.
  */
 package rushwood.cli;
--- a/router/src/main/java/rushwood/overload/package-info.java
+++ b/router/src/main/java/rushwood/overload/package-info.java
@@ -3,9 +3,10 @@
  * tells clients when to come back.
  *
  * <p>{@link rushwood.overload.OverloadController} decorates the routing policy, which asks it
- * through {@link rushwood.api.OverloadSignals}. {@link rushwood.overload.ConnectionAdmission},
- * {@link rushwood.overload.ConnectBackoff} and {@link rushwood.overload.DescriptorBudget} are asked
- * by the network code.
+ * through {@link rushwood.api.OverloadSignals}. The connection pool and the client connections ask
+ * {@link rushwood.overload.ConnectionAdmission}, {@link rushwood.overload.ConnectBackoff} and
+ * {@link rushwood.overload.DescriptorBudget}. Options, choice and figures: {@code
+ * docs/design-overload.md}.
  *
  * <p>The package does no I/O, starts no threads and reads no clock: callers pass the time in
  * nanoseconds on a clock that never goes back, and a seeded random generator. No class is
--- a/router/src/main/java/rushwood/policy/package-info.java
+++ b/router/src/main/java/rushwood/policy/package-info.java
@@ -1,6 +1,7 @@
 /**
- * The routing policy: which host gets a request, when, whether again, and what is rejected. {@link
- * rushwood.policy.DefaultRoutingPolicy} is the entry point.
+ * The routing policy: decides which host gets a request and when, whether it is retried, and
+ * whether it is rejected. {@link rushwood.policy.DefaultRoutingPolicy} is the entry point; {@code
+ * docs/design.md} has the reasons.
  *
  * <p>The files that {@code policy} names in {@code deploy/balancer.toml} hold every decision and
  * every tuned value: retries, deadlines, freshness, the primary, replica selection, concurrency
--- a/testbed/src/main/java/rushwood/testbed/load/package-info.java
+++ b/testbed/src/main/java/rushwood/testbed/load/package-info.java
@@ -1,2 +1,7 @@
-/** Experiments: their files, the clients, runs on sockets against router processes, and results. */
+/**
+ * Experiments: their files, the clients, runs on sockets against router processes, and results.
+ * {@link rushwood.testbed.load.Experiment} reads a file, {@link
+ * rushwood.testbed.load.SocketExperiment} runs it on sockets. {@code testbed/README.md} lists the
+ * experiments and the names in reports.
+ */
 package rushwood.testbed.load;
