Policy: the attempts in flight at a host are a type of their own

Need: HostState held some twenty fields of several concerns. Change: InFlightAttempts holds the list and the count of those presumed lost; the methods moved unchanged, only the callers name it.

--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -42,14 +42,15 @@
     }
     boolean isReadOnPrimary = host.isPrimary() && !pending.isWrite();
     double limit = effectiveLimit(host, now) * (isReadOnPrimary ? PRIMARY_READ_SHARE : 1);
-    return host.occupiedSlots() < limit
+    return host.inFlight.occupiedSlots() < limit
         && RetryPolicy.isSafeOn(pending, host, now)
         && slowStart.hasTokens(pending, host, now);
   }
 
   /** Whether the host can take any attempt now. */
   boolean canTakeAny(HostState host, long now) {
-    return host.occupiedSlots() < effectiveLimit(host, now) || probes.isTrialDue(host, now);
+    return host.inFlight.occupiedSlots() < effectiveLimit(host, now)
+        || probes.isTrialDue(host, now);
   }
 
   private double effectiveLimit(HostState host, long now) {
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -1,7 +1,5 @@
 package rushwood.policy;
 
-import java.util.ArrayList;
-import java.util.List;
 import rushwood.api.Endpoint;
 import rushwood.api.HostId;
 
@@ -26,10 +24,8 @@
   /** The group that it serves; null while it is draining or removed. */
   GroupState group;
 
-  /** Attempts whose result is outstanding, in order of sending. */
-  final List<Attempt> inFlight = new ArrayList<>();
+  final InFlightAttempts inFlight = new InFlightAttempts();
 
-  private int presumedLostCount;
   private final double initialLimit;
 
   /** How many attempts may be in flight; below 1, a single slot that pauses between attempts. */
@@ -125,34 +121,8 @@
     }
   }
 
-  /** Frees the slot of an attempt whose answer is not expected any more. */
-  void presumeLost(Attempt attempt) {
-    attempt.presumedLost = true;
-    presumedLostCount++;
-  }
-
-  /** Counts an answer against every attempt in flight that was sent before the answered one. */
-  void countOvertaken(Attempt answered) {
-    for (Attempt attempt : inFlight) {
-      if (attempt.sentAt < answered.sentAt) {
-        attempt.overtakenBy++;
-      }
-    }
-  }
-
-  void removeAttempt(Attempt attempt) {
-    if (inFlight.remove(attempt) && attempt.presumedLost) {
-      presumedLostCount--;
-    }
-  }
-
-  /** Attempts in flight that are not presumed lost. */
-  int occupiedSlots() {
-    return inFlight.size() - presumedLostCount;
-  }
-
   /** Occupied slots for its weight. */
   double load() {
-    return occupiedSlots() / endpoint.weight();
+    return inFlight.occupiedSlots() / endpoint.weight();
   }
 }
--- /dev/null
+++ b/router/src/main/java/rushwood/policy/InFlightAttempts.java
@@ -0,0 +1,63 @@
+package rushwood.policy;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * The attempts at one host whose result is outstanding, in order of sending. Each occupies a slot
+ * of the host until it ends or is presumed lost.
+ */
+final class InFlightAttempts implements Iterable<Attempt> {
+  private final List<Attempt> attempts = new ArrayList<>();
+  private int presumedLostCount;
+
+  void add(Attempt attempt) {
+    attempts.add(attempt);
+  }
+
+  void remove(Attempt attempt) {
+    if (attempts.remove(attempt) && attempt.presumedLost) {
+      presumedLostCount--;
+    }
+  }
+
+  @Override
+  public Iterator<Attempt> iterator() {
+    return attempts.iterator();
+  }
+
+  Stream<Attempt> stream() {
+    return attempts.stream();
+  }
+
+  boolean isEmpty() {
+    return attempts.isEmpty();
+  }
+
+  /** All attempts in flight, those presumed lost among them. */
+  int size() {
+    return attempts.size();
+  }
+
+  /** Attempts in flight that are not presumed lost. */
+  int occupiedSlots() {
+    return attempts.size() - presumedLostCount;
+  }
+
+  /** Frees the slot of an attempt in flight whose answer is not expected any more; call it once. */
+  void presumeLost(Attempt attempt) {
+    attempt.presumedLost = true;
+    presumedLostCount++;
+  }
+
+  /** Counts an answer against every attempt in flight that was sent before the answered one. */
+  void countOvertaken(Attempt answered) {
+    for (Attempt attempt : attempts) {
+      if (attempt.sentAt < answered.sentAt) {
+        attempt.overtakenBy++;
+      }
+    }
+  }
+}
--- a/router/src/main/java/rushwood/policy/LostAnswerDetector.java
+++ b/router/src/main/java/rushwood/policy/LostAnswerDetector.java
@@ -30,7 +30,7 @@
   /** Counts an answer against the attempts that were sent to its host before it. */
   void answerReceived(Attempt answered, long now) {
     lossRatio -= lossRatio * LOSS_RATIO_SMOOTHING / ANSWER_WEIGHT_DIVISOR;
-    answered.host.countOvertaken(answered);
+    answered.host.inFlight.countOvertaken(answered);
     check(answered.host, now);
   }
 
@@ -43,7 +43,7 @@
       if (isLate(attempt, now) && !attempt.presumedLost && attempt.overtakenBy >= threshold) {
         boolean isCertain = attempt.overtakenBy >= certainLoss;
         lossRatio += isCertain ? (1 - lossRatio) * LOSS_RATIO_SMOOTHING : 0;
-        host.presumeLost(attempt);
+        host.inFlight.presumeLost(attempt);
       }
       if (isHopeless(attempt, now) && !attempt.pending.finished) {
         context.requests().cancelAttempt(attempt.pending);
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -111,7 +111,7 @@
     }
     components.limiter.attemptFinished(attempt, result, now);
     components.outliers.attemptFinished(attempt, result, now);
-    attempt.host.removeAttempt(attempt);
+    attempt.host.inFlight.remove(attempt);
     pending.group.endPrimaryDiscovery(pending);
     components.freshness.attemptFinished(attempt, result, now);
     components.primaries.attemptFinished(attempt, result, now);
--- a/router/src/main/java/rushwood/policy/package-info.java
+++ b/router/src/main/java/rushwood/policy/package-info.java
@@ -9,9 +9,9 @@
  * classes carry requests along ({@code RequestLifecycle}), wire the parts together ({@code
  * PolicyComponents}, {@code PolicyContext}), hold state ({@code HostTable}, {@code HostState},
  * {@code GroupState}, {@code RequestTable}, {@code PendingRequest}, {@code Attempt}, {@code
- * SessionWrites}) or are mechanisms without a value of their own ({@code WaitQueue}, {@code
- * DeadlineQueue}, {@code EndpointSubscription}, {@code ServiceTimes}, {@code TokenBucket}, {@code
- * ExponentialAverage}).
+ * InFlightAttempts}, {@code SessionWrites}) or are mechanisms without a value of their own ({@code
+ * WaitQueue}, {@code DeadlineQueue}, {@code EndpointSubscription}, {@code ServiceTimes}, {@code
+ * TokenBucket}, {@code ExponentialAverage}).
  *
  * <p>Nothing here is synchronized: one thread calls a policy. Times are nanoseconds of the caller's
  * clock.
