Policy: health and replication of a host are types of their own

Need: HostState held some twenty fields of several concerns; which of them belong together was left to the reader. Change: HostHealth (status, ejection, next trial, last answer, probe) and ReplicationState (position, refused reads and writes, evidence of the role) hold them, with eject, restore, isRoleKnown, recordPosition and recordRoleEvidence. laggingAt is readRefusedAt now, beside writeRefusedAt.

--- a/router/src/main/java/rushwood/policy/Attempt.java
+++ b/router/src/main/java/rushwood/policy/Attempt.java
@@ -39,7 +39,7 @@
 
   /** How long its host has not answered anything, in nanoseconds, since it was sent at the most. */
   long silence(long now) {
-    return now - Math.max(host.lastAnswerAt, sentAt);
+    return now - Math.max(host.health.lastAnswerAt, sentAt);
   }
 
   /** Whether the host may have executed the request: unless the outcome proves that it has not. */
--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -92,7 +92,7 @@
 
   /** Adjusts the limit to an answer, by the share of its request's objective time that it took. */
   private void adjust(HostState host, double latencyRatio, long now) {
-    double gapWeight = Math.min(1, (now - host.lastAnswerAt) / FULL_WEIGHT_GAP_NANOS);
+    double gapWeight = Math.min(1, (now - host.health.lastAnswerAt) / FULL_WEIGHT_GAP_NANOS);
     host.latencyRatio.add(latencyRatio, Math.max(LATENCY_RATIO_SMOOTHING, gapWeight));
     double limit = host.concurrencyLimit;
     double step = Math.min(1 / limit, limit * MAX_RELATIVE_STEP);
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -124,7 +124,7 @@
   @Override
   public void probeFinished(long now, HostId id, boolean answered, LoadReport report) {
     HostState host = context.hosts().host(id);
-    host.probeInFlight = false;
+    host.health.probeInFlight = false;
     if (answered) { // No answer proves nothing: hosts turn probes away when many routers ask.
       components.outliers.probeAnswered(host, now);
     }
--- a/router/src/main/java/rushwood/policy/FreshnessPolicy.java
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -54,10 +54,10 @@
         sessionWrites.recordCommit(pending.request.session(), commit);
       }
     } else if (result.hasPosition()) {
-      attempt.host.recordPosition(result.position(), now);
+      attempt.host.replication.recordPosition(result.position(), now);
     }
     if (!pending.isWrite() && result.outcome() == AttemptOutcome.REPLICA_LAGGING) {
-      attempt.host.laggingAt = now;
+      attempt.host.replication.readRefusedAt = now;
     }
   }
 }
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -5,14 +5,6 @@
 
 /** What a router knows of a host. Times are {@link #NEVER} where nothing has happened yet. */
 final class HostState {
-  enum Health {
-    HEALTHY,
-    /** Connections to it fail or break. */
-    UNREACHABLE,
-    /** It accepts attempts and answers none. */
-    UNRESPONSIVE
-  }
-
   /** Earlier than any clock time, and far enough from the end that sums with it do not overflow. */
   static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -24,6 +16,8 @@
   /** The group that it serves; null while it is draining or removed. */
   GroupState group;
 
+  final HostHealth health = new HostHealth();
+  final ReplicationState replication = new ReplicationState();
   final InFlightAttempts inFlight = new InFlightAttempts();
 
   private final double initialLimit;
@@ -36,12 +30,6 @@
 
   long pausedUntil = NEVER;
 
-  Health health = Health.HEALTHY;
-  long ejectedAt;
-  long nextTrialAt;
-  long lastAnswerAt = NEVER;
-  boolean probeInFlight;
-
   /** When its process started; 0 for longer ago than slow start lasts. */
   long startedAt;
 
@@ -54,19 +42,6 @@
   /** Expected service time completed since the rate was last updated. */
   double completedWork;
 
-  /** How far it has applied the log, as a time. */
-  long position = NEVER;
-
-  long positionHeardAt = NEVER;
-
-  /** When it last refused a read because it was too far behind. */
-  long laggingAt = NEVER;
-
-  /** The time of the latest evidence of its role. */
-  long roleKnownAt = NEVER;
-
-  long writeRefusedAt = NEVER;
-
   HostState(HostId id, double initialLimit) {
     this.id = id;
     this.initialLimit = initialLimit;
@@ -74,15 +49,15 @@
   }
 
   boolean isHealthy() {
-    return health == Health.HEALTHY;
+    return health.status == HostHealth.Status.HEALTHY;
   }
 
   boolean isUnreachable() {
-    return health == Health.UNREACHABLE;
+    return health.status == HostHealth.Status.UNREACHABLE;
   }
 
   boolean isUnresponsive() {
-    return health == Health.UNRESPONSIVE;
+    return health.status == HostHealth.Status.UNRESPONSIVE;
   }
 
   /** Whether it is the known primary of the group that it serves. */
@@ -99,7 +74,7 @@
 
   /** Whether the host is up although that attempt failed: the connection was at fault. */
   boolean hasAnsweredSince(Attempt attempt) {
-    return lastAnswerAt > attempt.sentAt;
+    return health.lastAnswerAt > attempt.sentAt;
   }
 
   /**
@@ -110,15 +85,7 @@
     concurrencyLimit = initialLimit;
     latencyRatio.reset(0);
     pausedUntil = NEVER;
-    health = Health.HEALTHY;
-  }
-
-  /** Takes in a reported position. Positions never go back; one in the future cannot be true. */
-  void recordPosition(long reported, long now) {
-    if (reported <= now) {
-      position = Math.max(position, reported);
-      positionHeardAt = now;
-    }
+    health.restore();
   }
 
   /** Occupied slots for its weight. */
--- a/router/src/main/java/rushwood/policy/HostTable.java
+++ b/router/src/main/java/rushwood/policy/HostTable.java
@@ -53,6 +53,7 @@
   void forgetRemoved() {
     hosts
         .values()
-        .removeIf(host -> host.group == null && host.inFlight.isEmpty() && !host.probeInFlight);
+        .removeIf(
+            host -> host.group == null && host.inFlight.isEmpty() && !host.health.probeInFlight);
   }
 }
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -2,7 +2,7 @@
 
 import rushwood.api.AttemptOutcome;
 import rushwood.api.AttemptResult;
-import rushwood.policy.HostState.Health;
+import rushwood.policy.HostHealth.Status;
 
 /**
  * Ejects hosts that cannot be reached or answer nothing, and takes them back. An ejected host loses
@@ -27,9 +27,9 @@
         (result.outcome() == AttemptOutcome.CONNECT_FAILED && !host.hasAnsweredSince(attempt))
             || (result.outcome() == AttemptOutcome.CONNECTION_LOST && host.inFlight.size() <= 1);
     if (failed) {
-      eject(host, Health.UNREACHABLE, now);
+      eject(host, Status.UNREACHABLE, now);
     } else if (result.outcome().isHostResponse()) {
-      host.lastAnswerAt = now;
+      host.health.lastAnswerAt = now;
       if (host.isUnresponsive()) {
         restore(host, now);
       }
@@ -45,7 +45,7 @@
   /** Ejects or probes a host; called once a check interval. */
   void check(HostState host, long now) {
     if (host.isHealthy() && missingAnswers(host, now) > MAX_MISSING_ANSWERS) {
-      eject(host, Health.UNRESPONSIVE, now);
+      eject(host, Status.UNRESPONSIVE, now);
     } else {
       probes.probeIfDue(host, now);
     }
@@ -53,19 +53,18 @@
 
   private void restore(HostState host, long now) {
     context.actions().log(host.id + " is healthy again");
-    if (host.isUnreachable() && now - host.ejectedAt > MAX_WARM_OUTAGE) {
+    if (host.isUnreachable() && now - host.health.ejectedAt > MAX_WARM_OUTAGE) {
       host.reset(now);
     }
-    host.health = Health.HEALTHY;
+    host.health.restore();
   }
 
-  private void eject(HostState host, Health health, long now) {
-    if (host.group == null || host.isUnreachable() || host.health == health) {
+  private void eject(HostState host, Status status, long now) {
+    if (host.group == null || host.isUnreachable() || host.health.status == status) {
       return;
     }
-    context.actions().log(host.id + " is " + health);
-    host.health = health;
-    host.ejectedAt = now;
+    context.actions().log(host.id + " is " + status);
+    host.health.eject(status, now);
     probes.hostEjected(host, now);
     host.group.clearPrimary(host);
     lostAnswers.check(host, now);
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -21,7 +21,7 @@
 
   /** The endpoint list is seconds old: it only fills in where nothing better is known. */
   void endpointListed(HostState host) {
-    boolean isUnknown = host.group.primary == null && host.roleKnownAt == HostState.NEVER;
+    boolean isUnknown = host.group.primary == null && !host.replication.isRoleKnown();
     if (host.endpoint.primary() && isUnknown) {
       host.group.primary = host;
     }
@@ -32,7 +32,7 @@
     roleObserved(host, result.role(), now);
     reportReceived(host, result.report(), now);
     if (result.outcome() == AttemptOutcome.REPLICA_LAGGING && attempt.pending.isWrite()) {
-      host.writeRefusedAt = now;
+      host.replication.writeRefusedAt = now;
       roleObserved(host, HostRole.REPLICA, now);
     }
   }
@@ -44,8 +44,8 @@
   void reportReceived(HostState host, LoadReport report, long now) {
     long position = (long) report.position();
     if (report.hasPosition() && position <= now) {
-      host.recordPosition(position, now);
-      if (position > host.roleKnownAt) {
+      host.replication.recordPosition(position, now);
+      if (position > host.replication.roleKnownAt) {
         roleObserved(host, report.role(), position);
       }
     }
@@ -54,12 +54,13 @@
   /** The latest evidence wins; an unresponsive host is no primary until it has answered a read. */
   private void roleObserved(HostState host, HostRole role, long evidenceAt) {
     GroupState group = host.group;
-    boolean isDoubtful = evidenceAt < host.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
+    boolean isDoubtful =
+        evidenceAt < host.replication.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
     if (group == null || !role.isKnown() || (role == HostRole.PRIMARY && isDoubtful)) {
       return;
     }
-    host.roleKnownAt = Math.max(host.roleKnownAt, evidenceAt);
-    boolean isLatest = group.primary == null || evidenceAt > group.primary.roleKnownAt;
+    host.replication.recordRoleEvidence(evidenceAt);
+    boolean isLatest = group.primary == null || evidenceAt > group.primary.replication.roleKnownAt;
     if (role == HostRole.REPLICA) {
       group.clearPrimary(host);
     } else if (group.primary != host && isLatest) {
@@ -83,7 +84,7 @@
       return null;
     }
     for (HostState host : group.members) {
-      boolean isUnknown = !host.isPrimary() && host.roleKnownAt < now - ROLE_VALIDITY;
+      boolean isUnknown = !host.isPrimary() && host.replication.roleKnownAt < now - ROLE_VALIDITY;
       if (isUnknown && !pending.avoidedHosts.contains(host) && isFree(pending, host, now)) {
         group.primaryDiscovery = pending;
         return host;
--- a/router/src/main/java/rushwood/policy/ProbePolicy.java
+++ b/router/src/main/java/rushwood/policy/ProbePolicy.java
@@ -20,11 +20,11 @@
 
   /** Probes the host if the budget allows it; returns whether it did. */
   boolean probe(HostState host) {
-    if (!context.settings().canProbe() || host.probeInFlight || !budget.has(1)) {
+    if (!context.settings().canProbe() || host.health.probeInFlight || !budget.has(1)) {
       return false;
     }
     budget.take(1);
-    host.probeInFlight = true;
+    host.health.probeInFlight = true;
     context.actions().probe(host.id);
     return true;
   }
@@ -32,29 +32,29 @@
   /** Probes an ejected host; if it is unreachable soon again, since the probe may be lost too. */
   void hostEjected(HostState host, long now) {
     long interval = host.isUnreachable() ? DefaultRoutingPolicy.CHECK_INTERVAL : TRIAL_INTERVAL;
-    host.nextTrialAt = now + interval;
+    host.health.nextTrialAt = now + interval;
     probe(host);
   }
 
   void probeIfDue(HostState host, long now) {
     if (isProbeDue(host, now) && probe(host)) {
-      host.nextTrialAt = now + TRIAL_INTERVAL;
+      host.health.nextTrialAt = now + TRIAL_INTERVAL;
     }
   }
 
   private static boolean isProbeDue(HostState host, long now) {
-    return host.isUnreachable() && now >= host.nextTrialAt;
+    return host.isUnreachable() && now >= host.health.nextTrialAt;
   }
 
   /** An unresponsive host may answer probes, so only a request shows whether it serves again. */
   boolean isTrialDue(HostState host, long now) {
-    return host.isUnresponsive() && now >= host.nextTrialAt && budget.has(1);
+    return host.isUnresponsive() && now >= host.health.nextTrialAt && budget.has(1);
   }
 
   void attemptSent(HostState host, long now) {
     if (isTrialDue(host, now)) {
       budget.take(1);
-      host.nextTrialAt = now + TRIAL_INTERVAL;
+      host.health.nextTrialAt = now + TRIAL_INTERVAL;
     }
   }
 
@@ -69,9 +69,9 @@
       return;
     }
     group.replicas().stream()
-        .filter(host -> !host.isUnreachable() && !host.probeInFlight)
-        .min(Comparator.comparingLong(host -> host.positionHeardAt))
-        .filter(host -> host.positionHeardAt < now - maxAge)
+        .filter(host -> !host.isUnreachable() && !host.health.probeInFlight)
+        .min(Comparator.comparingLong(host -> host.replication.positionHeardAt))
+        .filter(host -> host.replication.positionHeardAt < now - maxAge)
         .ifPresent(this::probe);
   }
 }
--- a/router/src/main/java/rushwood/policy/ReplicaSelector.java
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -98,17 +98,18 @@
     if (isLong || host.isPrimary()) {
       return host.isPrimary() ? Suitability.PRIMARY_FALLBACK : Suitability.UNSUITABLE;
     }
-    long behind = pending.requiredPosition - host.position;
+    long behind = pending.requiredPosition - host.replication.position;
     if (behind <= 0) {
       return Suitability.FRESH;
     }
     boolean servesStale = context.settings().laggingReadBehavior() == LaggingReadBehavior.SERVES;
     long catchUpTime = Math.min(MAX_CATCH_UP_TIME, behind / CATCH_UP_DIVISOR);
-    boolean refused = host.laggingAt > now - Math.max(MIN_CATCH_UP_TIME, catchUpTime);
+    boolean refused =
+        host.replication.readRefusedAt > now - Math.max(MIN_CATCH_UP_TIME, catchUpTime);
     if (servesStale || refused || needsPrimary) {
       return Suitability.UNSUITABLE;
     }
-    boolean isLikely = behind <= now - host.positionHeardAt;
+    boolean isLikely = behind <= now - host.replication.positionHeardAt;
     return isLikely ? Suitability.LIKELY_FRESH : Suitability.LAGGING;
   }
 
