Policy: the slow start state of a host is a type of its own

Need: HostState held fields of several concerns, among them a start time of which 0 means long ago. Change: SlowStartState holds start time, tokens and completed work; isStartedLongAgo and hasTokensOfEarlierProcess say what comparisons with 0 and of two times meant.

--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -90,7 +90,7 @@
       return;
     }
     context.hosts().group(endpoint.group()).add(host);
-    if (endpoint.startedAt() > host.startedAt) {
+    if (endpoint.startedAt() > host.slowStart.startedAt) {
       host.reset(endpoint.startedAt());
     }
     components.primaries.endpointListed(host);
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -18,6 +18,7 @@
 
   final HostHealth health = new HostHealth();
   final ReplicationState replication = new ReplicationState();
+  final SlowStartState slowStart = new SlowStartState();
   final InFlightAttempts inFlight = new InFlightAttempts();
 
   private final double initialLimit;
@@ -25,23 +26,12 @@
   /** How many attempts may be in flight; below 1, a single slot that pauses between attempts. */
   double concurrencyLimit;
 
-  /** The share of their objective time that its answers take. */
+  /** The smoothed share of their objective time that its answers take. */
   final ExponentialAverage latencyRatio = new ExponentialAverage(0);
 
+  /** Until then it gets no attempts, as a clock time. */
   long pausedUntil = NEVER;
 
-  /** When its process started; 0 for longer ago than slow start lasts. */
-  long startedAt;
-
-  /** Expected service time in nanoseconds that may still be sent to it during slow start. */
-  final TokenBucket slowStartTokens = new TokenBucket();
-
-  /** Expected service time that it completes a nanosecond. */
-  final ExponentialAverage completedWorkRate = new ExponentialAverage(0);
-
-  /** Expected service time completed since the rate was last updated. */
-  double completedWork;
-
   HostState(HostId id, double initialLimit) {
     this.id = id;
     this.initialLimit = initialLimit;
@@ -81,7 +71,7 @@
    * Its process has started anew: what was learned of the old one's capacity and health is void.
    */
   void reset(long time) {
-    startedAt = time;
+    slowStart.startedAt = time;
     concurrencyLimit = initialLimit;
     latencyRatio.reset(0);
     pausedUntil = NEVER;
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -70,7 +70,7 @@
     Attempt attempt = new Attempt(pending, host, now, isControl);
     pending.attempts.add(attempt);
     host.inFlight.add(attempt);
-    host.slowStartTokens.take(context.serviceTimes().expected(pending));
+    host.slowStart.tokens.take(context.serviceTimes().expected(pending));
     actions.send(pending.request.id(), host.id, timeout, startWithin);
   }
 
@@ -106,7 +106,7 @@
     PendingRequest pending = attempt.pending;
     if (result.outcome() == AttemptOutcome.SUCCESS) {
       context.serviceTimes().record(pending, result.durationNanos());
-      attempt.host.completedWork += context.serviceTimes().expected(pending);
+      attempt.host.slowStart.recordCompletedWork(context.serviceTimes().expected(pending));
       components.lostAnswers.answerReceived(attempt, now);
     }
     components.limiter.attemptFinished(attempt, result, now);
--- a/router/src/main/java/rushwood/policy/SlowStart.java
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -13,9 +13,11 @@
 
   /** The share of its capacity that a host has at the least, by its age: 1 once it is warm. */
   private double progress(HostState host, long now) {
-    double age = (double) (now - host.startedAt) / context.settings().warmupNanos();
+    double age = (double) (now - host.slowStart.startedAt) / context.settings().warmupNanos();
     double initial = context.settings().coldStartShare();
-    return host.startedAt == 0 || age >= 1 ? 1 : initial + (1 - initial) * Math.max(0, age);
+    return host.slowStart.isStartedLongAgo() || age >= 1
+        ? 1
+        : initial + (1 - initial) * Math.max(0, age);
   }
 
   private boolean isWarm(HostState host, long now) {
@@ -39,12 +41,12 @@
     double expected = context.serviceTimes().expected(pending);
     double window = context.settings().collapseWindowNanos();
     double capacity = Math.max(expected, rate * window * BURST_SHARE);
-    if (host.slowStartTokens.refilledAt() < host.startedAt) {
+    if (host.slowStart.hasTokensOfEarlierProcess()) {
       // Each router starts at another level, so that their first attempts come at other times.
-      host.slowStartTokens.reset(context.random().nextDouble() * capacity, now);
+      host.slowStart.tokens.reset(context.random().nextDouble() * capacity, now);
     }
-    host.slowStartTokens.refill(rate, capacity, now);
-    return host.slowStartTokens.has(expected);
+    host.slowStart.tokens.refill(rate, capacity, now);
+    return host.slowStart.tokens.has(expected);
   }
 
   /** What warm hosts complete for the host's weight; with none warm, what its slots allow. */
@@ -53,7 +55,7 @@
     double weight = 0;
     for (HostState other : context.hosts().hosts()) {
       if (other.group != null && other.isHealthy() && isWarm(other, now)) {
-        rate += other.completedWorkRate.value();
+        rate += other.slowStart.completedWorkRate();
         weight += other.endpoint.weight();
       }
     }
@@ -62,8 +64,6 @@
 
   /** Updates the host's rate of completed work; called once a check interval. */
   static void updateWorkRate(HostState host) {
-    double rate = host.completedWork / DefaultRoutingPolicy.CHECK_INTERVAL;
-    host.completedWorkRate.add(rate, WORK_RATE_SMOOTHING);
-    host.completedWork = 0;
+    host.slowStart.updateWorkRate(DefaultRoutingPolicy.CHECK_INTERVAL, WORK_RATE_SMOOTHING);
   }
 }
