Policy: predicates in place of null, zero and half-of-the-range comparisons

Need: a reader had to know that a null group is a host that left, that a null attempt is none in flight, and that a priority above half of its range is a late request. Change: hasGroup, hasPrimary, hasAttemptInFlight (activeAttempt and its null are gone), isPossiblyExecuted, QueuePolicy.isLate, SlowStartState.ageNanos. A late request was told by its priority; isLate compares the times from which that priority came, equal for all clock times below 146 years.

--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -155,7 +155,7 @@
     for (PendingRequest pending : group.waitingRequests()) {
       if (!pending.isWrite()) {
         pending.avoidedHosts.clear();
-      } else if (group.primary == null) {
+      } else if (!group.hasPrimary()) {
         requests.process(pending, now);
       }
     }
--- a/router/src/main/java/rushwood/policy/GroupState.java
+++ b/router/src/main/java/rushwood/policy/GroupState.java
@@ -34,6 +34,10 @@
     clearPrimary(host);
   }
 
+  boolean hasPrimary() {
+    return primary != null;
+  }
+
   boolean hasNoHealthyMember() {
     for (HostState host : members) {
       if (host.isHealthy()) {
@@ -45,7 +49,7 @@
 
   /** Whether requests wait and no primary is known. */
   boolean needsPrimary() {
-    return primary == null && !firstAttempts.isEmpty();
+    return !hasPrimary() && !firstAttempts.isEmpty();
   }
 
   /** From now on the primary is unknown, if it was that host. */
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -50,13 +50,18 @@
     return health.status == HostHealth.Status.UNRESPONSIVE;
   }
 
+  /** Whether it serves a group: it is listed as ready. */
+  boolean hasGroup() {
+    return group != null;
+  }
+
   /** Whether it is the known primary of the group that it serves. */
   boolean isPrimary() {
     return group.primary == this;
   }
 
   void leaveGroup() {
-    if (group != null) {
+    if (hasGroup()) {
       group.remove(this);
       group = null;
     }
--- a/router/src/main/java/rushwood/policy/HostTable.java
+++ b/router/src/main/java/rushwood/policy/HostTable.java
@@ -54,6 +54,6 @@
     hosts
         .values()
         .removeIf(
-            host -> host.group == null && host.inFlight.isEmpty() && !host.health.probeInFlight);
+            host -> !host.hasGroup() && host.inFlight.isEmpty() && !host.health.probeInFlight);
   }
 }
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -60,7 +60,7 @@
   }
 
   private void eject(HostState host, Status status, long now) {
-    if (host.group == null || host.isUnreachable() || host.health.status == status) {
+    if (!host.hasGroup() || host.isUnreachable() || host.health.status == status) {
       return;
     }
     context.actions().log(host.id + " is " + status);
--- a/router/src/main/java/rushwood/policy/PendingRequest.java
+++ b/router/src/main/java/rushwood/policy/PendingRequest.java
@@ -59,10 +59,17 @@
     return requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY;
   }
 
-  /** The attempt in flight, or null. */
-  Attempt activeAttempt() {
-    Attempt last = attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
-    return last != null && last.isInFlight() ? last : null;
+  /** The last attempt of a request that has one; it alone can be in flight. */
+  Attempt lastAttempt() {
+    return attempts.get(attempts.size() - 1);
+  }
+
+  boolean hasAttemptInFlight() {
+    return !attempts.isEmpty() && lastAttempt().isInFlight();
+  }
+
+  boolean isPossiblyExecuted() {
+    return firstPossiblyExecuted() != null;
   }
 
   /** The first attempt that may have been executed, or null. */
@@ -77,8 +84,10 @@
 
   /** Whether the last attempt took work or a queue slot from its host, as a retry would again. */
   boolean isRetryCostly() {
-    AttemptOutcome outcome =
-        attempts.isEmpty() ? AttemptOutcome.NOT_SENT : attempts.get(attempts.size() - 1).outcome;
+    if (attempts.isEmpty()) {
+      return false;
+    }
+    AttemptOutcome outcome = lastAttempt().outcome;
     return outcome != AttemptOutcome.NOT_SENT
         && outcome != AttemptOutcome.CONNECT_FAILED
         && outcome != AttemptOutcome.REPLICA_LAGGING;
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -21,7 +21,7 @@
 
   /** The endpoint list is seconds old: it only fills in where nothing better is known. */
   void endpointListed(HostState host) {
-    boolean isUnknown = host.group.primary == null && !host.replication.isRoleKnown();
+    boolean isUnknown = !host.group.hasPrimary() && !host.replication.isRoleKnown();
     if (host.endpoint.primary() && isUnknown) {
       host.group.primary = host;
     }
@@ -56,11 +56,11 @@
     GroupState group = host.group;
     boolean isDoubtful =
         evidenceAt < host.replication.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
-    if (group == null || !role.isKnown() || (role == HostRole.PRIMARY && isDoubtful)) {
+    if (!host.hasGroup() || !role.isKnown() || (role == HostRole.PRIMARY && isDoubtful)) {
       return;
     }
     host.replication.recordRoleEvidence(evidenceAt);
-    boolean isLatest = group.primary == null || evidenceAt > group.primary.replication.roleKnownAt;
+    boolean isLatest = !group.hasPrimary() || evidenceAt > group.primary.replication.roleKnownAt;
     if (role == HostRole.REPLICA) {
       group.clearPrimary(host);
     } else if (group.primary != host && isLatest) {
@@ -75,7 +75,7 @@
    */
   HostState selectForWrite(PendingRequest pending, long now) {
     GroupState group = pending.group;
-    if (group.primary != null && outliers.isUsable(group.primary, now)) {
+    if (group.hasPrimary() && outliers.isUsable(group.primary, now)) {
       return limiter.hasFreeSlot(pending, group.primary, now) ? group.primary : null;
     }
     int maxAttempts = context.settings().maxAttempts() / DISCOVERY_DIVISOR;
--- a/router/src/main/java/rushwood/policy/QueuePolicy.java
+++ b/router/src/main/java/rushwood/policy/QueuePolicy.java
@@ -25,10 +25,10 @@
   }
 
   private boolean accepts(PendingRequest pending, HostState host, long now) {
-    // Where slots are shared, others' requests may wait unseen: slow hosts get no late ones.
-    boolean isLate = priority(pending, now) > LATE_PRIORITY / 2;
+    // Requests of other routers may wait for shared slots, unseen here: slow hosts get no late
+    // ones.
     boolean areSlotsShared = ConcurrencyLimiter.areSlotsShared(context);
-    if (areSlotsShared && isLate && ConcurrencyLimiter.isSlow(host)) {
+    if (areSlotsShared && isLate(pending, now) && ConcurrencyLimiter.isSlow(host)) {
       return false;
     }
     if (pending.isWrite()) {
@@ -45,9 +45,14 @@
    * are about to time out. Clients that kept to a Retry-After precede what arrived meanwhile.
    */
   private long priority(PendingRequest pending, long now) {
-    double expected = context.serviceTimes().expected(pending);
     long deadline = pending.objectiveDeadline;
-    boolean isLate = now + expected * IN_TIME_MULTIPLE > deadline;
-    return (isLate ? LATE_PRIORITY - deadline : deadline) - pending.request.waitedNanos();
+    long order = isLate(pending, now) ? LATE_PRIORITY - deadline : deadline;
+    return order - pending.request.waitedNanos();
+  }
+
+  /** Whether an answer within the latency objective has become unlikely. */
+  private boolean isLate(PendingRequest pending, long now) {
+    double expected = context.serviceTimes().expected(pending);
+    return now + expected * IN_TIME_MULTIPLE > pending.objectiveDeadline;
   }
 }
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -81,7 +81,7 @@
 
   /** Gives a host's free slots to waiting requests, first attempts before retries. */
   void dispatchWaiting(HostState host, long now) {
-    if (host.group != null) {
+    if (host.hasGroup()) {
       dispatch(host.group.firstAttempts, host, now);
       dispatch(host.group.retries, host, now);
     }
@@ -120,7 +120,7 @@
       pending.finish();
     }
     dispatchWaiting(attempt.host, now);
-    if (!pending.finished && !pending.queued && pending.activeAttempt() == null) {
+    if (!pending.finished && !pending.queued && !pending.hasAttemptInFlight()) {
       process(pending, now);
     }
     requests.forgetIfDone(pending);
--- a/router/src/main/java/rushwood/policy/RequestTable.java
+++ b/router/src/main/java/rushwood/policy/RequestTable.java
@@ -53,8 +53,11 @@
 
   /** Cancels the attempt in flight, if there is one and the deployment allows it; once only. */
   void cancelAttempt(PendingRequest pending) {
-    Attempt attempt = pending.activeAttempt();
-    if (attempt != null && !attempt.cancelled && canCancel) {
+    if (!canCancel || !pending.hasAttemptInFlight()) {
+      return;
+    }
+    Attempt attempt = pending.lastAttempt();
+    if (!attempt.cancelled) {
       attempt.cancelled = true;
       actions.cancel(pending.request.id(), attempt.number);
     }
@@ -68,7 +71,7 @@
 
   /** Forgets a finished request once nothing of it is in flight. */
   void forgetIfDone(PendingRequest pending) {
-    if (pending.finished && pending.activeAttempt() == null) {
+    if (pending.finished && !pending.hasAttemptInFlight()) {
       requests.remove(pending.request.id());
     }
   }
--- a/router/src/main/java/rushwood/policy/RetryPolicy.java
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -18,7 +18,7 @@
 
   /** Whether the client may repeat the request without harm: it ran nowhere, or may run twice. */
   static boolean isRepeatable(PendingRequest pending) {
-    return pending.isIdempotent() || pending.firstPossiblyExecuted() == null;
+    return pending.isIdempotent() || !pending.isPossiblyExecuted();
   }
 
   private static boolean isSafe(PendingRequest pending, long now) {
@@ -37,9 +37,11 @@
 
   /** Until when an attempt may begin: its connection must not come up after the key's window. */
   static long retryDeadline(PendingRequest pending) {
-    Attempt first = pending.hasIdempotencyKey() ? pending.firstPossiblyExecuted() : null;
+    if (!pending.hasIdempotencyKey() || !pending.isPossiblyExecuted()) {
+      return Long.MAX_VALUE;
+    }
     long window = pending.requestClass.idempotencyWindowNanos();
-    return first == null ? Long.MAX_VALUE : first.sentAt + (long) (window * WINDOW_SHARE);
+    return pending.firstPossiblyExecuted().sentAt + (long) (window * WINDOW_SHARE);
   }
 
   /** The Retry-After of a rejected request: while others wait, a quick repeat does not help. */
--- a/router/src/main/java/rushwood/policy/SlowStart.java
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -13,11 +13,9 @@
 
   /** The share of its capacity that a host has at the least, by its age: 1 once it is warm. */
   private double progress(HostState host, long now) {
-    double age = (double) (now - host.slowStart.startedAt) / context.settings().warmupNanos();
+    double age = (double) host.slowStart.ageNanos(now) / context.settings().warmupNanos();
     double initial = context.settings().coldStartShare();
-    return host.slowStart.isStartedLongAgo() || age >= 1
-        ? 1
-        : initial + (1 - initial) * Math.max(0, age);
+    return age >= 1 ? 1 : initial + (1 - initial) * Math.max(0, age);
   }
 
   private boolean isWarm(HostState host, long now) {
@@ -54,7 +52,7 @@
     double rate = 0;
     double weight = 0;
     for (HostState other : context.hosts().hosts()) {
-      if (other.group != null && other.isHealthy() && isWarm(other, now)) {
+      if (other.hasGroup() && other.isHealthy() && isWarm(other, now)) {
         rate += other.slowStart.completedWorkRate();
         weight += other.endpoint.weight();
       }
--- a/router/src/main/java/rushwood/policy/SlowStartState.java
+++ b/router/src/main/java/rushwood/policy/SlowStartState.java
@@ -17,8 +17,9 @@
   private final ExponentialAverage completedWorkRate = new ExponentialAverage(0);
   private double completedWork;
 
-  boolean isStartedLongAgo() {
-    return startedAt == LONG_AGO;
+  /** How long ago the process started; the maximum if that was long ago. */
+  long ageNanos(long now) {
+    return startedAt == LONG_AGO ? Long.MAX_VALUE : now - startedAt;
   }
 
   /** Whether the tokens have not been refilled since the process started. */
