Policy: durations say their unit, as the style asks

Need: CONTRIBUTING.md wants the suffix Nanos on a duration in a long; CHECK_INTERVAL, TRIAL_INTERVAL, margin, silence and others had none, beside clock times of the same type.

--- a/router/src/main/java/rushwood/policy/Attempt.java
+++ b/router/src/main/java/rushwood/policy/Attempt.java
@@ -38,7 +38,7 @@
   }
 
   /** How long its host has not answered anything, in nanoseconds, since it was sent at the most. */
-  long silence(long now) {
+  long silenceNanos(long now) {
     return now - Math.max(host.health.lastAnswerAt, sentAt);
   }
 
--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -19,7 +19,7 @@
   private static final double MAX_WORK_MULTIPLE = 3; // of the expected service time
 
   /** Pause of a host that refuses or errs: it may be draining and not yet listed so. */
-  private static final long REFUSAL_PAUSE = DefaultRoutingPolicy.CHECK_INTERVAL / 2;
+  private static final long REFUSAL_PAUSE_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS / 2;
 
   private static double minLimit(PolicyContext context) {
     double share = MIN_LIMIT_OF_ALL_ROUTERS / Math.max(1, context.settings().routerCount());
@@ -42,15 +42,14 @@
     }
     boolean isReadOnPrimary = host.isPrimary() && !pending.isWrite();
     double limit = effectiveLimit(host, now) * (isReadOnPrimary ? PRIMARY_READ_SHARE : 1);
-    return host.inFlight.occupiedSlots() < limit
+    return host.occupiedSlots() < limit
         && RetryPolicy.isSafeOn(pending, host, now)
         && slowStart.hasTokens(pending, host, now);
   }
 
   /** Whether the host can take any attempt now. */
   boolean canTakeAny(HostState host, long now) {
-    return host.inFlight.occupiedSlots() < effectiveLimit(host, now)
-        || probes.isTrialDue(host, now);
+    return host.occupiedSlots() < effectiveLimit(host, now) || probes.isTrialDue(host, now);
   }
 
   private double effectiveLimit(HostState host, long now) {
@@ -74,11 +73,13 @@
       case SUCCESS -> {
         adjust(host, latencyRatio, now);
         // What one host answers with an error and the next one serves was the first host's fault.
-        attempt.pending.hostsWithErrors().forEach(each -> each.pausedUntil = now + REFUSAL_PAUSE);
+        for (HostState failed : attempt.pending.hostsWithErrors()) {
+          failed.pausedUntil = now + REFUSAL_PAUSE_NANOS;
+        }
       }
       case OVERLOADED -> {
         adjust(host, 1, now);
-        host.pausedUntil = now + REFUSAL_PAUSE;
+        host.pausedUntil = now + REFUSAL_PAUSE_NANOS;
       }
       case TIMED_OUT -> {
         if (!attempt.presumedLost) {
--- a/router/src/main/java/rushwood/policy/DeadlinePolicy.java
+++ b/router/src/main/java/rushwood/policy/DeadlinePolicy.java
@@ -6,11 +6,11 @@
 final class DeadlinePolicy {
   private static final int MARGIN_TICKS = 2; // clock ticks before the client's deadline
 
-  private final long margin;
+  private final long marginNanos;
   private long shutdownAt = Long.MAX_VALUE;
 
   DeadlinePolicy(RoutingSettings settings) {
-    margin = MARGIN_TICKS * settings.clockResolutionNanos();
+    marginNanos = MARGIN_TICKS * settings.clockResolutionNanos();
   }
 
   /** From now on every request is answered before that time. */
@@ -28,10 +28,10 @@
     if (pending.attempts.isEmpty() && pending.requestClass.lateValue() == 0) {
       deadline -= (deadline - pending.arrivedAt) / 2;
     }
-    return Math.min(deadline, shutdownAt) - margin;
+    return Math.min(deadline, shutdownAt) - marginNanos;
   }
 
-  long attemptTimeout(PendingRequest pending, long now) {
-    return pending.request.deadline() - margin - now;
+  long attemptTimeoutNanos(PendingRequest pending, long now) {
+    return pending.request.deadline() - marginNanos - now;
   }
 }
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -22,12 +22,11 @@
  * settings, seed and calls give the same decisions.
  */
 public final class DefaultRoutingPolicy implements RoutingPolicy {
-  static final long MILLISECOND = 1_000_000L;
-  static final long CHECK_INTERVAL = 100 * MILLISECOND; // of hosts and queues: the design's figure
+  static final long CHECK_INTERVAL_NANOS = 100_000_000L; // of hosts and wait queues
 
   private static final double INITIAL_SERVICE_TIME_SHARE = 0.25; // of the objective: a guess
   private static final double SERVICE_TIME_SMOOTHING = 0.02; // about the last fifty answers count
-  private static final long MIN_RESUBSCRIBE_DELAY = 2 * CHECK_INTERVAL;
+  private static final long MIN_RESUBSCRIBE_DELAY_NANOS = 2 * CHECK_INTERVAL_NANOS;
   private static final int RESUBSCRIBE_DIVISOR = 4; // of the refresh time: the longest delay
 
   private final PolicyContext context;
@@ -54,8 +53,8 @@
     context = new PolicyContext(settings, random, actions, overloadSignals, serviceTimes);
     components = new PolicyComponents(context);
     requests = new RequestLifecycle(context, components);
-    long maxDelay = settings.refreshWithinNanos() / RESUBSCRIBE_DIVISOR;
-    subscription = new EndpointSubscription(context, MIN_RESUBSCRIBE_DELAY, maxDelay);
+    long maxDelayNanos = settings.refreshWithinNanos() / RESUBSCRIBE_DIVISOR;
+    subscription = new EndpointSubscription(context, MIN_RESUBSCRIBE_DELAY_NANOS, maxDelayNanos);
   }
 
   @Override
@@ -136,7 +135,7 @@
   public void timerFired(long now) {
     requests.endExpired(now);
     if (now >= nextCheckAt) {
-      nextCheckAt = now + CHECK_INTERVAL;
+      nextCheckAt = now + CHECK_INTERVAL_NANOS;
       context.hosts().groups().forEach(group -> check(group, now));
       context.hosts().forgetRemoved();
     }
--- a/router/src/main/java/rushwood/policy/EndpointSubscription.java
+++ b/router/src/main/java/rushwood/policy/EndpointSubscription.java
@@ -8,15 +8,15 @@
   private static final long NOT_PLANNED = Long.MAX_VALUE;
 
   private final PolicyContext context;
-  private final long minDelay;
-  private final long maxDelay;
-  private long delay;
+  private final long minDelayNanos;
+  private final long maxDelayNanos;
+  private long delayNanos;
   private long retryAt = NOT_PLANNED;
 
-  EndpointSubscription(PolicyContext context, long minDelay, long maxDelay) {
+  EndpointSubscription(PolicyContext context, long minDelayNanos, long maxDelayNanos) {
     this.context = context;
-    this.minDelay = minDelay;
-    this.maxDelay = maxDelay;
+    this.minDelayNanos = minDelayNanos;
+    this.maxDelayNanos = maxDelayNanos;
   }
 
   /** Asks for the list, where the deployment has one to ask for. */
@@ -28,13 +28,13 @@
 
   /** A list has come: the next failure is a first one again. */
   void updateReceived() {
-    delay = 0;
+    delayNanos = 0;
   }
 
   /** Plans to ask again, between a half and one and a half of the current delay from now. */
   void failed(long now) {
-    delay = Math.min(Math.max(2 * delay, minDelay), maxDelay);
-    retryAt = now + delay / 2 + context.random().nextLong(delay);
+    delayNanos = Math.min(Math.max(2 * delayNanos, minDelayNanos), maxDelayNanos);
+    retryAt = now + delayNanos / 2 + context.random().nextLong(delayNanos);
     context.deadlineQueue().requestTimer(retryAt);
   }
 
--- a/router/src/main/java/rushwood/policy/FreshnessPolicy.java
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -8,23 +8,23 @@
 /** Decides how far a replica must have applied the log for a read, and learns how far it has. */
 final class FreshnessPolicy {
   private static final int MAX_SESSIONS = 50_000; // some megabytes; replicas have older writes
-  private static final long DEFAULT_STALENESS_BOUND = 5 * DefaultRoutingPolicy.CHECK_INTERVAL;
-  private static final long CLIENT_ROUNDING = DefaultRoutingPolicy.MILLISECOND;
+  private static final long DEFAULT_STALENESS_NANOS = 5 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
+  private static final long ROUNDING_NANOS = 1_000_000L; // clients send whole milliseconds
 
   private final RoutingSettings settings;
   private final SessionWrites sessionWrites = new SessionWrites(MAX_SESSIONS);
 
   /** The least staleness that any request class allows, in nanoseconds. */
-  final long smallestStalenessBound;
+  final long minStalenessBoundNanos;
 
   FreshnessPolicy(RoutingSettings settings) {
     this.settings = settings;
-    smallestStalenessBound =
+    minStalenessBoundNanos =
         settings.requestClasses().stream()
             .filter(each -> each.consistency() == Consistency.BOUNDED_STALENESS)
             .mapToLong(each -> each.maxStalenessNanos())
             .min()
-            .orElse(DEFAULT_STALENESS_BOUND);
+            .orElse(DEFAULT_STALENESS_NANOS);
   }
 
   void updateRequiredPosition(PendingRequest pending, long now) {
@@ -42,8 +42,8 @@
     if (settings.tracksSessionWrites()) {
       return sessionWrites.lastCommit(pending.request.session());
     }
-    long sinceWrite = pending.request.sinceLastWriteNanos();
-    return sinceWrite == 0 ? HostState.NEVER : pending.arrivedAt - sinceWrite + CLIENT_ROUNDING;
+    long ageNanos = pending.request.sinceLastWriteNanos();
+    return ageNanos == 0 ? HostState.NEVER : pending.arrivedAt - ageNanos + ROUNDING_NANOS;
   }
 
   void attemptFinished(Attempt attempt, AttemptResult result, long now) {
--- a/router/src/main/java/rushwood/policy/HostState.java
+++ b/router/src/main/java/rushwood/policy/HostState.java
@@ -75,16 +75,21 @@
   /**
    * Its process has started anew: what was learned of the old one's capacity and health is void.
    */
-  void reset(long time) {
-    slowStart.startedAt = time;
+  void reset(long processStartedAt) {
+    slowStart.startedAt = processStartedAt;
     concurrencyLimit = initialLimit;
     latencyRatio.reset(0);
     pausedUntil = NEVER;
     health.restore();
   }
 
+  /** Attempts in flight that are not presumed lost. */
+  int occupiedSlots() {
+    return inFlight.occupiedSlots();
+  }
+
   /** Occupied slots for its weight. */
   double load() {
-    return inFlight.occupiedSlots() / endpoint.weight();
+    return occupiedSlots() / endpoint.weight();
   }
 }
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -10,7 +10,7 @@
  */
 record OutlierDetector(PolicyContext context, ProbePolicy probes, LostAnswerDetector lostAnswers) {
   private static final double MAX_MISSING_ANSWERS = 12; // by chance once in 100,000
-  private static final long MAX_WARM_OUTAGE = 2 * ProbePolicy.TRIAL_INTERVAL; // then it is cold
+  private static final long MAX_WARM_OUTAGE_NANOS = 2 * ProbePolicy.TRIAL_INTERVAL_NANOS;
 
   /** Whether the host may get requests: ejection never empties a group. */
   boolean isUsable(HostState host, long now) {
@@ -53,8 +53,8 @@
 
   private void restore(HostState host, long now) {
     context.actions().log(host.id + " is healthy again");
-    if (host.isUnreachable() && now - host.health.ejectedAt > MAX_WARM_OUTAGE) {
-      host.reset(now);
+    if (host.isUnreachable() && now - host.health.ejectedAt > MAX_WARM_OUTAGE_NANOS) {
+      host.reset(now); // after so long an outage its process has probably restarted, and is cold
     }
     host.health.restore();
   }
@@ -79,7 +79,7 @@
     return host.inFlight.stream()
         .filter(attempt -> !attempt.presumedLost)
         .mapToDouble(
-            attempt -> attempt.silence(now) / context.serviceTimes().expected(attempt.pending))
+            attempt -> attempt.silenceNanos(now) / context.serviceTimes().expected(attempt.pending))
         .sum();
   }
 }
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -12,10 +12,10 @@
     ConcurrencyLimiter limiter,
     ProbePolicy probes) {
   /** How long evidence of a role counts while no primary is known. */
-  private static final long ROLE_VALIDITY = 3 * DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final long ROLE_TTL_NANOS = 3 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
 
   /** A host that refused a write is handing over; it is not taken for the primary for this long. */
-  private static final long HANDOVER_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final long HANDOVER_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
 
   private static final int DISCOVERY_DIVISOR = 2; // half of all attempts may look for the primary
 
@@ -54,8 +54,8 @@
   /** The latest evidence wins; an unresponsive host is no primary until it has answered a read. */
   private void roleObserved(HostState host, HostRole role, long evidenceAt) {
     GroupState group = host.group;
-    boolean isDoubtful =
-        evidenceAt < host.replication.writeRefusedAt + HANDOVER_TIME || host.isUnresponsive();
+    boolean isHandingOver = evidenceAt < host.replication.writeRefusedAt + HANDOVER_NANOS;
+    boolean isDoubtful = isHandingOver || host.isUnresponsive();
     if (!host.hasGroup() || !role.isKnown() || (role == HostRole.PRIMARY && isDoubtful)) {
       return;
     }
@@ -84,7 +84,7 @@
       return null;
     }
     for (HostState host : group.members) {
-      boolean isUnknown = !host.isPrimary() && host.replication.roleKnownAt < now - ROLE_VALIDITY;
+      boolean isUnknown = !host.isPrimary() && host.replication.roleKnownAt < now - ROLE_TTL_NANOS;
       if (isUnknown && !pending.avoidedHosts.contains(host) && isFree(pending, host, now)) {
         group.primaryDiscovery = pending;
         return host;
--- a/router/src/main/java/rushwood/policy/ProbePolicy.java
+++ b/router/src/main/java/rushwood/policy/ProbePolicy.java
@@ -12,7 +12,7 @@
   private static final int MAX_BUDGET = 10; // about a group's probes and its hosts' first trials
 
   /** Between trials or probes of a host: short, to have it back soon; the budget limits them. */
-  static final long TRIAL_INTERVAL = 5 * DefaultRoutingPolicy.CHECK_INTERVAL;
+  static final long TRIAL_INTERVAL_NANOS = 5 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
 
   void requestReceived() {
     budget.add(PROBES_PER_REQUEST, MAX_BUDGET);
@@ -31,14 +31,15 @@
 
   /** Probes an ejected host; if it is unreachable soon again, since the probe may be lost too. */
   void hostEjected(HostState host, long now) {
-    long interval = host.isUnreachable() ? DefaultRoutingPolicy.CHECK_INTERVAL : TRIAL_INTERVAL;
-    host.health.nextTrialAt = now + interval;
+    long intervalNanos =
+        host.isUnreachable() ? DefaultRoutingPolicy.CHECK_INTERVAL_NANOS : TRIAL_INTERVAL_NANOS;
+    host.health.nextTrialAt = now + intervalNanos;
     probe(host);
   }
 
   void probeIfDue(HostState host, long now) {
     if (isProbeDue(host, now) && probe(host)) {
-      host.health.nextTrialAt = now + TRIAL_INTERVAL;
+      host.health.nextTrialAt = now + TRIAL_INTERVAL_NANOS;
     }
   }
 
@@ -54,16 +55,16 @@
   void attemptSent(HostState host, long now) {
     if (isTrialDue(host, now)) {
       budget.take(1);
-      host.health.nextTrialAt = now + TRIAL_INTERVAL;
+      host.health.nextTrialAt = now + TRIAL_INTERVAL_NANOS;
     }
   }
 
   /**
-   * Probes the replica whose position was heard longest ago, if that is longer than {@code maxAge}.
-   * Half of the probes are left for unreachable hosts, which come back by nothing else: where
-   * answers carry no position, reads took every probe and such a host never came back.
+   * Probes the replica whose position was heard longest ago, if that is longer than {@code
+   * maxAgeNanos}. Half of the probes are left for unreachable hosts, which come back by nothing
+   * else: where answers carry no position, reads took every probe and such a host never came back.
    */
-  void probeLeastRecentlyHeard(GroupState group, long maxAge, long now) {
+  void probeLeastRecentlyHeard(GroupState group, long maxAgeNanos, long now) {
     boolean yields = context.random().nextBoolean();
     if (yields && group.members.stream().anyMatch(host -> isProbeDue(host, now))) {
       return;
@@ -71,7 +72,7 @@
     group.replicas().stream()
         .filter(host -> !host.isUnreachable() && !host.health.probeInFlight)
         .min(Comparator.comparingLong(host -> host.replication.positionHeardAt))
-        .filter(host -> host.replication.positionHeardAt < now - maxAge)
+        .filter(host -> host.replication.positionHeardAt < now - maxAgeNanos)
         .ifPresent(this::probe);
   }
 }
--- a/router/src/main/java/rushwood/policy/QueuePolicy.java
+++ b/router/src/main/java/rushwood/policy/QueuePolicy.java
@@ -18,15 +18,14 @@
 
   /** Returns the request of that queue that the host gets next, or null. */
   PendingRequest next(WaitQueue queue, HostState host, long now) {
-    boolean canDispatch = !queue.isEmpty() && limiter.canTakeAny(host, now);
-    return canDispatch
-        ? queue.findFirst(each -> priority(each, now), each -> accepts(each, host, now))
-        : null;
+    if (queue.isEmpty() || !limiter.canTakeAny(host, now)) {
+      return null;
+    }
+    return queue.findFirst(each -> priority(each, now), each -> accepts(each, host, now));
   }
 
   private boolean accepts(PendingRequest pending, HostState host, long now) {
-    // Requests of other routers may wait for shared slots, unseen here: slow hosts get no late
-    // ones.
+    // Other routers may have better requests for a shared slot: slow hosts get no late ones.
     boolean areSlotsShared = ConcurrencyLimiter.areSlotsShared(context);
     if (areSlotsShared && isLate(pending, now) && ConcurrencyLimiter.isSlow(host)) {
       return false;
--- a/router/src/main/java/rushwood/policy/ReplicaSelector.java
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -12,8 +12,8 @@
     ConcurrencyLimiter limiter,
     ProbePolicy probes) {
   private static final int CATCH_UP_DIVISOR = 2; // of what a replica is behind: a guess
-  private static final long MIN_CATCH_UP_TIME = DefaultRoutingPolicy.CHECK_INTERVAL;
-  private static final long MAX_CATCH_UP_TIME = 20 * DefaultRoutingPolicy.CHECK_INTERVAL;
+  private static final long MIN_CATCH_UP_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
+  private static final long MAX_CATCH_UP_NANOS = 20 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
   private static final int LONG_READ_DIVISOR = 3; // one replica in this many takes long reads
 
   /**
@@ -38,7 +38,7 @@
   private HostState selectOfAll(PendingRequest pending, long now) {
     Suitability best = bestSuitability(pending, now);
     if (best != Suitability.FRESH && context.settings().hasLoadReports()) {
-      probes.probeLeastRecentlyHeard(pending.group, freshness.smallestStalenessBound, now);
+      probes.probeLeastRecentlyHeard(pending.group, freshness.minStalenessBoundNanos, now);
     }
     boolean isLong = isLongRead(pending);
     List<HostState> members = pending.group.members;
@@ -98,25 +98,25 @@
     if (isLong || host.isPrimary()) {
       return host.isPrimary() ? Suitability.PRIMARY_FALLBACK : Suitability.UNSUITABLE;
     }
-    long behind = pending.requiredPosition - host.replication.position;
-    if (behind <= 0) {
+    long lagNanos = pending.requiredPosition - host.replication.position;
+    if (lagNanos <= 0) {
       return Suitability.FRESH;
     }
     boolean servesStale = context.settings().laggingReadBehavior() == LaggingReadBehavior.SERVES;
-    long catchUpTime = Math.min(MAX_CATCH_UP_TIME, behind / CATCH_UP_DIVISOR);
+    long catchUpNanos = Math.min(MAX_CATCH_UP_NANOS, lagNanos / CATCH_UP_DIVISOR);
     boolean refused =
-        host.replication.readRefusedAt > now - Math.max(MIN_CATCH_UP_TIME, catchUpTime);
+        host.replication.readRefusedAt > now - Math.max(MIN_CATCH_UP_NANOS, catchUpNanos);
     if (servesStale || refused || needsPrimary) {
       return Suitability.UNSUITABLE;
     }
-    boolean isLikely = behind <= now - host.replication.positionHeardAt;
+    boolean isLikely = lagNanos <= now - host.replication.positionHeardAt;
     return isLikely ? Suitability.LIKELY_FRESH : Suitability.LAGGING;
   }
 
   /** A read that any member may answer, expected to outlast the lag that other reads allow. */
   private boolean isLongRead(PendingRequest pending) {
     return pending.requires(Consistency.EVENTUAL)
-        && context.serviceTimes().expected(pending) > freshness.smallestStalenessBound;
+        && context.serviceTimes().expected(pending) > freshness.minStalenessBoundNanos;
   }
 
   /**
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -64,14 +64,14 @@
     components.probes.attemptSent(host, now);
     boolean isCostlyRetry = pending.isRetryCostly();
     context.overloadSignals().attemptSent(now, pending.request.group(), isCostlyRetry);
-    long timeout = components.deadlines.attemptTimeout(pending, now);
-    long startWithin = Math.min(timeout, RetryPolicy.retryDeadline(pending) - now);
+    long timeoutNanos = components.deadlines.attemptTimeoutNanos(pending, now);
+    long startWithinNanos = Math.min(timeoutNanos, RetryPolicy.retryDeadline(pending) - now);
     boolean isControl = components.lostAnswers.drawControlSample();
     Attempt attempt = new Attempt(pending, host, now, isControl);
     pending.attempts.add(attempt);
     host.inFlight.add(attempt);
     host.slowStart.tokens.take(context.serviceTimes().expected(pending));
-    actions.send(pending.request.id(), host.id, timeout, startWithin);
+    actions.send(pending.request.id(), host.id, timeoutNanos, startWithinNanos);
   }
 
   /** Gives the free slots of all members, in order of id, to waiting requests. */
--- a/router/src/main/java/rushwood/policy/RetryPolicy.java
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -40,8 +40,8 @@
     if (!pending.hasIdempotencyKey() || !pending.isPossiblyExecuted()) {
       return Long.MAX_VALUE;
     }
-    long window = pending.requestClass.idempotencyWindowNanos();
-    return pending.firstPossiblyExecuted().sentAt + (long) (window * WINDOW_SHARE);
+    long windowNanos = pending.requestClass.idempotencyWindowNanos();
+    return pending.firstPossiblyExecuted().sentAt + (long) (windowNanos * WINDOW_SHARE);
   }
 
   /** The Retry-After of a rejected request: while others wait, a quick repeat does not help. */
--- a/router/src/main/java/rushwood/policy/SlowStart.java
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -62,6 +62,6 @@
 
   /** Updates the host's rate of completed work; called once a check interval. */
   static void updateWorkRate(HostState host) {
-    host.slowStart.updateWorkRate(DefaultRoutingPolicy.CHECK_INTERVAL, WORK_RATE_SMOOTHING);
+    host.slowStart.updateWorkRate(DefaultRoutingPolicy.CHECK_INTERVAL_NANOS, WORK_RATE_SMOOTHING);
   }
 }
