Policy: comments in plain technical English

Need: comments in a terse style of its own ("rest: for chance", "a guess", "an impatient one takes any that can answer") had to be decoded. Change: they are sentences now, and say whether a value is assumed or measured. A read that has waited for a fresh replica can fall back (canFallBack, SELECTIVE_WAIT_SHARE) in place of having patience.

--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -4,21 +4,21 @@
 
 /**
  * Limits the attempts in flight at each host. A limit rises while answers are quick and slots are
- * short, and falls while answers are slow or missing: so requests queue in the router, which can
- * order them, and not in the host. Below one it is a single slot that pauses between attempts.
+ * short, and falls while answers are slow or missing, so that requests queue in the router, which
+ * can order them, and not in the host. A limit below one is one slot with a pause after each use.
  */
 record ConcurrencyLimiter(PolicyContext context, SlowStart slowStart, ProbePolicy probes) {
-  private static final double MIN_LIMIT_OF_ALL_ROUTERS = 6; // at a host: keeps some cores at work
-  private static final int INITIAL_MULTIPLE = 2; // of the least limit
-  private static final double PRIMARY_READ_SHARE = 0.5; // of its slots: writes have no other host
-  private static final double MAX_RELATIVE_STEP = 0.25; // of a limit below two: slots are shared
+  private static final double MIN_LIMIT_OF_ALL_ROUTERS = 6; // at one host: keeps several cores busy
+  private static final int INITIAL_MULTIPLE = 2; // times the minimum limit
+  private static final double PRIMARY_READ_SHARE = 0.5; // of its slots; the rest is for writes
+  private static final double MAX_RELATIVE_STEP = 0.25; // of the limit; applies below two
   private static final double LATENCY_RATIO_SMOOTHING = 0.1; // about the last ten answers count
   private static final double FULL_WEIGHT_GAP_NANOS = 2e9; // answers this far apart count in full
   private static final double TARGET_LATENCY_RATIO = 0.35; // the rest is for the wait queue
-  private static final long MAX_IDLE_CREDIT_NANOS = 3_000_000_000L; // sessions come in bursts
-  private static final double MAX_WORK_MULTIPLE = 3; // of the expected service time
+  private static final long MAX_IDLE_CREDIT_NANOS = 3_000_000_000L; // of unused time, for bursts
+  private static final double MAX_WORK_MULTIPLE = 3; // times the expected service time
 
-  /** Pause of a host that refuses or errs: it may be draining and not yet listed so. */
+  /** Pause of a host that refuses or fails requests: it may be draining before the list says so. */
   private static final long REFUSAL_PAUSE_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS / 2;
 
   private static double minLimit(PolicyContext context) {
@@ -72,7 +72,7 @@
     switch (result.outcome()) {
       case SUCCESS -> {
         adjust(host, latencyRatio, now);
-        // What one host answers with an error and the next one serves was the first host's fault.
+        // Another host has served the request, so the hosts that failed it were at fault.
         for (HostState failed : attempt.pending.hostsWithErrors()) {
           failed.pausedUntil = now + REFUSAL_PAUSE_NANOS;
         }
@@ -104,7 +104,7 @@
     }
   }
 
-  /** Pauses a host whose limit is below one, for as long as keeps its use at the limit. */
+  /** Pauses a host whose limit is below one, so long that its average use equals the limit. */
   private void pauseToLimit(Attempt attempt, long durationNanos, long now) {
     HostState host = attempt.host;
     double maxWork = MAX_WORK_MULTIPLE * context.serviceTimes().expected(attempt.pending);
--- a/router/src/main/java/rushwood/policy/DeadlinePolicy.java
+++ b/router/src/main/java/rushwood/policy/DeadlinePolicy.java
@@ -21,7 +21,7 @@
   /**
    * When a request is rejected or failed if it has no answer. One that was never sent and is worth
    * nothing late ends at half of its time: an answer in time is unlikely by then, and its client
-   * can still retry. Cost: a slot that would have come free a moment later.
+   * can still retry. The cost: a slot may come free just after that.
    */
   long answerDeadline(PendingRequest pending) {
     long deadline = pending.request.deadline();
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -24,7 +24,7 @@
 public final class DefaultRoutingPolicy implements RoutingPolicy {
   static final long CHECK_INTERVAL_NANOS = 100_000_000L; // of hosts and wait queues
 
-  private static final double INITIAL_SERVICE_TIME_SHARE = 0.25; // of the objective: a guess
+  private static final double INITIAL_SERVICE_TIME_SHARE = 0.25; // of the objective; not measured
   private static final double SERVICE_TIME_SMOOTHING = 0.02; // about the last fifty answers count
   private static final long MIN_RESUBSCRIBE_DELAY_NANOS = 2 * CHECK_INTERVAL_NANOS;
   private static final int RESUBSCRIBE_DIVISOR = 4; // of the refresh time: the longest delay
@@ -77,7 +77,7 @@
     context.hosts().groups().forEach(group -> requests.dispatchWaiting(group, now));
   }
 
-  /** A draining or removed host gets nothing new from now on, whatever grace it has. */
+  /** A draining or removed host gets no new attempts from now on, even in its grace period. */
   private void update(Endpoint endpoint) {
     HostState host = context.hosts().getOrAdd(endpoint, components.limiter.initialLimit());
     if (endpoint.state() == Endpoint.State.REMOVED && !context.settings().isRemovalBinding()) {
--- a/router/src/main/java/rushwood/policy/FreshnessPolicy.java
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -7,7 +7,7 @@
 
 /** Decides how far a replica must have applied the log for a read, and learns how far it has. */
 final class FreshnessPolicy {
-  private static final int MAX_SESSIONS = 50_000; // some megabytes; replicas have older writes
+  private static final int MAX_SESSIONS = 50_000; // a few megabytes; replicas have older writes
   private static final long DEFAULT_STALENESS_NANOS = 5 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
   private static final long ROUNDING_NANOS = 1_000_000L; // clients send whole milliseconds
 
@@ -37,7 +37,7 @@
         };
   }
 
-  /** The session's last write, as this router or else the client remembers it. */
+  /** The position of the session's last write, from this router's record or else the client's. */
   private long lastWrite(PendingRequest pending) {
     if (settings.tracksSessionWrites()) {
       return sessionWrites.lastCommit(pending.request.session());
--- a/router/src/main/java/rushwood/policy/LostAnswerDetector.java
+++ b/router/src/main/java/rushwood/policy/LostAnswerDetector.java
@@ -2,16 +2,16 @@
 
 /**
  * Finds attempts whose answer will not come: those that have waited long while many later attempts
- * at the same host were answered. They hold no slot, do not count as slow, and are tried again. A
- * merely slow host overtakes little. Cost: long work among short work may be taken for lost.
+ * at the same host were answered. They hold no slot, do not count as slow, and are retried. At a
+ * slow host few overtake others. The cost: a long request among short ones may seem lost.
  */
 final class LostAnswerDetector {
   private static final double LATE_MULTIPLE = 3; // expected service times: more than a short pause
-  private static final int CERTAIN_LOSS_MULTIPLE = 3; // overtaking answers for each in flight
-  private static final int PROBABLE_LOSS_COUNT = 3; // overtaking answers: one or two are chance
-  private static final double HIGH_LOSS_RATIO = 0.2; // probable losses count: far above chance
+  private static final int CERTAIN_LOSS_MULTIPLE = 3; // overtaking answers per attempt in flight
+  private static final int PROBABLE_LOSS_COUNT = 3; // overtaking answers; one or two may be chance
+  private static final double HIGH_LOSS_RATIO = 0.2; // above it, a probable loss is enough
   private static final double LOSS_RATIO_SMOOTHING = 0.05; // the weight of a certain loss
-  private static final int ANSWER_WEIGHT_DIVISOR = 20; // an answer weighs so much less
+  private static final int ANSWER_WEIGHT_DIVISOR = 20; // an answer weighs this many times less
 
   /** One attempt in this many waits until its loss is certain, to measure the loss ratio. */
   private static final int CONTROL_SAMPLE_INTERVAL = 4;
@@ -56,7 +56,7 @@
     return now - attempt.sentAt > LATE_MULTIPLE * expected;
   }
 
-  /** Lost while a retry can be in time, or late at an unresponsive host; if it may run twice. */
+  /** Lost with time left for a retry, or late at an unresponsive host; and safe to retry. */
   private boolean isHopeless(Attempt attempt, long now) {
     PendingRequest pending = attempt.pending;
     double retryEnd = now + context.serviceTimes().expected(pending);
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -2,7 +2,6 @@
 
 import rushwood.api.AttemptOutcome;
 import rushwood.api.AttemptResult;
-import rushwood.policy.HostHealth.Status;
 
 /**
  * Ejects hosts that cannot be reached or answer nothing, and takes them back. An ejected host loses
@@ -27,7 +26,7 @@
         (result.outcome() == AttemptOutcome.CONNECT_FAILED && !host.hasAnsweredSince(attempt))
             || (result.outcome() == AttemptOutcome.CONNECTION_LOST && host.inFlight.size() <= 1);
     if (failed) {
-      eject(host, Status.UNREACHABLE, now);
+      eject(host, HostHealth.Status.UNREACHABLE, now);
     } else if (result.outcome().isHostResponse()) {
       host.health.lastAnswerAt = now;
       if (host.isUnresponsive()) {
@@ -45,7 +44,7 @@
   /** Ejects or probes a host; called once a check interval. */
   void check(HostState host, long now) {
     if (host.isHealthy() && missingAnswers(host, now) > MAX_MISSING_ANSWERS) {
-      eject(host, Status.UNRESPONSIVE, now);
+      eject(host, HostHealth.Status.UNRESPONSIVE, now);
     } else {
       probes.probeIfDue(host, now);
     }
@@ -59,7 +58,7 @@
     host.health.restore();
   }
 
-  private void eject(HostState host, Status status, long now) {
+  private void eject(HostState host, HostHealth.Status status, long now) {
     if (!host.hasGroup() || host.isUnreachable() || host.health.status == status) {
       return;
     }
--- a/router/src/main/java/rushwood/policy/PrimaryTracker.java
+++ b/router/src/main/java/rushwood/policy/PrimaryTracker.java
@@ -39,7 +39,7 @@
 
   /**
    * Records a host's report. A primary's position is the present, so it is the time of the report:
-   * a late one cannot restore a primary that a later answer has unseated.
+   * a delayed one cannot restore a primary that a later answer has replaced.
    */
   void reportReceived(HostState host, LoadReport report, long now) {
     long position = (long) report.position();
@@ -70,8 +70,8 @@
   }
 
   /**
-   * Returns the host for a write, or null: the primary if it has a free slot; where none is known,
-   * one write at a time asks the members not heard of lately, in order of id.
+   * Returns the host for a write, or null if it has to wait: the primary if it has a free slot. If
+   * none is known, one write at a time goes to a member of unknown role, the first in order of id.
    */
   HostState selectForWrite(PendingRequest pending, long now) {
     GroupState group = pending.group;
--- a/router/src/main/java/rushwood/policy/ProbePolicy.java
+++ b/router/src/main/java/rushwood/policy/ProbePolicy.java
@@ -11,7 +11,7 @@
   private static final double PROBES_PER_REQUEST = 0.1; // a small share of what requests cost
   private static final int MAX_BUDGET = 10; // about a group's probes and its hosts' first trials
 
-  /** Between trials or probes of a host: short, to have it back soon; the budget limits them. */
+  /** Between two trials or probes of a host; short, since the budget limits their number. */
   static final long TRIAL_INTERVAL_NANOS = 5 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
 
   void requestReceived() {
@@ -29,7 +29,7 @@
     return true;
   }
 
-  /** Probes an ejected host; if it is unreachable soon again, since the probe may be lost too. */
+  /** Probes an ejected host; an unreachable one again soon, since the first probe may get lost. */
   void hostEjected(HostState host, long now) {
     long intervalNanos =
         host.isUnreachable() ? DefaultRoutingPolicy.CHECK_INTERVAL_NANOS : TRIAL_INTERVAL_NANOS;
@@ -61,8 +61,8 @@
 
   /**
    * Probes the replica whose position was heard longest ago, if that is longer than {@code
-   * maxAgeNanos}. Half of the probes are left for unreachable hosts, which come back by nothing
-   * else: where answers carry no position, reads took every probe and such a host never came back.
+   * maxAgeNanos}. Half of the time it yields to unreachable hosts, which only a probe brings back:
+   * where answers carry no position, reads used up the budget and such hosts stayed ejected.
    */
   void probeLeastRecentlyHeard(GroupState group, long maxAgeNanos, long now) {
     boolean yields = context.random().nextBoolean();
--- a/router/src/main/java/rushwood/policy/QueuePolicy.java
+++ b/router/src/main/java/rushwood/policy/QueuePolicy.java
@@ -8,12 +8,12 @@
     ReplicaSelector replicas,
     ConcurrencyLimiter limiter) {
   /**
-   * A read that has waited this share of its latency objective for busy replicas takes any, or a
-   * slot of the primary, which would else stand idle. Cost: the primary may expect more writes.
+   * The share of its latency objective after which a waiting read goes to any replica that can
+   * answer, or to the primary, whose slots may be idle. The cost: they are missing to new writes.
    */
-  private static final double PATIENCE = 0.25;
+  private static final double SELECTIVE_WAIT_SHARE = 0.25;
 
-  private static final double IN_TIME_MULTIPLE = 3; // service times left: 19 in 20 answers come
+  private static final double IN_TIME_MULTIPLE = 3; // expected service times: 19 in 20 answers
   private static final long LATE_PRIORITY = Long.MAX_VALUE - 1; // behind all that are in time
 
   /** Returns the request of that queue that the host gets next, or null. */
@@ -34,8 +34,9 @@
       return primaries.acceptsWrite(pending, host, now);
     }
     freshness.updateRequiredPosition(pending, now);
-    double patience = pending.requestClass.latencyObjectiveNanos() * PATIENCE;
-    return replicas.acceptsRead(pending, host, now - pending.arrivedAt > patience, now);
+    double selectiveWait = pending.requestClass.latencyObjectiveNanos() * SELECTIVE_WAIT_SHARE;
+    boolean canFallBack = now - pending.arrivedAt > selectiveWait;
+    return replicas.acceptsRead(pending, host, canFallBack, now);
   }
 
   /**
--- a/router/src/main/java/rushwood/policy/ReplicaSelector.java
+++ b/router/src/main/java/rushwood/policy/ReplicaSelector.java
@@ -11,7 +11,7 @@
     OutlierDetector outliers,
     ConcurrencyLimiter limiter,
     ProbePolicy probes) {
-  private static final int CATCH_UP_DIVISOR = 2; // of what a replica is behind: a guess
+  private static final int CATCH_UP_DIVISOR = 2; // assumed: applies its log at twice real time
   private static final long MIN_CATCH_UP_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
   private static final long MAX_CATCH_UP_NANOS = 20 * DefaultRoutingPolicy.CHECK_INTERVAL_NANOS;
   private static final int LONG_READ_DIVISOR = 3; // one replica in this many takes long reads
@@ -55,9 +55,9 @@
     return selected;
   }
 
-  /** Whether a waiting read may go to that host; an impatient one takes any that can answer. */
-  boolean acceptsRead(PendingRequest pending, HostState host, boolean isImpatient, long now) {
-    Suitability best = isImpatient ? Suitability.PRIMARY_FALLBACK : bestSuitability(pending, now);
+  /** Whether a waiting read may go to that host: to the best of the group, or to any fallback. */
+  boolean acceptsRead(PendingRequest pending, HostState host, boolean canFallBack, long now) {
+    Suitability best = canFallBack ? Suitability.PRIMARY_FALLBACK : bestSuitability(pending, now);
     return isAcceptable(suitability(pending, host, now), best)
         && limiter.hasFreeSlot(pending, host, now);
   }
@@ -70,7 +70,7 @@
     return best;
   }
 
-  /** Whether a read takes a host, given the best of its group: it waits only for fresh ones. */
+  /** Whether a host is good enough, given the best of its group: reads wait only for fresh ones. */
   private static boolean isAcceptable(Suitability suitability, Suitability best) {
     return switch (best) {
       case FRESH -> suitability.isAtLeast(Suitability.LIKELY_FRESH);
@@ -113,7 +113,7 @@
     return isLikely ? Suitability.LIKELY_FRESH : Suitability.LAGGING;
   }
 
-  /** A read that any member may answer, expected to outlast the lag that other reads allow. */
+  /** An eventually consistent read expected to take longer than other reads may be stale. */
   private boolean isLongRead(PendingRequest pending) {
     return pending.requires(Consistency.EVENTUAL)
         && context.serviceTimes().expected(pending) > freshness.minStalenessBoundNanos;
@@ -121,8 +121,8 @@
 
   /**
    * Long reads may keep a replica from applying its log. All routers send them to the same few, the
-   * first in order of id, so that the others stay fresh; an impatient one may take the primary,
-   * which applies no log. Cost: those few replicas do little else.
+   * first in order of id, so that the others stay fresh; after a wait they may go to the primary,
+   * which applies no log. The cost: those few replicas do little else.
    */
   private boolean takesLongReads(HostState host, long now) {
     List<HostState> usable =
--- a/router/src/main/java/rushwood/policy/RetryPolicy.java
+++ b/router/src/main/java/rushwood/policy/RetryPolicy.java
@@ -4,8 +4,8 @@
 
 /** Decides whether a request may be sent (again), to which hosts, and until when. */
 record RetryPolicy(PolicyContext context) {
-  private static final int MAX_ERRORS = 2; // of two hosts: the request is at fault, not a host
-  private static final double WINDOW_SHARE = 0.9; // of a key's window; the rest: for the network
+  private static final int MAX_ERRORS = 2; // from two hosts: the request itself may be at fault
+  private static final double WINDOW_SHARE = 0.9; // of a key's window; the rest is for the network
 
   /** Whether another attempt may be made now: within the limits, the retry budget and safety. */
   boolean canAttempt(PendingRequest pending, long now) {
@@ -25,7 +25,7 @@
     return isRepeatable(pending) || (pending.hasIdempotencyKey() && now < retryDeadline(pending));
   }
 
-  /** Whether an attempt there keeps what the request's idempotency promises: keys have a scope. */
+  /** Whether an attempt at that host is safe: an idempotency key is known only within its scope. */
   static boolean isSafeOn(PendingRequest pending, HostState host, long now) {
     if (isRepeatable(pending)) {
       return true;
--- a/router/src/main/java/rushwood/policy/SlowStart.java
+++ b/router/src/main/java/rushwood/policy/SlowStart.java
@@ -2,13 +2,13 @@
 
 /**
  * Limits what a host gets after its process has started to a share, growing with its age, of slots
- * and of the work that warm hosts complete. So all routers together stay well below what would make
- * a cold host collapse, without exchanging messages.
+ * and of the work that warm hosts complete. So all routers together stay well below the load at
+ * which a cold host collapses, without exchanging messages.
  */
 record SlowStart(PolicyContext context) {
-  private static final double MULTIPLE_SHARE = 0.5; // of the collapse multiple; rest: for chance
-  private static final double SHARED_SLOTS_SHARE = 0.35; // with many routers there is more chance
-  private static final double BURST_SHARE = 0.25; // of a window may be saved: early bursts count
+  private static final double MULTIPLE_SHARE = 0.5; // of the collapse multiple; rest is margin
+  private static final double SHARED_SLOTS_SHARE = 0.35; // a larger margin, for many routers
+  private static final double BURST_SHARE = 0.25; // of a window; more would allow an early burst
   private static final double WORK_RATE_SMOOTHING = 0.05; // about the last two seconds count
 
   /** The share of its capacity that a host has at the least, by its age: 1 once it is warm. */
