Overload: sentinels have names, and repeats are told from look-alikes in words

Need: a fingerprint or a time since the last write of 0 means none, an expiry or a rotation of 0 means never; readers met the bare numbers. OverloadController.requestReceived used seenBefore and repeated without saying how they differ. Change: Request.hasFingerprint and hasLastWrite; EXPIRED, NOT_STARTED, NEVER, NANOS_PER_SECOND as constants; a comment on why fewer requests count as repeats than the sketch reports. The group record of OverloadStatistics is GroupStatistics, since the policy has a GroupState; isExecutionPossible is isPossiblyExecuted, as in the policy.

--- a/router/src/main/java/rushwood/api/Request.java
+++ b/router/src/main/java/rushwood/api/Request.java
@@ -32,6 +32,16 @@
     this(id, requestClass, session, group, deadline, sinceLastWriteNanos, 0, 0);
   }
 
+  /** Whether the fingerprint tells the tries of this request from other requests. */
+  public boolean hasFingerprint() {
+    return fingerprint != 0;
+  }
+
+  /** Whether the client knows of an earlier commit of the session. */
+  public boolean hasLastWrite() {
+    return sinceLastWriteNanos != 0;
+  }
+
   /** The same request, of a client that has waited that long because it was told to. */
   public Request afterWaiting(long nanos) {
     return new Request(
--- a/router/src/main/java/rushwood/overload/DescriptorBudget.java
+++ b/router/src/main/java/rushwood/overload/DescriptorBudget.java
@@ -19,10 +19,12 @@
   private static final long PEAK_HALF_LIFE_NANOS = 10_000_000_000L;
   // Beyond so many half-lives nothing is left of a peak, however long ago it was.
   private static final double MAX_HALF_LIVES = 64;
+  // Earlier than any clock time, and far enough from the end that differences do not overflow.
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final int total;
   private double backendPeak;
-  private long backendPeakAt = Long.MIN_VALUE / 2;
+  private long backendPeakAt = NEVER;
   private int openBackends;
   private int openClients;
 
--- a/router/src/main/java/rushwood/overload/FingerprintCache.java
+++ b/router/src/main/java/rushwood/overload/FingerprintCache.java
@@ -8,6 +8,7 @@
   /** What {@link #get} returns where nothing is remembered; values are 0 or more. */
   static final long ABSENT = -1;
 
+  private static final long EXPIRED = 0;
   private static final int ENTRIES_PER_BUCKET = 4;
   // 4,096 fingerprints: half a second of 8,000 rejected requests a second.
   private static final int REPEATS_BUCKETS = 1 << 10;
@@ -83,7 +84,9 @@
   void remove(long fingerprint) {
     int start = bucketStart(fingerprint);
     for (int i = start; i < start + ENTRIES_PER_BUCKET; i++) {
-      expiresAt[i] = fingerprints[i] == fingerprint ? 0 : expiresAt[i];
+      if (fingerprints[i] == fingerprint) {
+        expiresAt[i] = EXPIRED;
+      }
     }
   }
 
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -135,14 +135,17 @@
   @Override
   public void requestReceived(long now, Request request) {
     tickIfDue(now);
-    boolean seenBefore = wasUnanswered(now, request.fingerprint());
+    // The sketch also takes requests of other clients with the same fingerprint for repeats. No
+    // more
+    // of them count as repeats than requests of the group ended without an answer.
+    boolean mayBeRepeat = wasUnanswered(now, request);
     long advisedWait =
-        seenBefore ? retryAfterAdvisor.takeAdvisedWait(request.fingerprint(), now) : 0;
-    boolean repeated = seenBefore && statistics.takeUnanswered(request.group());
-    if (repeated) {
+        mayBeRepeat ? retryAfterAdvisor.takeAdvisedWait(request.fingerprint(), now) : 0;
+    boolean isRepeat = mayBeRepeat && statistics.takeUnanswered(request.group());
+    if (isRepeat) {
       counts.addRepeatedRequest();
     }
-    statistics.recordArrival(request.group(), repeated);
+    statistics.recordArrival(request.group(), isRepeat);
     if (ambiguousWrites.hasEarlierWrite(now, request)) {
       counts.addAmbiguousWriteFailed();
       actions.fail(request.id());
@@ -152,8 +155,8 @@
     policy.requestReceived(now, advisedWait > 0 ? request.afterWaiting(advisedWait) : request);
   }
 
-  private boolean wasUnanswered(long now, long fingerprint) {
-    return fingerprint != 0 && unansweredSketch.count(fingerprint, now) > 0;
+  private boolean wasUnanswered(long now, Request request) {
+    return request.hasFingerprint() && unansweredSketch.count(request.fingerprint(), now) > 0;
   }
 
   @Override
@@ -213,10 +216,10 @@
     }
     trackedRequests.endUnanswered(tracked);
     Request request = tracked.request();
-    if (request.fingerprint() != 0) {
+    if (request.hasFingerprint()) {
       unansweredSketch.add(request.fingerprint(), now);
       statistics.recordUnanswered(request.group());
-      if (tracked.isExecutionPossible()) {
+      if (tracked.isPossiblyExecuted()) {
         ambiguousWrites.add(now, tracked);
       }
     }
@@ -228,7 +231,7 @@
       return;
     }
     trackedRequests.remove(tracked);
-    if (!tracked.isExecutionPossible()) {
+    if (!tracked.isPossiblyExecuted()) {
       ambiguousWrites.resolve(now, tracked);
     }
   }
--- a/router/src/main/java/rushwood/overload/OverloadDetector.java
+++ b/router/src/main/java/rushwood/overload/OverloadDetector.java
@@ -29,7 +29,8 @@
   /** The interval between two calls of {@link #tick}, in nanoseconds. */
   static final long TICK_NANOS = 100_000_000L;
 
-  private static final int TICKS_PER_SECOND = (int) (1_000_000_000L / TICK_NANOS);
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final int TICKS_PER_SECOND = (int) (NANOS_PER_SECOND / TICK_NANOS);
 
   // Weight of the latest tick in the smoothed rates: about three ticks count, so a burst within
   // one tick is no sign.
@@ -40,7 +41,7 @@
   private static final double MIN_ARRIVALS_PER_TICK = 1;
   // Shares of the arrivals that are refused, and that are repeats: above both, overload is rising.
   private static final double RISING_SHARE = 0.1;
-  // Above both of these there is overload; a request then takes three tries soon.
+  // Above both of these there is overload; then a request soon takes three tries.
   private static final double OVERLOADED_REFUSED_SHARE = 0.3;
   private static final double OVERLOADED_REPEATED_SHARE = 0.25;
   private static final double RECOVERED_REFUSED_SHARE = 0.05;
@@ -89,12 +90,12 @@
 
   /** Successful attempts a second, smoothed over the last ticks. */
   double completionRate() {
-    return completed * 1e9 / TICK_NANOS;
+    return completed * NANOS_PER_SECOND / TICK_NANOS;
   }
 
   /** The highest {@link #completionRate} seen; it decays to half within 35 s. */
   double peakCompletionRate() {
-    return peakCompleted * 1e9 / TICK_NANOS;
+    return peakCompleted * NANOS_PER_SECOND / TICK_NANOS;
   }
 
   /** Ends a tick and returns whether the state changed. */
--- a/router/src/main/java/rushwood/overload/OverloadStatistics.java
+++ b/router/src/main/java/rushwood/overload/OverloadStatistics.java
@@ -21,13 +21,13 @@
  */
 final class OverloadStatistics {
   /** What is known of a group. */
-  private static final class GroupState {
+  private static final class GroupStatistics {
     private final OverloadDetector detector = new OverloadDetector();
     private final RetryBudget retryBudget;
     // Requests without an answer that no client has repeated yet, decaying.
     private double unansweredRequests;
 
-    GroupState(OverloadSettings settings) {
+    GroupStatistics(OverloadSettings settings) {
       retryBudget =
           new RetryBudget(settings.retriesPerFirstAttempt(), settings.minRetriesPerSecond());
     }
@@ -41,7 +41,7 @@
   private final OverloadCounts counts;
   private final Consumer<String> log;
   private final OverloadDetector routerDetector = new OverloadDetector();
-  private final Map<GroupId, GroupState> groups =
+  private final Map<GroupId, GroupStatistics> groups =
       new TreeMap<>(Comparator.comparingInt(GroupId::value));
   private final Map<HostId, OverloadDetector> hostDetectors = new LinkedHashMap<>();
   private final Map<HostId, GroupId> groupByHost = new LinkedHashMap<>();
@@ -55,7 +55,7 @@
 
   void addHost(Endpoint endpoint) {
     groupByHost.put(endpoint.id(), endpoint.group());
-    groups.computeIfAbsent(endpoint.group(), each -> new GroupState(settings));
+    groups.computeIfAbsent(endpoint.group(), each -> new GroupStatistics(settings));
     hostDetectors.computeIfAbsent(endpoint.id(), each -> new OverloadDetector());
   }
 
@@ -80,7 +80,7 @@
 
   /** The state of a group, normal if it is not known. */
   OverloadDetector.State groupState(GroupId id) {
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     return group == null ? OverloadDetector.State.NORMAL : group.detector.state();
   }
 
@@ -91,7 +91,7 @@
 
   void recordArrival(GroupId id, boolean repeated) {
     routerDetector.recordArrival(repeated);
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     if (group != null) {
       group.detector.recordArrival(repeated);
     }
@@ -99,7 +99,7 @@
 
   void recordRejected(GroupId id) {
     routerDetector.recordRefused();
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     if (group != null) {
       group.detector.recordRefused();
     }
@@ -107,7 +107,7 @@
 
   /** A request of the group ended without an answer: its client may repeat it. */
   void recordUnanswered(GroupId id) {
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     if (group != null) {
       group.unansweredRequests++;
     }
@@ -120,7 +120,7 @@
    * read one key pass for repeats: with few keys 90% of the requests of a normal day did.
    */
   boolean takeUnanswered(GroupId id) {
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     if (group == null || group.unansweredRequests < 1) {
       return false;
     }
@@ -133,7 +133,7 @@
     boolean timedOut = result.outcome() == AttemptOutcome.TIMED_OUT;
     record(routerDetector, succeeded, timedOut);
     GroupId id = groupByHost.get(result.host());
-    GroupState group = id == null ? null : groups.get(id);
+    GroupStatistics group = id == null ? null : groups.get(id);
     if (group != null) {
       record(group.detector, succeeded, timedOut);
     }
@@ -162,7 +162,7 @@
   }
 
   void recordAttempt(long now, GroupId id, boolean retry) {
-    GroupState group = groups.get(id);
+    GroupStatistics group = groups.get(id);
     if (group == null) {
       return;
     }
--- a/router/src/main/java/rushwood/overload/RepeatSketch.java
+++ b/router/src/main/java/rushwood/overload/RepeatSketch.java
@@ -18,12 +18,14 @@
   // in all four rows.
   private static final int ROWS = 4;
 
+  // No span has begun: the first call begins one.
+  private static final long NOT_STARTED = 0;
+
   private byte[][] current;
   private byte[][] previous;
   private final int mask;
   private final long spanNanos;
-  // 0 before the first call.
-  private long rotateAt;
+  private long rotateAt = NOT_STARTED;
 
   /**
    * Creates an empty sketch.
@@ -83,7 +85,7 @@
   }
 
   private void rotateIfDue(long now) {
-    if (rotateAt == 0) {
+    if (rotateAt == NOT_STARTED) {
       rotateAt = now + spanNanos;
     }
     // Two rotations clear both sketches, so more of them change nothing.
--- a/router/src/main/java/rushwood/overload/RetryAfterAdvisor.java
+++ b/router/src/main/java/rushwood/overload/RetryAfterAdvisor.java
@@ -45,7 +45,7 @@
             settings.maxRetryAfterNanos());
     counts.addReservation(reservation.reserved());
     long waitNanos = reservation.waitNanos();
-    if (request.fingerprint() != 0) {
+    if (request.hasFingerprint()) {
       waitByFingerprint.put(
           request.fingerprint(), now + waitNanos + RETURN_TOLERANCE_NANOS, waitNanos, now);
     }
--- a/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
+++ b/router/src/main/java/rushwood/overload/RetryAfterSchedule.java
@@ -26,6 +26,9 @@
   private static final double LOW_PRIORITY_PART = 0.75;
   // A group counts as active for so long after a reservation: a few waits.
   private static final long ACTIVE_NANOS = 2_000_000_000L;
+  // Earlier than any clock time, and far enough from the end that differences do not overflow.
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final double NANOS_PER_SECOND = 1e9;
   // Slots that one reservation takes at most: 1 / MIN_CAPACITY_PER_SLOT.
   private static final double MIN_CAPACITY_PER_SLOT = 1e-3;
 
@@ -44,12 +47,12 @@
     reservedInSlot = new int[slotCount + 1];
     reservedByShare = new int[slotCount + 1][SHARES];
     slotNumbers = new long[slotCount + 1];
-    Arrays.fill(lastReservedAt, Long.MIN_VALUE / 2);
+    Arrays.fill(lastReservedAt, NEVER);
   }
 
   /** Sets how many requests a second the hosts are expected to serve; 0 if that is unknown. */
   public void setExpectedRate(double requestsPerSecond) {
-    capacityPerSlot = requestsPerSecond * SLOT_NANOS / 1e9;
+    capacityPerSlot = requestsPerSecond * SLOT_NANOS / NANOS_PER_SECOND;
   }
 
   /**
--- a/router/src/main/java/rushwood/overload/RetryBudget.java
+++ b/router/src/main/java/rushwood/overload/RetryBudget.java
@@ -9,6 +9,7 @@
   // once.
   private static final double SAVED_SECONDS = 2;
   private static final double MIN_CAPACITY = 10;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long NEVER = Long.MIN_VALUE;
 
   private final double tokensPerFirstAttempt;
@@ -45,7 +46,8 @@
 
   private void refill(long now) {
     if (refilledAt != NEVER && now > refilledAt) {
-      tokens = Math.min(maxTokens, tokens + tokensPerSecond * (now - refilledAt) / 1e9);
+      tokens =
+          Math.min(maxTokens, tokens + tokensPerSecond * (now - refilledAt) / NANOS_PER_SECOND);
     }
     refilledAt = Math.max(refilledAt, now);
   }
--- a/router/src/main/java/rushwood/overload/TrackedRequest.java
+++ b/router/src/main/java/rushwood/overload/TrackedRequest.java
@@ -49,7 +49,7 @@
   }
 
   /** Whether an attempt may have been executed, or may still be. */
-  boolean isExecutionPossible() {
+  boolean isPossiblyExecuted() {
     return attemptsInFlight > 0 || mayHaveExecuted;
   }
 
--- a/router/src/main/java/rushwood/policy/FreshnessPolicy.java
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -42,8 +42,8 @@
     if (settings.tracksSessionWrites()) {
       return sessionWrites.lastCommit(pending.request.session());
     }
-    long ageNanos = pending.request.sinceLastWriteNanos();
-    return ageNanos == 0 ? HostState.NEVER : pending.arrivedAt - ageNanos + ROUNDING_NANOS;
+    long committedAt = pending.arrivedAt - pending.request.sinceLastWriteNanos() + ROUNDING_NANOS;
+    return pending.request.hasLastWrite() ? committedAt : HostState.NEVER;
   }
 
   void attemptFinished(Attempt attempt, AttemptResult result, long now) {
