--- a/router/src/test/java/rushwood/overload/ConnectionAdmissionTest.java
+++ b/router/src/test/java/rushwood/overload/ConnectionAdmissionTest.java
@@ -129,14 +129,7 @@
             ConnectionState.values()[random.nextInt(4)],
             at * MS);
       }
-      for (AdmittedConnection closed =
-              large.isOverLimit() ? large.connectionToClose(at * MS) : null;
-          closed != null;
-          closed = large.isOverLimit() ? large.connectionToClose(at * MS) : null) {
-        assertTrue(closed.state() != ConnectionState.BUSY && admitted.remove(closed));
-        large.remove(closed);
-        large.remove(closed); // a second removal has no effect
-      }
+      closeWhileOverLimit(large, admitted, at);
       assertEquals(admitted.size(), large.openConnections());
       int sum = 0;
       for (ConnectionState each : ConnectionState.values()) {
@@ -145,4 +138,17 @@
       assertEquals(admitted.size(), sum);
     }
   }
+
+  private static void closeWhileOverLimit(
+      ConnectionAdmission admission, List<AdmittedConnection> admitted, long at) {
+    while (admission.isOverLimit()) {
+      AdmittedConnection closed = admission.connectionToClose(at * MS);
+      if (closed == null) {
+        return;
+      }
+      assertTrue(closed.state() != ConnectionState.BUSY && admitted.remove(closed));
+      admission.remove(closed);
+      admission.remove(closed); // a second removal has no effect
+    }
+  }
 }
--- a/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
@@ -13,6 +13,7 @@
 import rushwood.api.NoPolicyActions;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
+import rushwood.api.RequestClassFixture;
 import rushwood.api.RequestId;
 import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
@@ -36,18 +37,7 @@
           RequestClass.Consistency.EVENTUAL,
           0,
           0);
-  static final RequestClass READ =
-      new RequestClass(
-          "any",
-          1,
-          400 * MS,
-          RequestClass.Idempotency.IDEMPOTENT,
-          RequestClass.KeyScope.GLOBAL,
-          0,
-          false,
-          RequestClass.Consistency.EVENTUAL,
-          0,
-          0);
+  static final RequestClass READ = RequestClassFixture.eventualRead("any", 1, 400 * MS);
   private static final RoutingSettings SETTINGS =
       RoutingSettings.builder()
           .routerCount(1)
--- a/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
+++ b/router/src/test/java/rushwood/overload/OverloadDetectorTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,17 +23,14 @@
 
   @TestFactory
   List<DynamicTest> scenarios() throws IOException {
-    List<DynamicTest> tests = new ArrayList<>();
+    List<Path> scripts;
     try (Stream<Path> files = Files.list(Path.of("src/test/resources/overload"))) {
-      files
-          .sorted()
-          .forEach(
-              file ->
-                  tests.add(
-                      DynamicTest.dynamicTest(file.getFileName().toString(), () -> play(file))));
+      scripts = files.sorted().toList();
     }
-    assertTrue(tests.size() >= 5);
-    return tests;
+    assertTrue(scripts.size() >= 5);
+    return scripts.stream()
+        .map(script -> DynamicTest.dynamicTest(script.getFileName().toString(), () -> play(script)))
+        .toList();
   }
 
   private static void play(Path file) throws IOException {
--- a/router/src/test/java/rushwood/overload/RetryAfterScheduleTest.java
+++ b/router/src/test/java/rushwood/overload/RetryAfterScheduleTest.java
@@ -5,19 +5,43 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import rushwood.overload.RetryAfterSchedule.Reservation;
 
 class RetryAfterScheduleTest {
   private static final long MS = 1_000_000L;
+  private static final int GROUP = 1;
+  private static final int OTHER_GROUP = 2;
+
+  private static RetryAfterSchedule schedule(long maxWaitMillis, double expectedRate) {
+    RetryAfterSchedule schedule = new RetryAfterSchedule(maxWaitMillis * MS);
+    schedule.setExpectedRate(expectedRate);
+    return schedule;
+  }
+
+  /** Reserves for a request of high priority behind others that wait, at time 0. */
+  private static Reservation reserveBehind(
+      RetryAfterSchedule schedule, int waitingRequests, long maxWaitMillis) {
+    return schedule.reserve(0, GROUP, true, waitingRequests, maxWaitMillis * MS);
+  }
+
+  /** Reserves at time 0 until there is no room; returns for how many requests there was. */
+  private static int reserveAll(
+      RetryAfterSchedule schedule, boolean highPriority, long maxWaitMillis) {
+    int reserved = 0;
+    while (schedule.reserve(0, GROUP, highPriority, 0, maxWaitMillis * MS).reserved()) {
+      reserved++;
+    }
+    return reserved;
+  }
 
   /** No wait exceeds the maximum, and no slot holds more reservations than expected requests. */
   @Test
   void scheduleReservesUpToCapacity() {
-    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
-    schedule.setExpectedRate(1000); // ten a slot
+    RetryAfterSchedule schedule = schedule(500, 1000); // ten a slot
     int[] slots = new int[51];
     int reserved = 0;
     for (int i = 0; i < 1000; i++) {
-      RetryAfterSchedule.Reservation reservation = schedule.reserve(0, 1, true, 0, 500 * MS);
+      Reservation reservation = reserveBehind(schedule, 0, 500);
       assertTrue(reservation.waitNanos() > 0 && reservation.waitNanos() <= 500 * MS);
       if (reservation.reserved()) {
         reserved++;
@@ -28,9 +52,9 @@
     for (int count : slots) {
       assertTrue(count <= 10);
     }
-    assertFalse(schedule.reserve(0, 1, true, 0, 500 * MS).reserved());
+    assertFalse(reserveBehind(schedule, 0, 500).reserved());
     assertTrue(
-        schedule.reserve(200 * MS, 1, true, 0, 500 * MS).reserved(),
+        schedule.reserve(200 * MS, GROUP, true, 0, 500 * MS).reserved(),
         "slots of the past are reused");
   }
 
@@ -40,42 +64,27 @@
    */
   @Test
   void scheduleSharesCapacityByPriorityAndGroup() {
-    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
-    schedule.setExpectedRate(1000);
-    assertTrue(schedule.reserve(0, 1, true, 300, 500 * MS).waitNanos() >= 300 * MS);
-    assertFalse(schedule.reserve(0, 1, true, 600, 500 * MS).reserved());
+    RetryAfterSchedule schedule = schedule(500, 1000);
+    assertTrue(reserveBehind(schedule, 300, 500).waitNanos() >= 300 * MS);
+    assertFalse(reserveBehind(schedule, 600, 500).reserved());
     assertFalse(
-        schedule.reserve(0, 1, true, 300, 200 * MS).reserved(),
-        "no capacity within its maximum wait");
-    RetryAfterSchedule lowPriority = new RetryAfterSchedule(100 * MS);
-    lowPriority.setExpectedRate(1000);
-    int reserved = 0;
-    while (lowPriority.reserve(0, 1, false, 0, 100 * MS).reserved()) {
-      reserved++;
-    }
-    assertEquals(70, reserved, "seven of ten in each of ten slots");
-    RetryAfterSchedule shared = new RetryAfterSchedule(100 * MS);
-    shared.setExpectedRate(1000);
-    shared.reserve(0, 2, true, 0, 100 * MS);
-    reserved = 0;
-    while (shared.reserve(0, 1, true, 0, 100 * MS).reserved()) {
-      reserved++;
-    }
-    assertEquals(50, reserved);
-    assertTrue(shared.reserve(0, 2, true, 0, 100 * MS).reserved(), "the other group has its share");
+        reserveBehind(schedule, 300, 200).reserved(), "no capacity within its maximum wait");
+    assertEquals(
+        70, reserveAll(schedule(100, 1000), false, 100), "seven of ten in each of ten slots");
+    RetryAfterSchedule shared = schedule(100, 1000);
+    shared.reserve(0, OTHER_GROUP, true, 0, 100 * MS);
+    assertEquals(50, reserveAll(shared, true, 100));
+    assertTrue(
+        shared.reserve(0, OTHER_GROUP, true, 0, 100 * MS).reserved(),
+        "the other group has its share");
   }
 
   /** At 25 requests a second every fourth slot has room for one. */
   @Test
   void scheduleWithLessThanOneReservationPerSlot() {
-    RetryAfterSchedule schedule = new RetryAfterSchedule(500 * MS);
-    schedule.setExpectedRate(25);
-    int reserved = 0;
-    while (schedule.reserve(0, 1, true, 0, 500 * MS).reserved()) {
-      reserved++;
-    }
+    int reserved = reserveAll(schedule(500, 25), true, 500);
     assertTrue(reserved >= 12 && reserved <= 13, reserved + " in half a second of 25 a second");
     RetryAfterSchedule unknownRate = new RetryAfterSchedule(500 * MS);
-    assertEquals(500 * MS, unknownRate.reserve(0, 1, true, 0, 500 * MS).waitNanos());
+    assertEquals(500 * MS, reserveBehind(unknownRate, 0, 500).waitNanos());
   }
 }
--- a/router/src/test/java/rushwood/policy/PolicyFixtures.java
+++ b/router/src/test/java/rushwood/policy/PolicyFixtures.java
@@ -3,6 +3,7 @@
 import rushwood.api.GroupId;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
+import rushwood.api.RequestClassFixture;
 import rushwood.api.RequestId;
 
 /** Objects that tests of single classes of the policy need. */
@@ -17,18 +18,7 @@
   }
 
   static PendingRequest pendingRead(String id, GroupState group) {
-    RequestClass read =
-        new RequestClass(
-            "read",
-            0,
-            SECOND / 2,
-            RequestClass.Idempotency.IDEMPOTENT,
-            RequestClass.KeyScope.GLOBAL,
-            0,
-            false,
-            RequestClass.Consistency.EVENTUAL,
-            0,
-            0);
+    RequestClass read = RequestClassFixture.eventualRead("read", 0, SECOND / 2);
     Request request = new Request(new RequestId(id), read, null, new GroupId(0), SECOND, 0);
     return new PendingRequest(request, group, 0);
   }
--- a/router/src/test/java/rushwood/policy/SlowStartSimulation.java
+++ b/router/src/test/java/rushwood/policy/SlowStartSimulation.java
@@ -20,6 +20,7 @@
 import rushwood.api.NoPolicyActions;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
+import rushwood.api.RequestClassFixture;
 import rushwood.api.RequestId;
 import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
@@ -54,18 +55,7 @@
   private static final HostId PRIMARY = new HostId("h0");
   private static final HostId COLD_HOST = new HostId("h3");
   private static final GroupId GROUP = new GroupId(0);
-  private static final RequestClass READ =
-      new RequestClass(
-          "read",
-          0,
-          400 * MS,
-          RequestClass.Idempotency.IDEMPOTENT,
-          RequestClass.KeyScope.GLOBAL,
-          0,
-          false,
-          RequestClass.Consistency.EVENTUAL,
-          0,
-          0);
+  private static final RequestClass READ = RequestClassFixture.eventualRead("read", 0, 400 * MS);
 
   private final SplittableRandom random;
   private final Situation situation;
