--- a/router/src/main/java/rushwood/api/AttemptResult.java
+++ b/router/src/main/java/rushwood/api/AttemptResult.java
@@ -9,7 +9,7 @@
  *     client has the answer, or has gone
  * @param role the role that the host claimed with its answer
  * @param position the position at which a read was answered or a write was committed, as a clock
- *     time in nanoseconds, or a negative number if the host did not say; see {@link #hasPosition()}
+ *     time in nanoseconds, or {@link #NO_POSITION}; see {@link #hasPosition()}
  */
 public record AttemptResult(
     RequestId request,
@@ -22,6 +22,9 @@
     long position,
     LoadReport report) {
 
+  /** The position where the host did not say one; any negative number counts as this. */
+  public static final long NO_POSITION = -1;
+
   /** Whether the host gave a position. */
   public boolean hasPosition() {
     return position >= 0;
--- a/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
@@ -173,7 +173,7 @@
             10 * MS,
             requestFinished,
             HostRole.UNKNOWN,
-            -1,
+            AttemptResult.NO_POSITION,
             LoadReport.NONE));
   }
 
--- a/router/src/test/java/rushwood/policy/ScenarioPlayer.java
+++ b/router/src/test/java/rushwood/policy/ScenarioPlayer.java
@@ -210,7 +210,7 @@
                 nanos(command.operand("took", "50")),
                 outcome == AttemptOutcome.SUCCESS,
                 role(command.operand("role", null)),
-                -1,
+                AttemptResult.NO_POSITION,
                 loadReport(command)));
   }
 
--- a/router/src/test/java/rushwood/policy/SlowStartSimulation.java
+++ b/router/src/test/java/rushwood/policy/SlowStartSimulation.java
@@ -299,7 +299,7 @@
                       now - sentAt,
                       outcome == AttemptOutcome.SUCCESS,
                       HostRole.of(id.equals(PRIMARY)),
-                      -1,
+                      AttemptResult.NO_POSITION,
                       LoadReport.NONE)));
     }
 
