Policy and membership: the last riddling doc comments in plain words

Need: some comments could be understood only with the code beside them ("when the last one has come", "in another way", "its own trouble"). Measured: mvn -DskipTests verify passes.

--- a/router/src/main/java/rushwood/membership/GossipReports.java
+++ b/router/src/main/java/rushwood/membership/GossipReports.java
@@ -118,7 +118,10 @@
         : new Summary(reporters.size(), youngestAge, reporters.size() >= quorum);
   }
 
-  /** Removes a reporter's reports of a host but that it is the primary: it found it healthy. */
+  /**
+   * A reporter has found a host healthy: removes what it reported of the host, except that it is
+   * the primary.
+   */
   public void retract(MemberId reporter, String endpoint) {
     Deque<Report> reports = reportsByEndpoint.get(endpoint);
     if (reports != null) {
--- a/router/src/main/java/rushwood/membership/LocalHealth.java
+++ b/router/src/main/java/rushwood/membership/LocalHealth.java
@@ -2,7 +2,7 @@
 
 /**
  * Lifeguard's local health: a score of signs that this router itself is slow or cut off. Its
- * timeouts grow with the score, so that it does not take its own trouble for that of its peers.
+ * timeouts grow with the score, so that it does not blame its peers for its own delays.
  */
 final class LocalHealth {
   private final int maxScore;
--- a/router/src/main/java/rushwood/membership/MembershipSettings.java
+++ b/router/src/main/java/rushwood/membership/MembershipSettings.java
@@ -15,8 +15,8 @@
  * @param deadRetentionNanos how long a dead member is still probed now and then; {@code
  *     maxSuspicionNanos} at least
  * @param stableAfterNanos a view that has not changed for so long is stable; one period at least
- * @param maxLocalHealthScore how many periods this router's own trouble may add to its timeouts; 0
- *     to 8
+ * @param maxLocalHealthScore the highest local health score, which plus 1 multiplies timeouts; 0 to
+ *     8
  */
 public record MembershipSettings(
     long probePeriodNanos,
--- a/router/src/main/java/rushwood/membership/UpdateDissemination.java
+++ b/router/src/main/java/rushwood/membership/UpdateDissemination.java
@@ -25,7 +25,7 @@
       this.sendsLeft = sendsLeft;
     }
 
-    /** A dead member is told of its own death by {@link #updatesFor} in another way. */
+    /** Not for a member held dead: {@link #updatesFor} builds the update for that member itself. */
     boolean isFor(MemberId recipient) {
       return !update.member().equals(recipient) || update.state() != MemberState.DEAD;
     }
--- a/router/src/main/java/rushwood/policy/DeadlineQueue.java
+++ b/router/src/main/java/rushwood/policy/DeadlineQueue.java
@@ -54,7 +54,7 @@
     }
   }
 
-  /** Asks for the next call, at that time or the earliest deadline; when the last one has come. */
+  /** Called when the timer has fired: asks for the next, at that time or the earliest deadline. */
   void rearm(long time) {
     timerAt = NO_TIMER;
     requestTimer(Math.min(time, earliestDeadline()));
--- a/router/src/main/java/rushwood/policy/GroupState.java
+++ b/router/src/main/java/rushwood/policy/GroupState.java
@@ -20,6 +20,7 @@
   /** The write that was sent to a member whose role is unknown, to find the primary; or null. */
   PendingRequest primaryDiscovery;
 
+  /** Adds a host, which leaves the group that it was in; has no effect on a member. */
   void add(HostState host) {
     if (host.group != this) {
       host.leaveGroup();
--- a/router/src/main/java/rushwood/policy/HostTable.java
+++ b/router/src/main/java/rushwood/policy/HostTable.java
@@ -18,6 +18,7 @@
   private final Map<GroupId, GroupState> groups =
       new TreeMap<>(Comparator.comparing(GroupId::value));
 
+  /** The state of a host that was listed and not yet forgotten, or null. */
   HostState host(HostId id) {
     return hosts.get(id);
   }
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -152,7 +152,10 @@
     requests.all().forEach(this::addDeadline);
   }
 
-  /** Ends requests whose deadline has come; one that was sent since it was set has a later one. */
+  /**
+   * Ends requests whose deadline has come. Where a request's answer deadline has moved since it was
+   * queued, as it does with the first attempt, the request is queued anew.
+   */
   void endExpired(long now) {
     PendingRequest pending = deadlineQueue.pollExpired(now);
     while (pending != null) {
