--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -135,9 +135,8 @@
   @Override
   public void requestReceived(long now, Request request) {
     tickIfDue(now);
-    // The sketch also takes requests of other clients with the same fingerprint for repeats. No
-    // more
-    // of them count as repeats than requests of the group ended without an answer.
+    // The sketch also takes requests of other clients with the same fingerprint for repeats, so
+    // only as many count as repeats as requests of the group ended without an answer.
     boolean mayBeRepeat = wasUnanswered(now, request);
     long advisedWait =
         mayBeRepeat ? retryAfterAdvisor.takeAdvisedWait(request.fingerprint(), now) : 0;
