Benchmark of overload: takes the settings of the testbed's routers

OverloadBenchmark had settings and a request class of its own, which repeated a fixture of the router's tests line by line. It now decodes RouterSettings, as the simulation does.

--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -28,6 +28,8 @@
 import rushwood.api.RoutingPolicy;
 import rushwood.api.RoutingSettings;
 import rushwood.api.ZoneId;
+import rushwood.config.InvalidConfigException;
+import rushwood.config.RouterConfig;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.OverloadController;
 import rushwood.overload.OverloadSettings;
@@ -49,35 +51,7 @@
   private static final long MS = 1_000_000L;
   private static final HostId HOST = new HostId("a");
   private static final GroupId GROUP = new GroupId(1);
-  private static final RequestClass REQUEST_CLASS =
-      new RequestClass(
-          "any",
-          0,
-          400 * MS,
-          RequestClass.Idempotency.IDEMPOTENT,
-          RequestClass.KeyScope.GLOBAL,
-          0,
-          false,
-          RequestClass.Consistency.EVENTUAL,
-          0,
-          0);
-  private static final RoutingSettings SETTINGS =
-      RoutingSettings.builder()
-          .routerCount(1)
-          .requestClasses(List.of(REQUEST_CLASS))
-          .laggingReadBehavior(RoutingSettings.LaggingReadBehavior.REJECTS)
-          .canCancel(true)
-          .canSendRetryAfter(true)
-          .maxRetryAfterNanos(500 * MS)
-          .maxAttempts(10)
-          .clockResolutionNanos(5 * MS)
-          .isRemovalBinding(true)
-          .coldStartShare(0.15)
-          .warmupNanos(14_000 * MS)
-          .collapseMultiple(4)
-          .collapseWindowNanos(1000 * MS)
-          .refreshWithinNanos(10_000 * MS)
-          .build();
+  private static final String REQUEST_CLASS = "any";
 
   // The sketch holds fewer fingerprints than cells, as in a router.
   private static final int SKETCH_CELLS = 1 << 14;
@@ -86,12 +60,16 @@
 
   private final RepeatSketch repeatSketch = new RepeatSketch(SKETCH_CELLS, 1000 * MS);
   private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule(500 * MS);
+  private RequestClass requestClass;
   private RoutingPolicy policyAlone;
   private RoutingPolicy policyWithOverloadControl;
   private long now = 1_000_000 * MS;
   private long nextRequestNumber;
 
-  /** Takes every decision and does nothing. */
+  /**
+   * Takes every decision and does nothing. The router's tests have the same class; none of it can
+   * be had from here, as the deployed jar contains no test code.
+   */
   private static final class IgnoredActions implements PolicyActions {
     @Override
     public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {}
@@ -118,23 +96,25 @@
     public void log(String line) {}
   }
 
-  /** Creates both policies with one host that is ready. */
+  /** Creates both policies, with the settings of the testbed's routers and one ready host. */
   @Setup
-  public void setUp() {
+  public void setUp() throws InvalidConfigException {
+    RoutingSettings settings = RouterConfig.decodeSettings(RouterSettings.forCluster(1).toString());
+    requestClass = RequestClass.findByName(settings.requestClasses(), REQUEST_CLASS);
     policyAlone =
         new DefaultRoutingPolicy(
-            SETTINGS,
+            settings,
             new SplittableRandom(1),
             new IgnoredActions(),
-            OverloadSignals.withoutOverloadControl(SETTINGS));
+            OverloadSignals.withoutOverloadControl(settings));
     policyWithOverloadControl =
         new OverloadController(
-            SETTINGS,
+            settings,
             OverloadSettings.DEFAULT,
             new ConnectBackoff(new SplittableRandom(1), true),
             new IgnoredActions(),
             (signals, actions) ->
-                new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), actions, signals));
+                new DefaultRoutingPolicy(settings, new SplittableRandom(1), actions, signals));
     for (RoutingPolicy policy : List.of(policyAlone, policyWithOverloadControl)) {
       policy.endpointsReplaced(
           now,
@@ -148,7 +128,7 @@
     now += MS;
     RequestId id = new RequestId(Long.toString(nextRequestNumber++));
     policy.requestReceived(
-        now, new Request(id, REQUEST_CLASS, null, GROUP, now + 1000 * MS, 0, nextRequestNumber, 0));
+        now, new Request(id, requestClass, null, GROUP, now + 1000 * MS, 0, nextRequestNumber, 0));
     policy.attemptFinished(
         now,
         new AttemptResult(
