Testbed: request classes are an enum in place of bare names

The names pass, pay, any and mark stood as strings in five files, one of which also knew which of them are writes. TestbedRequestClass now has each name once; experiment files, settings and statements take it from there, and Statement.format derives read or write from the class.

--- a/testbed/src/main/java/rushwood/testbed/load/ClusterMember.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ClusterMember.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import rushwood.testbed.model.TestbedRequestClass;
 import rushwood.testbed.standin.Loopback;
 import rushwood.testbed.standin.RouterProcess;
 import rushwood.testbed.standin.StandinDiscovery;
@@ -17,7 +18,6 @@
 /** One router of a {@link RouterCluster}, with its own discovery agent and its own clients. */
 public final class ClusterMember implements AutoCloseable {
   private static final int MAX_SOCKETS = 512;
-  private static final String REQUEST_CLASS = "any";
   private static final List<String> FLAGS =
       List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m");
 
@@ -42,7 +42,7 @@
     listen = Loopback.freeAddress();
     discovery = new StandinDiscovery(loop);
     discovery.listen();
-    load = new SteadyLoad("r" + number + "-", loop, listen, REQUEST_CLASS);
+    load = new SteadyLoad("r" + number + "-", loop, listen, TestbedRequestClass.EVENTUAL_READ);
   }
 
   /** The number of the member whose load made a request, from the request's id. */
--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -36,6 +36,7 @@
 import rushwood.overload.RepeatSketch;
 import rushwood.overload.RetryAfterSchedule;
 import rushwood.policy.DefaultRoutingPolicy;
+import rushwood.testbed.model.TestbedRequestClass;
 
 /**
  * What overload control costs a request: the routing policy behind it against the policy alone, and
@@ -51,7 +52,6 @@
   private static final long MS = 1_000_000L;
   private static final HostId HOST = new HostId("a");
   private static final GroupId GROUP = new GroupId(1);
-  private static final String REQUEST_CLASS = "any";
 
   // The sketch holds fewer fingerprints than cells, as in a router.
   private static final int SKETCH_CELLS = 1 << 14;
@@ -100,7 +100,9 @@
   @Setup
   public void setUp() throws InvalidConfigException {
     RoutingSettings settings = RouterConfig.decodeSettings(RouterSettings.forCluster(1).toString());
-    requestClass = RequestClass.findByName(settings.requestClasses(), REQUEST_CLASS);
+    requestClass =
+        RequestClass.findByName(
+            settings.requestClasses(), TestbedRequestClass.EVENTUAL_READ.wireName());
     policyAlone =
         new DefaultRoutingPolicy(
             settings,
--- a/testbed/src/main/java/rushwood/testbed/load/PopulationSpec.java
+++ b/testbed/src/main/java/rushwood/testbed/load/PopulationSpec.java
@@ -1,13 +1,12 @@
 package rushwood.testbed.load;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.util.Set;
 import rushwood.testbed.model.RetryBehavior;
+import rushwood.testbed.model.TestbedRequestClass;
 
 /**
  * Clients of one kind, each with one request, that arrive at even intervals.
  *
- * @param requestClass the name of their requests' class, see {@link RouterSettings}
  * @param group the group of hosts that has their data
  * @param startSeconds when the first one arrives
  * @param arrivalSeconds within which time all of them arrive
@@ -17,7 +16,7 @@
  */
 public record PopulationSpec(
     int count,
-    @JsonProperty("product") String requestClass,
+    @JsonProperty("product") TestbedRequestClass requestClass,
     int group,
     @JsonProperty("from") double startSeconds,
     @JsonProperty("over") double arrivalSeconds,
@@ -25,11 +24,9 @@
     @JsonProperty("manners") RetryBehavior retryBehavior,
     @JsonProperty("outer") double tryTimeoutSeconds,
     @JsonProperty("stays") boolean keepsConnection) {
-  private static final Set<String> WRITE_CLASSES = Set.of("pay", "mark");
-
   /** Whether their requests are writes. */
   public boolean isWrite() {
-    return WRITE_CLASSES.contains(requestClass);
+    return requestClass.isWrite();
   }
 
   /** When the client at that index arrives, in nanoseconds from the experiment's start. */
--- a/testbed/src/main/java/rushwood/testbed/load/RouterSettings.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterSettings.java
@@ -5,13 +5,10 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import rushwood.testbed.model.TestbedRequestClass;
 import rushwood.testbed.standin.Loopback;
 
-/**
- * The configuration of the testbed's routers. Its request classes are {@code pass}, a read with
- * bounded staleness; {@code any}, an eventual read; {@code pay}, a write that must not run twice;
- * and {@code mark}, a write with an idempotency key.
- */
+/** The configuration of the testbed's routers, with the classes of {@link TestbedRequestClass}. */
 public final class RouterSettings {
   private RouterSettings() {}
 
@@ -26,10 +23,10 @@
   public static ObjectNode forCluster(int routerCount) {
     ObjectNode settings = JsonNodeFactory.instance.objectNode();
     ArrayNode classes = settings.putArray("classes");
-    addRequestClass(classes, "pass", 0.4, 1.5, "repeatable");
-    addRequestClass(classes, "pay", 0.75, 5, "once");
-    addRequestClass(classes, "any", 1.0, 5, "repeatable");
-    addRequestClass(classes, "mark", 0.75, 5, "by_key");
+    addRequestClass(classes, TestbedRequestClass.BOUNDED_READ, 0.4, 1.5, "repeatable");
+    addRequestClass(classes, TestbedRequestClass.NON_IDEMPOTENT_WRITE, 0.75, 5, "once");
+    addRequestClass(classes, TestbedRequestClass.EVENTUAL_READ, 1.0, 5, "repeatable");
+    addRequestClass(classes, TestbedRequestClass.KEYED_WRITE, 0.75, 5, "by_key");
     settings.put("discovery", "automatic").put("n_instances", routerCount);
     settings.put("resolution", 0.005);
     addDomain(settings.putObject("domain"));
@@ -55,7 +52,7 @@
     return settings;
   }
 
-  /** Consistency of the classes, in their order. */
+  /** Staleness and consistency of the classes, in the order of {@link TestbedRequestClass}. */
   private static void addDomain(ObjectNode domain) {
     domain.put("behind", "reject").put("token_mode", "client");
     domain.putArray("lag_allowed").add(0.5).add(0.0).add(0.0).add(0.0);
@@ -64,13 +61,13 @@
 
   private static void addRequestClass(
       ArrayNode classes,
-      String name,
+      TestbedRequestClass requestClass,
       double objectiveSeconds,
       double deadlineSeconds,
       String semantics) {
     classes
         .addObject()
-        .put("name", name)
+        .put("name", requestClass.wireName())
         .put("aim", objectiveSeconds)
         .put("deadline", deadlineSeconds)
         .put("semantics", semantics)
--- a/testbed/src/main/java/rushwood/testbed/load/SocketClient.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketClient.java
@@ -118,9 +118,7 @@
     String id = number + "-" + triesMade + (resends > 0 ? "-" + resends : "");
     long deadlineMillis = Math.max(1, (tryDeadline - context.now()) / NANOS_PER_MILLI);
     MessageEncoder.writeQuery(
-        out,
-        Statement.format(
-            spec.isWrite(), key(), id, spec.requestClass(), deadlineMillis, spec.group()));
+        out, Statement.format(spec.requestClass(), key(), id, deadlineMillis, spec.group()));
     target.writeAndFlush(out);
   }
 
--- a/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import rushwood.testbed.model.TestbedRequestClass;
 import rushwood.testbed.standin.Loopback;
 import rushwood.testbed.standin.MessageEncoder;
 import rushwood.testbed.standin.ProtocolMessage;
@@ -28,14 +29,14 @@
   private final String idPrefix;
   private final EventLoop loop;
   private final InetSocketAddress router;
-  private final String requestClass;
+  private final TestbedRequestClass requestClass;
   private final Deque<Connection> idle = new ArrayDeque<>();
   private ScheduledFuture<?> sendTask;
   private long sent;
 
   /** The id of each request begins with {@code idPrefix}. */
   public SteadyLoad(
-      String idPrefix, EventLoop loop, InetSocketAddress router, String requestClass) {
+      String idPrefix, EventLoop loop, InetSocketAddress router, TestbedRequestClass requestClass) {
     this.idPrefix = idPrefix;
     this.loop = loop;
     this.router = router;
@@ -88,7 +89,7 @@
       MessageEncoder.writeQuery(
           out,
           Statement.format(
-              false, "k" + sent % KEYS, idPrefix + sent, requestClass, ANSWER_TIMEOUT_MILLIS, 0));
+              requestClass, "k" + sent % KEYS, idPrefix + sent, ANSWER_TIMEOUT_MILLIS, 0));
       sent++;
       channel.writeAndFlush(out);
     }
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import rushwood.testbed.model.HostModel;
 import rushwood.testbed.model.RequestKind;
+import rushwood.testbed.model.TestbedRequestClass;
 
 /**
  * A database server on a loopback address: PostgreSQL's protocol 3 in front of a {@link HostModel}.
@@ -20,7 +21,6 @@
 public final class StandinHost {
   private static final int INITIAL_BUFFER_BYTES = 256;
   private static final long MS = 1_000_000L;
-  private static final String EVENTUAL_CLASS = "any";
 
   private final HostModel model;
   private final EventLoop loop;
@@ -157,7 +157,7 @@
       if (statement.isWrite()) {
         return RequestKind.WRITE;
       }
-      return statement.commentValue("c").equals(EVENTUAL_CLASS)
+      return statement.commentValue("c").equals(TestbedRequestClass.EVENTUAL_READ.wireName())
           ? RequestKind.EVENTUAL_READ
           : RequestKind.BOUNDED_READ;
     }
--- a/testbed/src/main/java/rushwood/testbed/standin/Statement.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/Statement.java
@@ -1,5 +1,7 @@
 package rushwood.testbed.standin;
 
+import rushwood.testbed.model.TestbedRequestClass;
+
 /**
  * A statement that reads or writes one key, with a comment of {@code name=value} pairs at its end.
  *
@@ -34,20 +36,20 @@
    * @param deadlineMillis how long the client waits for the answer
    */
   public static String format(
-      boolean write, String key, String id, String requestClass, long deadlineMillis, int group) {
+      TestbedRequestClass requestClass, String key, String id, long deadlineMillis, int group) {
     String comment =
         " "
             + COMMENT_START
             + "id="
             + id
             + ",c="
-            + requestClass
+            + requestClass.wireName()
             + ",t=club,d="
             + deadlineMillis
             + ",cluster="
             + group
             + COMMENT_END;
-    return write
+    return requestClass.isWrite()
         ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x01') RETURNING val" + comment
         : "SELECT val FROM state WHERE uid = '" + key + "'" + comment;
   }
--- a/testbed/src/test/java/rushwood/testbed/load/ExperimentTest.java
+++ b/testbed/src/test/java/rushwood/testbed/load/ExperimentTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushwood.testbed.model.RetryBehavior;
+import rushwood.testbed.model.TestbedRequestClass;
 
 class ExperimentTest {
   private static final String CLIENTS =
@@ -58,7 +59,15 @@
     assertEquals(
         List.of(
             new PopulationSpec(
-                10, "mark", 1, 1, 2, 3, RetryBehavior.SYNCHRONIZED_BACKOFF, 4, true)),
+                10,
+                TestbedRequestClass.KEYED_WRITE,
+                1,
+                1,
+                2,
+                3,
+                RetryBehavior.SYNCHRONIZED_BACKOFF,
+                4,
+                true)),
         experiment.populations());
   }
 
