Testbed's statements: fields of the comment by name, keys of clients in one place

The fields of a statement's comment stood inside concatenated text and again where hosts read them; the key of a client was built in one class and taken apart in another. Statement names its fields and has id() and requestClassName(); SocketClient reads back the keys that it makes. A new test holds the whole text of a read and a write. StatementTest passes.

--- a/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -74,7 +74,7 @@
   }
 
   private void recordRequest(String host, Statement statement) {
-    int number = ClusterMember.numberFromRequestId(statement.commentValue("id"));
+    int number = ClusterMember.numberFromRequestId(statement.id());
     members.get(number).recordRequest(host, now());
   }
 
--- a/testbed/src/main/java/rushwood/testbed/load/SocketClient.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketClient.java
@@ -22,6 +22,7 @@
   private static final int QUERY_BUFFER_BYTES = 256;
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int MAX_RESENDS = 1;
+  private static final String KEY_PREFIX = "k";
 
   /** How a try ended. */
   private enum TryOutcome {
@@ -43,7 +44,7 @@
   private int resends;
   private long retryAfter; // of the last try, 0 for none
   private Channel channel;
-  private boolean connected;
+  private boolean connected; // the startup message was sent, and no close of the channel is known
   private boolean querySent;
   private boolean tryEnded;
   private boolean toldToComeBack; // on this connection, as the last try was rejected
@@ -123,7 +124,12 @@
   }
 
   private String key() {
-    return "k" + number;
+    return KEY_PREFIX + number;
+  }
+
+  /** The number of the client whose requests have that key. */
+  static int numberFromKey(String key) {
+    return Integer.parseInt(key.substring(KEY_PREFIX.length()));
   }
 
   private void disconnect() {
--- a/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
@@ -106,8 +106,7 @@
 
   private void recordExecution(Statement statement) {
     if (statement.isWrite()) {
-      int client = Integer.parseInt(statement.key().substring(1));
-      ledger.recordExecution(client, statement.commentValue("id"));
+      ledger.recordExecution(SocketClient.numberFromKey(statement.key()), statement.id());
     }
   }
 
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -157,7 +157,7 @@
       if (statement.isWrite()) {
         return RequestKind.WRITE;
       }
-      return statement.commentValue("c").equals(TestbedRequestClass.EVENTUAL_READ.wireName())
+      return statement.requestClassName().equals(TestbedRequestClass.EVENTUAL_READ.wireName())
           ? RequestKind.EVENTUAL_READ
           : RequestKind.BOUNDED_READ;
     }
--- a/testbed/src/main/java/rushwood/testbed/standin/Statement.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/Statement.java
@@ -8,6 +8,12 @@
  * @param text the whole statement
  */
 public record Statement(boolean isWrite, String key, String text) {
+  private static final String ID_FIELD = "id";
+  private static final String CLASS_FIELD = "c";
+  private static final String TENANT_FIELD = "t";
+  private static final String TIMEOUT_FIELD = "d"; // milliseconds
+  private static final String GROUP_FIELD = "cluster";
+  private static final String TENANT = "club"; // any: the router does not look at it
   private static final String COMMENT_START = "/* ";
   private static final String COMMENT_END = " */";
 
@@ -18,8 +24,18 @@
     return new Statement(text.startsWith("INSERT"), key, text);
   }
 
+  /** The id of the client's try. */
+  public String id() {
+    return commentValue(ID_FIELD);
+  }
+
+  /** The name of its request class; empty if it has none. */
+  String requestClassName() {
+    return commentValue(CLASS_FIELD);
+  }
+
   /** The value of that name in the comment; empty if there is none. */
-  public String commentValue(String name) {
+  String commentValue(String name) {
     int commentStart = text.lastIndexOf(COMMENT_START) + COMMENT_START.length();
     String comment = text.substring(commentStart, text.length() - COMMENT_END.length());
     for (String pair : comment.split(",")) {
@@ -33,24 +49,22 @@
   /**
    * The statement of a client's try.
    *
-   * @param deadlineMillis how long the client waits for the answer
+   * @param timeoutMillis how long the client waits for the answer
    */
   public static String format(
-      TestbedRequestClass requestClass, String key, String id, long deadlineMillis, int group) {
+      TestbedRequestClass requestClass, String key, String id, long timeoutMillis, int group) {
     String comment =
-        " "
-            + COMMENT_START
-            + "id="
-            + id
-            + ",c="
-            + requestClass.wireName()
-            + ",t=club,d="
-            + deadlineMillis
-            + ",cluster="
-            + group
-            + COMMENT_END;
-    return requestClass.isWrite()
-        ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x01') RETURNING val" + comment
-        : "SELECT val FROM state WHERE uid = '" + key + "'" + comment;
+        String.join(
+            ",",
+            ID_FIELD + "=" + id,
+            CLASS_FIELD + "=" + requestClass.wireName(),
+            TENANT_FIELD + "=" + TENANT,
+            TIMEOUT_FIELD + "=" + timeoutMillis,
+            GROUP_FIELD + "=" + group);
+    String statement =
+        requestClass.isWrite()
+            ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x01') RETURNING val "
+            : "SELECT val FROM state WHERE uid = '" + key + "' ";
+    return statement + COMMENT_START + comment + COMMENT_END;
   }
 }
--- a/testbed/src/test/java/rushwood/testbed/standin/StatementTest.java
+++ b/testbed/src/test/java/rushwood/testbed/standin/StatementTest.java
@@ -15,8 +15,8 @@
             Statement.format(TestbedRequestClass.NON_IDEMPOTENT_WRITE, "k7", "7-1", 300, 2));
     assertTrue(write.isWrite());
     assertEquals("k7", write.key());
-    assertEquals("7-1", write.commentValue("id"));
-    assertEquals("pay", write.commentValue("c"));
+    assertEquals("7-1", write.id());
+    assertEquals("pay", write.requestClassName());
     assertEquals("300", write.commentValue("d"));
     assertEquals("2", write.commentValue("cluster"));
     assertEquals("", write.commentValue("nothing"));
@@ -25,4 +25,16 @@
     assertFalse(read.isWrite());
     assertEquals("k8", read.key());
   }
+
+  /** The forms that the router's parser takes. */
+  @Test
+  void textOfReadAndWrite() {
+    assertEquals(
+        "SELECT val FROM state WHERE uid = 'k8' /* id=8-1,c=any,t=club,d=1,cluster=0 */",
+        Statement.format(TestbedRequestClass.EVENTUAL_READ, "k8", "8-1", 1, 0));
+    assertEquals(
+        "INSERT INTO state (uid, val) VALUES ('k7', '\\x01') RETURNING val"
+            + " /* id=7-1,c=pay,t=club,d=300,cluster=2 */",
+        Statement.format(TestbedRequestClass.NON_IDEMPOTENT_WRITE, "k7", "7-1", 300, 2));
+  }
 }
