Stand-in discovery: entries with a typed state, role and address

An entry of the endpoint list was five strings, a weight that was always 1 and concatenated JSON; the words for states and roles stood in the experiments and tests too. Entry now takes Endpoint.State, an address and whether the host is primary; the words stand in StandinDiscovery.

--- a/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import rushwood.api.Endpoint;
 import rushwood.testbed.model.HostModel;
-import rushwood.testbed.standin.Loopback;
 import rushwood.testbed.standin.StandinDiscovery;
 import rushwood.testbed.standin.StandinHost;
 import rushwood.testbed.standin.Statement;
@@ -31,6 +31,7 @@
       new HostModel.Parameters(4000, 8, 64, 0.15, 0, 4, 0, 0);
 
   private static final String PRIMARY = "h0";
+  private static final int GROUP = 0;
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -39,13 +40,13 @@
   private final List<ClusterMember> members = new ArrayList<>();
   private final Map<String, StandinHost> hosts = new LinkedHashMap<>();
 
-  /** Of fast hosts; {@code drainGraceSeconds} is a setting of the routers. */
+  /** A cluster of fast hosts; {@code drainGraceSeconds} is a setting of the routers. */
   public RouterCluster(Path jar, int routers, int hostCount, double drainGraceSeconds)
       throws IOException, InterruptedException {
     this(jar, routers, hostCount, drainGraceSeconds, FAST_HOST);
   }
 
-  /** Of hosts of that capacity. */
+  /** A cluster of hosts of that capacity. */
   public RouterCluster(
       Path jar,
       int routers,
@@ -79,7 +80,7 @@
   }
 
   private void announceAll(ClusterMember member) {
-    hosts.keySet().forEach(host -> announce(member, host, "Ready"));
+    hosts.keySet().forEach(host -> announce(member, host, Endpoint.State.READY));
   }
 
   /** The routers with what is their own. */
@@ -128,24 +129,19 @@
   }
 
   /** A member's agent lists a host with that state; on the loop. */
-  public void announce(ClusterMember member, String host, String state) {
+  public void announce(ClusterMember member, String host, Endpoint.State state) {
     member.discovery().publish(entry(host, host, state));
   }
 
-  /** An entry with that id and the address of that host. */
-  public StandinDiscovery.Entry entry(String id, String host, String state) {
+  /** A list entry with that id that leads to that host, whose id it need not be. */
+  public StandinDiscovery.Entry entry(String id, String host, Endpoint.State state) {
     return entry(id, host, state, 0);
   }
 
-  private StandinDiscovery.Entry entry(String id, String host, String state, long startedMillis) {
+  private StandinDiscovery.Entry entry(
+      String id, String host, Endpoint.State state, long startedMillis) {
     return new StandinDiscovery.Entry(
-        id,
-        Loopback.format(hosts.get(host).address()),
-        0,
-        state,
-        1,
-        startedMillis,
-        id.equals(PRIMARY) ? "master" : "replica");
+        id, hosts.get(host).address(), GROUP, state, startedMillis, id.equals(PRIMARY));
   }
 
   /** A host's process starts anew, cold, and all agents list that; on the loop. */
@@ -153,7 +149,8 @@
     hosts.get(host).model().restart(now());
     long startedMillis = System.currentTimeMillis();
     members.forEach(
-        member -> member.discovery().publish(entry(host, host, "Ready", startedMillis)));
+        member ->
+            member.discovery().publish(entry(host, host, Endpoint.State.READY, startedMillis)));
   }
 
   /** The model of a host; used on the loop. */
--- a/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import rushwood.api.Endpoint;
 import rushwood.testbed.model.HostModel;
 import rushwood.testbed.model.WriteLedger;
 import rushwood.testbed.standin.Loopback;
@@ -157,12 +158,11 @@
     discovery.publish(
         new StandinDiscovery.Entry(
             spec.id(),
-            Loopback.format(host.address()),
+            host.address(),
             spec.group(),
-            "Ready",
-            1,
+            Endpoint.State.READY,
             0,
-            host.model().isPrimary() ? "master" : "replica"));
+            host.model().isPrimary()));
   }
 
   private void sample() {
--- a/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -24,6 +24,7 @@
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final int ANSWER_TIMEOUT_MILLIS = 2000;
   private static final int KEYS = 100;
+  private static final int GROUP = 0;
   private static final int BUFFER_BYTES = 256;
 
   private final String idPrefix;
@@ -89,7 +90,7 @@
       MessageEncoder.writeQuery(
           out,
           Statement.format(
-              requestClass, "k" + sent % KEYS, idPrefix + sent, ANSWER_TIMEOUT_MILLIS, 0));
+              requestClass, "k" + sent % KEYS, idPrefix + sent, ANSWER_TIMEOUT_MILLIS, GROUP));
       sent++;
       channel.writeAndFlush(out);
     }
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinDiscovery.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinDiscovery.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -26,6 +29,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import rushwood.api.Endpoint;
 
 /**
  * A discovery agent on a loopback address: it answers with the full endpoint list, and brings each
@@ -36,35 +40,46 @@
   /**
    * An endpoint as the list has it.
    *
+   * @param address where its host listens
    * @param startedMillis when its process started, in Unix time; 0 for long ago
    */
   public record Entry(
       String id,
-      String address,
+      InetSocketAddress address,
       int group,
-      String state,
-      double weight,
+      Endpoint.State state,
       long startedMillis,
-      String role) {
-    private String toJson() {
-      return "{\"id\":\""
-          + id
-          + "\",\"addr\":\""
-          + address
-          + "\",\"zone\":\"a\",\"cell\":"
-          + group
-          + ",\"state\":\""
-          + state
-          + "\",\"weight\":"
-          + weight
-          + ",\"started_ms\":"
-          + startedMillis
-          + ",\"part\":\""
-          + role
-          + "\"}";
+      boolean isPrimary) {
+    private static final String ZONE = "a";
+    private static final double WEIGHT = 1;
+
+    private ObjectNode toJson() {
+      return JsonNodeFactory.instance
+          .objectNode()
+          .put("id", id)
+          .put("addr", Loopback.format(address))
+          .put("zone", ZONE)
+          .put("cell", group)
+          .put("state", stateWord())
+          .put("weight", WEIGHT)
+          .put("started_ms", startedMillis)
+          .put("part", isPrimary ? ROLE_PRIMARY : ROLE_REPLICA);
+    }
+
+    private String stateWord() {
+      return switch (state) {
+        case READY -> "Ready";
+        case DRAINING -> "Terminating";
+        case REMOVED -> "Gone";
+      };
     }
   }
 
+  /** The words for a host's role, in the endpoint list and in a host's own messages. */
+  static final String ROLE_PRIMARY = "master";
+
+  static final String ROLE_REPLICA = "replica";
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int HEARTBEAT_SECONDS = 2;
   private static final String HEARTBEAT = "\n";
@@ -175,8 +190,11 @@
   }
 
   private String listJson(boolean full, List<Entry> listed) {
-    String servers = String.join(",", listed.stream().map(Entry::toJson).toList());
-    return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + servers + "]}";
+    ObjectNode list = JsonNodeFactory.instance.objectNode();
+    list.put("version", version).put("full", full);
+    ArrayNode servers = list.putArray("servers");
+    listed.forEach(entry -> servers.add(entry.toJson()));
+    return list.toString();
   }
 
   private void sendToWatches(String line) {
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -188,7 +188,9 @@
     }
 
     private void writeRoleAndReady(ByteBuf out) {
-      MessageEncoder.writeParameterStatus(out, "part", model.isPrimary() ? "master" : "replica");
+      String role =
+          model.isPrimary() ? StandinDiscovery.ROLE_PRIMARY : StandinDiscovery.ROLE_REPLICA;
+      MessageEncoder.writeParameterStatus(out, "part", role);
       MessageEncoder.writeParameterStatus(
           out, "caught_up_to", Long.toString(model.position(clock.getAsLong()) / MS));
       MessageEncoder.writeReadyForQuery(out);
--- a/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
+++ b/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.function.Consumer;
+import rushwood.api.Endpoint;
 import rushwood.testbed.load.ClusterMember;
 import rushwood.testbed.load.RouterCluster;
 import rushwood.testbed.standin.StandinDiscovery;
@@ -75,14 +76,14 @@
   }
 
   /** All agents list the host with that state. */
-  void announce(String state) throws InterruptedException {
+  void announce(Endpoint.State state) throws InterruptedException {
     cluster.runOnLoop(
         () -> cluster.members().forEach(each -> cluster.announce(each, DRAINED_HOST, state)));
   }
 
   /** The host is back, and waits until all routers use it again. */
   void announceReady() throws IOException, InterruptedException {
-    announce("Ready");
+    announce(Endpoint.State.READY);
     awaitTraffic();
   }
 
--- a/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
+++ b/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import rushwood.api.Endpoint;
 import rushwood.testbed.load.ClusterMember;
 import rushwood.testbed.load.RouterCluster;
 import rushwood.testbed.standin.StandinDiscovery;
@@ -31,9 +32,9 @@
 
   @Test
   void announcedOnAWatch() throws Exception {
-    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
     draining.announceReady();
-    draining.assertDrainedBy(() -> draining.announce("Gone"));
+    draining.assertDrainedBy(() -> draining.announce(Endpoint.State.REMOVED));
   }
 
   /** A host that comes back under its id is used again, and drained again. */
@@ -43,7 +44,7 @@
       draining.assertDrainedBy(
           () -> {
             draining.changeAgents(StandinDiscovery::muteWatches);
-            draining.announce("Terminating");
+            draining.announce(Endpoint.State.DRAINING);
           });
       draining.announceReady();
     }
@@ -54,13 +55,13 @@
     draining.assertDrainedBy(
         () -> {
           draining.changeAgents(StandinDiscovery::resetConnections);
-          draining.announce("Terminating");
+          draining.announce(Endpoint.State.DRAINING);
         });
     draining.announceReady();
     draining.assertDrainedBy(
         () -> {
           draining.changeAgents(agent -> agent.setOffline(true));
-          draining.announce("Terminating");
+          draining.announce(Endpoint.State.DRAINING);
           Thread.sleep(100);
           draining.changeAgents(agent -> agent.setOffline(false));
         });
@@ -71,12 +72,12 @@
   void announcedAsDiscoveryReturns() throws Exception {
     draining.changeAgents(agent -> agent.setUnresponsive(true));
     Thread.sleep(3700);
-    draining.announce("Terminating");
+    draining.announce(Endpoint.State.DRAINING);
     draining.assertDrainedBy(() -> draining.changeAgents(agent -> agent.setUnresponsive(false)));
     draining.announceReady();
     draining.changeAgents(agent -> agent.setOffline(true));
     Thread.sleep(2300);
-    draining.announce("Terminating");
+    draining.announce(Endpoint.State.DRAINING);
     draining.assertDrainedBy(() -> draining.changeAgents(agent -> agent.setOffline(false)));
   }
 
@@ -87,8 +88,8 @@
     StandinDiscovery other = draining.member(1).discovery();
     cluster.runOnLoop(
         () -> {
-          cluster.announce(draining.member(1), DRAINED_HOST, "Terminating");
-          cluster.announce(draining.member(2), DRAINED_HOST, "Terminating");
+          cluster.announce(draining.member(1), DRAINED_HOST, Endpoint.State.DRAINING);
+          cluster.announce(draining.member(2), DRAINED_HOST, Endpoint.State.DRAINING);
         });
     moved.configureDiscovery(other.address());
     draining.assertDrainedBy(() -> moved.process().signal("HUP"));
@@ -102,7 +103,7 @@
     String knownEndpoints = cluster.computeOnLoop(member.discovery()::fullList);
     member.process().signal("KILL");
     cluster.runOnLoop(() -> member.load().pause());
-    draining.announce("Terminating");
+    draining.announce(Endpoint.State.DRAINING);
     Thread.sleep(200);
     long before = cluster.computeOnLoop(() -> member.requestsSent(DRAINED_HOST));
     member.start(knownEndpoints);
@@ -119,14 +120,14 @@
     draining.changeAgents(
         agent ->
             IntStream.range(0, 400)
-                .forEach(i -> agent.publish(cluster.entry("x" + i, "h3", "Ready"))));
+                .forEach(i -> agent.publish(cluster.entry("x" + i, "h3", Endpoint.State.READY))));
     draining.awaitTraffic();
-    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
     draining.announceReady();
     draining.assertDrainedBy(
         () -> {
           draining.changeAgents(StandinDiscovery::muteWatches);
-          draining.announce("Terminating");
+          draining.announce(Endpoint.State.DRAINING);
         });
   }
 
@@ -139,7 +140,7 @@
       member.process().signal("STOP");
     }
     long announcedAt = cluster.now();
-    draining.announce("Terminating");
+    draining.announce(Endpoint.State.DRAINING);
     draining.startLoad(); // its requests wait beside the announcement
     Thread.sleep(600);
     for (ClusterMember member : cluster.members()) {
--- a/testbed/src/test/java/rushwood/testbed/MalformedEndpointListTest.java
+++ b/testbed/src/test/java/rushwood/testbed/MalformedEndpointListTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import rushwood.api.Endpoint;
 import rushwood.testbed.load.ClusterMember;
 import rushwood.testbed.standin.StandinDiscovery;
 
@@ -32,12 +33,12 @@
   @Test
   void announcedInAnIndentedList() throws Exception {
     draining.changeAgents(agent -> agent.rewriteResponses(StandinDiscovery::indent));
-    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
     draining.announceReady();
     draining.assertDrainedBy(
         () -> {
           draining.changeAgents(StandinDiscovery::resetConnections);
-          draining.announce("Terminating");
+          draining.announce(Endpoint.State.DRAINING);
         });
   }
 
@@ -58,7 +59,7 @@
             text -> text.replaceFirst("\"full\":(true|false),", ""));
     for (UnaryOperator<String> malformation : malformations) {
       draining.changeAgents(agent -> agent.rewriteResponses(malformation));
-      draining.assertDrainedBy(() -> draining.announce("Terminating"));
+      draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
       draining.changeAgents(StandinDiscovery::stopRewriting);
       draining.announceReady();
     }
@@ -90,12 +91,12 @@
             agent.resetConnections();
           });
       Thread.sleep(150);
-      draining.announce("Terminating");
+      draining.announce(Endpoint.State.DRAINING);
       draining.assertDrainedBy(() -> draining.changeAgents(StandinDiscovery::stopRewriting));
       draining.announceReady();
     }
     draining.changeAgents(agent -> agent.setVersion(3));
-    draining.assertDrainedBy(() -> draining.announce("Terminating"));
+    draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
     draining.announceReady();
     for (ClusterMember member : draining.cluster().members()) {
       String log = member.process().log();
