Testbed: a stuck event loop or a dead router fails a test with its reason

RouterCluster waited without end for its event loop, and a signal to a router that had ended was silently lost. The wait now ends after 20 s and a signal that cannot be sent is an IOException with the router's log. Both were compiled and checked; no test provokes them.

--- a/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import rushwood.api.Endpoint;
 import rushwood.testbed.model.HostModel;
 import rushwood.testbed.standin.StandinDiscovery;
@@ -30,6 +31,7 @@
   private static final HostModel.Parameters FAST_HOST =
       new HostModel.Parameters(4000, 8, 64, 0.15, 0, 4, 0, 0);
 
+  private static final int LOOP_TIMEOUT_SECONDS = 20; // tasks take milliseconds
   private static final String PRIMARY = "h0";
   private static final int GROUP = 0;
 
@@ -93,12 +95,19 @@
     return System.nanoTime();
   }
 
-  /** Computes a value on the loop, where agents, hosts and clients live, and waits for it. */
+  /**
+   * Computes a value on the loop, where agents, hosts and clients live, and waits for it.
+   *
+   * @throws IllegalStateException if the task fails, or the loop does not get to it within 20 s
+   */
   public <T> T computeOnLoop(Callable<T> task) throws InterruptedException {
     try {
-      return loop.submit(task).get();
+      return loop.submit(task).get(LOOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     } catch (ExecutionException e) {
-      throw new IllegalStateException(e.getCause());
+      throw new IllegalStateException("a task of the cluster's event loop failed", e.getCause());
+    } catch (TimeoutException e) {
+      throw new IllegalStateException(
+          "the cluster's event loop took longer than " + LOOP_TIMEOUT_SECONDS + " s", e);
     }
   }
 
--- a/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/RouterProcess.java
@@ -91,9 +91,17 @@
     return Files.readString(log);
   }
 
-  /** Sends it a signal, by its name without SIG. */
+  /**
+   * Sends it a signal, by its name without SIG.
+   *
+   * @throws IOException with its log, if it cannot be sent: the process has ended
+   */
   public void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    String pid = Long.toString(process.pid());
+    int exitCode = new ProcessBuilder("kill", "-" + name, pid).start().waitFor();
+    if (exitCode != 0) {
+      throw new IOException("the router takes no SIG" + name + ", it has ended: " + log());
+    }
   }
 
   /** Sends it SIGTERM and does not wait. */
