--- a/testbed/src/main/java/rushwood/testbed/load/ReportNames.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ReportNames.java
@@ -7,6 +7,9 @@
 public final class ReportNames {
   // Time series
 
+  /** The field of a JSON report that holds all time series. */
+  public static final String TIME_SERIES = "lines";
+
   /** Tries that clients begin. */
   public static final String TRIES_SERIES = "tries";
 
@@ -137,12 +140,12 @@
   }
 
   /** A figure of the population at that index of the experiment's file. */
-  static String ofPopulation(int index, String figure) {
+  public static String ofPopulation(int index, String figure) {
     return POPULATION_PREFIX + index + "." + figure;
   }
 
   /** A figure of one host. */
-  static String ofHost(String host, String figure) {
+  public static String ofHost(String host, String figure) {
     return host + "." + figure;
   }
 
--- a/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
+++ b/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
@@ -20,6 +20,7 @@
 import org.jfree.data.xy.XYSeriesCollection;
 import rushwood.testbed.load.ExperimentResult;
 import rushwood.testbed.load.ExperimentResult.TimeSeries;
+import rushwood.testbed.load.ReportNames;
 
 /** Writes results; those of several runs stand side by side, each under its label. */
 public final class ReportWriter {
@@ -38,8 +39,10 @@
     result.figures().forEach(figures::put);
     ObjectNode counters = json.putObject("counters");
     result.counters().forEach(counters::put);
-    ObjectNode lines = json.putObject("lines");
-    result.timeSeries().forEach((name, series) -> addValues(lines.putArray(name), series.values()));
+    ObjectNode allSeries = json.putObject(ReportNames.TIME_SERIES);
+    result
+        .timeSeries()
+        .forEach((name, series) -> addValues(allSeries.putArray(name), series.values()));
     return JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(json);
   }
 
--- a/testbed/src/test/java/rushwood/testbed/ExperimentRuns.java
+++ b/testbed/src/test/java/rushwood/testbed/ExperimentRuns.java
@@ -38,13 +38,4 @@
     RouterProcess.Build build = new RouterProcess.Build(ROUTER_JAR, FLAGS, "", "");
     return new SocketExperiment(experiment, build).run();
   }
-
-  static double figure(ExperimentResult result, String name) {
-    return result.figures().get(name);
-  }
-
-  /** Tries and writes that ran more than once. */
-  static double duplicates(ExperimentResult result) {
-    return figure(result, "doubled_tries") + figure(result, "doubled_writes");
-  }
 }
--- a/testbed/src/test/java/rushwood/testbed/OverloadOnSocketsTest.java
+++ b/testbed/src/test/java/rushwood/testbed/OverloadOnSocketsTest.java
@@ -1,16 +1,18 @@
 package rushwood.testbed;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static rushwood.testbed.ExperimentRuns.duplicates;
-import static rushwood.testbed.ExperimentRuns.figure;
 import static rushwood.testbed.ExperimentRuns.read;
 import static rushwood.testbed.ExperimentRuns.runOnSockets;
+import static rushwood.testbed.FigureAssertions.assertFigure;
+import static rushwood.testbed.FigureAssertions.assertFigureAbove;
+import static rushwood.testbed.FigureAssertions.assertFigureBelow;
+import static rushwood.testbed.FigureAssertions.assertNoDuplicates;
+import static rushwood.testbed.load.ReportNames.ofPopulation;
 
-import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushwood.testbed.load.ExperimentResult;
+import rushwood.testbed.load.ReportNames;
 import rushwood.testbed.report.ReportWriter;
 
 /** Hard cases of overload on sockets, against a router in a process of its own. */
@@ -19,39 +21,39 @@
   @Test
   void everyClientIsServedWhileDiscoveryIsSilent() throws Exception {
     ExperimentResult result = runOnSockets(read("list-silent"));
-    assertEquals(1, figure(result, "crowd0.share_fulfilled"), ReportWriter.toJson(result));
-    assertEquals(1, figure(result, "crowd1.share_fulfilled"), ReportWriter.toJson(result));
-    assertEquals(0, duplicates(result));
+    assertFigure(1, result, ofPopulation(0, ReportNames.SHARE_SUCCEEDED));
+    assertFigure(1, result, ofPopulation(1, ReportNames.SHARE_SUCCEEDED));
+    assertNoDuplicates(result);
   }
 
   /** SIGTERM during overload: what was accepted has its one answer, the rest is rejected. */
   @Test
   void routerStopsInOrderUnderOverload() throws Exception {
     ExperimentResult result = runOnSockets(read("stopped-in-storm"));
-    String report = ReportWriter.toJson(result);
-    assertEquals(0, figure(result, "crowd0.tries_without_answer"), report);
-    assertEquals(0, figure(result, "crowd1.in_doubt"), report);
-    assertEquals(
-        0,
-        figure(result, "crowd0.answers_too_many") + figure(result, "crowd1.answers_too_many"),
-        report);
-    assertEquals(0, duplicates(result) + figure(result, "untrue_answers"), report);
-    assertTrue(figure(result, "crowd0.share_fulfilled") > 0.3, report);
+    assertFigure(0, result, ofPopulation(0, ReportNames.UNANSWERED_TRIES));
+    assertFigure(0, result, ofPopulation(1, ReportNames.OUTCOME_UNKNOWN));
+    assertFigure(0, result, ofPopulation(0, ReportNames.SURPLUS_ANSWERS));
+    assertFigure(0, result, ofPopulation(1, ReportNames.SURPLUS_ANSWERS));
+    assertNoDuplicates(result);
+    assertFigure(0, result, ReportNames.FALSE_SUCCESSES);
+    assertFigureAbove(0.3, result, ofPopulation(0, ReportNames.SHARE_SUCCEEDED));
   }
 
   /** 2,000 clients within a second while the primary crashes and comes back cold. */
   @Test
   void twoThousandClientsAreServedWhileThePrimaryRestarts() throws Exception {
     ExperimentResult result = runOnSockets(read("primary-dies-2000"));
-    String report = ReportWriter.toJson(result);
-    for (String population : List.of("crowd0", "crowd1")) {
-      assertEquals(1, figure(result, population + ".share_fulfilled"), report);
-      assertEquals(0, figure(result, population + ".closed_though_told_to_return"), report);
-      assertEquals(0, figure(result, population + ".answers_too_many"), report);
+    for (int population = 0; population < 2; population++) {
+      assertFigure(1, result, ofPopulation(population, ReportNames.SHARE_SUCCEEDED));
+      assertFigure(0, result, ofPopulation(population, ReportNames.CLOSED_DESPITE_RETRY_AFTER));
+      assertFigure(0, result, ofPopulation(population, ReportNames.SURPLUS_ANSWERS));
     }
-    assertEquals(0, duplicates(result) + figure(result, "untrue_answers"), report);
-    assertTrue(figure(result, "h1.worst_cold_push") < 1, report);
-    assertTrue(result.counters().get("connections_failed") < 50, report);
-    assertTrue(ReportWriter.toHtml("a", Map.of("a", result)).contains("goodput"));
+    assertNoDuplicates(result);
+    assertFigure(0, result, ReportNames.FALSE_SUCCESSES);
+    assertFigureBelow(1, result, ReportNames.ofHost("h1", ReportNames.WORST_COLD_OVERLOAD));
+    assertTrue(
+        result.counters().get("connections_failed") < 50, () -> "counters: " + result.counters());
+    String html = ReportWriter.toHtml("a", Map.of("a", result));
+    assertTrue(html.contains(ReportNames.GOODPUT_SERIES), html);
   }
 }
--- a/testbed/src/test/java/rushwood/testbed/OverloadSimulationTest.java
+++ b/testbed/src/test/java/rushwood/testbed/OverloadSimulationTest.java
@@ -3,11 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static rushwood.testbed.ExperimentRuns.duplicates;
-import static rushwood.testbed.ExperimentRuns.figure;
 import static rushwood.testbed.ExperimentRuns.read;
 import static rushwood.testbed.ExperimentRuns.simulate;
 import static rushwood.testbed.ExperimentRuns.simulateWithoutOverloadControl;
+import static rushwood.testbed.FigureAssertions.assertFigure;
+import static rushwood.testbed.FigureAssertions.assertFigureAbove;
+import static rushwood.testbed.FigureAssertions.assertFigureBelow;
+import static rushwood.testbed.FigureAssertions.assertNoDuplicates;
+import static rushwood.testbed.FigureAssertions.figure;
 
 import java.io.IOException;
 import java.util.List;
@@ -21,15 +24,16 @@
 class OverloadSimulationTest {
   /** All hosts restart at once, and one again under overload. */
   @Test
-  void coldHostsStayUpAndAreNotConnectedToInVain() throws IOException, InvalidConfigException {
+  void coldHostsStayUpAndHostsThatAreDownGetFewConnects()
+      throws IOException, InvalidConfigException {
     ExperimentResult result = simulate(read("cold-again"));
-    assertEquals(1, figure(result, "share_fulfilled"));
-    assertEquals(0, figure(result, "falls"));
-    assertTrue(figure(result, "worst_cold_push") < 1);
-    assertEquals(0, duplicates(result));
-    assertTrue(figure(result, "dials_at_hosts_down") < 50 * 1.5);
+    assertFigure(1, result, ReportNames.SHARE_SUCCEEDED);
+    assertFigure(0, result, ReportNames.OVERLOAD_CRASHES);
+    assertFigureBelow(1, result, ReportNames.WORST_COLD_OVERLOAD);
+    assertNoDuplicates(result);
+    assertFigureBelow(50 * 1.5, result, ReportNames.CONNECTS_WHILE_DOWN);
     ExperimentResult uncontrolled = simulateWithoutOverloadControl(read("cold-again"));
-    assertTrue(figure(uncontrolled, "dials_at_hosts_down") > 1000, "so it is without");
+    assertFigureAbove(1000, uncontrolled, ReportNames.CONNECTS_WHILE_DOWN);
   }
 
   /** Clients that honor a long Retry-After come back when there is room for them. */
@@ -37,24 +41,27 @@
   void threeTriesSufficeWithReservedReturns() throws IOException, InvalidConfigException {
     ExperimentResult result = simulate(read("long-waits"));
     ExperimentResult uncontrolled = simulateWithoutOverloadControl(read("long-waits"));
-    assertEquals(1, figure(result, "share_fulfilled"));
-    assertTrue(figure(uncontrolled, "share_fulfilled") < 0.97);
-    assertTrue(figure(result, "turned_back") < 0.7 * figure(uncontrolled, "turned_back"));
+    assertFigure(1, result, ReportNames.SHARE_SUCCEEDED);
+    assertFigureBelow(0.97, uncontrolled, ReportNames.SHARE_SUCCEEDED);
+    assertFigureBelow(
+        0.7 * figure(uncontrolled, ReportNames.REJECTED), result, ReportNames.REJECTED);
   }
 
   @Test
   void groupBesideAnOverloadedOneHasNoRejections() throws IOException, InvalidConfigException {
     ExperimentResult result = simulate(read("two-groups"));
-    assertTrue(figure(result, "turned_back_of_group_0") > 1000);
-    assertFalse(result.figures().containsKey("turned_back_of_group_1"));
+    assertFigureAbove(1000, result, ReportNames.rejectedOfGroup(0));
+    String rejectedOfOther = ReportNames.rejectedOfGroup(1);
+    assertFalse(
+        result.figures().containsKey(rejectedOfOther), () -> "figures: " + result.figures());
   }
 
   /** Twice the usual load, which the hosts bear. */
   @Test
   void peakWithinCapacityIsNoOverload() throws IOException, InvalidConfigException {
     ExperimentResult result = simulate(read("honest-peak"));
-    assertEquals(1, figure(result, "share_fulfilled"));
-    assertEquals(0, figure(result, "turned_back"));
+    assertFigure(1, result, ReportNames.SHARE_SUCCEEDED);
+    assertFigure(0, result, ReportNames.REJECTED);
     assertFalse(result.timeSeries().containsKey(ReportNames.OVERLOAD_CHANGES_SERIES));
   }
 
@@ -62,8 +69,8 @@
   @Test
   void overloadEndsSoonAfterItsCause() throws IOException, InvalidConfigException {
     ExperimentResult result = simulate(read("hosts-hang"));
-    assertEquals(1, figure(result, "share_fulfilled"));
-    List<Double> goodput = result.timeSeries().get("goodput").values();
+    assertFigure(1, result, ReportNames.SHARE_SUCCEEDED);
+    List<Double> goodput = result.timeSeries().get(ReportNames.GOODPUT_SERIES).values();
     double late = goodput.subList(100, 140).stream().mapToDouble(each -> each).sum() / 4;
     assertTrue(
         late > 0.97 * 800,
