Testbed: drain tests tell what failed, plainer names in the simulation

EndpointDrainTest and ColdHostClusterTest asserted without a message or with a riddling one; they now show the router's log or the load. In the simulation connectInVain is connectWhileDown, and the ledger gets the client's number rather than its fingerprint, one above it, which changes no count.

--- a/testbed/src/main/java/rushwood/testbed/simulation/VirtualClient.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualClient.java
@@ -12,6 +12,7 @@
 /** A client in virtual time: one request, sent to one router in as many tries as it takes. */
 final class VirtualClient {
   private static final long NOT_STARTED = -1;
+  private static final long FIRST_FINGERPRINT = 1; // 0 means that a request has none
 
   private final SimulationContext context;
   private final EventQueue events;
@@ -58,11 +59,16 @@
   }
 
   private Request newRequest(RequestId id, long deadline) {
-    long fingerprint = number + 1L; // 0 means that a request has none
+    long fingerprint = number + FIRST_FINGERPRINT;
     return new Request(
         id, requestClass, null, new GroupId(spec.group()), deadline, 0, fingerprint, 0);
   }
 
+  /** The number of the client that made a request, whichever of its tries that is. */
+  static int numberOf(Request request) {
+    return (int) (request.fingerprint() - FIRST_FINGERPRINT);
+  }
+
   private void onDeadline(RequestId id, int expiredTry) {
     if (triesMade == expiredTry && !answered) {
       answered = true;
--- a/testbed/src/main/java/rushwood/testbed/simulation/VirtualHost.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualHost.java
@@ -112,7 +112,7 @@
     }
     if (attempt.isWrite()) {
       Request request = attempt.request().details();
-      ledger.recordExecution((int) request.fingerprint(), request.id().value());
+      ledger.recordExecution(VirtualClient.numberOf(request), request.id().value());
     }
     endAfterLatency(attempt, AttemptOutcome.SUCCESS);
   }
--- a/testbed/src/main/java/rushwood/testbed/simulation/VirtualRouter.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualRouter.java
@@ -128,13 +128,13 @@
       connectBackoff.attemptSucceeded(hostId);
       host.send(attempt, timeoutNanos);
     } else if (connectBackoff.isAttemptAllowed(hostId, events.now())) {
-      connectInVain(hostId, attempt);
+      connectWhileDown(hostId, attempt);
     } else {
       pendingCalls.add(() -> attempt.end(AttemptOutcome.NOT_SENT));
     }
   }
 
-  private void connectInVain(HostId hostId, VirtualAttempt attempt) {
+  private void connectWhileDown(HostId hostId, VirtualAttempt attempt) {
     context.counts().connectedWhileDown();
     connectBackoff.attemptStarted(hostId);
     events.scheduleAfter(
--- a/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
+++ b/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
@@ -48,7 +48,8 @@
             * PARAMETERS.overloadWindowNanos()
             / 1e9;
     double load = cluster.computeOnLoop(() -> cluster.hostModel(COLD_HOST).worstColdOverload());
-    assertTrue(load > 0.05, "it is used: " + load);
+    assertTrue(
+        load > 0.05, "hardly any request came to the cold host: " + load + " times what it bears");
     assertTrue(load <= 1 + (2 * Math.sqrt(bearable) + 2) / bearable, load + " times what it bears");
   }
 
--- a/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
+++ b/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rushwood.testbed.DrainingCluster.DRAINED_HOST;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -13,7 +15,10 @@
 import rushwood.testbed.load.RouterCluster;
 import rushwood.testbed.standin.StandinDiscovery;
 
-/** A host that is announced as leaving is drained, whatever befalls the announcement's way. */
+/**
+ * A host that is announced as leaving gets no requests after the drain grace, also when watches,
+ * agents, configurations or processes fail or change as it is announced.
+ */
 class EndpointDrainTest {
   private DrainingCluster draining;
   private RouterCluster cluster;
@@ -93,7 +98,8 @@
         });
     moved.configureDiscovery(other.address());
     draining.assertDrainedBy(() -> moved.process().signal("HUP"));
-    assertTrue(moved.process().log().contains("discovery is at"));
+    String log = moved.process().log();
+    assertTrue(log.contains("discovery is at"), log);
   }
 
   /** The list that it held from before calls the host ready; not one request goes there. */
@@ -109,8 +115,13 @@
     member.start(knownEndpoints);
     draining.startLoad();
     Thread.sleep(1000);
-    assertEquals(before, cluster.computeOnLoop(() -> member.requestsSent(DRAINED_HOST)));
-    assertTrue(cluster.computeOnLoop(() -> member.requestsSent("h1")) > 0);
+    assertEquals(
+        before,
+        cluster.computeOnLoop(() -> member.requestsSent(DRAINED_HOST)),
+        () -> "requests to the leaving host; the router's log: " + logOf(member));
+    assertTrue(
+        cluster.computeOnLoop(() -> member.requestsSent("h1")) > 0,
+        () -> "the router sends nothing to h1: " + logOf(member));
   }
 
   /** One entry of hundreds, in an indented list, over a watch that broke. */
@@ -148,4 +159,12 @@
     }
     draining.assertDrainedSince(announcedAt);
   }
+
+  private static String logOf(ClusterMember member) {
+    try {
+      return member.process().log();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
--- a/testbed/src/test/java/rushwood/testbed/MalformedEndpointListTest.java
+++ b/testbed/src/test/java/rushwood/testbed/MalformedEndpointListTest.java
@@ -1,5 +1,6 @@
 package rushwood.testbed;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rushwood.testbed.DrainingCluster.DRAINED_HOST;
 
@@ -102,7 +103,7 @@
       String log = member.process().log();
       assertTrue(
           log.contains("discovery writes what cannot be read") && log.contains("servers"), log);
-      assertTrue(!log.contains("caught"), log);
+      assertFalse(log.contains("caught"), log);
     }
   }
 }
