Command check: faults are records, exit codes have names

Faults were kept as JSON nodes and read back to be printed; 0 and 2 stood bare. The test now also holds the fields of the JSON output.

--- a/cli/src/main/java/rushwood/cli/CheckCommand.java
+++ b/cli/src/main/java/rushwood/cli/CheckCommand.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -32,16 +33,22 @@
   @Option(names = "--json", description = "Every fault as JSON on standard output.")
   private boolean json;
 
+  /** What is wrong with a file, in one line. */
+  private record Fault(Path file, String reason) {}
+
   @Override
   public Integer call() {
-    ArrayNode faults = MAPPER.createArrayNode();
+    List<Fault> faults = new ArrayList<>();
     for (Path file : files) {
-      for (String fault : findFaults(file)) {
-        faults.addObject().put("file", file.toString()).put("fault", fault);
-      }
+      findFaults(file).forEach(reason -> faults.add(new Fault(file, reason)));
+    }
+    if (json) {
+      System.out.println(toJson(faults));
+    } else {
+      faults.forEach(
+          fault -> System.err.println("rushwood: " + fault.file() + ": " + fault.reason()));
     }
-    print(faults);
-    return faults.isEmpty() ? 0 : 2;
+    return faults.isEmpty() ? Rushwood.EXIT_DONE : Rushwood.EXIT_INVALID_INPUT;
   }
 
   private List<String> findFaults(Path file) {
@@ -53,14 +60,11 @@
     }
   }
 
-  private void print(ArrayNode faults) {
-    if (json) {
-      System.out.println(faults);
-      return;
-    }
-    for (JsonNode fault : faults) {
-      System.err.println(
-          "rushwood: " + fault.get("file").asText() + ": " + fault.get("fault").asText());
+  private static ArrayNode toJson(List<Fault> faults) {
+    ArrayNode array = MAPPER.createArrayNode();
+    for (Fault fault : faults) {
+      array.addObject().put("file", fault.file().toString()).put("fault", fault.reason());
     }
+    return array;
   }
 }
--- a/cli/src/main/java/rushwood/cli/Rushwood.java
+++ b/cli/src/main/java/rushwood/cli/Rushwood.java
@@ -25,8 +25,9 @@
   /** What {@link #run} returns for a command that goes on and will end the process itself. */
   static final int STILL_RUNNING = -1;
 
+  static final int EXIT_DONE = 0;
+  static final int EXIT_INVALID_INPUT = 2;
   private static final int EXIT_FAILED = 1;
-  private static final int EXIT_INVALID_INPUT = 2;
 
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/cli/src/main/java/rushwood/cli/TestbedRunCommand.java
+++ b/cli/src/main/java/rushwood/cli/TestbedRunCommand.java
@@ -58,7 +58,7 @@
       }
     }
     report.write(experiment.name(), results);
-    return 0;
+    return Rushwood.EXIT_DONE;
   }
 
   private static Path existingJar(String argument) throws InvalidInputException {
--- a/cli/src/main/java/rushwood/cli/TestbedVirtualCommand.java
+++ b/cli/src/main/java/rushwood/cli/TestbedVirtualCommand.java
@@ -50,6 +50,6 @@
       results.put(count + " routers, without", Simulation.withoutOverloadControl(sized).run());
     }
     report.write(experiment.name(), results);
-    return 0;
+    return Rushwood.EXIT_DONE;
   }
 }
--- a/cli/src/test/java/rushwood/cli/CheckCommandTest.java
+++ b/cli/src/test/java/rushwood/cli/CheckCommandTest.java
@@ -22,7 +22,9 @@
     Path negative = Files.writeString(folder.resolve("bad.json"), "{\"storm\":{\"repeats\":-1}}");
     assertEquals(
         2, command.run("check", negative.toString(), "--schema", SETTINGS_SCHEMA, "--json"));
-    assertTrue(command.output().contains("storm.repeats"), command.output());
+    String faults = command.output();
+    assertTrue(faults.startsWith("[{\"file\":\"" + negative + "\",\"fault\":\""), faults);
+    assertTrue(faults.contains("storm.repeats"), faults);
     Path format = Files.writeString(folder.resolve("json.json"), "{\"log\":{\"format\":\"json\"}}");
     assertEquals(2, command.run("check", format.toString(), "--schema", SETTINGS_SCHEMA, "--json"));
   }
