Server: wire dispatcher, policy and frontend in one place

RouterAssembler and Warmup each wired the connection settings, the connection limits and the policy, so that a new limit had to be added twice or the warm-up would run other code than the server.

PolicyFactory becomes RequestPathFactory, which creates the dispatcher, the policy and the frontend for both. The warm-up now takes whether removal is binding from the settings instead of a fixed true: its endpoints are all ready and listed once, so nothing of it reads that value. The warm-up's descriptor count has a name. No behaviour of the server changes.

--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -9,14 +9,12 @@
 import rushwood.config.RouterConfig;
 import rushwood.discovery.DiscoveryClient;
 import rushwood.discovery.EndpointList;
-import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EndpointAddress;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
 import rushwood.net.BackendConnector;
-import rushwood.net.ConnectionLimits;
 import rushwood.net.FrontendServer;
 import rushwood.overload.ConnectBackoff;
 import rushwood.overload.ConnectionAdmission;
@@ -48,8 +46,8 @@
   private final TimerQueue timerQueue;
   private final RateLimitedLogger logger;
   private final DescriptorBudget descriptorBudget;
-  private final ConnectBackoff connectBackoff;
-  private OverloadController overloadController; // created by the dispatcher, for its own actions
+  private final RequestPathFactory requestPathFactory;
+  private OverloadController overloadController; // set by createDispatcher
 
   RouterAssembler(
       RouterConfig config, OperatorSettings operatorSettings, SingleThreadEventLoop eventLoop) {
@@ -60,9 +58,16 @@
     timerQueue = new TimerQueue(clock, new EventLoopTimer(eventLoop), counters);
     logger = new RateLimitedLogger(clock);
     descriptorBudget = new DescriptorBudget(config.maxSockets() - RESERVED_SOCKETS);
-    connectBackoff =
-        new ConnectBackoff(
-            new SplittableRandom(~config.seed()), operatorSettings.overload().connectBackoff());
+    requestPathFactory =
+        new RequestPathFactory(
+            config,
+            clock,
+            timerQueue,
+            counters,
+            descriptorBudget,
+            new ConnectBackoff(
+                new SplittableRandom(~config.seed()),
+                operatorSettings.overload().connectBackoff()));
   }
 
   /**
@@ -101,25 +106,11 @@
   private RequestDispatcher createDispatcher() {
     BackendConnector backendConnector =
         new BackendConnector(eventLoop, ByteBufAllocator.DEFAULT, counters);
-    return new RequestDispatcher(
-        clock,
-        timerQueue,
-        counters,
-        new ConnectionSettings(
-            descriptorBudget,
-            connectBackoff,
-            config.connectTimeoutNanos(),
-            config.idleTimeoutNanos(),
-            config.settings().isRemovalBinding(),
-            config.drainGraceNanos()),
-        backendConnector,
-        logger::log,
-        this::createPolicy);
+    return requestPathFactory.createDispatcher(backendConnector, logger::log, this::createPolicy);
   }
 
   private OverloadController createPolicy(PolicyActions actions) {
-    overloadController =
-        PolicyFactory.create(config, operatorSettings.overload(), connectBackoff, actions);
+    overloadController = requestPathFactory.createPolicy(operatorSettings.overload(), actions);
     OverloadCounts counts = overloadController.counts();
     counters.register("overload_repeated_requests", counts::repeatedRequests);
     counters.register("overload_returned_as_advised", counts::returnedAsAdvised);
@@ -132,17 +123,11 @@
   }
 
   private FrontendServer createFrontend(RequestDispatcher dispatcher) {
-    return new FrontendServer(
+    return requestPathFactory.createFrontend(
         dispatcher,
-        clock,
-        timerQueue,
-        counters,
-        config.settings().requestClasses(),
-        new ConnectionLimits(
-            new ConnectionAdmission(
-                descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
-            descriptorBudget,
-            () -> overloadController.retryAfterForRefusedConnection(clock.now())),
+        new ConnectionAdmission(
+            descriptorBudget.maxClients(clock.now()), config.settings().maxRetryAfterNanos()),
+        () -> overloadController.retryAfterForRefusedConnection(clock.now()),
         new SplittableRandom(config.seed() + 2));
   }
 
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -28,14 +28,12 @@
 import rushwood.api.RequestClass;
 import rushwood.api.ZoneId;
 import rushwood.config.RouterConfig;
-import rushwood.dispatch.ConnectionSettings;
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EndpointAddress;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
 import rushwood.net.BackendConnector;
-import rushwood.net.ConnectionLimits;
 import rushwood.net.FrontendServer;
 import rushwood.net.WarmupPeers;
 import rushwood.overload.ConnectBackoff;
@@ -55,6 +53,9 @@
   private static final int CLIENT_COUNT = 12; // at once, so that some requests have to queue
   private static final int BACKEND_COUNT = 4;
 
+  /** Leaves 24 descriptors to the backends, twice as many as there are requests at once. */
+  private static final int DESCRIPTORS_PER_CLIENT = 5;
+
   /** The compiler takes a method after 200 calls; this many requests reach rare methods too. */
   private static final int MAX_REQUESTS = 6000;
 
@@ -126,51 +127,37 @@
   private void start() {
     long endTime = System.nanoTime() + MAX_DURATION_NANOS;
     EventLoopClock clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
-    TimerQueue timerQueue = new TimerQueue(clock, timer, counters);
-    DescriptorBudget descriptorBudget = new DescriptorBudget(CLIENT_COUNT * 5);
-    dispatcher = createDispatcher(clock, timerQueue, descriptorBudget);
-    FrontendServer frontend = createFrontend(clock, timerQueue, descriptorBudget);
+    RequestPathFactory requestPathFactory =
+        new RequestPathFactory(
+            config,
+            clock,
+            new TimerQueue(clock, timer, counters),
+            counters,
+            new DescriptorBudget(CLIENT_COUNT * DESCRIPTORS_PER_CLIENT),
+            new ConnectBackoff(new SplittableRandom(config.seed()), true));
+    dispatcher =
+        requestPathFactory.createDispatcher(
+            createBackendConnector(),
+            line -> {}, // nothing is logged
+            actions -> requestPathFactory.createPolicy(OverloadSettings.DEFAULT, actions));
+    FrontendServer frontend =
+        requestPathFactory.createFrontend(
+            dispatcher,
+            new ConnectionAdmission(CLIENT_COUNT, 0),
+            () -> 0,
+            new SplittableRandom(config.seed()));
     dispatcher.endpointsReplaced(createEndpoints(), true);
     listenForBackendConnections();
     listenForClients(frontend);
     awaitEnd(endTime);
   }
 
-  private RequestDispatcher createDispatcher(
-      EventLoopClock clock, TimerQueue timerQueue, DescriptorBudget descriptorBudget) {
-    BackendConnector backendConnector =
-        new BackendConnector(
-            new Bootstrap().group(eventLoop).channel(NioDomainSocketChannel.class),
-            address -> socketAddress(BACKEND_SOCKET),
-            allocator,
-            counters);
-    ConnectBackoff connectBackoff = new ConnectBackoff(new SplittableRandom(config.seed()), true);
-    return new RequestDispatcher(
-        clock,
-        timerQueue,
-        counters,
-        new ConnectionSettings(
-            descriptorBudget,
-            connectBackoff,
-            config.connectTimeoutNanos(),
-            config.idleTimeoutNanos(),
-            true,
-            config.drainGraceNanos()),
-        backendConnector,
-        line -> {}, // nothing is logged
-        actions -> PolicyFactory.create(config, OverloadSettings.DEFAULT, connectBackoff, actions));
-  }
-
-  private FrontendServer createFrontend(
-      EventLoopClock clock, TimerQueue timerQueue, DescriptorBudget descriptorBudget) {
-    return new FrontendServer(
-        dispatcher,
-        clock,
-        timerQueue,
-        counters,
-        requestClasses,
-        new ConnectionLimits(new ConnectionAdmission(CLIENT_COUNT, 0), descriptorBudget, () -> 0),
-        new SplittableRandom(config.seed()));
+  private BackendConnector createBackendConnector() {
+    return new BackendConnector(
+        new Bootstrap().group(eventLoop).channel(NioDomainSocketChannel.class),
+        address -> socketAddress(BACKEND_SOCKET),
+        allocator,
+        counters);
   }
 
   private static List<EndpointAddress> createEndpoints() {
