--- a/router/src/test/java/rushwood/simulator/SimulatorAdapterTest.java
+++ b/router/src/test/java/rushwood/simulator/SimulatorAdapterTest.java
@@ -40,4 +40,28 @@
     assertEquals("rushwood: line 2 (due): router is not named\n", errors.toString(UTF_8));
     assertEquals("", output.toString(UTF_8));
   }
+
+  @Test
+  void skipsTheRestOfABatchForAnUnknownRouter() throws IOException {
+    assertEquals(
+        0,
+        run(
+            "mark\tclock=1.0",
+            "target_instance\trouter=4",
+            "due",
+            "target_instance\trouter=5",
+            "eof_batch",
+            "",
+            "mark\tclock=2.0",
+            "eof_batch"));
+    assertEquals(
+        "as\trouter=4\ndie\tmessage=line 3 (due): router 4 is unknown\nok\nok\n",
+        output.toString(UTF_8));
+  }
+
+  @Test
+  void endsTheProcessWhereTheInputEndsWithinABatch() throws IOException {
+    assertEquals(1, run("mark\tclock=1.0"));
+    assertEquals("rushwood: line 2: the input ends within a batch\n", errors.toString(UTF_8));
+  }
 }
