Discovery: track list versions apart from requests, without generation numbers

ListVersionTracker now tells by version whether a list may be applied. The generations are gone: a request knows whether it goes to a former agent, the tracker whether the current one has listed. That is the same, as a poll never goes to a former agent and its watch is closed by the first list of the new one. PollSchedule.NEVER has a name outside too, durations end in Nanos, and comments that were hard to follow are in plain words.

--- a/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
+++ b/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
@@ -9,10 +9,11 @@
  * Decides when to poll the discovery agent for the complete list and when to watch its changes, so
  * that the router's list is never older than part of the drain grace, whatever fails.
  *
- * <p>What the agent has counts as announced to the router at once, whether or not a request brought
- * it. So the complete list is polled first, then its changes are watched, and the list is polled
- * again at intervals that follow from the grace: no heartbeat of a watch proves that the watch
- * still brings what there is. {@link PollSchedule} has the times.
+ * <p>The platform takes the router to know a change as soon as the agent has it, whether or not a
+ * request has brought it. So the complete list is polled first, then its changes are watched. As
+ * the heartbeats of a watch do not prove that it still delivers changes, the complete list is also
+ * polled again at intervals that follow from the grace. {@link PollSchedule} has the times, {@link
+ * ListVersionTracker} rejects old lists.
  *
  * <p>No I/O. Times are nanoseconds of the caller's clock and must not go back. Not thread-safe: all
  * calls come from the event loop that runs the {@link Transport}.
@@ -48,31 +49,25 @@
   }
 
   /**
-   * A watch that is half an interval late has stalled. What is missed counts after 6 s, so that the
-   * poll that follows is in time.
+   * A watch without data for so long has stalled: its heartbeat is late by half an interval. It is
+   * replaced when the next poll has brought the list.
    */
   private static final long HEARTBEAT_OVERDUE_NANOS =
       DiscoveryProtocol.HEARTBEAT_NANOS + DiscoveryProtocol.HEARTBEAT_NANOS / 2;
 
-  /** After so many complete lists of an older version in a row, the older version is accepted. */
-  private static final int OLDER_LISTS_UNTIL_ACCEPTED = 3;
-
   /** A poll, a watch and, while a watch is replaced, its successor. */
   private static final int MAX_OPEN_REQUESTS = 3;
 
-  private static final int NO_GENERATION = -1;
-
   private static final class OpenRequest {
     final int number;
     final boolean watch;
-    final int addressGeneration;
     final long openedAt;
     long lastDataAt;
+    boolean isToFormerAgent; // opened before the agent's address changed
 
-    OpenRequest(int number, boolean watch, int addressGeneration, long now) {
+    OpenRequest(int number, boolean watch, long now) {
       this.number = number;
       this.watch = watch;
-      this.addressGeneration = addressGeneration;
       openedAt = now;
       lastDataAt = now;
     }
@@ -81,33 +76,29 @@
   private final Transport transport;
   private final PollSchedule schedule;
   private final List<OpenRequest> openRequests = new ArrayList<>(MAX_OPEN_REQUESTS);
-  private OpenRequest poll;
-  private OpenRequest watch;
+  private final ListVersionTracker versions;
+  private OpenRequest poll; // null if none is open; never one to a former agent
+  private OpenRequest watch; // null if none is open
   private int nextRequestNumber;
-  private int addressGeneration; // counts the agent's addresses
-  private int listedGeneration = NO_GENERATION; // of the agent that sent the last complete list
-  private long version;
-  private int consecutiveOlderLists;
   private boolean listUncertain; // the last list was not accepted, or not readable, in full
   private boolean stopped = true;
 
   /**
    * Creates a policy that does nothing until {@link #start}.
    *
-   * @param drainGrace nanoseconds after which a leaving endpoint may get nothing new
+   * @param drainGraceNanos time after which a leaving endpoint may get nothing new
    * @param version version of the list held from an earlier process, 0 for none
    */
   public EndpointRefreshPolicy(
-      long drainGrace, long version, RandomGenerator random, Transport transport) {
+      long drainGraceNanos, long version, RandomGenerator random, Transport transport) {
     this.transport = transport;
-    this.version = version;
-    schedule = new PollSchedule(drainGrace, random);
+    versions = new ListVersionTracker(version);
+    schedule = new PollSchedule(drainGraceNanos, random);
   }
 
   /** The version that a poll made now need not decode again; empty if any list is wanted. */
   public OptionalLong skippableVersion() {
-    boolean listed = listedGeneration == addressGeneration;
-    return listUncertain || !listed ? OptionalLong.empty() : OptionalLong.of(version);
+    return listUncertain ? OptionalLong.empty() : versions.currentAgentVersion();
   }
 
   /** Polls the agent at once. */
@@ -121,10 +112,11 @@
    * until the new agent has sent its list.
    */
   public void addressChanged(long now) {
-    addressGeneration++;
+    versions.agentChanged();
     if (poll != null) {
       closeRequest(poll, false);
     }
+    openRequests.forEach(request -> request.isToFormerAgent = true);
     schedule.pollImmediately(now);
     scheduleWakeup();
   }
@@ -138,9 +130,9 @@
   // ---- events of the requests
 
   /**
-   * Data has arrived. Of a watch it counts only if it ended {@code betweenLists}: half a list is as
-   * good as silence. It proves that the watch lives, not that it brings what there is, so the next
-   * poll stays as scheduled.
+   * Data has arrived, which puts off the deadline of a poll and shows that a watch is alive; that
+   * of a watch only if it ended {@code betweenLists}, as a list that never ends is of no use. It
+   * does not show that the watch delivers all changes, so the next poll stays as scheduled.
    */
   public void dataReceived(long now, int requestNumber, boolean betweenLists) {
     OpenRequest request = findRequest(requestNumber);
@@ -163,7 +155,8 @@
     if (request == null) {
       return Acceptance.LEAVING_ENDPOINTS;
     }
-    if (isOlder(request, complete, listVersion) && !acceptOlder(complete)) {
+    boolean changed = versions.isChange(listVersion);
+    if (!versions.accept(complete, listVersion, !request.isToFormerAgent)) {
       listUncertain = true;
       pollUrgently(now);
       return Acceptance.LEAVING_ENDPOINTS;
@@ -173,42 +166,13 @@
       schedule.pollWithinInterval(now);
       scheduleWakeup();
     }
-    boolean changed = isChange(request, listVersion);
-    version = listVersion.orElse(version);
-    if (complete) {
-      consecutiveOlderLists = 0;
-      listedGeneration = request.addressGeneration;
-    }
-    if (request == poll && (changed || !watchIsAlive(now))) {
+    if (request == poll && (changed || !isWatchAlive(now))) {
       replaceWatch(now, listVersion.orElse(0));
     }
     return Acceptance.ALL;
   }
 
-  /** Whether the version goes back. That of the first list of another agent may: it is its own. */
-  private boolean isOlder(OpenRequest request, boolean complete, OptionalLong listVersion) {
-    boolean firstFromNewAgent =
-        complete
-            && addressGeneration > 0
-            && request.addressGeneration == addressGeneration
-            && listedGeneration != addressGeneration;
-    return listVersion.isPresent() && listVersion.getAsLong() < version && !firstFromNewAgent;
-  }
-
-  private boolean acceptOlder(boolean complete) {
-    if (complete) {
-      consecutiveOlderLists++;
-    }
-    return complete && consecutiveOlderLists >= OLDER_LISTS_UNTIL_ACCEPTED;
-  }
-
-  private boolean isChange(OpenRequest request, OptionalLong listVersion) {
-    return listVersion.isEmpty()
-        || listVersion.getAsLong() != version
-        || listedGeneration != request.addressGeneration;
-  }
-
-  private boolean watchIsAlive(long now) {
+  private boolean isWatchAlive(long now) {
     return watch != null && now - watch.lastDataAt <= HEARTBEAT_OVERDUE_NANOS;
   }
 
@@ -239,7 +203,7 @@
     if (request != null) {
       closeRequest(request, false);
       listUncertain = true;
-      if (request.addressGeneration == addressGeneration) {
+      if (!request.isToFormerAgent) {
         pollUrgently(now);
       }
     }
@@ -276,7 +240,7 @@
 
   private void scheduleWakeup() {
     long at = poll != null ? pollDeadline() : schedule.nextPollAt();
-    if (!stopped && at < Long.MAX_VALUE) {
+    if (!stopped && at != PollSchedule.NEVER) {
       transport.scheduleWakeup(at);
     }
   }
@@ -284,7 +248,7 @@
   // ---- requests
 
   private OpenRequest openRequest(long now, boolean isWatch, long sinceVersion) {
-    OpenRequest request = new OpenRequest(nextRequestNumber++, isWatch, addressGeneration, now);
+    OpenRequest request = new OpenRequest(nextRequestNumber++, isWatch, now);
     openRequests.add(request);
     transport.open(request.number, isWatch, sinceVersion);
     return request;
@@ -297,7 +261,7 @@
     transport.close(request.number, timedOut);
   }
 
-  /** Null for a request that has been closed: its late events say nothing. */
+  /** Returns null for a request that has been closed; events of it are ignored. */
   private OpenRequest findRequest(int requestNumber) {
     for (OpenRequest request : openRequests) {
       if (request.number == requestNumber) {
--- a/router/src/main/java/rushwood/discovery/PollSchedule.java
+++ b/router/src/main/java/rushwood/discovery/PollSchedule.java
@@ -12,68 +12,74 @@
  * server to protect, and a longer wait would break the bound.
  */
 final class PollSchedule {
+  /** The time of a poll that is not scheduled; later than any other. */
+  static final long NEVER = Long.MAX_VALUE;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final long NEVER = Long.MAX_VALUE;
 
   /** Shortest interval at any drain grace: 40 polls a second take a few ms of a core. */
   private static final long MIN_INTERVAL_NANOS = 25 * NANOS_PER_MILLI;
 
   /**
-   * Longest time that the list may be out of date. A change counts as announced 6 s after the agent
-   * has it; a poll interval and two response timeouts stay two seconds below that.
+   * Longest time that the list may be out of date. The platform holds the router to a change 6 s
+   * after the agent has it; a poll interval and two response timeouts together take this long,
+   * which leaves two seconds.
    */
   private static final long MAX_STALENESS_NANOS = 4000 * NANOS_PER_MILLI;
 
-  /** Response timeouts that a response may take from its first byte to its last. */
+  /** How many response timeouts a poll may take in all as long as data keeps coming. */
   private static final int TIMEOUTS_PER_RESPONSE = 4;
 
   private final RandomGenerator random;
-  private final long pollInterval;
-  private final long responseTimeout;
-  private long maxPollDuration;
+  private final long pollIntervalNanos;
+  private final long responseTimeoutNanos;
+  private long maxPollDurationNanos;
   private long regularPollAt = NEVER;
   private long urgentPollAt = NEVER;
-  private long earliestPollAt = Long.MIN_VALUE;
+  private long earliestPollAt = Long.MIN_VALUE; // no limit before the first poll
 
   /**
    * Derives the intervals from the drain grace.
    *
-   * @param drainGrace time after which a leaving endpoint may get nothing new
+   * @param drainGraceNanos time after which a leaving endpoint may get nothing new
    */
-  PollSchedule(long drainGrace, RandomGenerator random) {
+  PollSchedule(long drainGraceNanos, RandomGenerator random) {
     this.random = random;
-    long maxStaleness = Math.min(drainGrace, MAX_STALENESS_NANOS);
-    pollInterval = Math.max(MIN_INTERVAL_NANOS, maxStaleness / 2);
-    responseTimeout = Math.max(MIN_INTERVAL_NANOS, maxStaleness / 4);
-    maxPollDuration = TIMEOUTS_PER_RESPONSE * responseTimeout;
+    long maxStalenessNanos = Math.min(drainGraceNanos, MAX_STALENESS_NANOS);
+    pollIntervalNanos = Math.max(MIN_INTERVAL_NANOS, maxStalenessNanos / 2);
+    responseTimeoutNanos = Math.max(MIN_INTERVAL_NANOS, maxStalenessNanos / 4);
+    maxPollDurationNanos = TIMEOUTS_PER_RESPONSE * responseTimeoutNanos;
   }
 
   /**
-   * The list is known to be out of date or may be: polls as soon as the last poll is old enough.
+   * Schedules a poll as soon as the last one is old enough, since the list is or may be out of
+   * date.
    */
   void pollUrgently(long now) {
     urgentPollAt = Math.min(urgentPollAt, now);
   }
 
-  /** As {@link #pollUrgently}, without a wait after the last poll. */
+  /** Schedules a poll for now, without the wait after the last one. */
   void pollImmediately(long now) {
     earliestPollAt = now;
     pollUrgently(now);
   }
 
-  /** Polls after an interval at the latest. */
+  /** Schedules a poll after an interval at the latest. */
   void pollWithinInterval(long now) {
     urgentPollAt = Math.min(urgentPollAt, now + jitteredPollInterval());
   }
 
+  /** A poll was opened; none is scheduled until it ends. */
   void pollStarted(long now) {
     regularPollAt = NEVER;
     urgentPollAt = NEVER;
-    earliestPollAt = now + responseTimeout / 2 + random.nextLong(responseTimeout / 2);
+    earliestPollAt = now + responseTimeoutNanos / 2 + random.nextLong(responseTimeoutNanos / 2);
   }
 
+  /** The poll brought a whole response. */
   void pollCompleted(long now) {
-    maxPollDuration = TIMEOUTS_PER_RESPONSE * responseTimeout;
+    maxPollDurationNanos = TIMEOUTS_PER_RESPONSE * responseTimeoutNanos;
     regularPollAt = now + jitteredPollInterval();
   }
 
@@ -83,25 +89,28 @@
    */
   void pollTimedOut(long now, boolean responseStarted) {
     if (responseStarted) {
-      long limit = Math.max(maxPollDuration, DiscoveryProtocol.HEARTBEAT_NANOS);
-      maxPollDuration = Math.min(2 * maxPollDuration, limit);
+      long limit = Math.max(maxPollDurationNanos, DiscoveryProtocol.HEARTBEAT_NANOS);
+      maxPollDurationNanos = Math.min(2 * maxPollDurationNanos, limit);
     }
-    pollImmediately(now); // the timeout was the wait
+    pollImmediately(now); // the timeout has been wait enough
   }
 
   /** When a poll that was opened at {@code openedAt} and last sent data then is closed. */
   long deadline(long openedAt, long lastDataAt) {
-    return Math.min(lastDataAt + responseTimeout, openedAt + maxPollDuration);
+    return Math.min(lastDataAt + responseTimeoutNanos, openedAt + maxPollDurationNanos);
   }
 
-  /** When the next poll is due; {@link Long#MAX_VALUE} for no poll. */
+  /** When the next poll is due; {@link #NEVER} if none is scheduled. */
   long nextPollAt() {
     long at = Math.min(regularPollAt, urgentPollAt);
     return at == NEVER ? NEVER : Math.max(at, earliestPollAt);
   }
 
-  /** Shortened by up to a quarter, so that routers that start together do not stay in step. */
+  /**
+   * Returns the interval shortened by up to a quarter, so that routers that start together do not
+   * stay in step.
+   */
   private long jitteredPollInterval() {
-    return pollInterval - random.nextLong(pollInterval / 4);
+    return pollIntervalNanos - random.nextLong(pollIntervalNanos / 4);
   }
 }
