Server: name the version of the last known list

The version was computed in the middle of a call chain and clamped to 0, although EndpointList never has a negative one. It is a method of its own now, and the problems of the list are logged in a loop.

--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import rushwood.api.PolicyActions;
 import rushwood.config.OperatorSettings;
@@ -132,23 +133,29 @@
   }
 
   private DiscoveryClient createDiscoveryClient(DiscoveryClient.Listener listener) {
-    long lastKnownVersion =
-        config.lastKnownEndpoints().map(list -> list.version().orElse(0)).orElse(0L);
     return new DiscoveryClient(
         eventLoop,
         clock,
         timerQueue,
         new DiscoveryClient.Settings(
-            config.discoveryAddress(), config.drainGraceNanos(), Math.max(0, lastKnownVersion)),
+            config.discoveryAddress(), config.drainGraceNanos(), lastKnownVersion()),
         new SplittableRandom(config.seed() + 1),
         listener);
   }
 
+  /** Returns the version of the list held from an earlier process, 0 if there is none. */
+  private long lastKnownVersion() {
+    Optional<EndpointList> list = config.lastKnownEndpoints();
+    return list.isPresent() ? list.get().version().orElse(0) : 0;
+  }
+
   private void loadLastKnownEndpoints(RequestDispatcher dispatcher) {
     List<EndpointAddress> endpoints = List.of();
     if (config.lastKnownEndpoints().isPresent()) {
       EndpointList list = config.lastKnownEndpoints().get();
-      list.problems().forEach(problem -> logger.log("last known endpoint list: " + problem));
+      for (String problem : list.problems()) {
+        logger.log("last known endpoint list: " + problem);
+      }
       endpoints = list.endpoints();
     }
     dispatcher.endpointsReplaced(endpoints, true);
