Discovery test: invalid entries as a table of cases

Ten calls of one shape stood in one test, with null for an entry of which nothing can be read, so that the first failure hid the others.

--- a/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -10,11 +10,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import rushwood.api.Endpoint;
 import rushwood.api.HostId;
 import rushwood.dispatch.EndpointAddress;
@@ -122,57 +125,64 @@
                 .replace("\n", "\r\n\r\n"));
   }
 
-  /**
-   * An invalid entry does not affect the others. Host and state that can be read of it count, and
-   * the problem names the field.
-   */
-  @Test
-  void invalidEntryDoesNotSpoilOthers() throws UnreadableListException {
-    assertInvalidEntry(
-        "state has the unknown value Sleeping",
-        new PartialEndpoint(new HostId("s-1"), null),
-        DRAINING_ENTRY.replace("Terminating", "Sleeping"));
-    assertInvalidEntry(
-        "state is missing or cannot be read",
-        new PartialEndpoint(new HostId("s-1"), null),
-        DRAINING_ENTRY.replace("\"Terminating\"", "null"));
-    assertInvalidEntry(
-        "addr is missing or cannot be read",
-        DRAINING_ENDPOINT,
-        DRAINING_ENTRY.replace("10.1.0.18:6432", "a.name:1"));
-    assertInvalidEntry(
-        "addr is missing or cannot be read",
-        DRAINING_ENDPOINT,
-        DRAINING_ENTRY.replace(":6432", ":99999"));
-    assertInvalidEntry(
-        "weight is missing or cannot be read",
-        DRAINING_ENDPOINT,
-        DRAINING_ENTRY.replace("1.5", "-1"));
-    assertInvalidEntry(
-        "cell is missing or cannot be read",
-        DRAINING_ENDPOINT,
-        DRAINING_ENTRY.replace("\"cell\":3", "\"cell\":\"x\""));
-    assertInvalidEntry(
-        "id is missing or cannot be read", null, DRAINING_ENTRY.replace("\"s-1\"", "null"));
-    assertInvalidEntry("servers has an element that is no entry", null, "7");
-    assertInvalidEntry("servers has an element that is no entry", null, "[" + DRAINING_ENTRY + "]");
-    assertInvalidEntry(
-        "servers has an element that is no entry",
-        null,
-        DRAINING_ENTRY.replace("\"state\"", "\"state\"7"));
+  /** An invalid entry, the problem that is reported and what can be read of it all the same. */
+  private record InvalidEntry(String json, String problem, Optional<PartialEndpoint> partial) {}
+
+  private static List<InvalidEntry> invalidEntries() {
+    Optional<PartialEndpoint> draining = Optional.of(DRAINING_ENDPOINT);
+    Optional<PartialEndpoint> ofUnknownState =
+        Optional.of(new PartialEndpoint(new HostId("s-1"), null));
+    Optional<PartialEndpoint> nothing = Optional.empty();
+    return List.of(
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("Terminating", "Sleeping"),
+            "state has the unknown value Sleeping",
+            ofUnknownState),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("\"Terminating\"", "null"),
+            "state is missing or cannot be read",
+            ofUnknownState),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("10.1.0.18:6432", "a.name:1"),
+            "addr is missing or cannot be read",
+            draining),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace(":6432", ":99999"),
+            "addr is missing or cannot be read",
+            draining),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("1.5", "-1"), "weight is missing or cannot be read", draining),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("\"cell\":3", "\"cell\":\"x\""),
+            "cell is missing or cannot be read",
+            draining),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("\"s-1\"", "null"), "id is missing or cannot be read", nothing),
+        new InvalidEntry("7", "servers has an element that is no entry", nothing),
+        new InvalidEntry(
+            "[" + DRAINING_ENTRY + "]", "servers has an element that is no entry", nothing),
+        new InvalidEntry(
+            DRAINING_ENTRY.replace("\"state\"", "\"state\"7"),
+            "servers has an element that is no entry",
+            nothing));
   }
 
-  private static void assertInvalidEntry(
-      String problem, PartialEndpoint partial, String invalidEntry) throws UnreadableListException {
-    for (String text :
-        List.of(READY_ENTRY + "," + invalidEntry, invalidEntry + "," + READY_ENTRY)) {
-      EndpointList list = parse(list(1, true, text)).get(0);
+  /**
+   * An invalid entry does not affect the others, before or after it. Host and state that can be
+   * read of it count, and the problem names the field.
+   */
+  @ParameterizedTest
+  @MethodSource("invalidEntries")
+  void invalidEntryDoesNotSpoilOthers(InvalidEntry invalid) throws UnreadableListException {
+    for (String entries :
+        List.of(READY_ENTRY + "," + invalid.json(), invalid.json() + "," + READY_ENTRY)) {
+      EndpointList list = parse(list(1, true, entries)).get(0);
       assertEquals("s-2", list.endpoints().get(0).endpoint().id().value());
       assertEquals(1, list.endpoints().size());
-      assertEquals(List.of(problem), list.problems());
-      assertEquals(partial == null ? List.of() : List.of(partial), list.partialEndpoints());
+      assertEquals(List.of(invalid.problem()), list.problems());
+      assertEquals(invalid.partial().stream().toList(), list.partialEndpoints());
       assertEquals(
-          DRAINING_ENDPOINT.equals(partial) ? List.of(DRAINING_ENDPOINT) : List.of(),
+          invalid.partial().filter(DRAINING_ENDPOINT::equals).stream().toList(),
           list.leavingEndpoints());
     }
   }
