Server, discovery, config: say in plain words what constants and limits are for

Comments that were fragments, left out the unit or used a figure of speech. RouterConfig told of the idle timeout and the drain grace something else than the code that uses them: the idle timeout is the backend's, and the grace is about what is sent, not about what ends. Only comments change.

--- a/router/src/main/java/rushwood/config/RouterConfig.java
+++ b/router/src/main/java/rushwood/config/RouterConfig.java
@@ -22,9 +22,9 @@
  * @param lastKnownEndpoints the list that this router held before it was restarted
  * @param settings what the routing policy reads
  * @param connectTimeoutNanos the longest that a connection to a backend may take to open
- * @param idleTimeoutNanos after which an unused connection to a backend is closed
+ * @param idleTimeoutNanos after how long a backend closes an idle connection
  * @param maxRequestTimeoutNanos the longest that any client waits for an answer
- * @param drainGraceNanos the time within which requests to a draining endpoint have to end
+ * @param drainGraceNanos the time after which a draining or removed endpoint may get nothing new
  */
 public record RouterConfig(
     String name,
--- a/router/src/main/java/rushwood/discovery/EndpointListParser.java
+++ b/router/src/main/java/rushwood/discovery/EndpointListParser.java
@@ -55,7 +55,7 @@
   }
 
   /**
-   * Reads on in {@code in} up to the end of the next list.
+   * Reads from {@code in} up to the end of the next list, which may have begun in earlier buffers.
    *
    * @return the list, or null once {@code in} is used up
    */
@@ -125,7 +125,7 @@
     return builder;
   }
 
-  /** Ends the list that cannot be read any further, with what it said of leaving endpoints. */
+  /** Drops the list that cannot be read further; the exception has its leaving endpoints so far. */
   private UnreadableListException unreadable(String reason) {
     EndpointListBuilder builder = decodeEntries();
     tokenizer.truncatedEntry().ifPresent(builder::addTruncatedEntry);
--- a/router/src/main/java/rushwood/discovery/EndpointListTokenizer.java
+++ b/router/src/main/java/rushwood/discovery/EndpointListTokenizer.java
@@ -13,16 +13,16 @@
  * entries. Both stay readable until the next list begins, after a fault too.
  */
 final class EndpointListTokenizer {
-  /** Sixteen times the largest list of a deployment: 5 MB of decoded endpoints. */
+  /** Sixteen times the largest list of a deployment; decoded they take 5 MB. */
   private static final int MAX_ENTRIES = 1 << 14;
 
-  /** Without white space: {@link #MAX_ENTRIES} entries of the usual size. */
+  /** Bytes without white space: {@link #MAX_ENTRIES} entries of the usual size. */
   private static final int MAX_LIST_BYTES = 4 << 20;
 
-  /** Fifty times the usual entry. */
+  /** Bytes without white space: fifty times the usual entry. */
   private static final int MAX_ENTRY_BYTES = 16 << 10;
 
-  /** The header has two small fields. */
+  /** Bytes without white space: far more than the header's two small fields need. */
   private static final int MAX_HEADER_BYTES = 16 << 10;
 
   private static final int INITIAL_HEADER_BYTES = 128;
--- a/router/src/main/java/rushwood/server/ConfigReloader.java
+++ b/router/src/main/java/rushwood/server/ConfigReloader.java
@@ -14,7 +14,7 @@
  * on the event loop.
  */
 final class ConfigReloader {
-  /** Until a file that cannot be used is read again: it may be half written. */
+  /** How long after a file could not be used it is read again, as it may have been half written. */
   private static final long RETRY_INTERVAL_NANOS = 500_000_000L;
 
   /** A file that stays invalid for ten seconds is not being written. */
@@ -64,8 +64,8 @@
   }
 
   /**
-   * Reads the file on the reader's thread. There is a single one, so that what an earlier signal
-   * found never replaces what a later one did.
+   * Reads the file on the reader's thread. That is a single thread, so that results arrive in the
+   * order of the signals and an older configuration never replaces a newer one.
    */
   private void read(int signal, int attempt, String previousReason) {
     reader.execute(
--- a/router/src/main/java/rushwood/server/MillisecondWaitStrategy.java
+++ b/router/src/main/java/rushwood/server/MillisecondWaitStrategy.java
@@ -9,9 +9,10 @@
 /**
  * Makes the event loop wait up to the next whole millisecond for a timer that is due within one.
  *
- * <p>Netty's selector waits whole milliseconds, rounded to the nearest. Before most timers it then
- * polls the sockets without waiting for up to half a millisecond, as fast as it can; a router has a
- * hundred timers a second and a part of a core. Harm: a timer fires up to a millisecond late.
+ * <p>Netty's selector waits for a whole number of milliseconds, rounded to the nearest. If that is
+ * too short it polls the sockets without a wait until the timer is due, for up to half a
+ * millisecond. That costs CPU time: a router has about a hundred timers a second and only part of a
+ * core. The price of waiting longer is that a timer fires up to a millisecond late.
  */
 final class MillisecondWaitStrategy implements IoHandler {
   /** What Netty adds to a delay before it cuts off the fraction of a millisecond. */
--- a/router/src/main/java/rushwood/server/RateLimitedLogger.java
+++ b/router/src/main/java/rushwood/server/RateLimitedLogger.java
@@ -10,7 +10,7 @@
 final class RateLimitedLogger {
   private static final long WINDOW_NANOS = 1_000_000_000L;
 
-  /** More than a second without trouble writes, and few enough to read. */
+  /** More lines than a router logs in a second of normal service, and few enough to read. */
   private static final int MAX_LINES_PER_WINDOW = 20;
 
   private final EventLoopClock clock;
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -24,10 +24,12 @@
  * listener or one that is bound.
  */
 public final class RouterServer {
-  /** How long a start waits for discovery, which is on this machine and answers at once. */
+  /**
+   * How long a start waits for discovery, which runs on this machine and usually answers at once.
+   */
   private static final long FIRST_LIST_TIMEOUT_MILLIS = 1000;
 
-  /** Connections that the kernel keeps for us while the process is suspended. */
+  /** How many connections the kernel queues for the router while the process is suspended. */
   private static final int LISTEN_BACKLOG = 512;
 
   private final RouterConfig config;
--- a/router/src/main/java/rushwood/server/ShutdownSequence.java
+++ b/router/src/main/java/rushwood/server/ShutdownSequence.java
@@ -36,9 +36,10 @@
   private static final long LAST_REQUEST_RESERVE_NANOS = 300 * NANOS_PER_MILLI;
 
   /**
-   * A process that is suspended as it ends leaves what came meanwhile without an answer. One that
-   * was suspended lately may be again, so it takes its last request earlier by this many times the
-   * longest recent pause. Harm: clients find no router for longer.
+   * A process that is suspended just before it ends leaves the requests that come meanwhile without
+   * an answer. One that was suspended recently may be suspended again, so it takes its last request
+   * earlier by this many times the longest recent pause. The price is a longer time in which
+   * clients find no router.
    */
   private static final int PAUSES_RESERVED = 2;
 
@@ -48,10 +49,12 @@
    */
   private static final long MIN_SERVING_NANOS = 550 * NANOS_PER_MILLI;
 
-  /** From SIGTERM to the event loop: two threads start for it, on a part of a core. */
+  /**
+   * How long SIGTERM takes to reach the event loop: two threads start for it, on part of a core.
+   */
   private static final long SIGNAL_DELAY_NANOS = 100 * NANOS_PER_MILLI;
 
-  /** Between looks at whether all requests are answered. */
+  /** Interval between two checks whether it is time to drain, or whether all is answered. */
   private static final long POLL_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
 
   private final RouterComponents components;
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -32,9 +32,9 @@
 import rushwood.overload.OverloadSettings;
 
 /**
- * Sends requests through a router of its own before the real one listens, so that its code is
- * loaded and compiled by then. Cold code takes a whole core in the first second; on a part of a
- * core clients would wait past their deadline for it.
+ * Sends requests through a router of its own before the real one listens, so that the code is
+ * loaded and compiled by then. While that still goes on, the first second of service takes a whole
+ * core; with only part of a core the first clients would wait past their deadlines.
  *
  * <p>{@link WarmupTraffic} has the clients and backends, on sockets in a temporary folder. {@link
  * #run} is called by the main thread; all else runs on the event loop.
@@ -45,12 +45,16 @@
   /** Leaves 24 descriptors to the backends, twice as many as there are requests at once. */
   private static final int DESCRIPTORS_PER_CLIENT = 5;
 
-  /** The compiler takes a method after 200 calls; this many requests reach rare methods too. */
+  /**
+   * The compiler takes a method after 200 calls; with this many requests rarely called methods
+   * reach that number too.
+   */
   private static final int MAX_REQUESTS = 6000;
 
   /** A longer warm-up made restarts longer than it saved. */
   private static final long MAX_DURATION_NANOS = 900_000_000;
 
+  /** Interval between two checks whether the warm-up has sent enough requests. */
   private static final long POLL_INTERVAL_NANOS = 10_000_000;
 
   private final RouterConfig config;
