--- a/router/src/test/java/rushwood/dispatch/FakeEventLoop.java
+++ b/router/src/test/java/rushwood/dispatch/FakeEventLoop.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /** An event loop whose turns, time and timer a test drives. */
-final class FakeEventLoop {
-  static final long NANOS_PER_MILLI = 1_000_000L;
+public final class FakeEventLoop {
+  public static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final List<Runnable> turnEnds = new ArrayList<>();
   private long time;
@@ -13,9 +13,9 @@
   private long timerAt;
   private long timerDelay;
 
-  final Counters counters = new Counters();
-  final EventLoopClock clock = new EventLoopClock(() -> time, turnEnds::add);
-  final TimerQueue timers = new TimerQueue(clock, this::setTimer, counters);
+  public final Counters counters = new Counters();
+  public final EventLoopClock clock = new EventLoopClock(() -> time, turnEnds::add);
+  public final TimerQueue timers = new TimerQueue(clock, this::setTimer, counters);
 
   private void setTimer(long delayNanos, Runnable task) {
     timerTask = task;
@@ -73,7 +73,7 @@
     time = until;
   }
 
-  void advanceBy(long millis) {
+  public void advanceBy(long millis) {
     advanceTo(timeMillis() + millis);
   }
 
--- /dev/null
+++ b/router/src/test/java/rushwood/net/RejectionThrottleTest.java
@@ -0,0 +1,51 @@
+package rushwood.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import rushwood.dispatch.FakeEventLoop;
+
+class RejectionThrottleTest {
+  private final FakeEventLoop loop = new FakeEventLoop();
+  private final RejectionThrottle throttle = new RejectionThrottle(loop.clock, loop.timers);
+  private int resumed;
+
+  private void reject(int times) {
+    for (int i = 0; i < times; i++) {
+      throttle.recordRejection(() -> resumed++);
+    }
+  }
+
+  @Test
+  void fourthRejectionInARowPausesFor50Millis() {
+    reject(3);
+    assertFalse(throttle.isPaused());
+    reject(1);
+    loop.advanceBy(49);
+    assertTrue(throttle.isPaused());
+    assertEquals(0, resumed);
+    loop.advanceBy(1);
+    assertFalse(throttle.isPaused());
+    assertEquals(1, resumed);
+  }
+
+  @Test
+  void acceptedStatementEndsTheRowButNotThePause() {
+    reject(4);
+    throttle.reset();
+    assertTrue(throttle.isPaused());
+    loop.advanceBy(50);
+    reject(3);
+    assertFalse(throttle.isPaused());
+  }
+
+  @Test
+  void thirteenthRejectionInARowIsTooMany() {
+    reject(12);
+    assertFalse(throttle.isExceeded());
+    reject(1);
+    assertTrue(throttle.isExceeded());
+  }
+}
