Test the input limits, timeouts and admission state of a client connection

FrontendConnection and ConnectionRegistry were only exercised through sockets. The new test drives one connection without a socket, with a fake clock and a policy that leaves requests pending: what may be pipelined, memory shortage, the message timeout, the pause after rejections, cancel keys, what connection admission is told, and that a close is noticed before the statement in front of it.

TestMessages.assertAllReleased now forgets its buffers also if it fails: one leak made all later tests of the JVM fail with it. It checks the same buffers as before.

--- /dev/null
+++ b/router/src/test/java/rushwood/net/FrontendConnectionTest.java
@@ -0,0 +1,312 @@
+package rushwood.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rushwood.api.AttemptResult;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.LoadReport;
+import rushwood.api.PolicyActions;
+import rushwood.api.Request;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingPolicy;
+import rushwood.api.ZoneId;
+import rushwood.dispatch.ConnectionSettings;
+import rushwood.dispatch.Counter;
+import rushwood.dispatch.EndpointAddress;
+import rushwood.dispatch.FakeEventLoop;
+import rushwood.dispatch.RequestDispatcher;
+import rushwood.overload.ConnectBackoff;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.ConnectionAdmission.ConnectionState;
+import rushwood.overload.DescriptorBudget;
+import rushwood.protocol.TestMessages;
+
+/** What a client may send, how long it may take, and what connection admission is told of it. */
+class FrontendConnectionTest {
+  private static final int MAX_PIPELINED_BYTES = 1 << 20;
+  private static final int MAX_PIPELINED_BYTES_LOW_MEMORY = 64 << 10;
+  private static final int STATEMENT_MEMORY_BYTES = 16 << 20;
+  private static final int CANCEL_REQUEST_CODE = 80877102;
+  private static final int MAX_DESCRIPTORS = 10;
+  private static final long RETRY_AFTER_NANOS = 200 * FakeEventLoop.NANOS_PER_MILLI;
+
+  private final FakeEventLoop loop = new FakeEventLoop();
+  private final ConnectionAdmission admission =
+      new ConnectionAdmission(MAX_DESCRIPTORS, RETRY_AFTER_NANOS);
+  private final DescriptorBudget descriptors = new DescriptorBudget(MAX_DESCRIPTORS);
+  private final StatementMemory memory = new StatementMemory();
+  private final ConnectionRegistry registry =
+      new ConnectionRegistry(admission, descriptors, new SplittableRandom(1));
+  private final PendingPolicy policy = new PendingPolicy();
+  private final ConnectionContext context =
+      new ConnectionContext(
+          dispatcher(),
+          loop.clock,
+          loop.timers,
+          loop.counters,
+          TestMessages.REQUEST_CLASSES,
+          admission,
+          registry,
+          new LingeringConnections(loop.clock),
+          memory);
+  private EmbeddedChannel channel;
+  private FrontendConnection connection;
+
+  /** Leaves every request pending until the test has it answered. */
+  private static final class PendingPolicy implements RoutingPolicy {
+    private PolicyActions actions;
+
+    RoutingPolicy attach(PolicyActions offered) {
+      actions = offered;
+      return this;
+    }
+
+    @Override
+    public void endpointsReplaced(long now, List<Endpoint> endpoints, boolean fromCache) {}
+
+    @Override
+    public void endpointsUpdated(long now, List<Endpoint> changes) {}
+
+    @Override
+    public void endpointRefreshFailed(long now) {}
+
+    @Override
+    public void requestReceived(long now, Request request) {}
+
+    @Override
+    public void attemptFinished(long now, AttemptResult result) {}
+
+    @Override
+    public void clientDisconnected(long now, RequestId request) {}
+
+    @Override
+    public void shuttingDown(long now, long deadline) {}
+
+    @Override
+    public void probeFinished(long now, HostId host, boolean answered, LoadReport report) {}
+
+    @Override
+    public void timerFired(long now) {}
+  }
+
+  private RequestDispatcher dispatcher() {
+    ConnectionSettings settings =
+        new ConnectionSettings(
+            descriptors, new ConnectBackoff(new SplittableRandom(1), true), 1, 1, true, 1);
+    RequestDispatcher dispatcher =
+        new RequestDispatcher(
+            loop.clock, loop.timers, loop.counters, settings, null, line -> {}, policy::attach);
+    Endpoint endpoint =
+        new Endpoint(
+            new HostId("a"), new GroupId(2), new ZoneId(""), 1, 0, false, Endpoint.State.READY);
+    dispatcher.endpointsReplaced(
+        List.of(new EndpointAddress(endpoint, new InetSocketAddress("127.0.0.1", 1))), false);
+    return dispatcher;
+  }
+
+  @BeforeEach
+  void connect() {
+    channel = new EmbeddedChannel();
+    connection = new FrontendConnection(channel, context);
+    channel.pipeline().addLast(connection);
+  }
+
+  @AfterEach
+  void checkThatNothingIsHeld() {
+    channel.close();
+    assertEquals(0, registry.size());
+    assertEquals(0, admission.openConnections());
+    assertTrue(memory.hasRoomFor(STATEMENT_MEMORY_BYTES));
+    TestMessages.assertAllReleased();
+  }
+
+  private void send(byte[]... messages) {
+    channel.writeInbound(TestMessages.buffer(TestMessages.concat(messages)));
+  }
+
+  private void sendRequest(String id) {
+    send(request(id));
+  }
+
+  private static byte[] request(String id) {
+    return TestMessages.query(TestMessages.readStatement(id, ",d=480"));
+  }
+
+  private void fail(String id) {
+    policy.actions.fail(new RequestId(id));
+    channel.runPendingTasks();
+  }
+
+  /** The types of the messages that the client was sent since the last call. */
+  private String received() {
+    StringBuilder types = new StringBuilder();
+    for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+      String each = TestMessages.messageTypes(TestMessages.readAndRelease(out));
+      types.append(types.isEmpty() || each.isEmpty() ? "" : " ").append(each);
+    }
+    return types.toString();
+  }
+
+  private void startSession() {
+    send(TestMessages.startup());
+    received();
+  }
+
+  private void expectState(ConnectionState expected) {
+    for (ConnectionState state : ConnectionState.values()) {
+      assertEquals(state == expected ? 1 : 0, admission.openConnections(state), state.name());
+    }
+  }
+
+  /** Nobody waits for an answer, so the statement must not get as far as a host. */
+  @Test
+  void closeIsNoticedBeforeTheStatementInFrontOfIt() {
+    startSession();
+    channel.pipeline().fireChannelRead(TestMessages.buffer(request("a")));
+    channel.pipeline().close();
+    channel.runPendingTasks();
+    assertEquals(0, loop.counters.get(Counter.REQUESTS_RECEIVED));
+  }
+
+  @Test
+  void admissionIsToldWhatTheConnectionDoes() {
+    expectState(ConnectionState.NEW);
+    startSession();
+    expectState(ConnectionState.NEW);
+    sendRequest("a");
+    expectState(ConnectionState.BUSY);
+    policy.actions.reject(new RequestId("a"), RETRY_AFTER_NANOS);
+    expectState(ConnectionState.AWAITING_RETRY);
+    sendRequest("b");
+    expectState(ConnectionState.BUSY);
+    policy.actions.reject(new RequestId("b"), 0);
+    expectState(ConnectionState.IDLE);
+  }
+
+  @Test
+  void evictionCountsConnectionsThatNeverHadAnAnswer() {
+    startSession();
+    connection.evict();
+    assertEquals(1, loop.counters.get(Counter.CLIENTS_EVICTED_UNANSWERED));
+    connect();
+    startSession();
+    send(TestMessages.query("SHOW counters"));
+    connection.evict();
+    assertEquals(1, loop.counters.get(Counter.CLIENTS_EVICTED_UNANSWERED));
+    assertEquals(2, loop.counters.get(Counter.CLIENTS_EVICTED));
+  }
+
+  /** What exceeds the limit is dropped, and the answer that is due still comes first. */
+  @Test
+  void connectionThatPipelinesTooMuchEndsBehindItsAnswer() {
+    startSession();
+    sendRequest("a");
+    byte[] ignoredMessage = TestMessages.message('H', new byte[MAX_PIPELINED_BYTES / 4 - 5]);
+    send(ignoredMessage, ignoredMessage, ignoredMessage, ignoredMessage);
+    fail("a");
+    assertEquals("E(58000) Z", received(), "as much as is allowed");
+    sendRequest("b");
+    send(ignoredMessage, ignoredMessage, ignoredMessage, ignoredMessage);
+    send(new byte[1]);
+    assertEquals("", received());
+    fail("b");
+    assertEquals("E(58000) Z E(53300)", received());
+    assertEquals(1, loop.counters.get(Counter.CLIENTS_REFUSED));
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void requestIsRejectedWhileMemoryIsShort() {
+    startSession();
+    memory.adjust(STATEMENT_MEMORY_BYTES);
+    sendRequest("a");
+    assertEquals("E(53300) Z", received());
+    memory.adjust(-STATEMENT_MEMORY_BYTES);
+    sendRequest("a");
+    assertEquals("", received(), "taken");
+    assertEquals(0, loop.counters.get(Counter.CLIENTS_REFUSED));
+  }
+
+  @Test
+  void longIncompleteMessageIsRefusedWhileMemoryIsShort() {
+    startSession();
+    memory.adjust(STATEMENT_MEMORY_BYTES);
+    byte[] message = TestMessages.message('Q', new byte[2 * MAX_PIPELINED_BYTES_LOW_MEMORY]);
+    send(Arrays.copyOf(message, MAX_PIPELINED_BYTES_LOW_MEMORY));
+    assertEquals("", received(), "as much as is allowed");
+    channel.close();
+    connect();
+    startSession();
+    send(Arrays.copyOf(message, MAX_PIPELINED_BYTES_LOW_MEMORY + 1));
+    assertEquals("E(53300)", received());
+    assertFalse(channel.isOpen());
+    memory.adjust(-STATEMENT_MEMORY_BYTES);
+  }
+
+  @Test
+  void incompleteMessageTimesOut() {
+    startSession();
+    loop.advanceBy(10_000);
+    send(new byte[] {'Q'});
+    loop.advanceBy(2399);
+    connection.checkTimeouts();
+    assertEquals("", received());
+    loop.advanceBy(1);
+    connection.checkTimeouts();
+    assertEquals("E(08P01)", received());
+    assertEquals(1, loop.counters.get(Counter.CLIENTS_TIMED_OUT));
+  }
+
+  @Test
+  void inputIsPausedAfterRepeatedRejections() {
+    startSession();
+    byte[] invalid = TestMessages.query("SELECT 1");
+    for (int i = 0; i < 4; i++) {
+      send(invalid);
+      assertEquals("E(42601) Z", received());
+    }
+    sendRequest("a");
+    assertEquals(0, loop.counters.get(Counter.REQUESTS_RECEIVED));
+    loop.advanceBy(50);
+    channel.runPendingTasks();
+    assertEquals(1, loop.counters.get(Counter.REQUESTS_RECEIVED));
+  }
+
+  @Test
+  void cancelKeyCancelsTheRequestOfItsConnectionOnly() {
+    startSession();
+    sendRequest("a");
+    EmbeddedChannel otherChannel = channel;
+    FrontendConnection cancelled = connection;
+    connect();
+    assertNotEquals(cancelled.cancelKey(), connection.cancelKey());
+    sendCancelRequest(cancelled.cancelKey() + 1);
+    assertEquals(0, loop.counters.get(Counter.REQUESTS_CANCELLED));
+    connect();
+    sendCancelRequest(cancelled.cancelKey());
+    assertEquals(1, loop.counters.get(Counter.REQUESTS_CANCELLED));
+    channel = otherChannel;
+    assertEquals("E(57014) Z", received());
+  }
+
+  private void sendCancelRequest(long key) {
+    send(
+        TestMessages.bytesWrittenBy(
+            out -> out.writeInt(16).writeInt(CANCEL_REQUEST_CODE).writeLong(key)));
+    assertFalse(channel.isOpen());
+  }
+}
--- a/router/src/test/java/rushwood/protocol/TestMessages.java
+++ b/router/src/test/java/rushwood/protocol/TestMessages.java
@@ -65,8 +65,9 @@
 
   /** Fails if a buffer that was created since the last call was not released. */
   public static void assertAllReleased() {
-    ALLOCATED.forEach(each -> assertEquals(0, each.refCnt(), "a buffer was not released"));
-    ALLOCATED.clear();
+    List<ByteBuf> allocated = List.copyOf(ALLOCATED);
+    ALLOCATED.clear(); // also if the check fails: else all later tests would fail with it
+    allocated.forEach(each -> assertEquals(0, each.refCnt(), "a buffer was not released"));
   }
 
   public static byte[] concat(byte[]... parts) {
