Client connection: a request that is read and one that is submitted are two states

Need: in FrontendProtocol the state REQUEST_PENDING meant two things, told apart by a nullable field; in FrontendConnection isBlocked was two variables of different meaning. Change: REQUEST_READ and REQUEST_PENDING; isProcessingPaused is the part that both had in common.

--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -25,9 +25,9 @@
  */
 final class FrontendConnection extends LingeringClose implements FrontendCallbacks {
   // What a client may send ahead of its answers: eight statements of the maximum length. It is read
-  // even while nothing of it can be processed, as the end of the connection stands behind it and
-  // has to be noticed. The excess is dropped, and the connection is closed with an error behind the
-  // answer that is due. Harm: to clients that pipeline more than that.
+  // even while nothing of it can be processed, since the end of the connection comes after it and
+  // has to be noticed. The excess is dropped, and the connection is closed with an error after the
+  // answer that is due. The cost: clients that pipeline more than that lose their connection.
   private static final int MAX_PIPELINED_BYTES = 1 << 20;
   private static final int MAX_PIPELINED_BYTES_LOW_MEMORY = 64 << 10;
 
@@ -101,14 +101,18 @@
   }
 
   private boolean exceedsPipelineLimit(int unreadBytes) {
-    boolean isBlocked =
-        protocol.hasPendingRequest() || rejections.isPaused() || !channel.isWritable();
-    if (isBlocked && unreadBytes > MAX_PIPELINED_BYTES) {
+    boolean mustWait = protocol.hasPendingRequest() || isProcessingPaused();
+    if (mustWait && unreadBytes > MAX_PIPELINED_BYTES) {
       return true;
     }
     StatementMemory memory = shared.statementMemory();
-    boolean memoryIsShort = isBlocked ? memory.isLow() : memory.isExhausted();
-    return memoryIsShort && unreadBytes > MAX_PIPELINED_BYTES_LOW_MEMORY;
+    boolean isMemoryShort = mustWait ? memory.isLow() : memory.isExhausted();
+    return isMemoryShort && unreadBytes > MAX_PIPELINED_BYTES_LOW_MEMORY;
+  }
+
+  /** Whether the client is slowed down, or has to read its answers first. */
+  private boolean isProcessingPaused() {
+    return rejections.isPaused() || !channel.isWritable();
   }
 
   /**
@@ -131,8 +135,7 @@
   }
 
   private void processInput() {
-    boolean isBlocked = rejections.isPaused() || !channel.isWritable();
-    if (isLingering() || !channel.isOpen() || isBlocked) {
+    if (isLingering() || !channel.isOpen() || isProcessingPaused()) {
       return;
     }
     if (rejections.isExceeded()) {
@@ -310,7 +313,7 @@
   @Override
   public void write(ByteBuf out) {
     lastActivity = clock.now();
-    answered |= startedUp;
+    answered |= startedUp; // the startup response itself does not count as an answer
     startedUp |= !protocol.isStartingUp();
     if (!protocol.isStartingUp()) {
       incompleteSince = lastActivity;
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -16,6 +16,9 @@
   private enum State {
     STARTUP,
     IDLE,
+    /** A request was read, and is to be submitted unless a Terminate message stands behind it. */
+    REQUEST_READ,
+    /** A request was submitted and waits for its answer. */
     REQUEST_PENDING,
     /** After a message of the extended query protocol: all is skipped up to the Sync behind it. */
     SKIPPING_TO_SYNC,
@@ -56,7 +59,7 @@
   private final FrontendCallbacks callbacks;
   private final MessageReader reader;
   private State state = State.STARTUP;
-  private ByteBuf pendingStatement; // read by resume(), and not yet submitted; else null
+  private ByteBuf statement; // of the request in state REQUEST_READ, else null
   private boolean draining;
 
   /** Creates the protocol of a connection on which nothing has been read. */
@@ -94,20 +97,23 @@
    */
   public void resume() {
     writeOrRelease(readMessages());
-    boolean isSubmitted = state == State.REQUEST_PENDING && pendingStatement == null;
-    if ((pendingStatement != null || isSubmitted)
-        && reader.hasMessageAhead(FrontendMessageType.TERMINATE)) {
-      pendingStatement = null;
-      state = State.CLOSED;
-      if (isSubmitted) {
-        callbacks.clientTerminated();
-      }
-    } else if (pendingStatement != null) {
-      submitPendingStatement();
+    if (hasPendingRequest() && reader.hasMessageAhead(FrontendMessageType.TERMINATE)) {
+      dropRequest();
+    } else if (state == State.REQUEST_READ) {
+      submitRequest();
     }
     closeIfDone();
   }
 
+  private void dropRequest() {
+    boolean isSubmitted = state == State.REQUEST_PENDING;
+    statement = null;
+    state = State.CLOSED;
+    if (isSubmitted) {
+      callbacks.clientTerminated();
+    }
+  }
+
   /** Reads messages up to a request or the end of input; returns what is to be written. */
   private ByteBuf readMessages() {
     ByteBuf out = allocator.buffer(256);
@@ -132,9 +138,10 @@
     }
   }
 
-  private void submitPendingStatement() {
-    ByteBuf text = pendingStatement;
-    pendingStatement = null;
+  private void submitRequest() {
+    ByteBuf text = statement;
+    statement = null;
+    state = State.REQUEST_PENDING; // first: the answer may come within the call
     try {
       callbacks.submit(text);
     } catch (ProtocolException rejection) {
@@ -215,8 +222,8 @@
       if (text.readableBytes() <= MAX_LOCAL_QUERY_LENGTH && answerLocally(text, out)) {
         return;
       }
-      pendingStatement = text;
-      state = State.REQUEST_PENDING;
+      statement = text;
+      state = State.REQUEST_READ;
     } catch (ProtocolException rejection) {
       callbacks.statementRejected(rejection);
       MessageWriter.writeErrorResponse(out, ErrorResponse.of(rejection));
@@ -304,7 +311,7 @@
     return switch (state) {
       case STARTUP -> true;
       case IDLE, SKIPPING_TO_SYNC -> reader.unreadBytes() > 0;
-      case REQUEST_PENDING, CLOSED -> false;
+      case REQUEST_READ, REQUEST_PENDING, CLOSED -> false;
     };
   }
 
@@ -318,9 +325,9 @@
     return reader.unreadBytes();
   }
 
-  /** Whether a request waits for its answer. */
+  /** Whether a request was read and waits for its answer. */
   public boolean hasPendingRequest() {
-    return state == State.REQUEST_PENDING;
+    return state == State.REQUEST_READ || state == State.REQUEST_PENDING;
   }
 
   // ---- end of the connection
