One constant for an unknown position; the last riddling comments of net, dispatch, overload

Need: NO_POSITION stood in four files beside AttemptResult's. AttemptOutcome said that CONNECTION_LOST covers a statement written in part, while PooledConnection.outcomeOfLoss and design.md count that as not sent. Change: the constant is AttemptResult's; the comments say what the code does, and costs are called costs. The reason of a backend's protocol violation, which is never printed, is in the protocol's words.

--- a/router/src/main/java/rushwood/api/AttemptOutcome.java
+++ b/router/src/main/java/rushwood/api/AttemptOutcome.java
@@ -16,13 +16,13 @@
   REPLICA_LAGGING(true, true),
   /** No answer came in time. */
   TIMED_OUT(false, false),
-  /** The connection ended after the statement was written, or part of it. */
+  /** The connection ended without an answer after the whole statement was written. */
   CONNECTION_LOST(false, false),
   /** The router stopped the attempt. */
   CANCELLED(false, false),
   /** No connection to the host could be opened. */
   CONNECT_FAILED(false, true),
-  /** The attempt was not written to any connection. */
+  /** The statement was not, or not wholly, written to any connection. */
   NOT_SENT(false, true);
 
   private final boolean isHostResponse;
--- a/router/src/main/java/rushwood/dispatch/BackendResponse.java
+++ b/router/src/main/java/rushwood/dispatch/BackendResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 
@@ -16,11 +17,11 @@
  */
 public record BackendResponse(
     AttemptOutcome outcome, ByteBuf row, HostRole role, long position, LoadReport report) {
-  private static final long NO_POSITION = -1;
 
   /** A response of which nothing but the outcome is known. */
   public static BackendResponse withoutRow(AttemptOutcome outcome) {
-    return new BackendResponse(outcome, null, HostRole.UNKNOWN, NO_POSITION, LoadReport.NONE);
+    return new BackendResponse(
+        outcome, null, HostRole.UNKNOWN, AttemptResult.NO_POSITION, LoadReport.NONE);
   }
 
   /** Releases the row, if there is one. */
--- a/router/src/main/java/rushwood/dispatch/Counter.java
+++ b/router/src/main/java/rushwood/dispatch/Counter.java
@@ -19,7 +19,7 @@
   CLIENTS_EVICTED_UNANSWERED,
   /** Client connections that were closed for being silent or leaving a message half written. */
   CLIENTS_TIMED_OUT,
-  /** Statements from clients that are not ours; no host saw them. */
+  /** Statements and messages from clients that are not accepted; no host saw them. */
   STATEMENTS_REJECTED,
 
   /** Requests that were taken from clients. */
--- a/router/src/main/java/rushwood/dispatch/PooledConnection.java
+++ b/router/src/main/java/rushwood/dispatch/PooledConnection.java
@@ -88,10 +88,10 @@
   }
 
   /**
-   * Writes the exchange, unless the process was paused. After a pause there may be news that was
-   * not read before this exchange was chosen, and the next turn of the event loop reads all sockets
-   * in no particular order; so the exchange is written in the turn after that one, if its host and
-   * client are still there.
+   * Writes the exchange, unless the process was paused. During a pause a drain of the host or the
+   * end of the client may have arrived that was not read before this exchange was chosen. The next
+   * turn of the event loop reads all sockets, in no particular order; so the exchange is written in
+   * the turn after that one, if its host and client are still there.
    */
   private void writeOrDefer() {
     long drainGraceShare = context.settings().drainGraceNanos() / DRAIN_GRACE_DIVISOR;
--- a/router/src/main/java/rushwood/overload/ConnectionAdmission.java
+++ b/router/src/main/java/rushwood/overload/ConnectionAdmission.java
@@ -94,19 +94,19 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   // An idle connection may be closed after this. With longer times, clients that send one request
-  // and keep the connection shut others out when 300 a second came. Harm: a client that has a
+  // and keep the connection shut others out when 300 a second came. The cost: a client that has a
   // second request a moment later connects again. Leaving new connections unaccepted instead was
   // tried: the kernel's queue, which the router cannot see, grew to two seconds.
   private static final long MIN_IDLE_NANOS = 100 * NANOS_PER_MILLI;
   // A connection without its first request may be closed after this. Of 1,770 connections 1,700
-  // sent it in the event loop turn of the accept, all others within 64 ms. Harm: to clients on
-  // slow networks, while the router is at its limit.
+  // sent it in the event loop turn of the accept, all others within 64 ms. The cost: clients on
+  // slow networks are closed too early while the router is at its limit.
   private static final long FIRST_REQUEST_TIMEOUT_NANOS = 150 * NANOS_PER_MILLI;
   // Where fewer than this share of the requests come on a connection that had one before, clients
   // send one request and keep the connection, and a proxy that allows each router a number of
   // connections has none left: 124 were idle while 77% of the tries found no connection and half
-  // of the router's descriptors were free. Idle connections are closed below the limit then. Harm:
-  // none was seen; a client that would have reused its connection opens another.
+  // of the router's descriptors were free. Idle connections are closed below the limit then. No
+  // cost was seen; a client that would have reused its connection opens another.
   private static final double MIN_REUSE_SHARE = 0.5;
   // Weight of the latest request in the reuse share: about fifty requests count.
   private static final double REUSE_SMOOTHING_WEIGHT = 0.02;
--- a/router/src/main/java/rushwood/protocol/BackendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/BackendProtocol.java
@@ -189,7 +189,7 @@
 
   private void handleReadyForQuery(ByteBuf message) throws ProtocolException {
     if (message.readableBytes() != 1 || message.readByte() != TRANSACTION_STATUS_IDLE) {
-      throw ProtocolException.protocolViolation("ready in no state of ours");
+      throw ProtocolException.protocolViolation("ReadyForQuery where none is expected");
     }
     if (state == State.STARTUP) {
       state = State.IDLE;
--- a/router/src/main/java/rushwood/protocol/LoadReportParser.java
+++ b/router/src/main/java/rushwood/protocol/LoadReportParser.java
@@ -1,13 +1,11 @@
 package rushwood.protocol;
 
+import rushwood.api.AttemptResult;
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 
 /** Parses what hosts report of themselves; what cannot be parsed counts as not reported. */
 final class LoadReportParser {
-  /** Returned by {@link #parsePosition} where no position was reported. */
-  static final long NO_POSITION = -1;
-
   private static final String POSITION_FIELD = "x0"; // Unix time in seconds
   private static final String PRIMARY_FIELD = "x1"; // 1 on the primary
 
@@ -19,15 +17,15 @@
   /**
    * Parses a replication position, a Unix time in milliseconds.
    *
-   * @return the position in nanoseconds, or {@link #NO_POSITION}
+   * @return the position in nanoseconds, or {@link AttemptResult#NO_POSITION}
    */
   static long parsePosition(String text) {
     try {
       long millis = Long.parseLong(text);
       boolean isValid = millis > 0 && millis <= Long.MAX_VALUE / NANOS_PER_MILLI;
-      return isValid ? millis * NANOS_PER_MILLI : NO_POSITION;
+      return isValid ? millis * NANOS_PER_MILLI : AttemptResult.NO_POSITION;
     } catch (NumberFormatException e) {
-      return NO_POSITION;
+      return AttemptResult.NO_POSITION;
     }
   }
 
--- a/router/src/main/java/rushwood/protocol/ResponseAssembler.java
+++ b/router/src/main/java/rushwood/protocol/ResponseAssembler.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import java.nio.charset.StandardCharsets;
 import rushwood.api.AttemptOutcome;
+import rushwood.api.AttemptResult;
 import rushwood.api.HostRole;
 import rushwood.api.LoadReport;
 import rushwood.dispatch.BackendResponse;
@@ -49,7 +50,7 @@
     lastRowPart = NO_ROW_PART;
     outcome = null;
     role = HostRole.UNKNOWN;
-    position = LoadReportParser.NO_POSITION;
+    position = AttemptResult.NO_POSITION;
     report = LoadReport.NONE;
     probeValue = null;
   }
--- a/router/src/main/java/rushwood/simulator/EventDecoder.java
+++ b/router/src/main/java/rushwood/simulator/EventDecoder.java
@@ -19,7 +19,6 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final int NO_GROUP = -1;
-  private static final long NO_POSITION = -1;
   private static final double DEFAULT_WEIGHT = 1;
 
   /** A stamp is four times the position in milliseconds, plus the role of the host. */
@@ -50,7 +49,7 @@
 
   static AttemptResult decodeAttemptResult(WireLine line, SimulatedRouter router) {
     HostRole role = HostRole.UNKNOWN;
-    long position = NO_POSITION;
+    long position = AttemptResult.NO_POSITION;
     if (line.has("stamp")) {
       long stamp = line.requiredLong("stamp");
       role = decodeRole(stamp % STAMP_ROLES);
--- a/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
+++ b/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
@@ -96,7 +96,9 @@
     void respond(AttemptOutcome outcome) {
       ByteBuf row = outcome == AttemptOutcome.SUCCESS ? TestMessages.buffer(new byte[] {1}) : null;
       listener.responseReceived(
-          new BackendResponse(outcome, row, HostRole.UNKNOWN, -1, LoadReport.NONE), true);
+          new BackendResponse(
+              outcome, row, HostRole.UNKNOWN, AttemptResult.NO_POSITION, LoadReport.NONE),
+          true);
     }
   }
 
--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -134,7 +134,15 @@
     policy.attemptFinished(
         now,
         new AttemptResult(
-            id, 0, HOST, AttemptOutcome.SUCCESS, MS, true, HostRole.UNKNOWN, -1, LoadReport.NONE));
+            id,
+            0,
+            HOST,
+            AttemptOutcome.SUCCESS,
+            MS,
+            true,
+            HostRole.UNKNOWN,
+            AttemptResult.NO_POSITION,
+            LoadReport.NONE));
     policy.timerFired(now);
   }
 
--- a/testbed/src/main/java/rushwood/testbed/simulation/VirtualAttempt.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualAttempt.java
@@ -10,7 +10,6 @@
 
 /** An attempt of a router at a host. It ends once; later outcomes are ignored. */
 final class VirtualAttempt {
-  private static final long NO_POSITION = -1;
 
   private final VirtualRouter router;
   private final VirtualRequest request;
@@ -88,6 +87,8 @@
     if (outcome == AttemptOutcome.SUCCESS && isWrite()) {
       return events.now();
     }
-    return outcome.isHostResponse() ? host.model().position(events.now()) : NO_POSITION;
+    return outcome.isHostResponse()
+        ? host.model().position(events.now())
+        : AttemptResult.NO_POSITION;
   }
 }
