WarmupTest does not depend on what a cold machine does within 0.9 s

Need: the test failed beside four other test processes (load 25): a real warm-up ends after 0.9 s, and what it counts by then depends on the processor.

--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -82,16 +82,21 @@
     timer = new EventLoopTimer(eventLoop);
   }
 
+  /** Runs the warm-up and blocks until it is over, for 0.9 s at most. */
+  void run() throws Exception {
+    run(MAX_DURATION_NANOS);
+  }
+
   /**
    * Runs the warm-up and blocks until it is over.
    *
    * @return the counters of its requests, by which a test sees that it still does something
    */
-  Counters run() throws Exception {
+  Counters run(long maxDurationNanos) throws Exception {
     Path folder = Files.createTempDirectory("warmup");
     traffic = new WarmupTraffic(group, eventLoop, folder, config.settings().requestClasses());
     try {
-      eventLoop.submit(this::start).get();
+      eventLoop.submit(() -> start(maxDurationNanos)).get();
       return finished.get();
     } finally {
       traffic.deleteSockets();
@@ -99,8 +104,8 @@
     }
   }
 
-  private void start() {
-    long endTime = System.nanoTime() + MAX_DURATION_NANOS;
+  private void start(long maxDurationNanos) {
+    long endTime = System.nanoTime() + maxDurationNanos;
     EventLoopClock clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
     RequestPathFactory requestPathFactory =
         new RequestPathFactory(
