Answers leave before the client does on a busy machine: time from arrival, reserve for late turns

Two parts: the time of a request counted from the turn that read it, though it may have come while the turn before was at work (or before its connection was accepted); and it was answered 10 ms before its deadline, although turns took 25 to 120 ms.

Change: EventLoopClock.earliestArrival counts a busy turn before as waiting time, a new connection's first statements count from before its accept. TimerQueue remembers by how much timers were late (half-life 1 s); DeadlinePolicy sets that time aside, 0.4 s at most, and looks at all requests every 100 ms, since their deadlines may have become earlier.

--- a/router/src/main/java/rushwood/api/OverloadSignals.java
+++ b/router/src/main/java/rushwood/api/OverloadSignals.java
@@ -28,6 +28,12 @@
   /** Whether an unreachable host may be tried although no health check has found it up. */
   boolean canConnect(long now, HostId host);
 
+  /**
+   * How long an answer may lately have taken to leave the router once its time had come, in
+   * nanoseconds: the router gets too little processor time.
+   */
+  long answerDelayNanos();
+
   /** Without overload control: the longest Retry-After while others wait, and no budgets. */
   static OverloadSignals withoutOverloadControl(RoutingSettings settings) {
     return new OverloadSignals() {
@@ -48,6 +54,11 @@
       public boolean canConnect(long now, HostId host) {
         return true;
       }
+
+      @Override
+      public long answerDelayNanos() {
+        return 0;
+      }
     };
   }
 }
--- a/router/src/main/java/rushwood/dispatch/EventLoopClock.java
+++ b/router/src/main/java/rushwood/dispatch/EventLoopClock.java
@@ -18,6 +18,9 @@
   /** By when sockets have been read after a pause, counted from its end. */
   private static final long READ_AFTER_PAUSE_NANOS = 20_000_000;
 
+  /** A loop that waited no longer than this between two turns may not have waited at all. */
+  private static final long SHORT_WAIT_NANOS = 5_000_000;
+
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final long BEFORE_FIRST_TURN = Long.MIN_VALUE;
 
@@ -25,6 +28,9 @@
   private final Consumer<Runnable> runAtTurnEnd;
   private final PauseDetector pauses = new PauseDetector();
   private long now = BEFORE_FIRST_TURN;
+  private long turnEnd; // of the turn before the current one
+  private long oldestUnread; // when input may have arrived that is read in the current turn
+  private long turnNumber;
   private boolean isCurrent;
 
   /**
@@ -51,14 +57,38 @@
     if (!isCurrent) {
       isCurrent = true;
       startTurn(Math.max(now, timeSource.getAsLong()));
-      runAtTurnEnd.accept(() -> isCurrent = false);
+      runAtTurnEnd.accept(this::endTurn);
     }
     return now;
   }
 
   private void startTurn(long time) {
-    pauses.turnStarted(now == BEFORE_FIRST_TURN ? time : now, time);
+    if (now == BEFORE_FIRST_TURN) {
+      now = time;
+      turnEnd = time;
+    }
+    pauses.turnStarted(now, time);
+    oldestUnread = hasWaitedUntil(time) ? time : now;
     now = time;
+    turnNumber++;
+  }
+
+  /** Whether the loop had nothing to do before that time; {@code now} is still the last turn's. */
+  private boolean hasWaitedUntil(long time) {
+    long workNanos = turnEnd - now;
+    long waitNanos = time - turnEnd;
+    return waitNanos >= Math.max(SHORT_WAIT_NANOS, workNanos);
+  }
+
+  private void endTurn() {
+    isCurrent = false;
+    turnEnd = Math.max(now, timeSource.getAsLong());
+  }
+
+  /** Counts the turns: each has a number one higher than the one before. */
+  public long turnNumber() {
+    now();
+    return turnNumber;
   }
 
   /**
@@ -83,13 +113,14 @@
 
   /**
    * The earliest time at which input that is read now may have arrived. A client's waiting time
-   * counts from when it wrote, and what it wrote during a pause was left unread until its end.
+   * counts from when it wrote. What it wrote during a pause was left unread until its end, and what
+   * it wrote during a turn until the next one; while the loop waits, input is read as it comes.
    */
   public long earliestArrival() {
-    return earliestArrival(READ_AFTER_PAUSE_NANOS);
+    return Math.min(earliestArrival(READ_AFTER_PAUSE_NANOS), oldestUnread);
   }
 
-  /** Like {@link #earliestArrival()}, for input that takes up to {@code delayNanos} to get here. */
+  /** The earliest start of a pause that may have kept a signal from getting here at once. */
   public long earliestArrival(long delayNanos) {
     return pauses.startOfPauseWithin(delayNanos, now());
   }
--- a/router/src/main/java/rushwood/dispatch/PauseDetector.java
+++ b/router/src/main/java/rushwood/dispatch/PauseDetector.java
@@ -15,7 +15,7 @@
 
   private long pauseStart;
   private long pauseEnd = NO_PAUSE;
-  private long longestPauseAtEnd;
+  private final DecayingMaximum longestPause = new DecayingMaximum(PAUSE_HALF_LIFE_NANOS);
   private long turnGap;
   private long previousTurnGap;
 
@@ -24,7 +24,7 @@
     previousTurnGap = turnGap;
     turnGap = now - previous;
     if (turnGap > PAUSE_THRESHOLD_NANOS) {
-      longestPauseAtEnd = Math.max(turnGap, recentLongest(previous));
+      longestPause.record(turnGap, now);
       pauseStart = previous;
       pauseEnd = now;
     }
@@ -43,11 +43,7 @@
 
   /** The longest pause in nanoseconds, halved for each ten seconds since it ended; 0 for none. */
   long recentLongest(long now) {
-    if (longestPauseAtEnd == 0) {
-      return 0;
-    }
-    double halfLives = (double) (now - pauseEnd) / PAUSE_HALF_LIFE_NANOS;
-    return (long) (longestPauseAtEnd * Math.pow(0.5, halfLives));
+    return longestPause.at(now);
   }
 
   /** The start of the last pause if it ended {@code nanos} ago or less, else {@code now}. */
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -112,15 +112,22 @@
     return requests.unansweredCount();
   }
 
+  /** Like {@link #requestReceived(Statement, long, ClientResponder)}, read in this turn. */
+  public void requestReceived(Statement statement, ClientResponder responder) {
+    requestReceived(statement, clock.earliestArrival(), responder);
+  }
+
   /**
    * Takes a request, whose id must not be in use ({@link #isRequestIdInUse}): a second request of
    * an id would take the place of the first one.
    *
+   * @param earliestArrival when it may have been sent at the earliest; its time counts from then
    * @param responder is called once with the final response, unless the client disconnects before
    */
-  public void requestReceived(Statement statement, ClientResponder responder) {
+  public void requestReceived(
+      Statement statement, long earliestArrival, ClientResponder responder) {
     long now = clock.now();
-    Request request = statement.toRequest(now, clock.earliestArrival(), shutdownDeadline);
+    Request request = statement.toRequest(now, earliestArrival, shutdownDeadline);
     counters.increment(Counter.REQUESTS_RECEIVED);
     InFlightRequest inFlight = requests.add(request.id(), statement, responder);
     requests.notifyPolicy(inFlight, policy -> policy.requestReceived(now, request));
--- a/router/src/main/java/rushwood/dispatch/TimerQueue.java
+++ b/router/src/main/java/rushwood/dispatch/TimerQueue.java
@@ -55,6 +55,9 @@
     }
   }
 
+  /** Long enough that a busy time of many late turns counts with its longest. */
+  private static final long LATENESS_HALF_LIFE_NANOS = 1_000_000_000L;
+
   /** A timer that fires this late shows that the process was paused: some turns of the loop. */
   private static final long PAUSE_THRESHOLD_NANOS = 10_000_000;
 
@@ -68,7 +71,9 @@
   private final Timer timer;
   private final Counters counters;
   private long nextSequence;
+  private final DecayingMaximum lateness = new DecayingMaximum(LATENESS_HALF_LIFE_NANOS);
   private long armedFor = NOT_ARMED;
+  private long dueAtEarliest; // when the armed timer is due, but not before it was armed
   private boolean deferredForReads;
 
   /** Creates an empty queue; exceptions of its tasks are counted and reported by the counters. */
@@ -92,6 +97,7 @@
     }
     if (!tasks.isEmpty() && tasks.peek().dueAt < armedFor) {
       armedFor = tasks.peek().dueAt;
+      dueAtEarliest = Math.max(armedFor, clock.now());
       timer.reschedule(Math.max(0, armedFor - clock.now()), this::onTimer);
     }
   }
@@ -108,6 +114,7 @@
       return;
     }
     deferredForReads = false;
+    lateness.record(Math.max(0, now - dueAtEarliest), now);
     armedFor = RUNNING_TASKS;
     try {
       runDueTasks(now);
@@ -117,6 +124,14 @@
     }
   }
 
+  /**
+   * By how much tasks have run late at most, in nanoseconds, where a value counts half after a
+   * second. A task that answers a client has to be due that much earlier to be in time.
+   */
+  public long recentLatenessNanos() {
+    return lateness.at(clock.now());
+  }
+
   private void runDueTasks(long now) {
     while (!tasks.isEmpty() && tasks.peek().dueAt <= now) {
       Runnable task = tasks.poll().take();
--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -33,6 +33,8 @@
   private final FrontendProtocol protocol;
   private final long cancelKey;
   private final AdmissionReporter admissionReporter;
+  private final long acceptedInTurn;
+  private final long earliestArrivalAtAccept;
   private boolean resumeScheduled;
 
   /** With parts of its own ({@code submitter}, {@code inputLimit}), and those shared by all. */
@@ -52,6 +54,8 @@
     this.submitter = submitter;
     this.inputLimit = inputLimit;
     cancelKey = registry.nextCancelKey();
+    acceptedInTurn = clock.turnNumber();
+    earliestArrivalAtAccept = clock.earliestArrival();
     timeout = new ClientTimeout(clock.now());
     protocol = new FrontendProtocol(channel.alloc(), this);
     admissionReporter = registry.add(this, clock.now());
@@ -170,7 +174,16 @@
   public void submit(ByteBuf text) throws ProtocolException {
     SqlStatement statement = submitter.accept(text);
     admissionReporter.requestSubmitted();
-    submitter.submit(statement, text.readableBytes(), protocol);
+    submitter.submit(statement, text.readableBytes(), earliestArrival(), protocol);
+  }
+
+  /**
+   * When a statement that is processed now may have been sent at the earliest. What comes with a
+   * new connection is read a turn after the connection was accepted.
+   */
+  private long earliestArrival() {
+    boolean isNew = clock.turnNumber() - acceptedInTurn <= 1;
+    return isNew ? earliestArrivalAtAccept : clock.earliestArrival();
   }
 
   @Override
--- a/router/src/main/java/rushwood/net/RequestSubmitter.java
+++ b/router/src/main/java/rushwood/net/RequestSubmitter.java
@@ -77,12 +77,17 @@
     }
   }
 
-  /** Submits an accepted statement; its answer may come within this call. */
-  void submit(SqlStatement statement, int messageBytes, ClientResponder responder) {
+  /**
+   * Submits an accepted statement; its answer may come within this call.
+   *
+   * @param earliestArrival when it may have been sent at the earliest
+   */
+  void submit(
+      SqlStatement statement, int messageBytes, long earliestArrival, ClientResponder responder) {
     admission.recordRequest(lastRequestId != null);
     lastRequestId = statement.id();
     lastRequestBytes = messageBytes;
-    dispatcher.requestReceived(statement, responder);
+    dispatcher.requestReceived(statement, earliestArrival, responder);
   }
 
   /**
--- a/router/src/main/java/rushwood/overload/OverloadControlSignals.java
+++ b/router/src/main/java/rushwood/overload/OverloadControlSignals.java
@@ -1,5 +1,6 @@
 package rushwood.overload;
 
+import java.util.function.LongSupplier;
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.OverloadSignals;
@@ -11,16 +12,19 @@
   private final RetryAfterAdvisor retryAfterAdvisor;
   private final ConnectBackoff connectBackoff;
   private final OverloadCounts counts;
+  private final LongSupplier answerDelayNanos;
 
   OverloadControlSignals(
       OverloadStatistics statistics,
       RetryAfterAdvisor retryAfterAdvisor,
       ConnectBackoff connectBackoff,
-      OverloadCounts counts) {
+      OverloadCounts counts,
+      LongSupplier answerDelayNanos) {
     this.statistics = statistics;
     this.retryAfterAdvisor = retryAfterAdvisor;
     this.connectBackoff = connectBackoff;
     this.counts = counts;
+    this.answerDelayNanos = answerDelayNanos;
   }
 
   @Override
@@ -47,4 +51,9 @@
   public boolean canConnect(long now, HostId host) {
     return connectBackoff.isAttemptAllowed(host, now);
   }
+
+  @Override
+  public long answerDelayNanos() {
+    return answerDelayNanos.getAsLong();
+  }
 }
--- a/router/src/main/java/rushwood/overload/OverloadController.java
+++ b/router/src/main/java/rushwood/overload/OverloadController.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 import rushwood.api.AttemptResult;
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
@@ -45,6 +46,7 @@
    * @param settings the settings of the routing policy
    * @param overloadSettings the operator's settings of this module
    * @param connectBackoff shared with the connection pool, which records the attempts
+   * @param answerDelayNanos see {@link OverloadSignals#answerDelayNanos}
    * @param actions carries out what the policy decides
    * @param policyFactory creates the policy, from the signals it may ask and the actions it may use
    */
@@ -52,6 +54,7 @@
       RoutingSettings settings,
       OverloadSettings overloadSettings,
       ConnectBackoff connectBackoff,
+      LongSupplier answerDelayNanos,
       PolicyActions actions,
       BiFunction<OverloadSignals, PolicyActions, RoutingPolicy> policyFactory) {
     this.settings = settings;
@@ -64,7 +67,9 @@
     retryAfterAdvisor =
         new RetryAfterAdvisor(
             settings, overloadSettings.retryAfterSchedule(), statistics, requestTracker, counts);
-    signals = new OverloadControlSignals(statistics, retryAfterAdvisor, connectBackoff, counts);
+    signals =
+        new OverloadControlSignals(
+            statistics, retryAfterAdvisor, connectBackoff, counts, answerDelayNanos);
     observedActions = new ObservedActions(actions, requestTracker);
     policy = policyFactory.apply(signals, observedActions);
   }
--- a/router/src/main/java/rushwood/policy/DeadlinePolicy.java
+++ b/router/src/main/java/rushwood/policy/DeadlinePolicy.java
@@ -1,5 +1,7 @@
 package rushwood.policy;
 
+import rushwood.api.OverloadSignals;
+
 /**
  * Decides how long a request is held, and how long an attempt may take. Times are clock times in
  * nanoseconds.
@@ -8,18 +10,27 @@
   /** Clock ticks between an answer of the router and its client's deadline. */
   private static final int MARGIN_TICKS = 2;
 
+  /**
+   * The longest time that is set aside before a deadline for a router with too little processor
+   * time. With more, hardly any time would be left for hosts to answer in.
+   */
+  private static final long MAX_ANSWER_RESERVE_NANOS = 400_000_000L;
+
   private static final long NOT_SHUTTING_DOWN = Long.MAX_VALUE;
 
   private final long marginNanos;
+  private final OverloadSignals overloadSignals;
   private long shutdownAt = NOT_SHUTTING_DOWN;
 
   /**
    * Creates the policy of a router that is not shutting down.
    *
    * @param clockResolutionNanos how late a timer may fire
+   * @param overloadSignals tell by how much more answers are late at present
    */
-  DeadlinePolicy(long clockResolutionNanos) {
+  DeadlinePolicy(long clockResolutionNanos, OverloadSignals overloadSignals) {
     marginNanos = MARGIN_TICKS * clockResolutionNanos;
+    this.overloadSignals = overloadSignals;
   }
 
   /** From now on every request is answered before that time. */
@@ -33,23 +44,35 @@
   }
 
   /**
-   * When a request is rejected or failed if it has no answer: a margin before its deadline, or
-   * before the end of the router if that is earlier.
+   * When a request is rejected or failed if it has no answer: a reserve before its deadline, or
+   * before the end of the router if that is earlier. The reserve is a margin for timers, or the
+   * time by which answers are late at present if that is longer; so the deadline of a request moves
+   * while the router's load changes.
    *
    * <p>A request that was never sent, and whose answer is worth nothing after its latency
    * objective, ends at half of its time: an answer within the objective is unlikely by then, and
    * its client can still retry.
    */
   long answerDeadline(PendingRequest pending) {
-    long deadline = pending.request.deadline();
+    long deadline = Math.min(pending.request.deadline(), shutdownAt) - answerReserveNanos();
     if (!pending.hasAttempts() && pending.requestClass.lateValue() == 0) {
-      deadline -= (deadline - pending.arrivedAt) / 2;
+      return Math.min(deadline, halfOfTime(pending) - marginNanos);
     }
-    return Math.min(deadline, shutdownAt) - marginNanos;
+    return deadline;
+  }
+
+  private static long halfOfTime(PendingRequest pending) {
+    long deadline = pending.request.deadline();
+    return deadline - (deadline - pending.arrivedAt) / 2;
   }
 
   /** How long an attempt that is sent now may take, in nanoseconds. */
   long attemptTimeoutNanos(PendingRequest pending, long now) {
-    return pending.request.deadline() - marginNanos - now;
+    return pending.request.deadline() - answerReserveNanos() - now;
+  }
+
+  private long answerReserveNanos() {
+    long delayNanos = Math.min(overloadSignals.answerDelayNanos(), MAX_ANSWER_RESERVE_NANOS);
+    return Math.max(marginNanos, delayNanos);
   }
 }
--- a/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
+++ b/router/src/main/java/rushwood/policy/DefaultRoutingPolicy.java
@@ -134,6 +134,7 @@
     lifecycle.endExpired(now);
     if (now >= nextCheckAt) {
       nextCheckAt = now + CHECK_INTERVAL_NANOS;
+      lifecycle.endAllExpired(now);
       hosts.groups().forEach(group -> check(group, now));
       hosts.forgetRemoved();
     }
--- a/router/src/main/java/rushwood/policy/PolicyComponents.java
+++ b/router/src/main/java/rushwood/policy/PolicyComponents.java
@@ -29,7 +29,7 @@
     PendingRequests requests = new PendingRequests(actions, settings.canCancel());
     ServiceTimes serviceTimes = new ServiceTimes(settings.requestClasses());
 
-    DeadlinePolicy deadlines = new DeadlinePolicy(settings.clockResolutionNanos());
+    DeadlinePolicy deadlines = new DeadlinePolicy(settings.clockResolutionNanos(), overloadSignals);
     RetryPolicy retries = new RetryPolicy(settings.maxAttempts(), overloadSignals);
     FreshnessPolicy freshness = new FreshnessPolicy(settings);
     healthChecks = new HealthCheckPolicy(settings, random, actions);
@@ -58,7 +58,7 @@
     lifecycle =
         new RequestLifecycle(
             requests,
-            new RequestExpiry(deadlineQueue, deadlines),
+            new RequestExpiry(deadlineQueue, requests, deadlines),
             decider,
             sender,
             new AttemptResultRecorder(
--- a/router/src/main/java/rushwood/policy/RequestLifecycle.java
+++ b/router/src/main/java/rushwood/policy/RequestLifecycle.java
@@ -86,15 +86,24 @@
 
   /** Every request is answered before that time. */
   void shuttingDown(long lastAnswerTime) {
-    expiry.shuttingDown(lastAnswerTime, requests.all());
+    expiry.shuttingDown(lastAnswerTime);
   }
 
   /** Ends the requests whose answer deadline has come. */
   void endExpired(long now) {
     PendingRequest pending = expiry.pollExpired(now);
     while (pending != null) {
-      carryOut(RequestDecider.end(pending, EndReason.EXPIRED), pending, now);
+      endExpired(pending, now);
       pending = expiry.pollExpired(now);
     }
   }
+
+  private void endExpired(PendingRequest pending, long now) {
+    carryOut(RequestDecider.end(pending, EndReason.EXPIRED), pending, now);
+  }
+
+  /** Like {@link #endExpired(long)}, for deadlines that have become earlier too. */
+  void endAllExpired(long now) {
+    expiry.findAllExpired(now).forEach(pending -> endExpired(pending, now));
+  }
 }
--- a/router/src/main/java/rushwood/server/RequestPathFactory.java
+++ b/router/src/main/java/rushwood/server/RequestPathFactory.java
@@ -88,6 +88,7 @@
         config.settings(),
         overloadSettings,
         connectBackoff,
+        timerQueue::recentLatenessNanos,
         actions,
         (overloadSignals, observedActions) ->
             new DefaultRoutingPolicy(
--- a/router/src/test/java/rushwood/dispatch/RequestDeadlineTest.java
+++ b/router/src/test/java/rushwood/dispatch/RequestDeadlineTest.java
@@ -24,6 +24,24 @@
     assertEquals(1760 * NANOS_PER_MILLI, deadlineOfRequestReadAt(1360));
   }
 
+  /** What arrives while a turn is at work is read in the next one. */
+  @Test
+  void deadlineCountsFromTheStartOfABusyTurn() {
+    fixture.loop.advanceTo(1000);
+    fixture.clock.now();
+    fixture.loop.stall(30);
+    assertEquals(1400 * NANOS_PER_MILLI, deadlineOfRequestReadAt(1031));
+  }
+
+  /** While the loop waits, input is read as it comes. */
+  @Test
+  void deadlineCountsFromNowAfterAWait() {
+    fixture.loop.advanceTo(1000);
+    fixture.clock.now();
+    fixture.loop.stall(3);
+    assertEquals(1420 * NANOS_PER_MILLI, deadlineOfRequestReadAt(1020));
+  }
+
   @Test
   void deadlineIsBoundedByShutdown() {
     fixture.dispatcher.shuttingDown(300 * NANOS_PER_MILLI);
--- a/router/src/test/java/rushwood/dispatch/TimerQueueTest.java
+++ b/router/src/test/java/rushwood/dispatch/TimerQueueTest.java
@@ -41,6 +41,31 @@
     assertEquals(List.of("other"), done);
   }
 
+  @Test
+  void remembersItsLongestLatenessWithAHalfLifeOfASecond() {
+    schedule(10, "in time");
+    loop.fireTimerAt(10);
+    assertEquals(0, loop.timers.recentLatenessNanos());
+    schedule(20, "late");
+    loop.fireTimerAt(320); // only sockets are read in this turn
+    loop.fireTimerAt(420);
+    assertEquals(400 * NANOS_PER_MILLI, loop.timers.recentLatenessNanos());
+    schedule(1410, "less late");
+    loop.fireTimerAt(1420);
+    assertEquals(200 * NANOS_PER_MILLI, loop.timers.recentLatenessNanos());
+  }
+
+  /** A task may be scheduled for a time that is past: then it is due at once, and not late. */
+  @Test
+  void taskForThePastIsNotLate() {
+    loop.advanceTo(500);
+    schedule(10, "due at once");
+    loop.fireTimerAt(501);
+    loop.fireTimerAt(501);
+    assertEquals(List.of("due at once"), done);
+    assertEquals(NANOS_PER_MILLI, loop.timers.recentLatenessNanos());
+  }
+
   @Test
   void failingTaskStopsNoOther() {
     loop.timers.schedule(
--- a/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
+++ b/router/src/test/java/rushwood/overload/OverloadControllerFixture.java
@@ -96,6 +96,7 @@
             SETTINGS,
             new OverloadSettings(true, true, 0.2, 10, failAmbiguousWrites),
             new ConnectBackoff(new SplittableRandom(1), true),
+            () -> 0,
             new RecordingActions(),
             (overloadSignals, observedActions) ->
                 new DefaultRoutingPolicy(
--- /dev/null
+++ b/router/src/test/java/rushwood/policy/AnswerDelayTest.java
@@ -0,0 +1,147 @@
+package rushwood.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rushwood.api.Endpoint;
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.NoPolicyActions;
+import rushwood.api.OverloadSignals;
+import rushwood.api.Request;
+import rushwood.api.RequestClass;
+import rushwood.api.RequestClassFixture;
+import rushwood.api.RequestId;
+import rushwood.api.RoutingSettings;
+import rushwood.api.ZoneId;
+
+/** When a request is answered by a router whose answers leave late. */
+class AnswerDelayTest {
+  private static final long MILLISECOND = 1_000_000L;
+  private static final long DEADLINE = 1_000 * MILLISECOND;
+  private static final GroupId GROUP = new GroupId(0);
+  private static final RequestClass READ =
+      RequestClassFixture.eventualRead("read", 0, 400 * MILLISECOND);
+  private static final RoutingSettings SETTINGS =
+      RoutingSettings.builder()
+          .routerCount(1)
+          .requestClasses(List.of(READ))
+          .clockResolutionNanos(5 * MILLISECOND)
+          .maxAttempts(4)
+          .build();
+
+  private final List<Long> timeoutsMillis = new ArrayList<>();
+  private final List<String> rejected = new ArrayList<>();
+  private long answerDelay;
+  private final DefaultRoutingPolicy policy =
+      new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), new Actions(), new Signals());
+
+  private final class Actions extends NoPolicyActions {
+    @Override
+    public void send(RequestId id, HostId host, long timeoutNanos, long startWithinNanos) {
+      timeoutsMillis.add(timeoutNanos / MILLISECOND);
+    }
+
+    @Override
+    public void reject(RequestId id, long retryAfterNanos) {
+      rejected.add(id.value());
+    }
+  }
+
+  private final class Signals implements OverloadSignals {
+    private final OverloadSignals others = OverloadSignals.withoutOverloadControl(SETTINGS);
+
+    @Override
+    public long retryAfterNanos(long now, Request request, boolean othersWaiting) {
+      return others.retryAfterNanos(now, request, othersWaiting);
+    }
+
+    @Override
+    public boolean canRetry(long now, GroupId group) {
+      return others.canRetry(now, group);
+    }
+
+    @Override
+    public void attemptSent(long now, GroupId group, boolean isCostlyRetry) {}
+
+    @Override
+    public boolean canConnect(long now, HostId host) {
+      return others.canConnect(now, host);
+    }
+
+    @Override
+    public long answerDelayNanos() {
+      return answerDelay;
+    }
+  }
+
+  @BeforeEach
+  void listOneHost() {
+    policy.endpointsReplaced(
+        0,
+        List.of(
+            new Endpoint(
+                new HostId("a"), GROUP, new ZoneId("z"), 1, 0, true, Endpoint.State.READY)),
+        true);
+  }
+
+  private void receive(String id, long nowMillis) {
+    policy.requestReceived(
+        nowMillis * MILLISECOND, new Request(new RequestId(id), READ, null, GROUP, DEADLINE, 0));
+  }
+
+  private void fireTimer(long nowMillis) {
+    policy.timerFired(nowMillis * MILLISECOND);
+  }
+
+  @Test
+  void answersAMarginBeforeTheDeadlineWithoutDelay() {
+    receive("r", 0);
+    fireTimer(989);
+    assertEquals(List.of(), rejected);
+    fireTimer(990);
+    assertEquals(List.of("r"), rejected);
+    assertEquals(List.of(990L), timeoutsMillis);
+  }
+
+  /** The delay is seen only while the host has the request. */
+  @Test
+  void answersEarlierByADelayThatBeginsLater() {
+    receive("r", 0);
+    answerDelay = 200 * MILLISECOND;
+    fireTimer(700);
+    assertEquals(List.of(), rejected);
+    fireTimer(800);
+    assertEquals(List.of("r"), rejected);
+  }
+
+  @Test
+  void answersAsUsualOnceTheDelayIsOver() {
+    answerDelay = 200 * MILLISECOND;
+    receive("r", 0);
+    answerDelay = 0;
+    fireTimer(980);
+    assertEquals(List.of(), rejected);
+    fireTimer(990);
+    assertEquals(List.of("r"), rejected);
+  }
+
+  @Test
+  void tellsTheHostTheTimeThatIsLeftWithoutTheDelay() {
+    answerDelay = 300 * MILLISECOND;
+    receive("r", 100);
+    assertEquals(List.of(600L), timeoutsMillis);
+  }
+
+  /** A pause of seconds must not have every request rejected that comes after it. */
+  @Test
+  void setsAsideFourTenthsOfASecondAtMost() {
+    answerDelay = 5_000 * MILLISECOND;
+    receive("r", 100);
+    assertEquals(List.of(500L), timeoutsMillis);
+  }
+}
--- a/router/src/test/java/rushwood/policy/RequestDeciderTest.java
+++ b/router/src/test/java/rushwood/policy/RequestDeciderTest.java
@@ -93,6 +93,11 @@
       public boolean canConnect(long now, HostId host) {
         return true;
       }
+
+      @Override
+      public long answerDelayNanos() {
+        return 0;
+      }
     };
   }
 
--- a/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
+++ b/testbed/src/main/java/rushwood/testbed/load/OverloadBenchmark.java
@@ -118,6 +118,7 @@
             settings,
             OverloadSettings.DEFAULT,
             new ConnectBackoff(new SplittableRandom(1), true),
+            () -> 0,
             new IgnoredActions(),
             (signals, actions) ->
                 new DefaultRoutingPolicy(settings, new SplittableRandom(1), actions, signals));
--- a/testbed/src/main/java/rushwood/testbed/simulation/VirtualRouter.java
+++ b/testbed/src/main/java/rushwood/testbed/simulation/VirtualRouter.java
@@ -64,6 +64,7 @@
                 settings,
                 overloadSettings.get(),
                 connectBackoff,
+                () -> 0,
                 this,
                 (signals, actions) -> new DefaultRoutingPolicy(settings, random, actions, signals));
     callPolicy(() -> policy.endpointsReplaced(events.now(), context.store().endpoints(), true));
