All waiting connections are accepted at once while there is room for them

Cause: the listener accepted 16 connections a turn, Netty's default. On a busy machine a turn took 70 to 250 ms, so that 32 to 57 requests were read in each 200 ms while 271 came; the queue of the kernel held the others for 0.8 to 1.4 s, and the router could neither serve nor reject them, nor know their age.

Change: AcceptBatch lets a turn accept as many as the connection limit has room for, up to the backlog of 512. At the limit it stays at 16, the margin that descriptors are set aside for, so that the choice of which connection has to go is still made after sockets were read.

--- a/router/src/main/java/rushwood/net/ConnectionLimiter.java
+++ b/router/src/main/java/rushwood/net/ConnectionLimiter.java
@@ -25,8 +25,7 @@
   // Longer than a usual turn of the event loop: by then all sockets have been read once.
   private static final long EVICTION_DELAY_NANOS = 1_000_000L;
 
-  // As many as are accepted in one turn.
-  private static final int ACCEPT_MARGIN = 16;
+  private static final int ACCEPT_MARGIN = AcceptBatch.MIN_CONNECTIONS;
 
   private final EventLoopClock clock;
   private final TimerQueue timers;
@@ -34,6 +33,7 @@
   private final ConnectionAdmission admission;
   private final DescriptorBudget descriptorBudget;
   private final LongSupplier retryAfterNanos;
+  private final AcceptBatch acceptBatch = new AcceptBatch();
   private boolean enforcementScheduled;
 
   ConnectionLimiter(
@@ -49,6 +49,12 @@
   /** Takes over how many connections the descriptor budget allows now. */
   void updateLimit() {
     admission.setMaxConnections(descriptorBudget.maxClients(clock.now()));
+    acceptBatch.setRoom(admission.maxConnections() - admission.openConnections());
+  }
+
+  /** How many connections are accepted at once. */
+  AcceptBatch acceptBatch() {
+    return acceptBatch;
   }
 
   /** Whether so many connections leave no room for another, not even in the margin. */
--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -31,6 +31,9 @@
  * </ol>
  */
 public final class FrontendServer extends ChannelInitializer<Channel> {
+  /** How many connections the kernel queues for the router while the process is suspended. */
+  public static final int LISTEN_BACKLOG = 512;
+
   private static final long TIMEOUT_CHECK_INTERVAL_NANOS = 200_000_000L;
 
   // A channel is read until nothing is left: the end of a connection that arrived behind a
@@ -87,6 +90,7 @@
         .filter(connection -> !counters.runSafely(connection::checkTimeouts))
         .forEach(connection -> connection.channel.close());
     lingeringConnections.checkDeadlines();
+    limiter.updateLimit();
     limiter.closeIdleBelowLimit();
   }
 
@@ -146,6 +150,11 @@
         new InputLimit(statementMemory));
   }
 
+  /** What the listener has to use, so that it accepts as many at once as there is room for. */
+  public RecvByteBufAllocator acceptAllocator() {
+    return limiter.acceptBatch().allocator();
+  }
+
   /** Connections that use a descriptor, those that linger included. */
   public int openConnections() {
     return registry.size() + lingeringConnections.size();
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -15,6 +15,7 @@
 import org.tinylog.Logger;
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
+import rushwood.net.FrontendServer;
 
 /**
  * One running router.
@@ -29,9 +30,6 @@
    */
   private static final long FIRST_LIST_TIMEOUT_MILLIS = 1000;
 
-  /** How many connections the kernel queues for the router while the process is suspended. */
-  private static final int LISTEN_BACKLOG = 512;
-
   private final RouterConfig config;
   private final OperatorSettings operatorSettings;
   private final Map<String, String> environment;
@@ -122,7 +120,8 @@
         new ServerBootstrap()
             .group(eventLoopGroup)
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, FrontendServer.LISTEN_BACKLOG)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, components.frontend().acceptAllocator())
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(components.frontend());
