Requests that wait are not used up while a host's connect backoff allows no connection

Cause: a host of which some connections failed in time may be healthy for the policy, while ConnectBackoff allows one connection at a time. Each waiting request was given the slot, ended as NOT_SENT, and freed it for the next; each of these steps also looks at the whole wait queue.

Other reasons for NOT_SENT, such as an idle connection that the host had closed, pause nothing. Without overload control nothing changes.

AdjustableOverloadSignals takes the place of two fakes.

--- a/router/src/main/java/rushwood/api/OverloadSignals.java
+++ b/router/src/main/java/rushwood/api/OverloadSignals.java
@@ -25,7 +25,7 @@
    */
   void attemptSent(long now, GroupId group, boolean isCostlyRetry);
 
-  /** Whether an unreachable host may be tried although no health check has found it up. */
+  /** Whether the connect backoff allows a new connection to that host now. */
   boolean canConnect(long now, HostId host);
 
   /**
--- a/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
+++ b/router/src/main/java/rushwood/policy/ConcurrencyLimiter.java
@@ -109,7 +109,7 @@
    * host has a share, and one slot at the least.
    */
   private double effectiveLimit(HostState host, long now) {
-    if (host.concurrency.isPaused(now)) {
+    if (host.concurrency.isPaused(now) || host.health.areConnectsPaused(now)) {
       return 0;
     }
     if (!host.health.isHealthy()) {
--- a/router/src/main/java/rushwood/policy/HostHealth.java
+++ b/router/src/main/java/rushwood/policy/HostHealth.java
@@ -19,6 +19,7 @@
   private long ejectedAt = Times.LONG_AGO;
   private long nextTrialAt = Times.LONG_AGO;
   private long lastAnswerAt = Times.LONG_AGO;
+  private long connectPausedUntil = Times.LONG_AGO;
   private boolean healthCheckInFlight;
 
   Status status() {
@@ -69,6 +70,17 @@
   /** The host has answered an attempt, if only to refuse it. */
   void answered(long now) {
     lastAnswerAt = now;
+    connectPausedUntil = Times.LONG_AGO;
+  }
+
+  /** The router may open no connection to the host; holds until then, or until it answers. */
+  void pauseConnects(long until) {
+    connectPausedUntil = until;
+  }
+
+  /** Whether attempts would have to wait for a connection that may not be opened yet. */
+  boolean areConnectsPaused(long now) {
+    return now < connectPausedUntil;
   }
 
   /** When the host last answered an attempt; {@link Times#LONG_AGO} if it never did. */
--- a/router/src/main/java/rushwood/policy/OutlierDetector.java
+++ b/router/src/main/java/rushwood/policy/OutlierDetector.java
@@ -21,6 +21,9 @@
  *   <tr><td>unreachable</td><td>healthy</td><td>it answers a health check</td></tr>
  *   <tr><td>unresponsive</td><td>healthy</td><td>it answers an attempt</td></tr>
  * </table>
+ *
+ * <p>A host of any state to which no connection may be opened gets no attempt for a while: those
+ * that wait would each be used up at once.
  */
 final class OutlierDetector {
   /** So many missing answers are chance once in 100,000. */
@@ -29,6 +32,9 @@
   /** After a longer outage the process of a host has probably restarted, and is cold. */
   private static final long MAX_WARM_OUTAGE_NANOS = 2 * HealthCheckPolicy.TRIAL_INTERVAL_NANOS;
 
+  /** Between two attempts at a host that turn out to need a connection that is not allowed. */
+  private static final long CONNECT_PAUSE_NANOS = DefaultRoutingPolicy.CHECK_INTERVAL_NANOS / 2;
+
   private final PolicyActions actions;
   private final OverloadSignals overloadSignals;
   private final ServiceTimes serviceTimes;
@@ -73,6 +79,9 @@
       if (host.health.isUnresponsive()) {
         restore(host, now);
       }
+    } else if (result.outcome() == AttemptOutcome.NOT_SENT
+        && !overloadSignals.canConnect(now, host.id)) {
+      host.health.pauseConnects(now + CONNECT_PAUSE_NANOS);
     }
   }
 
--- /dev/null
+++ b/router/src/test/java/rushwood/policy/AdjustableOverloadSignals.java
@@ -0,0 +1,42 @@
+package rushwood.policy;
+
+import rushwood.api.GroupId;
+import rushwood.api.HostId;
+import rushwood.api.OverloadSignals;
+import rushwood.api.Request;
+import rushwood.api.RoutingSettings;
+
+/** The signals of a router without overload control, but for what a test sets. */
+final class AdjustableOverloadSignals implements OverloadSignals {
+  private final OverloadSignals others;
+  long answerDelay;
+  boolean mayConnect = true;
+  boolean mayRetry = true;
+
+  AdjustableOverloadSignals(RoutingSettings settings) {
+    others = OverloadSignals.withoutOverloadControl(settings);
+  }
+
+  @Override
+  public long retryAfterNanos(long now, Request request, boolean othersWaiting) {
+    return others.retryAfterNanos(now, request, othersWaiting);
+  }
+
+  @Override
+  public boolean canRetry(long now, GroupId group) {
+    return mayRetry;
+  }
+
+  @Override
+  public void attemptSent(long now, GroupId group, boolean isCostlyRetry) {}
+
+  @Override
+  public boolean canConnect(long now, HostId host) {
+    return mayConnect;
+  }
+
+  @Override
+  public long answerDelayNanos() {
+    return answerDelay;
+  }
+}
--- a/router/src/test/java/rushwood/policy/AnswerDelayTest.java
+++ b/router/src/test/java/rushwood/policy/AnswerDelayTest.java
@@ -11,7 +11,6 @@
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.NoPolicyActions;
-import rushwood.api.OverloadSignals;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestClassFixture;
@@ -36,9 +35,9 @@
 
   private final List<Long> timeoutsMillis = new ArrayList<>();
   private final List<String> rejected = new ArrayList<>();
-  private long answerDelay;
+  private final AdjustableOverloadSignals signals = new AdjustableOverloadSignals(SETTINGS);
   private final DefaultRoutingPolicy policy =
-      new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), new Actions(), new Signals());
+      new DefaultRoutingPolicy(SETTINGS, new SplittableRandom(1), new Actions(), signals);
 
   private final class Actions extends NoPolicyActions {
     @Override
@@ -52,33 +51,6 @@
     }
   }
 
-  private final class Signals implements OverloadSignals {
-    private final OverloadSignals others = OverloadSignals.withoutOverloadControl(SETTINGS);
-
-    @Override
-    public long retryAfterNanos(long now, Request request, boolean othersWaiting) {
-      return others.retryAfterNanos(now, request, othersWaiting);
-    }
-
-    @Override
-    public boolean canRetry(long now, GroupId group) {
-      return others.canRetry(now, group);
-    }
-
-    @Override
-    public void attemptSent(long now, GroupId group, boolean isCostlyRetry) {}
-
-    @Override
-    public boolean canConnect(long now, HostId host) {
-      return others.canConnect(now, host);
-    }
-
-    @Override
-    public long answerDelayNanos() {
-      return answerDelay;
-    }
-  }
-
   @BeforeEach
   void listOneHost() {
     policy.endpointsReplaced(
@@ -112,7 +84,7 @@
   @Test
   void answersEarlierByADelayThatBeginsLater() {
     receive("r", 0);
-    answerDelay = 200 * MILLISECOND;
+    signals.answerDelay = 200 * MILLISECOND;
     fireTimer(700);
     assertEquals(List.of(), rejected);
     fireTimer(800);
@@ -121,9 +93,9 @@
 
   @Test
   void answersAsUsualOnceTheDelayIsOver() {
-    answerDelay = 200 * MILLISECOND;
+    signals.answerDelay = 200 * MILLISECOND;
     receive("r", 0);
-    answerDelay = 0;
+    signals.answerDelay = 0;
     fireTimer(980);
     assertEquals(List.of(), rejected);
     fireTimer(990);
@@ -132,7 +104,7 @@
 
   @Test
   void tellsTheHostTheTimeThatIsLeftWithoutTheDelay() {
-    answerDelay = 300 * MILLISECOND;
+    signals.answerDelay = 300 * MILLISECOND;
     receive("r", 100);
     assertEquals(List.of(600L), timeoutsMillis);
   }
@@ -140,7 +112,7 @@
   /** A pause of seconds must not have every request rejected that comes after it. */
   @Test
   void setsAsideFourTenthsOfASecondAtMost() {
-    answerDelay = 5_000 * MILLISECOND;
+    signals.answerDelay = 5_000 * MILLISECOND;
     receive("r", 100);
     assertEquals(List.of(500L), timeoutsMillis);
   }
--- a/router/src/test/java/rushwood/policy/RequestDeciderTest.java
+++ b/router/src/test/java/rushwood/policy/RequestDeciderTest.java
@@ -12,7 +12,6 @@
 import rushwood.api.GroupId;
 import rushwood.api.HostId;
 import rushwood.api.NoPolicyActions;
-import rushwood.api.OverloadSignals;
 import rushwood.api.Request;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestClass.Consistency;
@@ -37,12 +36,9 @@
       requestClass(1, Idempotency.IDEMPOTENCY_KEY, true);
   private static final RequestClass WRITE = requestClass(2, Idempotency.NON_IDEMPOTENT, true);
 
-  /** Nothing is in the retry budget once this is set. */
-  private boolean isRetryBudgetUsedUp;
-
+  private final AdjustableOverloadSignals signals = new AdjustableOverloadSignals(settings());
   private final PolicyComponents components =
-      new PolicyComponents(
-          settings(), new SplittableRandom(1), new NoPolicyActions(), overloadSignals());
+      new PolicyComponents(settings(), new SplittableRandom(1), new NoPolicyActions(), signals);
 
   private static RequestClass requestClass(int index, Idempotency idempotency, boolean isWrite) {
     return new RequestClass(
@@ -74,33 +70,6 @@
         .build();
   }
 
-  private OverloadSignals overloadSignals() {
-    return new OverloadSignals() {
-      @Override
-      public long retryAfterNanos(long now, Request request, boolean othersWaiting) {
-        return 0;
-      }
-
-      @Override
-      public boolean canRetry(long now, GroupId group) {
-        return !isRetryBudgetUsedUp;
-      }
-
-      @Override
-      public void attemptSent(long now, GroupId group, boolean isCostlyRetry) {}
-
-      @Override
-      public boolean canConnect(long now, HostId host) {
-        return true;
-      }
-
-      @Override
-      public long answerDelayNanos() {
-        return 0;
-      }
-    };
-  }
-
   private HostState list(String id, boolean isPrimary) {
     HostId hostId = new HostId(id);
     components.endpointPolicy.endpointListed(
@@ -196,7 +165,7 @@
   @Test
   void endsACostlyRetryThatTheBudgetDoesNotAllow() {
     HostState host = list("a", false);
-    isRetryBudgetUsedUp = true;
+    signals.mayRetry = false;
     assertInstanceOf(
         Decision.Send.class, decide(attempted(request(READ), host, AttemptOutcome.NOT_SENT)));
     assertEquals(
