Shutdown: connections that wait to be accepted are refused with an error, not reset

Cause: once no connection is open the listener is closed. Who has connected since the last accept, a turn of the event loop earlier, waits in the kernel's queue with its request sent, and the close resets it.

Change: ClientListener.stop accepts all that wait and closes the socket in the same step; they are refused as others are during the drain (57P03), and the process ends once they are gone, or at its time.

--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -1,13 +1,10 @@
 package rushwood.server;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +12,7 @@
 import org.tinylog.Logger;
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
-import rushwood.net.FrontendServer;
+import rushwood.net.ClientListener;
 
 /**
  * One running router.
@@ -112,20 +109,13 @@
    * Binds the address. A stop that comes while this binds waits for it and then serves first, as
    * clients may have connected.
    */
-  private synchronized void listen(RouterComponents components) throws InterruptedException {
+  private synchronized void listen(RouterComponents components)
+      throws IOException, InterruptedException {
     if (stopRequested) {
       return;
     }
-    ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(eventLoopGroup)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, FrontendServer.LISTEN_BACKLOG)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, components.frontend().acceptAllocator())
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(components.frontend());
-    Channel listener = bootstrap.bind(config.listenAddress()).sync().channel();
+    ClientListener listener =
+        ClientListener.bind(eventLoopGroup, config.listenAddress(), components.frontend());
     shutdown = () -> startShutdown(components, listener);
     Logger.info("{} serves at {}", config.name(), listener.localAddress());
   }
@@ -153,7 +143,7 @@
     }
   }
 
-  private void startShutdown(RouterComponents components, Channel listener) {
+  private void startShutdown(RouterComponents components, ClientListener listener) {
     stopping = true;
     Logger.info(
         "shutting down: {} requests in flight", components.dispatcher().unansweredRequests());
@@ -162,14 +152,14 @@
             components.timerQueue(),
             components.dispatcher(),
             components.frontend(),
+            listener,
             config.maxRequestTimeoutNanos(),
-            () -> close(components, listener))
+            () -> close(components))
         .start();
   }
 
-  private void close(RouterComponents components, Channel listener) {
+  private void close(RouterComponents components) {
     components.frontend().close();
-    listener.close();
     components.discoveryClient().close();
     components.dispatcher().close();
     Logger.info("counters {}", components.counters());
--- a/router/src/main/java/rushwood/server/ShutdownSequence.java
+++ b/router/src/main/java/rushwood/server/ShutdownSequence.java
@@ -3,6 +3,7 @@
 import rushwood.dispatch.EventLoopClock;
 import rushwood.dispatch.RequestDispatcher;
 import rushwood.dispatch.TimerQueue;
+import rushwood.net.ClientListener;
 import rushwood.net.FrontendServer;
 
 /**
@@ -17,8 +18,10 @@
  *       never before 0.55 s: requests on open and on new connections are served as before.
  *   <li>Then the drain: each connection is closed as soon as it has no request, and new ones are
  *       refused. Checked every 50 ms.
- *   <li>Once no connection is left, at T + 0.6 s (3.6 s) at the latest: all connections and the
- *       listener are closed, the counters are logged, and the process exits.
+ *   <li>Once no connection is left, at T + 0.6 s (3.6 s) at the latest: those that wait to be
+ *       accepted are refused with an error too, and the listener is closed.
+ *   <li>Once none of these is left, at the same time at the latest: all connections are closed, the
+ *       counters are logged, and the process exits.
  *   <li>T + 0.7 s (3.7 s): the earliest SIGKILL.
  * </ol>
  *
@@ -68,6 +71,7 @@
   private final TimerQueue timerQueue;
   private final RequestDispatcher dispatcher;
   private final FrontendServer frontend;
+  private final ClientListener listener;
   private final Runnable onDrained;
   private final long earliestDrainTime;
   private final long lastAnswerTime;
@@ -84,12 +88,14 @@
       TimerQueue timerQueue,
       RequestDispatcher dispatcher,
       FrontendServer frontend,
+      ClientListener listener,
       long maxRequestTimeoutNanos,
       Runnable onDrained) {
     this.clock = clock;
     this.timerQueue = timerQueue;
     this.dispatcher = dispatcher;
     this.frontend = frontend;
+    this.listener = listener;
     this.onDrained = onDrained;
     // A signal that came while the process was suspended may have come at the pause's start.
     long signalTime = clock.earliestArrival(SIGNAL_DELAY_NANOS);
@@ -132,7 +138,11 @@
   private void drain() {
     frontend.drain();
     long now = clock.now();
-    if (frontend.openConnections() > 0 && now < lastAnswerTime + CHECK_INTERVAL_NANOS) {
+    boolean isOverdue = now >= lastAnswerTime + CHECK_INTERVAL_NANOS;
+    if (isOverdue || frontend.openConnections() == 0) {
+      listener.stop();
+    }
+    if (!isOverdue && frontend.openConnections() > 0) {
       timerQueue.schedule(now + CHECK_INTERVAL_NANOS, this::drain);
     } else {
       onDrained.run();
--- /dev/null
+++ b/router/src/test/java/rushwood/net/ClientListenerTest.java
@@ -0,0 +1,108 @@
+package rushwood.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static rushwood.protocol.TestMessages.concat;
+import static rushwood.protocol.TestMessages.messageTypes;
+import static rushwood.protocol.TestMessages.query;
+import static rushwood.protocol.TestMessages.startup;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rushwood.dispatch.FakeEventLoop;
+import rushwood.net.FrontendConnectionTest.PendingPolicy;
+import rushwood.overload.ConnectionAdmission;
+import rushwood.overload.DescriptorBudget;
+import rushwood.protocol.TestMessages;
+
+/** The end of a listener at which connections wait to be accepted. */
+class ClientListenerTest {
+  private static final int WAITING = 40;
+  private static final int TIMEOUT_MILLIS = 10_000;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<Socket> clients = new ArrayList<>();
+  private FrontendServer server;
+  private ClientListener listener;
+
+  @BeforeEach
+  void listen() throws Exception {
+    FakeEventLoop time = new FakeEventLoop();
+    DescriptorBudget descriptors = new DescriptorBudget(1000);
+    server =
+        new FrontendServer(
+            FrontendConnectionTest.createDispatcher(time, descriptors, new PendingPolicy()),
+            time.clock,
+            time.timers,
+            time.counters,
+            TestMessages.REQUEST_CLASSES,
+            new ConnectionLimits(new ConnectionAdmission(1000, 0), descriptors, () -> 0),
+            new SplittableRandom(1));
+    listener =
+        ClientListener.bind(
+            group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), server);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    for (Socket client : clients) {
+      client.close();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  private Socket connect() throws Exception {
+    InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+    Socket client = new Socket(address.getAddress(), address.getPort());
+    client.setSoTimeout(TIMEOUT_MILLIS);
+    clients.add(client);
+    return client;
+  }
+
+  /** The kernel has accepted them, and they have sent a request: each is told why it ends. */
+  @Test
+  void connectionsThatWaitAreRefusedWithAnError() throws Exception {
+    CountDownLatch allSent = new CountDownLatch(1);
+    var stopped =
+        group
+            .next()
+            .submit(
+                () -> {
+                  server.drain();
+                  allSent.await();
+                  listener.stop();
+                  return server.openConnections();
+                });
+    for (int i = 0; i < WAITING; i++) {
+      connect().getOutputStream().write(concat(startup(), query("SELECT 1")));
+    }
+    allSent.countDown();
+    assertEquals(WAITING, stopped.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    for (Socket client : clients) {
+      byte[] answer = client.getInputStream().readAllBytes();
+      assertEquals("E(57P03)", messageTypes(answer));
+    }
+    assertThrows(ConnectException.class, this::connect);
+  }
+
+  @Test
+  void stoppingTwiceDoesNothing() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      group.next().submit(listener::stop).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+    assertThrows(ConnectException.class, this::connect);
+  }
+}
