Discovery: a huge unreadable list no longer keeps the event loop busy past the drain grace

Cause: an agent's list with 100,000 entries is refused at entry 16,384, after all of these were decoded for endpoints that leave. Each invalid entry threw an exception with its whole stack: 581 ms of processor time for the first such list, 245 to 337 ms for each further one (C1, stack 60 deep, measured apart), and the list is asked for again every 125 ms. So the event loop did nothing else.

EndpointListParserTest: without the change of the exceptions invalidEntriesCostNoStackTraces is red (a stack of 14); escaped states are covered by a new case.

Also: the listener stops 0.1 s before the last answer at the latest, so that those it accepts last are told.

--- a/router/src/main/java/rushwood/discovery/DiscoveryProtocol.java
+++ b/router/src/main/java/rushwood/discovery/DiscoveryProtocol.java
@@ -53,6 +53,16 @@
     };
   }
 
+  /**
+   * Whether an entry may be of an endpoint that is draining or removed. An entry without either
+   * word, and without an escape sequence that could stand for a part of it, is not.
+   */
+  static boolean canBeLeaving(String entry) {
+    return entry.contains(STATE_DRAINING)
+        || entry.contains(STATE_REMOVED)
+        || entry.indexOf('\\') >= 0;
+  }
+
   private static String quote(String value) {
     return value.substring(0, Math.min(MAX_QUOTED_LENGTH, value.length())).replaceAll("\\s", "_");
   }
--- a/router/src/main/java/rushwood/discovery/EndpointListParser.java
+++ b/router/src/main/java/rushwood/discovery/EndpointListParser.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import rushwood.dispatch.PartialEndpoint;
 
@@ -112,7 +113,12 @@
     if (isCached(header)) {
       return EndpointList.unchanged(cachedVersion.getAsLong(), tokenizer.checksum());
     }
-    return decodeEntries().build(header, completeExpected, tokenizer.checksum());
+    EndpointListBuilder builder = new EndpointListBuilder();
+    for (int i = 0; i < tokenizer.nonEntryCount(); i++) {
+      builder.addNonEntry();
+    }
+    decodeEntries(builder, entry -> true);
+    return builder.build(header, completeExpected, tokenizer.checksum());
   }
 
   private boolean isCached(JsonObject header) {
@@ -121,20 +127,22 @@
         && EndpointListBuilder.decodeVersion(header).equals(cachedVersion);
   }
 
-  private EndpointListBuilder decodeEntries() {
-    EndpointListBuilder builder = new EndpointListBuilder();
-    for (int i = 0; i < tokenizer.nonEntryCount(); i++) {
-      builder.addNonEntry();
-    }
+  private void decodeEntries(EndpointListBuilder builder, Predicate<String> filter) {
     for (int i = 0; i < tokenizer.entryCount(); i++) {
-      builder.addEntry(tokenizer.entry(i));
+      String entry = tokenizer.entry(i);
+      if (filter.test(entry)) {
+        builder.addEntry(entry);
+      }
     }
-    return builder;
   }
 
-  /** Drops the list that cannot be read further; the exception has its leaving endpoints so far. */
+  /**
+   * Drops the list that cannot be read further; the exception has its leaving endpoints so far.
+   * Other entries are not decoded: the list may be huge, and it is asked for again soon.
+   */
   private UnreadableListException unreadable(String reason) {
-    EndpointListBuilder builder = decodeEntries();
+    EndpointListBuilder builder = new EndpointListBuilder();
+    decodeEntries(builder, DiscoveryProtocol::canBeLeaving);
     tokenizer.truncatedEntry().ifPresent(builder::addTruncatedEntry);
     List<PartialEndpoint> leavingEndpoints = builder.leavingEndpoints();
     tokenizer.reset();
--- a/router/src/main/java/rushwood/discovery/InvalidFieldException.java
+++ b/router/src/main/java/rushwood/discovery/InvalidFieldException.java
@@ -25,4 +25,12 @@
   public String getMessage() {
     return field + " " + reason;
   }
+
+  /**
+   * Records no stack: a list may have thousands of invalid entries, and only the reason is used.
+   */
+  @Override
+  public synchronized Throwable fillInStackTrace() {
+    return this;
+  }
 }
--- a/router/src/main/java/rushwood/discovery/MalformedListException.java
+++ b/router/src/main/java/rushwood/discovery/MalformedListException.java
@@ -14,4 +14,12 @@
   public String getMessage() {
     return reason;
   }
+
+  /**
+   * Records no stack: a list may have thousands of invalid entries, and only the reason is used.
+   */
+  @Override
+  public synchronized Throwable fillInStackTrace() {
+    return this;
+  }
 }
--- a/router/src/main/java/rushwood/server/ShutdownSequence.java
+++ b/router/src/main/java/rushwood/server/ShutdownSequence.java
@@ -18,10 +18,10 @@
  *       never before 0.55 s: requests on open and on new connections are served as before.
  *   <li>Then the drain: each connection is closed as soon as it has no request, and new ones are
  *       refused. Checked every 50 ms.
- *   <li>Once no connection is left, at T + 0.6 s (3.6 s) at the latest: those that wait to be
+ *   <li>Once no connection is left, at T + 0.4 s (3.4 s) at the latest: those that wait to be
  *       accepted are refused with an error too, and the listener is closed.
- *   <li>Once none of these is left, at the same time at the latest: all connections are closed, the
- *       counters are logged, and the process exits.
+ *   <li>Once none of these is left, at T + 0.6 s (3.6 s) at the latest: all connections are closed,
+ *       the counters are logged, and the process exits.
  *   <li>T + 0.7 s (3.7 s): the earliest SIGKILL.
  * </ol>
  *
@@ -68,6 +68,9 @@
   /** Between two checks whether it is time to drain, or whether all is answered. */
   private static final long CHECK_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
 
+  /** From the end of the listener to the last answer: who was accepted last is told to go. */
+  private static final long LISTENER_RESERVE_NANOS = 2 * CHECK_INTERVAL_NANOS;
+
   private final EventLoopClock clock;
   private final TimerQueue timerQueue;
   private final RequestDispatcher dispatcher;
@@ -147,7 +150,7 @@
     frontend.drain();
     long now = clock.now();
     boolean isOverdue = now >= lastAnswerTime + CHECK_INTERVAL_NANOS;
-    if (isOverdue || frontend.openConnections() == 0) {
+    if (now >= lastAnswerTime - LISTENER_RESERVE_NANOS || frontend.openConnections() == 0) {
       listener.stop();
     }
     boolean isDone = listener.isStopped() && frontend.openConnections() == 0;
--- a/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointListParserTest.java
@@ -220,6 +220,23 @@
     }
   }
 
+  /** The states may be written with escape sequences. */
+  @Test
+  void truncatedListReportsLeavingEndpointsInAnyNotation() {
+    String escaped = DRAINING_ENTRY.replace("Terminating", "\\u0054erminating");
+    String complete = list(9, true, READY_ENTRY + "," + escaped);
+    String text = complete.substring(0, complete.length() - 1);
+    var unreadable = assertThrows(UnreadableListException.class, () -> parse(text));
+    assertEquals(List.of(DRAINING_ENDPOINT), unreadable.leavingEndpoints());
+  }
+
+  /** A list of thousands of invalid entries is read on the event loop: a stack each is too much. */
+  @Test
+  void invalidEntriesCostNoStackTraces() {
+    assertEquals(0, InvalidFieldException.missingOrUnreadable("id").getStackTrace().length);
+    assertEquals(0, new MalformedListException("no JSON object").getStackTrace().length);
+  }
+
   @Test
   void malformedInputIsRejected() {
     assertUnreadable("it begins with n", "nonsense");
