--- a/review/1/HalfCommands.java
+++ b/review/1/HalfCommands.java
@@ -16,7 +16,7 @@
 final class HalfCommands {
   private static final int USUAL_CLIENTS = 20;
   private static final int NEARLY_WHOLE = 150;
-  private static final int HALF = 330;
+  private static final int HALF = 210;
   private static final int MISSING_BYTES = 100;
   private static final String VALUE = "ab".repeat(64 << 10);
   private static final int DEADLINE_MILLIS = 1500;
