Count direct memory in use, and log turns of the event loop over 250 ms

Two counters, direct_memory_bytes (the metric of the channels' allocator) and longest_turn_millis, and one WARN line for a turn over 250 ms that names its length and the direct memory in use then.

--- a/router/src/main/java/rushwood/dispatch/EventLoopClock.java
+++ b/router/src/main/java/rushwood/dispatch/EventLoopClock.java
@@ -36,6 +36,7 @@
   private long earliestUnreadArrival;
 
   private long turnNumber;
+  private long longestTurnNanos; // since the last call of takeLongestTurnNanos
   private boolean isReadInCurrentTurn;
 
   /**
@@ -96,6 +97,17 @@
   private void endTurn() {
     isReadInCurrentTurn = false;
     previousTurnEnd = Math.max(now, timeSource.getAsLong());
+    longestTurnNanos = Math.max(longestTurnNanos, previousTurnEnd - now);
+  }
+
+  /**
+   * Returns the length in nanoseconds of the longest turn that has ended since the last call, or 0
+   * if none has ended. A turn that the clock was not read in does not count.
+   */
+  public long takeLongestTurnNanos() {
+    long longest = longestTurnNanos;
+    longestTurnNanos = 0;
+    return longest;
   }
 
   /** Returns the number of the current turn. Numbers increase by one with each turn. */
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -1,6 +1,8 @@
 package rushwood.server;
 
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetric;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.List;
 import java.util.Optional;
@@ -41,6 +43,9 @@
 
   private static final int LOGGED_STACK_FRAMES = 3;
 
+  /** The allocator of all channels. */
+  private static final ByteBufAllocator ALLOCATOR = ByteBufAllocator.DEFAULT;
+
   private final RouterConfig config;
   private final OperatorSettings operatorSettings;
   private final SingleThreadEventLoop eventLoop;
@@ -48,6 +53,7 @@
   private final EventLoopClock clock;
   private final TimerQueue timerQueue;
   private final RateLimitedLogger logger;
+  private final StallReporter stallReporter;
   private final DescriptorBudget descriptorBudget;
   private final RequestPathFactory requestPathFactory;
 
@@ -62,6 +68,7 @@
     clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
     timerQueue = new TimerQueue(clock, new EventLoopTimer(eventLoop), counters);
     logger = new RateLimitedLogger(clock);
+    stallReporter = createStallReporter();
     descriptorBudget = new DescriptorBudget(config.maxSockets() - RESERVED_SOCKETS);
     requestPathFactory =
         new RequestPathFactory(
@@ -75,6 +82,14 @@
                 operatorSettings.overload().connectBackoff()));
   }
 
+  private StallReporter createStallReporter() {
+    ByteBufAllocatorMetric metric = ((ByteBufAllocatorMetricProvider) ALLOCATOR).metric();
+    StallReporter reporter = new StallReporter(clock, metric, logger);
+    counters.register("direct_memory_bytes", metric::usedDirectMemory);
+    counters.register("longest_turn_millis", reporter::longestTurnMillis);
+    return reporter;
+  }
+
   /**
    * Creates the components. The dispatcher starts with the last known endpoint list.
    *
@@ -95,9 +110,10 @@
 
   /**
    * Wakes the event loop at a fixed interval even if it is idle, so that the clock can tell a
-   * paused process from an idle one.
+   * paused process from an idle one. Each time, reports if the event loop was stalled.
    */
   private void scheduleHeartbeat() {
+    stallReporter.check();
     timerQueue.schedule(
         clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::scheduleHeartbeat);
   }
@@ -109,8 +125,7 @@
   }
 
   private RequestDispatcher createDispatcher() {
-    BackendConnector backendConnector =
-        new BackendConnector(eventLoop, ByteBufAllocator.DEFAULT, counters);
+    BackendConnector backendConnector = new BackendConnector(eventLoop, ALLOCATOR, counters);
     return requestPathFactory.createDispatcher(backendConnector, logger::log, this::createPolicy);
   }
 
--- a/router/src/test/java/rushwood/dispatch/EventLoopClockTest.java
+++ b/router/src/test/java/rushwood/dispatch/EventLoopClockTest.java
@@ -19,4 +19,17 @@
     loop.setTimeNanos(7);
     assertEquals(9, loop.clock.now());
   }
+
+  @Test
+  void longestTurnIsTakenOnce() {
+    loop.clock.now();
+    loop.stall(300);
+    assertEquals(0, loop.clock.takeLongestTurnNanos(), "the turn has not ended");
+    loop.endTurn();
+    loop.clock.now();
+    loop.stall(2);
+    loop.endTurn();
+    assertEquals(300 * FakeEventLoop.NANOS_PER_MILLI, loop.clock.takeLongestTurnNanos());
+    assertEquals(0, loop.clock.takeLongestTurnNanos());
+  }
 }
