Bound the memory for clients' input by what its buffers really take

Cause: the limit of 16 MiB counted the bytes that had arrived, while their buffers were doubled as they grew, and let each client hold 64 KiB more above it. At 40 MB of direct memory every allocation sleeps for half a second on the event loop.

Fix: StatementMemory counts each buffer's capacity until its last reference is released. FrontendMessageQueue takes a buffer of the announced length before it keeps any of a message; one without room is skipped and rejected in its turn. A client may hold half of what is free, so that short messages have room when long ones have none; messages that have not grown for 0.2 s lose their buffer. Local answers are written in batches, since 1 MiB of pipelined SHOW counters was answered with some 150 MB in one turn.

Tests changed: three expected that a client is closed with an error at the limit. They now expect more: nothing is held, each statement is answered, reads beside the crowd are served, each client that stops gets its error.

--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -13,6 +13,7 @@
 import rushwood.protocol.MessageWriter;
 import rushwood.protocol.ProtocolException;
 import rushwood.protocol.SqlStatement;
+import rushwood.protocol.StatementMemory;
 
 /**
  * A client connection: the channel handler that passes input to a {@link FrontendProtocol} and
@@ -27,7 +28,7 @@
   private final ConnectionRegistry registry;
   private final LingeringConnections lingeringConnections;
   private final RequestSubmitter submitter;
-  private final InputLimit inputLimit;
+  private final InputLimit inputLimit = new InputLimit();
   private final ClientTimeout timeout;
   private final FrontendProtocol protocol;
   private final long cancelKey;
@@ -40,7 +41,7 @@
    * Creates the handler and registers the connection.
    *
    * @param submitter used by this connection only
-   * @param inputLimit used by this connection only
+   * @param statementMemory holds the input of all clients
    */
   FrontendConnection(
       Channel channel,
@@ -49,19 +50,18 @@
       ConnectionRegistry registry,
       LingeringConnections lingeringConnections,
       RequestSubmitter submitter,
-      InputLimit inputLimit) {
+      StatementMemory statementMemory) {
     super(channel);
     this.clock = clock;
     this.counters = counters;
     this.registry = registry;
     this.lingeringConnections = lingeringConnections;
     this.submitter = submitter;
-    this.inputLimit = inputLimit;
     cancelKey = registry.nextCancelKey();
     acceptTurnNumber = clock.turnNumber();
     earliestArrivalAtAccept = clock.earliestArrival();
     timeout = new ClientTimeout(clock.now());
-    protocol = new FrontendProtocol(channel.alloc(), this);
+    protocol = new FrontendProtocol(channel.alloc(), statementMemory, this);
     admissionReporter = registry.add(this, clock.now());
   }
 
@@ -74,13 +74,12 @@
     }
     timeout.bytesRead(clock.now(), protocol.hasIncompleteMessage());
     boolean mustWait = protocol.hasPendingRequest() || isProcessingPaused();
-    inputLimit.inputReceived(protocol.unreadBytes() + in.readableBytes(), mustWait);
+    inputLimit.inputReceived(protocol.heldBytes() + in.readableBytes(), mustWait);
     if (inputLimit.isExceeded()) {
       in.release();
       return;
     }
-    protocol.buffer(in);
-    updateHeldBytes();
+    protocol.buffer(in, clock.now());
     reportState();
     resumeLater();
   }
@@ -119,7 +118,6 @@
       return;
     }
     protocol.resume();
-    updateHeldBytes();
     enforceInputLimit();
     reportState();
   }
@@ -132,19 +130,6 @@
     }
   }
 
-  /** Accounts for the bytes held for this client: unread input and the pending request. */
-  private void updateHeldBytes() {
-    inputLimit.setHeldBytes(isOpen() ? protocol.unreadBytes() + pendingRequestBytes() : 0);
-  }
-
-  private boolean isOpen() {
-    return !isLingering() && registry.contains(this);
-  }
-
-  private int pendingRequestBytes() {
-    return protocol.hasPendingRequest() ? submitter.lastRequestBytes() : 0;
-  }
-
   private void reportState() {
     admissionReporter.report(protocol.isIdle(), clock.now());
   }
@@ -179,7 +164,7 @@
   public void submit(ByteBuf text) throws ProtocolException {
     SqlStatement statement = submitter.parseAndValidate(text);
     admissionReporter.requestSubmitted();
-    submitter.submit(statement, text.readableBytes(), earliestArrival(), protocol);
+    submitter.submit(statement, earliestArrival(), protocol);
   }
 
   /**
@@ -236,7 +221,6 @@
     timeout.bytesWritten(clock.now(), protocol.isStartingUp());
     admissionReporter.bytesWritten(protocol.isStartingUp());
     channel.writeAndFlush(out);
-    updateHeldBytes();
     reportState();
     if (inputLimit.isExceeded()) {
       resumeLater();
@@ -287,7 +271,6 @@
   private void unregister() {
     if (registry.remove(this, admissionReporter.admittedConnection())) {
       counters.increment(Counter.CLIENTS_CLOSED);
-      updateHeldBytes();
       protocol.connectionClosed();
       submitter.clientDisconnected();
     }
--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -17,6 +17,7 @@
 import rushwood.protocol.ClientErrors;
 import rushwood.protocol.ErrorResponse;
 import rushwood.protocol.MessageWriter;
+import rushwood.protocol.StatementMemory;
 
 /**
  * Accepts or refuses client connections, closes those that time out, and closes all of them on
@@ -81,6 +82,7 @@
     this.timers = timers;
     this.counters = counters;
     this.requestClasses = requestClasses;
+    counters.register("statement_memory_bytes", statementMemory::usedBytes);
     admission = limits.admission();
     limiter = new ConnectionLimiter(clock, timers, counters, limits);
     registry = new ConnectionRegistry(admission, limits.descriptorBudget(), random);
@@ -143,19 +145,9 @@
   private FrontendConnection createConnection(Channel channel) {
     RequestSubmitter submitter =
         new RequestSubmitter(
-            dispatcher,
-            requestClasses,
-            statementMemory,
-            admission,
-            new RejectionThrottle(clock, timers));
+            dispatcher, requestClasses, admission, new RejectionThrottle(clock, timers));
     return new FrontendConnection(
-        channel,
-        clock,
-        counters,
-        registry,
-        lingeringConnections,
-        submitter,
-        new InputLimit(statementMemory));
+        channel, clock, counters, registry, lingeringConnections, submitter, statementMemory);
   }
 
   /**
@@ -171,6 +163,11 @@
     return registry.size() + lingeringConnections.size();
   }
 
+  /** Returns the number of bytes of direct memory that hold input of clients. */
+  public long statementMemoryBytes() {
+    return statementMemory.usedBytes();
+  }
+
   /**
    * Announces shutdown. From now on idle connections are not closed to make room for others because
    * their clients could not reconnect to this router.
--- a/router/src/main/java/rushwood/net/RequestSubmitter.java
+++ b/router/src/main/java/rushwood/net/RequestSubmitter.java
@@ -20,11 +20,9 @@
 final class RequestSubmitter {
   private final RequestDispatcher dispatcher;
   private final List<RequestClass> requestClasses;
-  private final StatementMemory statementMemory;
   private final ConnectionAdmission admission;
   private final RejectionThrottle rejectionThrottle;
   private @Nullable RequestId lastRequestId;
-  private int lastRequestBytes;
 
   /**
    * Creates the submitter of one client.
@@ -35,12 +33,10 @@
   RequestSubmitter(
       RequestDispatcher dispatcher,
       List<RequestClass> requestClasses,
-      StatementMemory statementMemory,
       ConnectionAdmission admission,
       RejectionThrottle rejectionThrottle) {
     this.dispatcher = dispatcher;
     this.requestClasses = requestClasses;
-    this.statementMemory = statementMemory;
     this.admission = admission;
     this.rejectionThrottle = rejectionThrottle;
   }
@@ -53,8 +49,8 @@
   /**
    * Parses and validates a statement. The caller has to pass the result to {@link #submit}.
    *
-   * @throws ProtocolException if the statement cannot be parsed, there is no statement memory left
-   *     for it, its request ID is in use, or its group is unknown
+   * @throws ProtocolException if the statement cannot be parsed, its request ID is in use, or its
+   *     group is unknown
    */
   SqlStatement parseAndValidate(ByteBuf text) throws ProtocolException {
     SqlStatement statement = SqlStatementParser.parse(text, requestClasses);
@@ -69,10 +65,6 @@
   }
 
   private void validate(SqlStatement statement) throws ProtocolException {
-    if (!statementMemory.hasRoomFor(statement.text().readableBytes())) {
-      throw ProtocolException.rejected(
-          SqlState.TOO_MANY_CONNECTIONS, "memory is short: trying again is harmless");
-    }
     if (dispatcher.isRequestIdInUse(statement.id())) {
       throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "the id is not new");
     }
@@ -84,15 +76,12 @@
   /**
    * Submits a validated statement. The responder may be called before this method returns.
    *
-   * @param textBytes length of the statement's text
    * @param earliestArrival earliest clock time in nanoseconds at which the client may have sent the
    *     statement
    */
-  void submit(
-      SqlStatement statement, int textBytes, long earliestArrival, ClientResponder responder) {
+  void submit(SqlStatement statement, long earliestArrival, ClientResponder responder) {
     admission.recordRequest(lastRequestId != null);
     lastRequestId = statement.id();
-    lastRequestBytes = textBytes;
     dispatcher.requestReceived(statement, earliestArrival, responder);
   }
 
@@ -122,11 +111,6 @@
     return rejectionThrottle.hasTooManyRejections();
   }
 
-  /** Returns the length in bytes of the last request's text, or 0 before the first request. */
-  int lastRequestBytes() {
-    return lastRequestBytes;
-  }
-
   /**
    * Tells the dispatcher that the client no longer waits for an answer. Has no effect if no request
    * is in flight.
--- a/router/src/main/java/rushwood/protocol/ClientErrors.java
+++ b/router/src/main/java/rushwood/protocol/ClientErrors.java
@@ -38,10 +38,6 @@
       ErrorResponse.fatal(
           SqlState.TOO_MANY_CONNECTIONS, "too much was written ahead of its answers");
 
-  /** Closes a connection with a long incomplete message while memory is exhausted. */
-  public static final ErrorResponse OUT_OF_MEMORY =
-      ErrorResponse.fatal(SqlState.TOO_MANY_CONNECTIONS, "memory is short");
-
   /** Closes a connection whose client did not complete a message in time. */
   public static final ErrorResponse MESSAGE_TIMED_OUT =
       ErrorResponse.fatal(SqlState.PROTOCOL_VIOLATION, "the message did not come in time");
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -33,33 +33,40 @@
     }
   }
 
+  /** Output of one call of {@link #resume}, so that input that needs much output cannot pile up. */
+  private static final int MAX_BYTES_PER_WRITE = 16 << 10;
+
   private final ByteBufAllocator allocator;
   private final FrontendCallbacks callbacks;
-  private final MessageReader reader;
+  private final FrontendMessageQueue input;
   private final StartupHandshake handshake;
   private final LocalStatements localStatements;
   private State state = State.STARTUP;
   private @Nullable ByteBuf statement; // set in state REQUEST_READ
   private boolean isDraining;
 
-  /** Creates the protocol of a newly accepted connection. */
-  public FrontendProtocol(ByteBufAllocator allocator, FrontendCallbacks callbacks) {
+  /**
+   * Creates the protocol of a newly accepted connection.
+   *
+   * @param allocator allocates the output
+   * @param memory holds the input
+   */
+  public FrontendProtocol(
+      ByteBufAllocator allocator, StatementMemory memory, FrontendCallbacks callbacks) {
     this.allocator = allocator;
     this.callbacks = callbacks;
-    reader = new MessageReader(allocator, MessageLimits::maxClientMessageBytes);
+    input = new FrontendMessageQueue(memory);
     handshake = new StartupHandshake(callbacks);
     localStatements = new LocalStatements(callbacks);
   }
 
-  /** Buffers input until {@link #resume} is called. Takes ownership of the buffer. */
-  public void buffer(ByteBuf in) {
-    reader.feed(in);
-  }
-
-  /** Buffers and processes input. Takes ownership of the buffer. */
-  public void feed(ByteBuf in) {
-    buffer(in);
-    resume();
+  /**
+   * Buffers input until {@link #resume} is called. Takes ownership of the buffer.
+   *
+   * @param now clock time in nanoseconds
+   */
+  public void buffer(ByteBuf in, long now) {
+    input.feed(in, now);
   }
 
   /**
@@ -69,7 +76,7 @@
    */
   public void resume() {
     writeOrRelease(readMessages());
-    if (hasPendingRequest() && reader.hasUnreadMessage(FrontendMessageType.TERMINATE)) {
+    if (hasPendingRequest() && input.isTerminated()) {
       dropRequest();
     } else if (state == State.REQUEST_READ) {
       submitRequest();
@@ -104,7 +111,11 @@
     try {
       boolean more = true;
       while (more && state.readsMessages()) {
-        more = state == State.STARTUP ? readStartupMessage(out) : readMessage(out);
+        more = readMessage(out);
+        if (more && out.readableBytes() >= MAX_BYTES_PER_WRITE) {
+          callbacks.resumeLater();
+          more = false;
+        }
       }
     } catch (ProtocolException violation) {
       callbacks.statementRejected(violation);
@@ -122,28 +133,31 @@
     }
   }
 
-  /** Reads a message of the startup phase. Returns whether a complete message was available. */
-  private boolean readStartupMessage(ByteBuf out) throws ProtocolException {
-    ByteBuf message = reader.nextStartupMessage();
+  /** Reads a message. Returns whether a complete message was available. */
+  private boolean readMessage(ByteBuf out) throws ProtocolException {
+    FrontendMessage message = input.next();
     if (message == null) {
       return false;
     }
+    if (state == State.STARTUP) {
+      processStartupMessage(message.body(), out);
+    } else {
+      processMessage(message, out);
+    }
+    return true;
+  }
+
+  private void processStartupMessage(ByteBuf body, ByteBuf out) throws ProtocolException {
     state =
-        switch (handshake.process(message, out)) {
+        switch (handshake.process(body, out)) {
           case ENCRYPTION_REFUSED -> State.STARTUP;
           case CANCEL_REQUESTED -> State.CLOSED;
           case SESSION_STARTED -> State.IDLE;
         };
-    return true;
   }
 
-  /** Reads a message of a session. Returns whether a complete message was available. */
-  private boolean readMessage(ByteBuf out) throws ProtocolException {
-    ByteBuf message = reader.nextMessage();
-    if (message == null) {
-      return false;
-    }
-    char type = reader.type();
+  private void processMessage(FrontendMessage message, ByteBuf out) {
+    char type = message.type();
     if (type == FrontendMessageType.TERMINATE) {
       state = State.CLOSED;
     } else if (type == FrontendMessageType.SYNC) {
@@ -151,27 +165,21 @@
       MessageWriter.writeReadyForQuery(out);
     } else if (type == FrontendMessageType.QUERY) {
       if (state != State.SKIPPING_TO_SYNC) {
-        readQuery(message, out);
+        processQuery(message, out);
       }
     } else if (state != State.SKIPPING_TO_SYNC && type != FrontendMessageType.FLUSH) {
       state = State.SKIPPING_TO_SYNC;
       MessageWriter.writeErrorResponse(out, ClientErrors.UNSUPPORTED_MESSAGE);
     }
-    return true;
   }
 
-  private void readQuery(ByteBuf message, ByteBuf out) {
+  private void processQuery(FrontendMessage query, ByteBuf out) {
     try {
-      int end = message.indexOf(message.readerIndex(), message.writerIndex(), (byte) 0);
-      if (end != message.writerIndex() - 1) {
+      if (query.isRefused()) {
         throw ProtocolException.rejected(
-            SqlState.PROTOCOL_VIOLATION, "the query does not end with its zero");
-      }
-      ByteBuf text = message.slice(message.readerIndex(), end - message.readerIndex());
-      if (!localStatements.answerIfLocal(text, out)) {
-        statement = text;
-        state = State.REQUEST_READ;
+            SqlState.TOO_MANY_CONNECTIONS, "memory is short: trying again is harmless");
       }
+      readQuery(query.body(), out);
     } catch (ProtocolException rejection) {
       callbacks.statementRejected(rejection);
       MessageWriter.writeErrorResponse(out, ErrorResponse.of(rejection));
@@ -179,6 +187,19 @@
     }
   }
 
+  private void readQuery(ByteBuf body, ByteBuf out) throws ProtocolException {
+    int end = body.indexOf(body.readerIndex(), body.writerIndex(), (byte) 0);
+    if (end != body.writerIndex() - 1) {
+      throw ProtocolException.rejected(
+          SqlState.PROTOCOL_VIOLATION, "the query does not end with its zero");
+    }
+    ByteBuf text = body.slice(body.readerIndex(), end - body.readerIndex());
+    if (!localStatements.answerIfLocal(text, out)) {
+      statement = text;
+      state = State.REQUEST_READ;
+    }
+  }
+
   @Override
   public void sendResult(ByteBuf row) {
     ByteBuf ready = allocator.buffer(6);
@@ -219,7 +240,7 @@
     }
     state = State.IDLE;
     callbacks.write(out);
-    if (reader.unreadBytes() > 0) {
+    if (input.hasUnread()) {
       callbacks.resumeLater();
     } else if (isDraining) {
       // Not in a later task: the client's next request may have been read by then.
@@ -232,7 +253,7 @@
    * pending, no extended query is being skipped and no input is unread.
    */
   public boolean isIdle() {
-    return (state == State.IDLE || state == State.STARTUP) && reader.unreadBytes() == 0;
+    return (state == State.IDLE || state == State.STARTUP) && !input.hasUnread();
   }
 
   /**
@@ -243,7 +264,7 @@
   public boolean hasIncompleteMessage() {
     return switch (state) {
       case STARTUP -> true;
-      case IDLE, SKIPPING_TO_SYNC -> reader.unreadBytes() > 0;
+      case IDLE, SKIPPING_TO_SYNC -> input.hasUnread();
       case REQUEST_READ, REQUEST_PENDING, CLOSED -> false;
     };
   }
@@ -253,9 +274,9 @@
     return state == State.STARTUP;
   }
 
-  /** Returns the number of buffered bytes behind a pending request or of an incomplete message. */
-  public int unreadBytes() {
-    return reader.unreadBytes();
+  /** Returns the capacity of the buffers that hold unprocessed input. */
+  public long heldBytes() {
+    return input.heldBytes();
   }
 
   /** Returns whether a request was read whose response has not been sent. */
@@ -283,7 +304,7 @@
   /** Releases all buffered input after the connection was closed. */
   public void connectionClosed() {
     state = State.CLOSED;
-    reader.close();
+    input.close();
   }
 
   private void closeIfDone() {
@@ -291,10 +312,10 @@
       state = State.CLOSED;
     }
     if (state == State.CLOSED) {
-      reader.close();
+      input.close();
       callbacks.close();
     } else {
-      reader.releaseIfEmpty();
+      input.releaseReadSegments();
     }
   }
 }
--- a/router/src/main/java/rushwood/protocol/MessageReader.java
+++ b/router/src/main/java/rushwood/protocol/MessageReader.java
@@ -19,7 +19,6 @@
   private final IntUnaryOperator maxLengthByType;
   private @Nullable ByteBuf buffer;
   private int type;
-  private int scannedBytes; // leading unread bytes that hasUnreadMessage has scanned
 
   /**
    * Creates a reader without input.
@@ -93,34 +92,10 @@
       return null;
     }
     type = nextType;
-    scannedBytes = Math.max(0, scannedBytes - typeBytes - length);
     ByteBuf message = unread.readSlice(typeBytes + length);
     return message.skipBytes(typeBytes + LENGTH_FIELD_BYTES);
   }
 
-  /**
-   * Returns whether the unread bytes contain the start of a message of this type, behind any number
-   * of complete messages. Repeated calls do not scan the same message twice.
-   */
-  public boolean hasUnreadMessage(char wantedType) {
-    ByteBuf unread = buffer;
-    while (unread != null && unread.readableBytes() - scannedBytes > LENGTH_FIELD_BYTES) {
-      int offset = unread.readerIndex() + scannedBytes;
-      int foundType = unread.getUnsignedByte(offset);
-      int length = unread.getInt(offset + TYPE_BYTES);
-      if (foundType == wantedType) {
-        return true;
-      }
-      if (length < LENGTH_FIELD_BYTES
-          || length > maxLengthByType.applyAsInt(foundType)
-          || TYPE_BYTES + length > unread.readableBytes() - scannedBytes) {
-        return false;
-      }
-      scannedBytes += TYPE_BYTES + length;
-    }
-    return false;
-  }
-
   /** Returns the number of bytes that were fed but are not part of a message that was read. */
   public int unreadBytes() {
     return buffer == null ? 0 : buffer.readableBytes();
@@ -138,7 +113,6 @@
     if (buffer != null) {
       buffer.release();
       buffer = null;
-      scannedBytes = 0;
     }
   }
 }
--- a/router/src/main/java/rushwood/protocol/StartupHandshake.java
+++ b/router/src/main/java/rushwood/protocol/StartupHandshake.java
@@ -30,6 +30,16 @@
     this.callbacks = callbacks;
   }
 
+  /** Returns whether a message with this body is followed by another startup message. */
+  static boolean isFollowedByAnother(ByteBuf body) {
+    return body.readableBytes() >= VERSION_BYTES
+        && isEncryptionRequest(body.getInt(body.readerIndex()));
+  }
+
+  private static boolean isEncryptionRequest(int version) {
+    return version == SSL_REQUEST_CODE || version == GSS_ENCRYPTION_REQUEST_CODE;
+  }
+
   /**
    * Processes the body of a message and writes the response, if the message has one.
    *
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
 import rushwood.api.LogLevel;
 import rushwood.api.PolicyActions;
 import rushwood.config.OperatorSettings;
@@ -53,7 +54,6 @@
   private final EventLoopClock clock;
   private final TimerQueue timerQueue;
   private final RateLimitedLogger logger;
-  private final StallReporter stallReporter;
   private final DescriptorBudget descriptorBudget;
   private final RequestPathFactory requestPathFactory;
 
@@ -68,7 +68,6 @@
     clock = EventLoopClock.system(eventLoop::executeAfterEventLoopIteration);
     timerQueue = new TimerQueue(clock, new EventLoopTimer(eventLoop), counters);
     logger = new RateLimitedLogger(clock);
-    stallReporter = createStallReporter();
     descriptorBudget = new DescriptorBudget(config.maxSockets() - RESERVED_SOCKETS);
     requestPathFactory =
         new RequestPathFactory(
@@ -82,10 +81,12 @@
                 operatorSettings.overload().connectBackoff()));
   }
 
-  private StallReporter createStallReporter() {
-    ByteBufAllocatorMetric metric = ((ByteBufAllocatorMetricProvider) ALLOCATOR).metric();
-    StallReporter reporter = new StallReporter(clock, metric, logger);
-    counters.register("direct_memory_bytes", metric::usedDirectMemory);
+  private StallReporter createStallReporter(FrontendServer frontend) {
+    ByteBufAllocatorMetric channels = ((ByteBufAllocatorMetricProvider) ALLOCATOR).metric();
+    LongSupplier directMemoryBytes =
+        () -> channels.usedDirectMemory() + frontend.statementMemoryBytes();
+    StallReporter reporter = new StallReporter(clock, directMemoryBytes, logger);
+    counters.register("direct_memory_bytes", directMemoryBytes);
     counters.register("longest_turn_millis", reporter::longestTurnMillis);
     return reporter;
   }
@@ -96,7 +97,6 @@
    * @param onCompleteList runs whenever discovery has sent a complete endpoint list
    */
   RouterComponents assemble(Runnable onCompleteList) {
-    scheduleHeartbeat();
     counters.setExceptionListener(this::logException);
     RequestDispatcher dispatcher = createDispatcher();
     FrontendServer frontend = createFrontend(dispatcher);
@@ -104,6 +104,7 @@
         createDiscoveryClient(
             new EndpointListHandler(dispatcher, counters, logger, onCompleteList));
     loadLastKnownEndpoints(dispatcher);
+    scheduleHeartbeat(createStallReporter(frontend));
     return new RouterComponents(
         clock, timerQueue, counters, logger, dispatcher, frontend, discoveryClient);
   }
@@ -112,10 +113,11 @@
    * Wakes the event loop at a fixed interval even if it is idle, so that the clock can tell a
    * paused process from an idle one. Each time, reports if the event loop was stalled.
    */
-  private void scheduleHeartbeat() {
+  private void scheduleHeartbeat(StallReporter stallReporter) {
     stallReporter.check();
     timerQueue.schedule(
-        clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS, this::scheduleHeartbeat);
+        clock.now() + EventLoopClock.MAX_TURN_INTERVAL_NANOS,
+        () -> scheduleHeartbeat(stallReporter));
   }
 
   private void logException(Throwable thrown) {
--- a/router/src/main/java/rushwood/server/StallReporter.java
+++ b/router/src/main/java/rushwood/server/StallReporter.java
@@ -1,7 +1,7 @@
 package rushwood.server;
 
-import io.netty.buffer.ByteBufAllocatorMetric;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import rushwood.api.LogLevel;
 import rushwood.dispatch.EventLoopClock;
 
@@ -14,19 +14,18 @@
   private static final long LONG_TURN_NANOS = 250_000_000L;
 
   private final EventLoopClock clock;
-  private final ByteBufAllocatorMetric bufferMetric;
+  private final LongSupplier directMemoryBytes;
   private final RateLimitedLogger logger;
   private long longestTurnNanos;
 
   /**
    * Creates a reporter.
    *
-   * @param bufferMetric tells how much direct memory the buffers use
+   * @param directMemoryBytes supplies the number of bytes of direct memory in use
    */
-  StallReporter(
-      EventLoopClock clock, ByteBufAllocatorMetric bufferMetric, RateLimitedLogger logger) {
+  StallReporter(EventLoopClock clock, LongSupplier directMemoryBytes, RateLimitedLogger logger) {
     this.clock = clock;
-    this.bufferMetric = bufferMetric;
+    this.directMemoryBytes = directMemoryBytes;
     this.logger = logger;
   }
 
@@ -40,7 +39,7 @@
           "event loop stalled for "
               + TimeUnit.NANOSECONDS.toMillis(turnNanos)
               + " ms, direct memory in use: "
-              + bufferMetric.usedDirectMemory()
+              + directMemoryBytes.getAsLong()
               + " bytes");
     }
   }
--- a/router/src/test/java/rushwood/net/FrontendConnectionTest.java
+++ b/router/src/test/java/rushwood/net/FrontendConnectionTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -33,6 +34,8 @@
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.ConnectionState;
 import rushwood.overload.DescriptorBudget;
+import rushwood.protocol.StatementMemory;
+import rushwood.protocol.StatementMemoryFixture;
 import rushwood.protocol.TestMessages;
 
 /**
@@ -40,9 +43,7 @@
  * reported to connection admission.
  */
 class FrontendConnectionTest {
-  private static final int MAX_PIPELINED_BYTES = 1 << 20;
-  private static final int MAX_PIPELINED_BYTES_LOW_MEMORY = 64 << 10;
-  private static final int STATEMENT_MEMORY_BYTES = 16 << 20;
+  private static final int LONG_MESSAGE_BYTES = 128 << 10;
   private static final int CANCEL_REQUEST_CODE = 80877102;
   private static final int MAX_DESCRIPTORS = 10;
   private static final long RETRY_AFTER_NANOS = 200 * FakeEventLoop.NANOS_PER_MILLI;
@@ -127,18 +128,11 @@
         new RequestSubmitter(
             dispatcher,
             TestMessages.REQUEST_CLASSES,
-            memory,
             admission,
             new RejectionThrottle(loop.clock, loop.timers));
     connection =
         new FrontendConnection(
-            channel,
-            loop.clock,
-            loop.counters,
-            registry,
-            lingering,
-            submitter,
-            new InputLimit(memory));
+            channel, loop.clock, loop.counters, registry, lingering, submitter, memory);
     channel.pipeline().addLast(connection);
   }
 
@@ -147,7 +141,7 @@
     channel.close();
     assertEquals(0, registry.size());
     assertEquals(0, admission.openConnections());
-    assertTrue(memory.hasRoomFor(STATEMENT_MEMORY_BYTES));
+    assertEquals(0, memory.usedBytes());
     TestMessages.assertAllReleased();
   }
 
@@ -227,51 +221,100 @@
     assertEquals(2, loop.counters.get(Counter.CLIENTS_EVICTED));
   }
 
-  /** Input above the limit is dropped, and the pending request is still answered first. */
+  /** Input above the limit is dropped, and what came before is still answered first. */
   @Test
   void connectionThatPipelinesTooMuchIsClosedAfterThePendingAnswer() {
     startSession();
     sendRequest("a");
-    byte[] ignoredMessage = TestMessages.message('H', new byte[MAX_PIPELINED_BYTES / 4 - 5]);
-    send(ignoredMessage, ignoredMessage, ignoredMessage, ignoredMessage);
-    fail("a");
-    assertEquals("E(58000) Z", takeReceivedTypes(), "exactly at the limit");
-    sendRequest("b");
-    send(ignoredMessage, ignoredMessage, ignoredMessage, ignoredMessage);
-    send(new byte[1]);
+    for (int i = 0; i < 7; i++) {
+      send(longWrite("w" + i));
+    }
+    send(longWrite("w7"), longWrite("w8"));
     assertEquals("", takeReceivedTypes());
-    fail("b");
+    fail("a");
+    for (int i = 0; i < 7; i++) {
+      assertEquals("E(58000) Z", takeReceivedTypes());
+      assertTrue(channel.isOpen());
+      fail("w" + i);
+    }
     assertEquals("E(58000) Z E(53300)", takeReceivedTypes());
     assertEquals(1, loop.counters.get(Counter.CLIENTS_REFUSED));
     assertFalse(channel.isOpen());
   }
 
+  /** Returns a write of the longest value. */
+  private static byte[] longWrite(String id) {
+    String statement = TestMessages.writeStatement(id, ",d=480");
+    return TestMessages.query(statement.replace("9f03", "9f".repeat(64 << 10)));
+  }
+
   @Test
   void requestIsRejectedWhileMemoryIsExhausted() {
     startSession();
-    memory.adjust(STATEMENT_MEMORY_BYTES);
+    List<ByteBuf> others = StatementMemoryFixture.fillUp(memory, 1);
     sendRequest("a");
     assertEquals("E(53300) Z", takeReceivedTypes());
-    memory.adjust(-STATEMENT_MEMORY_BYTES);
+    StatementMemoryFixture.release(others);
     sendRequest("a");
     assertEquals("", takeReceivedTypes(), "the request is pending");
     assertEquals(0, loop.counters.get(Counter.CLIENTS_REFUSED));
   }
 
+  /** A client whose message found no room must not make the router hold any of it. */
   @Test
-  void longIncompleteMessageIsRefusedWhileMemoryIsExhausted() {
+  void longMessageIsSkippedAndRefusedWhileMemoryIsExhausted() {
     startSession();
-    memory.adjust(STATEMENT_MEMORY_BYTES);
-    byte[] message = TestMessages.message('Q', new byte[2 * MAX_PIPELINED_BYTES_LOW_MEMORY]);
-    send(Arrays.copyOf(message, MAX_PIPELINED_BYTES_LOW_MEMORY));
-    assertEquals("", takeReceivedTypes(), "exactly at the limit");
+    List<ByteBuf> others = StatementMemoryFixture.fillUp(memory, LONG_MESSAGE_BYTES / 2);
+    final long usedByOthers = memory.usedBytes();
+    byte[] message = longWrite("w");
+    send(Arrays.copyOf(message, LONG_MESSAGE_BYTES));
+    assertEquals(usedByOthers, memory.usedBytes());
+    send(Arrays.copyOfRange(message, LONG_MESSAGE_BYTES, message.length), request("a"));
+    assertEquals("E(53300) Z", takeReceivedTypes());
+    assertEquals(1, loop.counters.get(Counter.REQUESTS_RECEIVED), "the request behind it");
+    assertTrue(memory.usedBytes() - usedByOthers <= 1024, "bytes held for the request");
+    StatementMemoryFixture.release(others);
+  }
+
+  /**
+   * Hundreds of clients stop in the middle of a long statement: the memory stays bounded, the
+   * requests of other clients are served meanwhile, and each of those clients gets an error.
+   */
+  @Test
+  void clientsThatStopInTheMiddleOfLongStatementsLeaveRoomForOthers() {
+    List<EmbeddedChannel> stopped = new ArrayList<>();
+    List<FrontendConnection> stoppedConnections = new ArrayList<>();
     channel.close();
+    for (int i = 0; i < 360; i++) {
+      connect();
+      startSession();
+      send(Arrays.copyOf(longWrite("b" + i), i % 2 == 0 ? LONG_MESSAGE_BYTES : 65_000));
+      stopped.add(channel);
+      stoppedConnections.add(connection);
+    }
+    assertTrue(memory.usedBytes() <= StatementMemoryFixture.MAX_MESSAGE_BYTES);
     connect();
     startSession();
-    send(Arrays.copyOf(message, MAX_PIPELINED_BYTES_LOW_MEMORY + 1));
-    assertEquals("E(53300)", takeReceivedTypes());
-    assertFalse(channel.isOpen());
-    memory.adjust(-STATEMENT_MEMORY_BYTES);
+    sendRequest("a");
+    assertEquals(1, loop.counters.get(Counter.REQUESTS_RECEIVED));
+    fail("a");
+    takeReceivedTypes();
+    loop.advanceBy(200);
+    for (int i = 0; i < 7; i++) {
+      send(longWrite("w" + i));
+    }
+    for (int i = 0; i < 7; i++) {
+      assertEquals(i + 2, loop.counters.get(Counter.REQUESTS_RECEIVED), "long writes are served");
+      fail("w" + i);
+    }
+    assertEquals("E(58000) Z ".repeat(7).strip(), takeReceivedTypes());
+    loop.advanceBy(2300);
+    for (int i = 0; i < 360; i++) {
+      stoppedConnections.get(i).checkTimeouts();
+      channel.close();
+      channel = stopped.get(i);
+      assertEquals("E(08P01)", takeReceivedTypes());
+    }
   }
 
   @Test
--- a/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -13,6 +13,7 @@
 
 class FrontendProtocolTest {
   private static final String STARTUP_RESPONSE = "R S S S S S K Z";
+  private static final long NOW = 0;
   private static final String READ = TestMessages.readStatement("a", ",d=480");
 
   /**
@@ -22,7 +23,8 @@
   private static final class TestConnection implements FrontendCallbacks {
     final ByteBuf out = TestMessages.ALLOCATOR.heapBuffer();
     final List<String> submitted = new ArrayList<>();
-    final FrontendProtocol protocol = new FrontendProtocol(TestMessages.ALLOCATOR, this);
+    final StatementMemory memory = new StatementMemory();
+    final FrontendProtocol protocol = new FrontendProtocol(TestMessages.ALLOCATOR, memory, this);
     boolean ready = true;
     boolean respondsImmediately = true;
     boolean closed;
@@ -96,7 +98,8 @@
         if (closed) {
           fragment.release(); // as FrontendConnection does
         } else {
-          protocol.feed(fragment);
+          protocol.buffer(fragment, NOW);
+          protocol.resume();
           runScheduledResumes();
         }
       }
@@ -121,6 +124,11 @@
       out.readBytes(bytes);
       return TestMessages.messageTypes(bytes);
     }
+
+    void end() {
+      protocol.connectionClosed();
+      assertEquals(0, memory.usedBytes());
+    }
   }
 
   @AfterEach
@@ -136,7 +144,7 @@
           TestConnection connection = new TestConnection().feed(fragments);
           assertEquals(expectedTypes, connection.takeWrittenTypes());
           assertEquals(expectClosed, connection.closed);
-          connection.protocol.connectionClosed();
+          connection.end();
         });
   }
 
@@ -160,7 +168,7 @@
           TestConnection connection = new TestConnection().feed(fragments);
           assertEquals('N', connection.out.readByte());
           assertEquals(STARTUP_RESPONSE, connection.takeWrittenTypes());
-          connection.protocol.connectionClosed();
+          connection.end();
         });
   }
 
@@ -295,7 +303,7 @@
     connection.protocol.sendFailure();
     connection.runScheduledResumes();
     assertEquals("E(58000) Z", connection.takeWrittenTypes());
-    connection.protocol.connectionClosed();
+    connection.end();
     connection.protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
     assertEquals("", connection.takeWrittenTypes(), "a response after the connection was closed");
   }
@@ -308,7 +316,7 @@
     connection.protocol.sendRejection(250_000_000);
     assertTrue(connection.out.toString(StandardCharsets.UTF_8).contains("D250\0"));
     assertTrue(connection.retryAfterAnnounced);
-    connection.protocol.connectionClosed();
+    connection.end();
   }
 
   @Test
@@ -330,4 +338,22 @@
     assertTrue(busy.closed);
     assertEquals(STARTUP_RESPONSE + " E(58000) Z E(58000) Z", busy.takeWrittenTypes());
   }
+
+  /** Output for pipelined input must not pile up faster than the client can be sent it. */
+  @Test
+  void pipelinedInputIsProcessedInBatchesOfOutput() {
+    TestConnection connection = new TestConnection().feed(TestMessages.startup());
+    connection.takeWrittenTypes();
+    int queryCount = 10_000;
+    byte[][] queries = new byte[queryCount][];
+    Arrays.fill(queries, TestMessages.query("SHOW counters"));
+    connection.protocol.buffer(TestMessages.buffer(TestMessages.concat(queries)), NOW);
+    connection.protocol.resume();
+    assertTrue(connection.resumeRequested);
+    assertTrue(connection.out.readableBytes() < 32 << 10, "output of one call");
+    connection.runScheduledResumes();
+    String served = "T D C Z ";
+    assertEquals(served.repeat(queryCount).strip(), connection.takeWrittenTypes());
+    connection.end();
+  }
 }
--- a/router/src/test/java/rushwood/server/ConnectionLimitTest.java
+++ b/router/src/test/java/rushwood/server/ConnectionLimitTest.java
@@ -9,6 +9,7 @@
 import static rushwood.protocol.TestMessages.startup;
 import static rushwood.server.RouterProcessFixture.awaitCounters;
 import static rushwood.server.Statements.EMPTY;
+import static rushwood.server.Statements.FAILED;
 import static rushwood.server.Statements.REJECTED;
 import static rushwood.server.Statements.SERVED;
 import static rushwood.server.Statements.STARTED;
@@ -111,11 +112,15 @@
         TestClient sender = clients.get(i);
         StandInServer.startThread(() -> sender.sendBytes(half));
       }
-      awaitCounters(client, counters -> counters.get(Counter.CLIENTS_REFUSED) > 0);
+      // All together would hold 25 MB; the messages that fit into the memory are held.
+      awaitCounters(client, counters -> counters.value("statement_memory_bytes") > 15 << 20);
       for (int i = 0; i < 20; i++) {
-        String answer = client.query(read("r" + i));
-        assertServedOrRejected(answer);
+        assertEquals(SERVED, client.query(read("r" + i)));
+      }
+      for (TestClient sender : clients) {
+        assertEquals("E(08P01)", messageTypes(sender.readToEnd()));
       }
+      assertEquals(0, client.readCounters().get(Counter.EXCEPTIONS_CAUGHT));
     } finally {
       for (TestClient open : clients) {
         open.close();
@@ -197,15 +202,10 @@
 
   /**
    * Sixty clients pipeline a megabyte each before the router reads any of it: the memory suffices,
-   * and another client still gets responses.
+   * another client still gets responses, and each statement is answered, some with a rejection.
    */
   @Test
   void pipeliningByManyClients() throws Exception {
-    byte[] largeStatement = query(largeWrite("ahead", 60_000));
-    ByteArrayOutputStream all = new ByteArrayOutputStream();
-    for (int i = 0; i < 8; i++) {
-      all.writeBytes(largeStatement);
-    }
     List<TestClient> clients = new ArrayList<>();
     try (TestClient staying = router.connect()) {
       for (int i = 0; i < 60; i++) {
@@ -214,7 +214,8 @@
       router.sendSignal("STOP");
       List<Thread> senders = new ArrayList<>();
       for (TestClient sender : clients) {
-        senders.add(StandInServer.startThread(() -> sender.sendBytes(all.toByteArray())));
+        byte[] writes = eightLargeWrites("ahead" + senders.size() + "-");
+        senders.add(StandInServer.startThread(() -> sender.sendBytes(writes)));
       }
       Thread.sleep(500); // fills the socket buffers of the kernel, which cannot be observed
       router.sendSignal("CONT");
@@ -225,8 +226,14 @@
       for (Thread sender : senders) {
         Await.termination(sender);
       }
+      for (TestClient sender : clients) {
+        for (int i = 0; i < 8; i++) {
+          String answer = sender.readResponse();
+          assertTrue(List.of(SERVED, REJECTED, FAILED).contains(answer), answer);
+        }
+      }
       CounterSnapshot counters =
-          awaitCounters(staying, latest -> latest.get(Counter.CLIENTS_REFUSED) > 0);
+          awaitCounters(staying, latest -> latest.get(Counter.STATEMENTS_REJECTED) > 0);
       assertEquals(0, counters.get(Counter.EXCEPTIONS_CAUGHT), counters::toString);
       assertEquals(SERVED, staying.query(read("last")));
     } finally {
@@ -243,6 +250,14 @@
             .toList());
   }
 
+  private static byte[] eightLargeWrites(String idPrefix) {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    for (int i = 0; i < 8; i++) {
+      all.writeBytes(query(largeWrite(idPrefix + i, 60_000)));
+    }
+    return all.toByteArray();
+  }
+
   /** Returns whether a line is a warning that the suspension of the process does not explain. */
   private static boolean isUnexpectedWarning(String line) {
     return line.contains("WARN")
--- a/router/src/test/java/rushwood/server/CounterSnapshot.java
+++ b/router/src/test/java/rushwood/server/CounterSnapshot.java
@@ -9,8 +9,13 @@
 /** The counters of a router as returned by {@code SHOW counters}, by name. */
 record CounterSnapshot(Map<String, Long> values) {
   long get(Counter counter) {
-    Long value = values.get(counter.name().toLowerCase(Locale.ROOT));
-    assertNotNull(value, () -> counter + " is not among " + values);
+    return value(counter.name().toLowerCase(Locale.ROOT));
+  }
+
+  /** Returns the value with this name, which need not be that of a {@link Counter}. */
+  long value(String name) {
+    Long value = values.get(name);
+    assertNotNull(value, () -> name + " is not among " + values);
     return value;
   }
 
--- a/router/src/test/java/rushwood/server/RouterProcessFixture.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -37,9 +37,11 @@
   private static final long MAX_EXIT_MILLIS = 3700;
 
   private static final int ANY_PORT = 0;
+  private static final int DEFAULT_SOCKETS = 256;
 
   private final boolean startsBeforeTest;
   private final UnaryOperator<String> settingsChange;
+  private final int maxSockets;
   private final BlockingQueue<String> output = new LinkedBlockingQueue<>();
   private Path folder;
   private StandInBackend primary;
@@ -50,9 +52,11 @@
   private int port;
   private int listVersion = FIRST_LIST_VERSION - 1;
 
-  private RouterProcessFixture(boolean startsBeforeTest, UnaryOperator<String> settingsChange) {
+  private RouterProcessFixture(
+      boolean startsBeforeTest, UnaryOperator<String> settingsChange, int maxSockets) {
     this.startsBeforeTest = startsBeforeTest;
     this.settingsChange = settingsChange;
+    this.maxSockets = maxSockets;
   }
 
   /** Returns a fixture whose router serves when a test starts. */
@@ -62,12 +66,17 @@
 
   /** Like {@link #started}, with changed settings. */
   static RouterProcessFixture startedWith(UnaryOperator<String> settingsChange) {
-    return new RouterProcessFixture(true, settingsChange);
+    return new RouterProcessFixture(true, settingsChange, DEFAULT_SOCKETS);
+  }
+
+  /** Like {@link #started}, with another limit on sockets. */
+  static RouterProcessFixture startedWithSockets(int maxSockets) {
+    return new RouterProcessFixture(true, settings -> settings, maxSockets);
   }
 
   /** Returns a fixture whose tests launch the router; the stand-ins run, and the port is known. */
   static RouterProcessFixture unstarted() {
-    return new RouterProcessFixture(false, settings -> settings);
+    return new RouterProcessFixture(false, settings -> settings, DEFAULT_SOCKETS);
   }
 
   @Override
@@ -231,7 +240,9 @@
             + configuredPort
             + "\",\"discovery\":\""
             + configuredDiscovery.address()
-            + "\",\"limits\":{\"sockets\":256},\"known\":"
+            + "\",\"limits\":{\"sockets\":"
+            + maxSockets
+            + "},\"known\":"
             + configuredDiscovery.endpointList
             + ",\"settings\":"
             + settingsChange.apply(RouterConfigFixture.VALID_SETTINGS)
