Reject pipelined statements beyond a client's memory instead of dropping them

Cause: InputLimit kept a client's input within 1 MiB (64 KiB while memory was low) by dropping all that came after the first byte too much, and then closed the connection. Evidence: the record of the case has "closed" for the last three writes, 0.9 s after they were written and read.

Fix: the queue of a client's messages marks a statement that exceeds the client's share of the memory, and it is rejected with 53300 when its turn comes; it never ran, so trying again is harmless. The connection stays usable, and InputLimit is gone.

--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -17,10 +17,11 @@
 
 /**
  * A client connection: the channel handler that passes input to a {@link FrontendProtocol} and
- * writes its output. An {@link InputLimit} limits how much the client may send and a {@link
- * ClientTimeout} how long it may take. Statements are submitted through a {@link RequestSubmitter},
- * and an {@link AdmissionReporter} reports the state of the connection. Created and used only on
- * the event loop of its channel.
+ * writes its output. Input is read even while it cannot be processed, because a disconnect is only
+ * noticed once all input before it has been read; the {@link StatementMemory} limits how much of it
+ * is held. A {@link ClientTimeout} limits how long the client may take. Statements are submitted
+ * through a {@link RequestSubmitter}, and an {@link AdmissionReporter} reports the state of the
+ * connection. Created and used only on the event loop of its channel.
  */
 final class FrontendConnection extends LingeringClose implements FrontendCallbacks {
   private final EventLoopClock clock;
@@ -28,7 +29,6 @@
   private final ConnectionRegistry registry;
   private final LingeringConnections lingeringConnections;
   private final RequestSubmitter submitter;
-  private final InputLimit inputLimit = new InputLimit();
   private final ClientTimeout timeout;
   private final FrontendProtocol protocol;
   private final long cancelKey;
@@ -73,12 +73,6 @@
       return;
     }
     timeout.bytesRead(clock.now(), protocol.hasIncompleteMessage());
-    boolean mustWait = protocol.hasPendingRequest() || isProcessingPaused();
-    inputLimit.inputReceived(protocol.heldBytes() + in.readableBytes(), mustWait);
-    if (inputLimit.isExceeded()) {
-      in.release();
-      return;
-    }
     protocol.buffer(in, clock.now());
     reportState();
     resumeLater();
@@ -118,18 +112,9 @@
       return;
     }
     protocol.resume();
-    enforceInputLimit();
     reportState();
   }
 
-  private void enforceInputLimit() {
-    ErrorResponse violation = isLingering() ? null : inputLimit.violation(protocol);
-    if (violation != null) {
-      counters.increment(Counter.CLIENTS_REFUSED);
-      protocol.closeWithError(violation);
-    }
-  }
-
   private void reportState() {
     admissionReporter.report(protocol.isIdle(), clock.now());
   }
@@ -222,9 +207,6 @@
     admissionReporter.bytesWritten(protocol.isStartingUp());
     channel.writeAndFlush(out);
     reportState();
-    if (inputLimit.isExceeded()) {
-      resumeLater();
-    }
   }
 
   @Override
--- a/router/src/main/java/rushwood/protocol/ClientErrors.java
+++ b/router/src/main/java/rushwood/protocol/ClientErrors.java
@@ -33,11 +33,6 @@
   public static final ErrorResponse TOO_MANY_REJECTIONS =
       ErrorResponse.fatal(SqlState.PROTOCOL_VIOLATION, "too many statements that cannot be taken");
 
-  /** Closes a connection whose client pipelined more input than the router buffers. */
-  public static final ErrorResponse TOO_MUCH_PIPELINED =
-      ErrorResponse.fatal(
-          SqlState.TOO_MANY_CONNECTIONS, "too much was written ahead of its answers");
-
   /** Closes a connection whose client did not complete a message in time. */
   public static final ErrorResponse MESSAGE_TIMED_OUT =
       ErrorResponse.fatal(SqlState.PROTOCOL_VIOLATION, "the message did not come in time");
--- a/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
+++ b/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
@@ -323,11 +323,6 @@
         || (last != null && last.isReadable());
   }
 
-  /** Returns the capacity of all buffers that are held for the client. */
-  long heldBytes() {
-    return heldBytes;
-  }
-
   /** Returns whether a Terminate message has arrived, read or not. */
   boolean isTerminated() {
     return isTerminated;
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -274,11 +274,6 @@
     return state == State.STARTUP;
   }
 
-  /** Returns the capacity of the buffers that hold unprocessed input. */
-  public long heldBytes() {
-    return input.heldBytes();
-  }
-
   /** Returns whether a request was read whose response has not been sent. */
   public boolean hasPendingRequest() {
     return state == State.REQUEST_READ || state == State.REQUEST_PENDING;
