Send statements to hosts without a copy of them in direct memory

The message to a host shares the statement's buffer, but its last byte was a heap buffer.

All parts are direct now. SqlStatementTest.messageNeedsNoCopyOfTheStatement failed before ("expected true but was false").

--- a/router/src/main/java/rushwood/protocol/SqlStatement.java
+++ b/router/src/main/java/rushwood/protocol/SqlStatement.java
@@ -96,17 +96,18 @@
     byte[] digits = Long.toString(timeoutMillis).getBytes(StandardCharsets.US_ASCII);
     int start = text.readerIndex();
     int length = text.readableBytes() - timeout.length() + digits.length + TERMINATOR_BYTES;
+    // All parts are direct buffers: a channel would copy the whole statement into one otherwise.
     ByteBuf header =
         text.alloc()
-            .buffer(TYPE_BYTES + LENGTH_BYTES)
+            .directBuffer(TYPE_BYTES + LENGTH_BYTES)
             .writeByte(FrontendMessageType.QUERY)
             .writeInt(LENGTH_BYTES + length);
     return Unpooled.wrappedBuffer(
         header,
         text.retainedSlice(start, timeout.startIndex() - start),
-        text.alloc().buffer(digits.length).writeBytes(digits),
+        text.alloc().directBuffer(digits.length).writeBytes(digits),
         text.retainedSlice(timeout.endIndex(), text.writerIndex() - timeout.endIndex()),
-        Unpooled.wrappedBuffer(new byte[TERMINATOR_BYTES]));
+        text.alloc().directBuffer(TERMINATOR_BYTES).writeZero(TERMINATOR_BYTES));
   }
 
   @Override
--- a/router/src/test/java/rushwood/protocol/SqlStatementTest.java
+++ b/router/src/test/java/rushwood/protocol/SqlStatementTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import rushwood.api.Request;
@@ -58,4 +60,14 @@
       statement.release();
     }
   }
+
+  /** A channel copies messages that are not direct, which doubles the memory of long statements. */
+  @Test
+  void messageNeedsNoCopyOfTheStatement() throws ProtocolException {
+    SqlStatement statement = TestMessages.parse(TestMessages.writeStatement("a", ",d=480"));
+    ByteBuf message = statement.toMessage(480);
+    assertTrue(message.isDirect());
+    message.release();
+    statement.release();
+  }
 }
