Bound the memory for answers that clients do not read

Each client's channel held up to 64 KiB and one answer more, in the buffers into which the responses of hosts had been read; nothing bounded the sum, and at 40 MB of direct memory each allocation sleeps on the event loop.

Fix: output is allocated in its exact size from OutputMemory. Above 8 MiB statements are rejected, which never ran, and clients that have answers to read and did nothing for 0.2 s are closed until it is less.

--- a/router/src/main/java/rushwood/dispatch/Counter.java
+++ b/router/src/main/java/rushwood/dispatch/Counter.java
@@ -19,6 +19,8 @@
   CLIENTS_EVICTED_UNANSWERED,
   /** Client connections that were closed because the rest of a message did not arrive in time. */
   CLIENTS_TIMED_OUT,
+  /** Client connections that were closed because the client did not read its answers. */
+  CLIENTS_NOT_READING,
   /** Statements and messages from clients that were not accepted and reached no host. */
   STATEMENTS_REJECTED,
 
--- a/router/src/main/java/rushwood/net/ClientTimeout.java
+++ b/router/src/main/java/rushwood/net/ClientTimeout.java
@@ -17,6 +17,9 @@
   // The platform expects such a connection to be closed within 3 s.
   private static final long TIMEOUT_NANOS = 2_400_000_000L;
 
+  /** Many round trips: a client that reads its answers has made room by then. */
+  private static final long READING_STALL_NANOS = 200_000_000L;
+
   private long lastActivity;
   private long incompleteSince; // start of the current incomplete message
 
@@ -67,4 +70,14 @@
         ? Expiry.INCOMPLETE_MESSAGE
         : Expiry.NONE;
   }
+
+  /**
+   * Returns whether the client has answers to read and did nothing for {@link
+   * #READING_STALL_NANOS}.
+   *
+   * @param isWritable as for {@link #check}
+   */
+  boolean hasReadingStalled(long now, boolean isWritable) {
+    return !isWritable && lastActivity <= now - READING_STALL_NANOS;
+  }
 }
--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -7,19 +7,20 @@
 import rushwood.dispatch.Counters;
 import rushwood.dispatch.EventLoopClock;
 import rushwood.protocol.ClientErrors;
+import rushwood.protocol.ClientMemory;
 import rushwood.protocol.ErrorResponse;
 import rushwood.protocol.FrontendCallbacks;
 import rushwood.protocol.FrontendProtocol;
 import rushwood.protocol.MessageWriter;
+import rushwood.protocol.OutputMemory;
 import rushwood.protocol.ProtocolException;
 import rushwood.protocol.SqlStatement;
-import rushwood.protocol.StatementMemory;
 
 /**
  * A client connection: the channel handler that passes input to a {@link FrontendProtocol} and
  * writes its output. Input is read even while it cannot be processed, because a disconnect is only
- * noticed once all input before it has been read; the {@link StatementMemory} limits how much of it
- * is held. A {@link ClientTimeout} limits how long the client may take. Statements are submitted
+ * noticed once all input before it has been read; the {@link ClientMemory} limits how much of it is
+ * held. A {@link ClientTimeout} limits how long the client may take. Statements are submitted
  * through a {@link RequestSubmitter}, and an {@link AdmissionReporter} reports the state of the
  * connection. Created and used only on the event loop of its channel.
  */
@@ -29,6 +30,7 @@
   private final ConnectionRegistry registry;
   private final LingeringConnections lingeringConnections;
   private final RequestSubmitter submitter;
+  private final OutputMemory outputMemory;
   private final ClientTimeout timeout;
   private final FrontendProtocol protocol;
   private final long cancelKey;
@@ -41,7 +43,7 @@
    * Creates the handler and registers the connection.
    *
    * @param submitter used by this connection only
-   * @param statementMemory holds the input of all clients
+   * @param memory holds the input of all clients and the output to them
    */
   FrontendConnection(
       Channel channel,
@@ -50,18 +52,19 @@
       ConnectionRegistry registry,
       LingeringConnections lingeringConnections,
       RequestSubmitter submitter,
-      StatementMemory statementMemory) {
+      ClientMemory memory) {
     super(channel);
     this.clock = clock;
     this.counters = counters;
     this.registry = registry;
     this.lingeringConnections = lingeringConnections;
     this.submitter = submitter;
+    outputMemory = memory.output();
     cancelKey = registry.nextCancelKey();
     acceptTurnNumber = clock.turnNumber();
     earliestArrivalAtAccept = clock.earliestArrival();
     timeout = new ClientTimeout(clock.now());
-    protocol = new FrontendProtocol(channel.alloc(), statementMemory, this);
+    protocol = new FrontendProtocol(memory, this);
     admissionReporter = registry.add(this, clock.now());
   }
 
@@ -131,7 +134,7 @@
   /** Closes the connection if the client takes too long to read or to complete a message. */
   void checkTimeouts() {
     switch (timeout.check(clock.now(), channel.isWritable(), protocol.hasIncompleteMessage())) {
-      case UNREAD_ANSWER -> channel.close();
+      case UNREAD_ANSWER -> closeUnread();
       case INCOMPLETE_MESSAGE -> {
         counters.increment(Counter.CLIENTS_TIMED_OUT);
         protocol.closeWithError(ClientErrors.MESSAGE_TIMED_OUT);
@@ -140,6 +143,18 @@
     }
   }
 
+  /** Closes the connection if the client has stopped reading its answers. */
+  void closeIfReadingStalled() {
+    if (timeout.hasReadingStalled(clock.now(), channel.isWritable())) {
+      closeUnread();
+    }
+  }
+
+  private void closeUnread() {
+    counters.increment(Counter.CLIENTS_NOT_READING);
+    channel.close();
+  }
+
   @Override
   public boolean isReady() {
     return submitter.isReady();
@@ -147,6 +162,9 @@
 
   @Override
   public void submit(ByteBuf text) throws ProtocolException {
+    if (outputMemory.isExhausted()) {
+      throw ProtocolException.memoryShort();
+    }
     SqlStatement statement = submitter.parseAndValidate(text);
     admissionReporter.requestSubmitted();
     submitter.submit(statement, earliestArrival(), protocol);
--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import rushwood.api.RequestClass;
@@ -15,9 +16,9 @@
 import rushwood.dispatch.TimerQueue;
 import rushwood.overload.ConnectionAdmission;
 import rushwood.protocol.ClientErrors;
+import rushwood.protocol.ClientMemory;
 import rushwood.protocol.ErrorResponse;
 import rushwood.protocol.MessageWriter;
-import rushwood.protocol.StatementMemory;
 
 /**
  * Accepts or refuses client connections, closes those that time out, and closes all of them on
@@ -51,6 +52,13 @@
           .respectMaybeMoreData(false)
           .maxMessagesPerRead(MAX_READS_PER_TURN);
 
+  /**
+   * With more unsent output the next statement of a client waits, so that a client that does not
+   * read holds one long answer at most. Processing resumes at half of it.
+   */
+  private static final WriteBufferWaterMark MAX_UNSENT_OUTPUT =
+      new WriteBufferWaterMark(8 << 10, 16 << 10);
+
   private final RequestDispatcher dispatcher;
   private final EventLoopClock clock;
   private final TimerQueue timers;
@@ -60,7 +68,7 @@
   private final ConnectionLimiter limiter;
   private final ConnectionRegistry registry;
   private final LingeringConnections lingeringConnections;
-  private final StatementMemory statementMemory = new StatementMemory();
+  private final ClientMemory memory = new ClientMemory();
   private boolean draining;
 
   /**
@@ -82,7 +90,8 @@
     this.timers = timers;
     this.counters = counters;
     this.requestClasses = requestClasses;
-    counters.register("statement_memory_bytes", statementMemory::usedBytes);
+    counters.register("statement_memory_bytes", memory.statements()::usedBytes);
+    counters.register("output_memory_bytes", memory.output()::usedBytes);
     admission = limits.admission();
     limiter = new ConnectionLimiter(clock, timers, counters, limits);
     registry = new ConnectionRegistry(admission, limits.descriptorBudget(), random);
@@ -99,14 +108,26 @@
     registry.snapshot().stream()
         .filter(connection -> !counters.runSafely(connection::checkTimeouts))
         .forEach(connection -> connection.channel.close());
+    closeStalledReaders();
     lingeringConnections.checkDeadlines();
     limiter.updateLimit();
     limiter.closeIdleBelowLimit();
   }
 
+  /** While the memory for output is used up, closes clients that have stopped reading answers. */
+  private void closeStalledReaders() {
+    for (FrontendConnection connection : registry.snapshot()) {
+      if (!memory.output().isExhausted()) {
+        return;
+      }
+      connection.closeIfReadingStalled();
+    }
+  }
+
   @Override
   protected void initChannel(Channel channel) {
     channel.config().setRecvByteBufAllocator(READ_UNTIL_EMPTY);
+    channel.config().setWriteBufferWaterMark(MAX_UNSENT_OUTPUT);
     limiter.updateLimit();
     if (draining) {
       refuseWhileDraining(channel);
@@ -147,7 +168,7 @@
         new RequestSubmitter(
             dispatcher, requestClasses, admission, new RejectionThrottle(clock, timers));
     return new FrontendConnection(
-        channel, clock, counters, registry, lingeringConnections, submitter, statementMemory);
+        channel, clock, counters, registry, lingeringConnections, submitter, memory);
   }
 
   /**
@@ -163,9 +184,9 @@
     return registry.size() + lingeringConnections.size();
   }
 
-  /** Returns the number of bytes of direct memory that hold input of clients. */
-  public long statementMemoryBytes() {
-    return statementMemory.usedBytes();
+  /** Returns the number of bytes of direct memory that hold input of clients and output to them. */
+  public long clientMemoryBytes() {
+    return memory.usedBytes();
   }
 
   /**
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -1,8 +1,6 @@
 package rushwood.protocol;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.Unpooled;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import rushwood.dispatch.ClientResponder;
@@ -36,7 +34,9 @@
   /** Output of one call of {@link #resume}, so that input that needs much output cannot pile up. */
   private static final int MAX_BYTES_PER_WRITE = 16 << 10;
 
-  private final ByteBufAllocator allocator;
+  private static final int READY_FOR_QUERY_BYTES = 6;
+
+  private final OutputMemory outputMemory;
   private final FrontendCallbacks callbacks;
   private final FrontendMessageQueue input;
   private final StartupHandshake handshake;
@@ -48,14 +48,12 @@
   /**
    * Creates the protocol of a newly accepted connection.
    *
-   * @param allocator allocates the output
-   * @param memory holds the input
+   * @param memory holds the input and the output
    */
-  public FrontendProtocol(
-      ByteBufAllocator allocator, StatementMemory memory, FrontendCallbacks callbacks) {
-    this.allocator = allocator;
+  public FrontendProtocol(ClientMemory memory, FrontendCallbacks callbacks) {
+    outputMemory = memory.output();
     this.callbacks = callbacks;
-    input = new FrontendMessageQueue(memory);
+    input = new FrontendMessageQueue(memory.statements());
     handshake = new StartupHandshake(callbacks);
     localStatements = new LocalStatements(callbacks);
   }
@@ -107,7 +105,7 @@
 
   /** Reads messages up to a request or the end of input, and returns the output for them. */
   private ByteBuf readMessages() {
-    ByteBuf out = allocator.buffer(256);
+    ByteBuf out = outputMemory.allocate(256);
     try {
       boolean more = true;
       while (more && state.readsMessages()) {
@@ -176,8 +174,7 @@
   private void processQuery(FrontendMessage query, ByteBuf out) {
     try {
       if (query.isRefused()) {
-        throw ProtocolException.rejected(
-            SqlState.TOO_MANY_CONNECTIONS, "memory is short: trying again is harmless");
+        throw ProtocolException.memoryShort();
       }
       readQuery(query.body(), out);
     } catch (ProtocolException rejection) {
@@ -202,9 +199,12 @@
 
   @Override
   public void sendResult(ByteBuf row) {
-    ByteBuf ready = allocator.buffer(6);
-    MessageWriter.writeReadyForQuery(ready);
-    sendResponse(Unpooled.wrappedBuffer(row, ready));
+    // A copy, because the row is a part of the buffers into which the host's response was read.
+    ByteBuf out = outputMemory.allocate(row.readableBytes() + READY_FOR_QUERY_BYTES);
+    out.writeBytes(row);
+    row.release();
+    MessageWriter.writeReadyForQuery(out);
+    sendResponse(out);
   }
 
   @Override
@@ -227,7 +227,7 @@
   }
 
   private void sendError(ErrorResponse error) {
-    ByteBuf out = allocator.buffer(128);
+    ByteBuf out = outputMemory.allocate(128);
     MessageWriter.writeErrorResponse(out, error);
     MessageWriter.writeReadyForQuery(out);
     sendResponse(out);
@@ -289,7 +289,7 @@
 
   /** Sends an error in any state and closes the connection. */
   public void closeWithError(ErrorResponse error) {
-    ByteBuf out = allocator.buffer(128);
+    ByteBuf out = outputMemory.allocate(128);
     MessageWriter.writeErrorResponse(out, error);
     callbacks.write(out);
     state = State.CLOSED;
--- a/router/src/main/java/rushwood/protocol/ProtocolException.java
+++ b/router/src/main/java/rushwood/protocol/ProtocolException.java
@@ -24,6 +24,11 @@
     return new ProtocolException(sqlState, reason, false);
   }
 
+  /** Returns an exception for a statement for which, or for whose answer, there is no memory. */
+  public static ProtocolException memoryShort() {
+    return rejected(SqlState.TOO_MANY_CONNECTIONS, "memory is short: trying again is harmless");
+  }
+
   /** Returns an exception for input after which the connection must be closed. */
   public static ProtocolException fatal(String sqlState, String reason) {
     return new ProtocolException(sqlState, reason, true);
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -84,7 +84,7 @@
   private StallReporter createStallReporter(FrontendServer frontend) {
     ByteBufAllocatorMetric channels = ((ByteBufAllocatorMetricProvider) ALLOCATOR).metric();
     LongSupplier directMemoryBytes =
-        () -> channels.usedDirectMemory() + frontend.statementMemoryBytes();
+        () -> channels.usedDirectMemory() + frontend.clientMemoryBytes();
     StallReporter reporter = new StallReporter(clock, directMemoryBytes, logger);
     counters.register("direct_memory_bytes", directMemoryBytes);
     counters.register("longest_turn_millis", reporter::longestTurnMillis);
--- a/router/src/test/java/rushwood/net/FrontendConnectionTest.java
+++ b/router/src/test/java/rushwood/net/FrontendConnectionTest.java
@@ -34,6 +34,7 @@
 import rushwood.overload.ConnectionAdmission;
 import rushwood.overload.ConnectionState;
 import rushwood.overload.DescriptorBudget;
+import rushwood.protocol.ClientMemory;
 import rushwood.protocol.StatementMemory;
 import rushwood.protocol.StatementMemoryFixture;
 import rushwood.protocol.TestMessages;
@@ -52,12 +53,14 @@
   private final ConnectionAdmission admission =
       new ConnectionAdmission(MAX_DESCRIPTORS, RETRY_AFTER_NANOS);
   private final DescriptorBudget descriptors = new DescriptorBudget(MAX_DESCRIPTORS);
-  private final StatementMemory memory = new StatementMemory();
+  private final ClientMemory clientMemory = new ClientMemory();
+  private final StatementMemory memory = clientMemory.statements();
   private final ConnectionRegistry registry =
       new ConnectionRegistry(admission, descriptors, new SplittableRandom(1));
   private final PendingPolicy policy = new PendingPolicy();
   private final LingeringConnections lingering = new LingeringConnections(loop.clock);
   private final RequestDispatcher dispatcher = createDispatcher(loop, descriptors, policy);
+  private final List<EmbeddedChannel> channels = new ArrayList<>();
   private EmbeddedChannel channel;
   private FrontendConnection connection;
 
@@ -124,6 +127,7 @@
   @BeforeEach
   void connect() {
     channel = new EmbeddedChannel();
+    channels.add(channel);
     RequestSubmitter submitter =
         new RequestSubmitter(
             dispatcher,
@@ -132,7 +136,7 @@
             new RejectionThrottle(loop.clock, loop.timers));
     connection =
         new FrontendConnection(
-            channel, loop.clock, loop.counters, registry, lingering, submitter, memory);
+            channel, loop.clock, loop.counters, registry, lingering, submitter, clientMemory);
     channel.pipeline().addLast(connection);
   }
 
@@ -142,6 +146,8 @@
     assertEquals(0, registry.size());
     assertEquals(0, admission.openConnections());
     assertEquals(0, memory.usedBytes());
+    channels.forEach(EmbeddedChannel::releaseOutbound);
+    assertEquals(0, clientMemory.output().usedBytes());
     TestMessages.assertAllReleased();
   }
 
--- a/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -23,8 +23,8 @@
   private static final class TestConnection implements FrontendCallbacks {
     final ByteBuf out = TestMessages.ALLOCATOR.heapBuffer();
     final List<String> submitted = new ArrayList<>();
-    final StatementMemory memory = new StatementMemory();
-    final FrontendProtocol protocol = new FrontendProtocol(TestMessages.ALLOCATOR, memory, this);
+    final ClientMemory memory = new ClientMemory();
+    final FrontendProtocol protocol = new FrontendProtocol(memory, this);
     boolean ready = true;
     boolean respondsImmediately = true;
     boolean closed;
--- a/router/src/test/java/rushwood/server/DirectMemoryLimitTest.java
+++ b/router/src/test/java/rushwood/server/DirectMemoryLimitTest.java
@@ -20,8 +20,10 @@
 import org.junit.jupiter.api.extension.RegisterExtension;
 import rushwood.dispatch.Counter;
 
-/** Clients that together send more than the router can hold, to a router with all its memory. */
-class StatementMemoryLimitTest {
+/**
+ * Clients that together make the router hold more than its direct memory, which is that of `run`.
+ */
+class DirectMemoryLimitTest {
   private static final int MAX_VALUE_BYTES = 64 << 10;
 
   /** A router must end a connection that does not complete its request within this time. */
