Hear a discovery agent that answers every call late

Cause: PollSchedule closed a poll that had brought nothing for a quarter of the grace and began again, and a watch is opened only after a poll.

Fix: the first poll that times out without data stays open for 6 s beside the polls that follow; the first complete list ends both. A call that hangs still does not delay the next one. A router has two polls open at most, and polls an agent that does not answer as often as before.

--- a/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
+++ b/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
@@ -144,16 +144,17 @@
    * </ul>
    */
   private boolean isWatchNeeded(long now, OpenRequest request, boolean versionChanged) {
-    return request == requests.poll() && (versionChanged || !requests.isWatchAlive(now));
+    return requests.isPoll(request) && (versionChanged || !requests.isWatchAlive(now));
   }
 
   /**
-   * Handles the end of a response. The end of a watch is a failure, because it should stay open.
+   * Handles the end of a response. The end of a poll closes the other one too, whose list could
+   * only be older. The end of a watch is a failure, because it should stay open.
    */
   public void responseCompleted(long now, int requestNumber) {
     OpenRequest request = requests.find(requestNumber);
-    if (request != null && request == requests.poll()) {
-      requests.close(request, false);
+    if (request != null && requests.isPoll(request)) {
+      requests.closePolls();
       schedule.pollCompleted(now);
       scheduleWakeup();
     } else {
@@ -182,12 +183,10 @@
     if (stopped) {
       return;
     }
+    closeExpiredLatePoll(now);
     OpenRequest poll = requests.poll();
     if (poll != null && now >= deadline(poll)) {
-      boolean responseStarted = poll.lastDataAt() > poll.openedAt();
-      requests.close(poll, true);
-      schedule.pollTimedOut(now, responseStarted);
-      scheduleWakeup();
+      pollTimedOut(now, poll);
     }
     if (requests.poll() == null && now >= schedule.nextPollAt()) {
       schedule.pollStarted(now);
@@ -196,19 +195,53 @@
     scheduleWakeup();
   }
 
+  private void closeExpiredLatePoll(long now) {
+    OpenRequest latePoll = requests.latePoll();
+    if (latePoll != null && now >= latePollDeadline(latePoll)) {
+      requests.close(latePoll, true);
+    }
+  }
+
+  /**
+   * Keeps a poll open whose response has not started, if it is the only one, and closes any other.
+   * The next poll follows at once in either case.
+   */
+  private void pollTimedOut(long now, OpenRequest poll) {
+    boolean responseStarted = poll.hasResponseStarted();
+    if (responseStarted || requests.latePoll() != null) {
+      requests.close(poll, true);
+    } else {
+      requests.keepAsLatePoll();
+    }
+    schedule.pollTimedOut(now, responseStarted);
+  }
+
   private void pollUrgently(long now) {
     schedule.pollUrgently(now);
     scheduleWakeup();
   }
 
   private void scheduleWakeup() {
-    OpenRequest poll = requests.poll();
-    long at = poll != null ? deadline(poll) : schedule.nextPollAt();
+    long at = Math.min(nextPollEventAt(), nextLatePollEventAt());
     if (!stopped && at != PollSchedule.NOT_SCHEDULED) {
       transport.scheduleWakeup(at);
     }
   }
 
+  private long nextPollEventAt() {
+    OpenRequest poll = requests.poll();
+    return poll != null ? deadline(poll) : schedule.nextPollAt();
+  }
+
+  private long nextLatePollEventAt() {
+    OpenRequest latePoll = requests.latePoll();
+    return latePoll != null ? latePollDeadline(latePoll) : PollSchedule.NOT_SCHEDULED;
+  }
+
+  private long latePollDeadline(OpenRequest latePoll) {
+    return schedule.latePollDeadline(latePoll.openedAt(), latePoll.lastDataAt());
+  }
+
   private long deadline(OpenRequest poll) {
     return schedule.deadline(poll.openedAt(), poll.lastDataAt());
   }
--- a/router/src/main/java/rushwood/discovery/OpenRequests.java
+++ b/router/src/main/java/rushwood/discovery/OpenRequests.java
@@ -5,8 +5,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The open requests to the agent: a poll, a watch and, while the watch is replaced, its successor.
- * Opens and closes them through the {@link EndpointRefreshPolicy.Transport}.
+ * The open requests to the agent: a poll, an earlier poll whose answer is late, a watch and, while
+ * the watch is replaced, its successor. Opens and closes them through the {@link
+ * EndpointRefreshPolicy.Transport}.
  *
  * <p>Not thread-safe; used on the event loop only.
  */
@@ -18,7 +19,7 @@
   private static final long WATCH_STALL_TIMEOUT_NANOS =
       DiscoveryProtocol.HEARTBEAT_NANOS + DiscoveryProtocol.HEARTBEAT_NANOS / 2;
 
-  private static final int MAX_OPEN_REQUESTS = 3;
+  private static final int MAX_OPEN_REQUESTS = 4;
 
   /** A request. Times are nanoseconds of the caller's clock. */
   static final class OpenRequest {
@@ -47,6 +48,11 @@
       return lastDataAt;
     }
 
+    /** Returns whether any data has arrived. */
+    boolean hasResponseStarted() {
+      return lastDataAt > openedAt;
+    }
+
     /** Returns whether the request was opened before the agent's address changed. */
     boolean isToPreviousAgent() {
       return isToPreviousAgent;
@@ -66,6 +72,7 @@
   private final EndpointRefreshPolicy.Transport transport;
   private final List<OpenRequest> requests = new ArrayList<>(MAX_OPEN_REQUESTS);
   private @Nullable OpenRequest poll; // never to a previous agent
+  private @Nullable OpenRequest latePoll; // never to a previous agent
   private @Nullable OpenRequest watch;
   private int nextNumber;
 
@@ -78,6 +85,32 @@
     return poll;
   }
 
+  /** Returns the poll that was kept open although its answer is late, or null if there is none. */
+  @Nullable OpenRequest latePoll() {
+    return latePoll;
+  }
+
+  /** Returns whether the request is a poll of the current agent, late or not. */
+  boolean isPoll(OpenRequest request) {
+    return request == poll || request == latePoll;
+  }
+
+  /** Keeps the open poll as the late one, so that another can be opened; there must be none. */
+  void keepAsLatePoll() {
+    latePoll = poll;
+    poll = null;
+  }
+
+  /** Closes the polls that are open. */
+  void closePolls() {
+    if (poll != null) {
+      close(poll, false);
+    }
+    if (latePoll != null) {
+      close(latePoll, false);
+    }
+  }
+
   /** Returns the request with this number, or null if it is closed. */
   @Nullable OpenRequest find(int number) {
     for (OpenRequest request : requests) {
@@ -127,6 +160,9 @@
     if (request == poll) {
       poll = null;
     }
+    if (request == latePoll) {
+      latePoll = null;
+    }
     if (request == watch) {
       watch = null;
     }
@@ -137,11 +173,9 @@
     List.copyOf(requests).forEach(request -> close(request, false));
   }
 
-  /** Closes the poll, and marks the watch as one of the previous agent, without closing it. */
+  /** Closes the polls, and marks the watch as one of the previous agent, without closing it. */
   void agentChanged() {
-    if (poll != null) {
-      close(poll, false);
-    }
+    closePolls();
     requests.forEach(request -> request.isToPreviousAgent = true);
   }
 }
--- a/router/src/main/java/rushwood/discovery/PollSchedule.java
+++ b/router/src/main/java/rushwood/discovery/PollSchedule.java
@@ -13,8 +13,11 @@
  *       than G/8 to G/4 after the start of the last poll ({@link #pollUrgently}).
  *   <li>After a timeout or a change of the agent's address, it follows at once ({@link
  *       #pollImmediately}).
- *   <li>A poll is closed if it has received nothing for G/4 or is not complete after G; a longer
+ *   <li>A poll times out if it has received nothing for G/4 or is not complete after G; a longer
  *       limit applies after a timeout in mid-response ({@link #deadline}, {@link #pollTimedOut}).
+ *   <li>One poll whose response had not started by then is kept open beside the next ones, for
+ *       {@link #MAX_RESPONSE_DELAY_NANOS}, so that an agent that answers every call late is heard
+ *       ({@link #latePollDeadline}).
  * </ul>
  *
  * <p>Delays do not grow while the agent is down: the agent serves only this router, so there is no
@@ -40,6 +43,9 @@
    */
   private static final long MAX_STALENESS_NANOS = 4000 * NANOS_PER_MILLI;
 
+  /** The time within which the platform expects the router to comply with a change. */
+  private static final long MAX_RESPONSE_DELAY_NANOS = 6000 * NANOS_PER_MILLI;
+
   /** Maximum duration of a poll whose data keeps arriving, in response timeouts. */
   private static final int MAX_RESPONSE_TIMEOUTS_PER_POLL = 4;
 
@@ -114,6 +120,17 @@
     return Math.min(lastDataAt + responseTimeoutNanos, openedAt + maxPollDurationNanos);
   }
 
+  /**
+   * Returns when to close a late poll, given when it was opened and, if its response has started,
+   * when it last received data.
+   */
+  long latePollDeadline(long openedAt, long lastDataAt) {
+    long latestStart = openedAt + MAX_RESPONSE_DELAY_NANOS;
+    return lastDataAt > openedAt
+        ? Math.min(lastDataAt + responseTimeoutNanos, latestStart + maxPollDurationNanos)
+        : latestStart;
+  }
+
   /** Returns the time of the next poll, {@link #NOT_SCHEDULED} if there is none. */
   long nextPollAt() {
     long at = Math.min(regularPollAt, urgentPollAt);
--- a/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
+++ b/router/src/test/java/rushwood/discovery/EndpointRefreshPolicyTest.java
@@ -264,4 +264,78 @@
     agent.runFor(1000);
     assertEquals(openedRequests, agent.openedRequests);
   }
+
+  /**
+   * Guards against a router that never hears an agent which answers every call late: it must know
+   * the first list and each change in the time in which the platform expects it.
+   */
+  @Test
+  void slowAgentIsHeardInTime() {
+    for (long drainGraceMillis : DRAIN_GRACES_MILLIS) {
+      for (long delayMillis : new long[] {200, 400, 700, 1000, 1500, 3000}) {
+        for (int seed = 0; seed < 10; seed++) {
+          SimulatedAgent agent = new SimulatedAgent(drainGraceMillis, 40, seed);
+          agent.responseDelayMillis = () -> delayMillis;
+          assertChangesArriveInTime(agent, drainGraceMillis + " ms, delay " + delayMillis);
+        }
+      }
+    }
+  }
+
+  @Test
+  void agentWithVaryingDelaysIsHeardInTime() {
+    for (long drainGraceMillis : DRAIN_GRACES_MILLIS) {
+      for (int seed = 0; seed < 10; seed++) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedAgent agent = new SimulatedAgent(drainGraceMillis, 40, seed);
+        long[] delays = random.longs(100, 0, 3000).toArray();
+        agent.responseDelayMillis = () -> delays[agent.openedRequests % delays.length];
+        assertChangesArriveInTime(agent, drainGraceMillis + " ms, seed " + seed);
+      }
+    }
+  }
+
+  private static void assertChangesArriveInTime(SimulatedAgent agent, String description) {
+    agent.start();
+    SplittableRandom random = new SplittableRandom(7);
+    agent.runFor(ANNOUNCEMENT_DEADLINE_MILLIS);
+    assertEquals(agent.version, agent.receivedVersion, "first list, grace " + description);
+    for (int change = 0; change < 5; change++) {
+      agent.publishChange();
+      agent.runFor(ANNOUNCEMENT_DEADLINE_MILLIS + random.nextInt(3000));
+    }
+    assertEquals(agent.version, agent.receivedVersion, "grace " + description);
+    assertTrue(
+        agent.maxDelayMillis <= ANNOUNCEMENT_DEADLINE_MILLIS,
+        agent.maxDelayMillis + " ms, grace " + description);
+    assertTrue(agent.maxOpenPolls <= 2, agent.maxOpenPolls + " polls, grace " + description);
+  }
+
+  /** One call that is never answered must not delay the next one. */
+  @Test
+  void callThatHangsDoesNotDelayTheNext() {
+    assertDelayWithinGrace(
+        (agent, random) -> {
+          agent.stallWatches();
+          agent.behavior = SimulatedAgent.Behavior.UNRESPONSIVE;
+          agent.runFor(random.nextInt(30_000));
+          agent.polls.clear(); // calls from before stay open and are never answered
+          agent.behavior = SimulatedAgent.Behavior.RESPONDS;
+          agent.publishChange();
+        });
+  }
+
+  @Test
+  void addressChangeClosesASlowCall() {
+    SimulatedAgent agent = new SimulatedAgent(2000, 40, 1);
+    agent.responseDelayMillis = () -> 3000;
+    agent.start();
+    agent.runFor(1200);
+    assertEquals(2, agent.polls.size());
+    agent.responseDelayMillis = () -> 0;
+    agent.policy.addressChanged(agent.nowMillis * NANOS_PER_MILLI);
+    agent.runFor(5);
+    assertEquals(agent.version, agent.receivedVersion);
+    assertEquals(0, agent.polls.size());
+  }
 }
--- a/router/src/test/java/rushwood/discovery/SimulatedAgent.java
+++ b/router/src/test/java/rushwood/discovery/SimulatedAgent.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /**
  * Simulates a discovery agent and a router that uses {@link EndpointRefreshPolicy}, in virtual time
@@ -27,10 +28,12 @@
 
   final EndpointRefreshPolicy policy;
   final Map<Integer, Long> watches = new TreeMap<>(); // latest version sent on each
+  final Map<Integer, Long> watchOpenTimes = new TreeMap<>(); // in ms
   final Map<Integer, Long> polls = new TreeMap<>(); // time in ms at which each was opened
   final List<Integer> stalledWatches = new ArrayList<>();
   final List<Long> pollTimesMillis = new ArrayList<>();
   Behavior behavior = Behavior.RESPONDS;
+  LongSupplier responseDelayMillis = () -> 0; // of a poll, and of the first data on a watch
   boolean wellFormed = true;
   boolean heartbeatsOnly; // watches send heartbeats but no changes
   long nowMillis = 1_000_000;
@@ -40,6 +43,7 @@
   long maxDelayMillis; // longest time from publishing a version until the router received it
   long wakeupAtNanos = Long.MAX_VALUE;
   int openedRequests;
+  int maxOpenPolls;
 
   SimulatedAgent(long drainGraceMillis, long lastKnownVersion, long seed) {
     policy =
@@ -57,9 +61,11 @@
     openedRequests++;
     if (watch) {
       watches.put(requestNumber, sinceVersion);
+      watchOpenTimes.put(requestNumber, nowMillis);
     } else {
       pollTimesMillis.add(nowMillis);
       polls.put(requestNumber, nowMillis);
+      maxOpenPolls = Math.max(maxOpenPolls, polls.size());
     }
   }
 
@@ -113,8 +119,9 @@
   }
 
   private void answerPoll(int requestNumber) {
-    if (nowMillis <= polls.get(requestNumber)) {
-      return; // responds in the next step
+    Long openedAt = polls.get(requestNumber);
+    if (openedAt == null || nowMillis <= openedAt + responseDelayMillis.getAsLong()) {
+      return; // closed while another one was answered, or not answered yet
     }
     switch (behavior) {
       case RESPONDS -> {
@@ -136,7 +143,9 @@
   }
 
   private void sendOnWatch(int requestNumber) {
-    if (behavior != Behavior.RESPONDS || stalledWatches.contains(requestNumber)) {
+    boolean hasStarted =
+        nowMillis >= watchOpenTimes.get(requestNumber) + responseDelayMillis.getAsLong();
+    if (behavior != Behavior.RESPONDS || !hasStarted || stalledWatches.contains(requestNumber)) {
       return;
     }
     if (heartbeatsOnly) {
--- a/router/src/test/java/rushwood/server/StandInDiscovery.java
+++ b/router/src/test/java/rushwood/server/StandInDiscovery.java
@@ -19,6 +19,8 @@
   volatile String endpointList;
   final AtomicInteger unansweredCalls = new AtomicInteger(); // calls still to be ignored
 
+  volatile long answerDelayMillis; // of each call
+
   StandInDiscovery() throws IOException {}
 
   /** Waits for a watch of the changes since the version; polls before it are skipped. */
@@ -41,6 +43,7 @@
     if (isUnanswered) {
       return;
     }
+    Thread.sleep(answerDelayMillis);
     if (path.contains("follow")) {
       serveWatch(connection.getOutputStream());
     } else {
