Make the warm-up's sockets in TMPDIR, and start without a folder for them

What callers would see: where java.io.tmpdir cannot be written, the router ends at its start and serves nobody. Found by reading in the review.

Cause: the warm-up made its folder there, which Java does not take from TMPDIR, and its exception ended the start.

Fix: the folder is made in TMPDIR if that is set. If none can be made, or its path is too long for a Unix socket, a line says why, and the router starts without the warm-up.

--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -64,12 +65,24 @@
    * @throws Exception if the warm-up fails or the address cannot be bound
    */
   public void start() throws Exception {
-    new Warmup(config, eventLoopGroup, eventLoop, ByteBufAllocator.DEFAULT).run();
+    warmUp();
     RouterComponents components = eventLoop.submit(this::startComponents).get();
     awaitEndpointList();
     listen(components);
   }
 
+  /** Runs the warm-up, unless there is no directory for its sockets. */
+  private void warmUp() throws Exception {
+    Path directory;
+    try {
+      directory = WarmupDirectory.create(environment);
+    } catch (IOException e) {
+      Logger.warn("starting without the warm-up, which has no directory: {}", e);
+      return;
+    }
+    new Warmup(config, eventLoopGroup, eventLoop, ByteBufAllocator.DEFAULT).run(directory);
+  }
+
   private RouterComponents startComponents() {
     RouterComponents components =
         new RouterAssembler(config, operatorSettings, eventLoop)
--- a/router/src/main/java/rushwood/server/Warmup.java
+++ b/router/src/main/java/rushwood/server/Warmup.java
@@ -86,19 +86,20 @@
   /**
    * Runs the warm-up and blocks until it is over, after about 0.9 s at the latest.
    *
+   * @param directory an empty directory for its sockets, which is deleted at the end
    * @throws Exception if the sockets cannot be created or a component cannot be started
    */
-  void run() throws Exception {
-    run(MAX_DURATION_NANOS);
+  void run(Path directory) throws Exception {
+    run(directory, MAX_DURATION_NANOS);
   }
 
   /**
    * Runs the warm-up and blocks until it is over.
    *
+   * @param directory an empty directory for its sockets, which is deleted at the end
    * @return the counters of its requests, which tests check
    */
-  Counters run(long maxDurationNanos) throws Exception {
-    Path directory = Files.createTempDirectory("warmup");
+  Counters run(Path directory, long maxDurationNanos) throws Exception {
     WarmupTraffic traffic =
         new WarmupTraffic(eventLoopGroup, eventLoop, directory, config.settings().requestClasses());
     try {
--- a/router/src/test/java/rushwood/server/RouterProcessFixture.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -44,6 +44,7 @@
   private final int maxSockets;
   private final BlockingQueue<String> output = new LinkedBlockingQueue<>();
   private Path folder;
+  private Path temporaryDirectory;
   private StandInBackend primary;
   private StandInBackend replica;
   private StandInDiscovery discovery;
@@ -82,6 +83,7 @@
   @Override
   public void beforeEach(ExtensionContext context) throws Exception {
     folder = Files.createTempDirectory("router");
+    temporaryDirectory = folder;
     configuredPort = startsBeforeTest ? ANY_PORT : freePort();
     port = configuredPort;
     startStandIns();
@@ -157,6 +159,11 @@
     return new TestClient(port);
   }
 
+  /** Sets where the next process makes its temporary files; else in {@link #folder}. */
+  void setTemporaryDirectory(Path directory) {
+    temporaryDirectory = directory;
+  }
+
   /** Starts the process and returns before it listens. */
   void launch() throws IOException {
     ProcessBuilder builder =
@@ -168,12 +175,13 @@
                 "-Xmx64m",
                 "-XX:MaxDirectMemorySize=40m",
                 "-Dio.netty.leakDetection.level=paranoid",
-                "-Djava.io.tmpdir=" + folder,
+                "-Djava.io.tmpdir=" + temporaryDirectory,
                 "-cp",
                 System.getProperty("java.class.path"),
                 "rushwood.Main",
                 "serve")
             .redirectErrorStream(true);
+    builder.environment().remove("TMPDIR");
     builder.environment().put("NODE_CONFIG", configFile().toString());
     builder.environment().put("NODE_DISCOVERY", discovery.address());
     Process started = builder.start();
--- a/router/src/test/java/rushwood/server/WarmupTest.java
+++ b/router/src/test/java/rushwood/server/WarmupTest.java
@@ -37,7 +37,7 @@
                 group,
                 group.next(),
                 allocator)
-            .run(MAX_DURATION_NANOS);
+            .run(Files.createDirectory(folder.resolve("sockets")), MAX_DURATION_NANOS);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     assertTrue(counters.get(Counter.REQUESTS_SUCCEEDED) > 0, counters::toString);
     assertTrue(counters.get(Counter.REQUESTS_REJECTED) > 0, counters::toString);
