Withhold a read whose replica's known data has aged beyond the bound

Cause: the replica's position was compared with the bound at the decision; a read that waits for its connection was written up to dial_timeout later.

Fix: where hosts serve stale data, the write deadline of a read with a bound ends when the replica's known position reaches the bound. WriteGate only compares; a withheld read ends as not sent, and the policy chooses again.

Sites whose hosts check the age themselves are not affected.

--- a/router/src/main/java/rushwood/policy/AttemptSender.java
+++ b/router/src/main/java/rushwood/policy/AttemptSender.java
@@ -8,6 +8,7 @@
   private final PolicyActions actions;
   private final OverloadSignals overloadSignals;
   private final DeadlinePolicy deadlines;
+  private final FreshnessPolicy freshness;
   private final HealthCheckPolicy healthChecks;
   private final SlowStart slowStart;
   private final LostAnswerDetector lostAnswers;
@@ -16,12 +17,14 @@
       PolicyActions actions,
       OverloadSignals overloadSignals,
       DeadlinePolicy deadlines,
+      FreshnessPolicy freshness,
       HealthCheckPolicy healthChecks,
       SlowStart slowStart,
       LostAnswerDetector lostAnswers) {
     this.actions = actions;
     this.overloadSignals = overloadSignals;
     this.deadlines = deadlines;
+    this.freshness = freshness;
     this.healthChecks = healthChecks;
     this.slowStart = slowStart;
     this.lostAnswers = lostAnswers;
@@ -36,7 +39,9 @@
     healthChecks.attemptSent(host, now);
     overloadSignals.attemptSent(now, pending.request.group(), RetryPolicy.isCostly(pending));
     long timeoutNanos = deadlines.attemptTimeoutNanos(pending, now);
-    long startWithinNanos = Math.min(timeoutNanos, RetryPolicy.retryDeadline(pending) - now);
+    long writeDeadline =
+        Math.min(RetryPolicy.retryDeadline(pending), freshness.writeDeadline(pending, host));
+    long startWithinNanos = Math.min(timeoutNanos, writeDeadline - now);
     Attempt attempt = pending.startAttempt(host, now, lostAnswers.drawControlSample());
     host.inFlight.add(attempt);
     slowStart.attemptSent(attempt);
--- a/router/src/main/java/rushwood/policy/FreshnessPolicy.java
+++ b/router/src/main/java/rushwood/policy/FreshnessPolicy.java
@@ -5,6 +5,7 @@
 import rushwood.api.RequestClass;
 import rushwood.api.RequestClass.Consistency;
 import rushwood.api.RoutingSettings;
+import rushwood.api.RoutingSettings.LaggingReadBehavior;
 
 /**
  * Decides how far a replica must have applied the log to answer a read, and records how far it has.
@@ -23,12 +24,17 @@
   /** Clients send the time since their last write in whole milliseconds. */
   private static final long LAST_WRITE_RESOLUTION_NANOS = 1_000_000L;
 
+  /** The write time limit of an attempt whose data does not become too old. */
+  private static final long NO_LIMIT = Long.MAX_VALUE;
+
   private final boolean tracksSessionWrites;
+  private final boolean hostsServeStaleData;
   private final long minStalenessBoundNanos;
   private final SessionWrites sessionWrites = new SessionWrites(MAX_SESSIONS);
 
   FreshnessPolicy(RoutingSettings settings) {
     tracksSessionWrites = settings.tracksSessionWrites();
+    hostsServeStaleData = settings.laggingReadBehavior() == LaggingReadBehavior.SERVES;
     minStalenessBoundNanos =
         settings.requestClasses().stream()
             .filter(requestClass -> requestClass.consistency() == Consistency.BOUNDED_STALENESS)
@@ -63,6 +69,17 @@
         });
   }
 
+  /**
+   * Returns until when the request may be written to the host, as a clock time: a read with a
+   * staleness bound, to a replica that does not check the age of its data, only until that data, as
+   * far as it is known, reaches the bound. The connection may take long to open.
+   */
+  long writeDeadline(PendingRequest pending, HostState host) {
+    boolean ages =
+        hostsServeStaleData && !host.isPrimary() && pending.requires(Consistency.BOUNDED_STALENESS);
+    return ages ? host.replication.position() + pending.requestClass.maxStalenessNanos() : NO_LIMIT;
+  }
+
   /**
    * Returns the position of the session's last write as this router recorded it or, if this router
    * does not record writes, as the client sent it.
--- a/router/src/main/java/rushwood/policy/PolicyComponents.java
+++ b/router/src/main/java/rushwood/policy/PolicyComponents.java
@@ -53,7 +53,7 @@
 
     AttemptSender sender =
         new AttemptSender(
-            actions, overloadSignals, deadlines, healthChecks, slowStart, lostAnswers);
+            actions, overloadSignals, deadlines, freshness, healthChecks, slowStart, lostAnswers);
     dispatcher = new WaitQueueDispatcher(queuePolicy, sender);
     lifecycle =
         new RequestLifecycle(
--- a/router/src/test/java/rushwood/policy/ScenarioPlayer.java
+++ b/router/src/test/java/rushwood/policy/ScenarioPlayer.java
@@ -287,7 +287,8 @@
   @Override
   public void send(RequestId request, HostId host, long timeoutNanos, long startWithinNanos) {
     attemptHosts.computeIfAbsent(request.value(), id -> new ArrayList<>()).add(host.value());
-    actions.add("send " + request + " " + host);
+    long startWithinMillis = startWithinNanos / NANOS_PER_MILLI;
+    actions.add("send " + request + " " + host + " within " + startWithinMillis);
   }
 
   @Override
