--- a/router/src/test/java/rushwood/protocol/StatementMemoryTest.java
+++ b/router/src/test/java/rushwood/protocol/StatementMemoryTest.java
@@ -71,6 +71,7 @@
 
   @Test
   void clientMayHoldHalfOfWhatIsFree() {
+    assertEquals(false, allocate(1000, MAX_MESSAGE_BYTES / 2 - 999, NOW), "one byte too much");
     assertEquals(true, allocate(1000, MAX_MESSAGE_BYTES / 2 - 1000, NOW));
     assertEquals(false, allocate(1000, MAX_MESSAGE_BYTES / 2 - 1000, NOW));
     assertEquals(true, allocate(500, MAX_MESSAGE_BYTES / 2 - 1000, NOW));
@@ -88,6 +89,7 @@
   @Test
   void refusalsHaveRoomOfTheirOwn() {
     buffers.addAll(StatementMemoryFixture.fillUp(memory, 1));
+    assertEquals(MAX_MESSAGE_BYTES - 1, memory.usedBytes(), "messages never have the last byte");
     assertEquals(false, allocate(1, 0, NOW));
     for (int used = 0; used < MAX_REFUSAL_BYTES; used += 512) {
       buffers.add(memory.allocateForRefusals(512));
