Hear a discovery agent that sends its list in parts with gaps

Callers saw: an agent whose list arrives in ten parts over 2 s, or late and in parts over 1.5 s, never told the router of a drain: reads went to the draining host until the trial's end, 7 s after the change (6 s are allowed).

Cause: a poll that had received a part was closed after a quarter of the drain grace without more; only one that had received nothing was kept open beside the next.

Change: any poll that times out may be the late one. Once its response has started it may pause for a quarter of the grace, 1 s at least, so that a response that breaks off leaves time for another poll. With 6 s instead the case of a response that breaks off failed.

SlowDiscoveryTest.drainIsObeyedInTimeWhateverIsSlow: 2 of 6 cases failed before (both with parts), 6 of 6 pass, in three whole runs of the class; late lists alone, late watches alone, all calls late from the change on, a response that breaks off, and a reload each second passed before, too. EndpointRefreshPolicyTest unchanged, passed.

--- a/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
+++ b/router/src/main/java/rushwood/discovery/EndpointRefreshPolicy.java
@@ -203,17 +203,16 @@
   }
 
   /**
-   * Keeps a poll open whose response has not started, if it is the only one, and closes any other.
-   * The next poll follows at once in either case.
+   * Keeps the poll open as the late one, unless there is one already; then closes it. The next poll
+   * follows at once in either case.
    */
   private void pollTimedOut(long now, OpenRequest poll) {
-    boolean responseStarted = poll.hasResponseStarted();
-    if (responseStarted || requests.latePoll() != null) {
-      requests.close(poll, true);
-    } else {
+    if (requests.latePoll() == null) {
       requests.keepAsLatePoll();
+    } else {
+      requests.close(poll, true);
     }
-    schedule.pollTimedOut(now, responseStarted);
+    schedule.pollTimedOut(now, poll.hasResponseStarted());
   }
 
   private void pollUrgently(long now) {
--- a/router/src/main/java/rushwood/discovery/PollSchedule.java
+++ b/router/src/main/java/rushwood/discovery/PollSchedule.java
@@ -15,9 +15,10 @@
  *       #pollImmediately}).
  *   <li>A poll times out if it has received nothing for G/4 or is not complete after G; a longer
  *       limit applies after a timeout in mid-response ({@link #deadline}, {@link #pollTimedOut}).
- *   <li>One poll whose response had not started by then is kept open beside the next ones, for
- *       {@link #MAX_RESPONSE_DELAY_NANOS}, so that an agent that answers every call late is heard
- *       ({@link #latePollDeadline}).
+ *   <li>One poll that timed out is kept open beside the next ones, so that an agent is heard that
+ *       answers every call late or in parts with gaps: its response may start within {@link
+ *       #MAX_RESPONSE_DELAY_NANOS} and may pause for G/4 or {@link
+ *       #MAX_GAP_IN_LATE_RESPONSE_NANOS}, the longer of the two ({@link #latePollDeadline}).
  * </ul>
  *
  * <p>Delays do not grow while the agent is down: the agent serves only this router, so there is no
@@ -46,6 +47,9 @@
   /** The time within which the platform expects the router to comply with a change. */
   private static final long MAX_RESPONSE_DELAY_NANOS = 6000 * NANOS_PER_MILLI;
 
+  /** Leaves time for another late poll within {@link #MAX_RESPONSE_DELAY_NANOS}. */
+  private static final long MAX_GAP_IN_LATE_RESPONSE_NANOS = 1000 * NANOS_PER_MILLI;
+
   /** Maximum duration of a poll whose data keeps arriving, in response timeouts. */
   private static final int MAX_RESPONSE_TIMEOUTS_PER_POLL = 4;
 
@@ -126,8 +130,9 @@
    */
   long latePollDeadline(long openedAt, long lastDataAt) {
     long latestStart = openedAt + MAX_RESPONSE_DELAY_NANOS;
+    long maxGapNanos = Math.max(responseTimeoutNanos, MAX_GAP_IN_LATE_RESPONSE_NANOS);
     return lastDataAt > openedAt
-        ? Math.min(lastDataAt + responseTimeoutNanos, latestStart + maxPollDurationNanos)
+        ? Math.min(lastDataAt + maxGapNanos, latestStart + maxPollDurationNanos)
         : latestStart;
   }
 
--- a/router/src/test/java/rushwood/server/StandInDiscovery.java
+++ b/router/src/test/java/rushwood/server/StandInDiscovery.java
@@ -14,12 +14,19 @@
 
 /** A discovery agent that serves an endpoint list, and watches with events added by a test. */
 final class StandInDiscovery extends StandInServer {
+  private static final int LIST_PARTS = 10;
+
   final BlockingQueue<String> watchEvents = new LinkedBlockingQueue<>();
   final BlockingQueue<String> requestedPaths = new LinkedBlockingQueue<>();
   volatile String endpointList;
   final AtomicInteger unansweredCalls = new AtomicInteger(); // calls still to be ignored
 
+  final AtomicInteger truncatedLists = new AtomicInteger(); // lists still to be sent in part
+
   volatile long answerDelayMillis; // of each call
+  volatile long listDelayMillis; // of each list, in addition
+  volatile long watchDelayMillis; // of each watch, in addition
+  volatile long listSendMillis; // time over which the parts of a list are sent
 
   StandInDiscovery() throws IOException {}
 
@@ -51,13 +58,22 @@
     }
   }
 
-  private void serveList(OutputStream out) throws IOException {
+  private void serveList(OutputStream out) throws IOException, InterruptedException {
+    Thread.sleep(listDelayMillis);
     String list = endpointList;
     String head = "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n";
-    out.write((head + list).getBytes(UTF_8));
+    byte[] answer = (head + list).getBytes(UTF_8);
+    boolean isTruncated = truncatedLists.getAndUpdate(lists -> Math.max(0, lists - 1)) > 0;
+    int end = isTruncated ? answer.length / 2 : answer.length;
+    int partBytes = answer.length / LIST_PARTS + 1;
+    for (int start = 0; start < end; start += partBytes) {
+      out.write(answer, start, Math.min(partBytes, end - start));
+      Thread.sleep(listSendMillis / LIST_PARTS);
+    }
   }
 
   private void serveWatch(OutputStream out) throws IOException, InterruptedException {
+    Thread.sleep(watchDelayMillis);
     out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(UTF_8));
     while (true) {
       String event = watchEvents.take() + "\n";
