--- a/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ExperimentResult.java
@@ -34,6 +34,7 @@
   }
 
   private final String name;
+  private final Map<String, String> origin = new LinkedHashMap<>();
   private final Map<String, Double> figures = new LinkedHashMap<>();
   private final Map<String, TimeSeries> timeSeries = new LinkedHashMap<>();
   private final Map<String, Long> counters = new LinkedHashMap<>();
@@ -50,6 +51,16 @@
     return name;
   }
 
+  /** Returns what was played, by name; empty for a simulation. */
+  public Map<String, String> origin() {
+    return origin;
+  }
+
+  /** Records what was played. */
+  public void recordOrigin(String name, String value) {
+    origin.put(name, value);
+  }
+
   /** Returns the figures by name, in the order in which they were recorded. */
   public Map<String, Double> figures() {
     return figures;
--- a/testbed/src/main/java/rushwood/testbed/load/ReportNames.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ReportNames.java
@@ -6,6 +6,11 @@
  * them.
  */
 public final class ReportNames {
+  // What was played
+
+  /** The SHA-256 checksum of the router's jar, in hexadecimal. */
+  public static final String ROUTER_JAR_CHECKSUM = "router_jar_sha256";
+
   // Time series
 
   /** The field of a JSON report that holds all time series. */
--- a/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SocketExperiment.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import rushwood.testbed.model.WriteLedger;
 import rushwood.testbed.standin.Loopback;
+import rushwood.testbed.standin.RouterJar;
 import rushwood.testbed.standin.RouterProcess;
 import rushwood.testbed.standin.StandinDiscovery;
 import rushwood.testbed.standin.Statement;
@@ -58,10 +59,12 @@
   /**
    * Runs until every client has finished or the experiment's duration has passed.
    *
-   * @return the figures, the router's counters and the time series
+   * @return the checksum of the router's jar, the figures, the router's counters and the time
+   *     series
    * @throws IOException if the router does not start
    */
   public ExperimentResult run() throws IOException, InterruptedException {
+    result.recordOrigin(ReportNames.ROUTER_JAR_CHECKSUM, RouterJar.checksum(launchOptions.jar()));
     Path configFile = Files.createTempFile("router", ".json");
     try {
       InetSocketAddress discoveryAddress = discovery.listen();
--- a/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
+++ b/testbed/src/main/java/rushwood/testbed/report/ReportWriter.java
@@ -35,10 +35,14 @@
 
   private ReportWriter() {}
 
-  /** Formats one result as JSON: its name, figures, counters and time series. */
+  /** Formats one result as JSON: its name, what was played, figures, counters and time series. */
   public static String toJson(ExperimentResult result) throws JsonProcessingException {
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("name", result.name()).put("step_seconds", ExperimentResult.STEP_SECONDS);
+    if (!result.origin().isEmpty()) {
+      ObjectNode origin = json.putObject("origin");
+      result.origin().forEach(origin::put);
+    }
     ObjectNode figures = json.putObject("figures");
     result.figures().forEach(figures::put);
     ObjectNode counters = json.putObject("counters");
@@ -67,8 +71,9 @@
     page.append(escape(title)).append("</title><style>").append(STYLE).append("</style>");
     page.append("<h1>").append(escape(title)).append("</h1><table><tr><th>figure");
     results.keySet().forEach(label -> page.append("<th>").append(escape(label)));
-    appendRows(page, results, ExperimentResult::figures);
-    appendRows(page, results, ExperimentResult::counters);
+    appendRows(page, results, ExperimentResult::origin, ReportWriter::escape);
+    appendRows(page, results, ExperimentResult::figures, ReportWriter::formatNumber);
+    appendRows(page, results, ExperimentResult::counters, ReportWriter::formatNumber);
     page.append("</table>");
     for (String series : allNames(results, ExperimentResult::timeSeries)) {
       String png = Base64.getEncoder().encodeToString(plotPng(series, results));
@@ -79,20 +84,24 @@
   }
 
   /** Appends a row for each name in any of the results; the cell of a missing value is empty. */
-  private static <T extends Number> void appendRows(
+  private static <T> void appendRows(
       StringBuilder page,
       Map<String, ExperimentResult> results,
-      Function<ExperimentResult, Map<String, T>> valuesOf) {
+      Function<ExperimentResult, Map<String, T>> valuesOf,
+      Function<T, String> format) {
     for (String name : allNames(results, valuesOf)) {
       page.append("<tr><td>").append(escape(name));
       for (ExperimentResult result : results.values()) {
         T value = valuesOf.apply(result).get(name);
-        String text = value == null ? "" : String.format("%.4g", value.doubleValue());
-        page.append("<td>").append(text);
+        page.append("<td>").append(value == null ? "" : format.apply(value));
       }
     }
   }
 
+  private static String formatNumber(Number value) {
+    return String.format("%.4g", value.doubleValue());
+  }
+
   private static <T> Set<String> allNames(
       Map<String, ExperimentResult> results, Function<ExperimentResult, Map<String, T>> valuesOf) {
     Set<String> names = new LinkedHashSet<>();
--- a/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
+++ b/testbed/src/test/java/rushwood/testbed/ColdHostClusterTest.java
@@ -22,7 +22,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    cluster = new RouterCluster(ExperimentRuns.ROUTER_JAR, ROUTERS, 4, 2, HOST_PARAMETERS);
+    cluster = new RouterCluster(ExperimentRuns.routerJar(), ROUTERS, 4, 2, HOST_PARAMETERS);
     startRoutersAndLoad();
   }
 
--- a/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
+++ b/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
@@ -33,7 +33,7 @@
 
   DrainingCluster() throws IOException, InterruptedException {
     cluster =
-        new RouterCluster(ExperimentRuns.ROUTER_JAR, ROUTERS, HOSTS, DRAIN_GRACE_MILLIS / 1000.0);
+        new RouterCluster(ExperimentRuns.routerJar(), ROUTERS, HOSTS, DRAIN_GRACE_MILLIS / 1000.0);
   }
 
   /** Starts the routers and their load, and waits until all routers use the host. */
--- a/testbed/src/test/java/rushwood/testbed/load/ReportNamesTest.java
+++ b/testbed/src/test/java/rushwood/testbed/load/ReportNamesTest.java
@@ -12,6 +12,7 @@
 class ReportNamesTest {
   private static final Map<String, String> NAMES =
       Map.ofEntries(
+          Map.entry("ROUTER_JAR_CHECKSUM", "router_jar_sha256"),
           Map.entry("TRIES_SERIES", "tries"),
           Map.entry("CLIENT_RETRIES_SERIES", "repeats"),
           Map.entry("GOODPUT_SERIES", "goodput"),
