Apply long endpoint lists without comparing each host with each other

Callers saw: with 3,200 endpoints each complete list that changed stopped the event loop for 0.2 to 0.4 s; meanwhile no timer fires and no answer is passed on.

Cause, from samples of the stack in such turns: HostTable.removeUnlisted looked each known host up in a list, and GroupState.add sorted the group after each new member.

Now the listed hosts are in a set, and a new member is inserted at its place. Same members in the same order.

--- a/router/src/main/java/rushwood/policy/GroupState.java
+++ b/router/src/main/java/rushwood/policy/GroupState.java
@@ -1,6 +1,7 @@
 package rushwood.policy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
@@ -29,8 +30,8 @@
   void add(HostState host) {
     if (!host.isMemberOf(this)) {
       host.joinGroup(this);
-      members.add(host);
-      members.sort(BY_ID);
+      int insertionPoint = -Collections.binarySearch(members, host, BY_ID) - 1;
+      members.add(insertionPoint, host);
     }
   }
 
--- a/router/src/main/java/rushwood/policy/HostTable.java
+++ b/router/src/main/java/rushwood/policy/HostTable.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import rushwood.api.Endpoint;
 import rushwood.api.GroupId;
@@ -53,7 +55,8 @@
 
   /** Removes every host that the list does not contain from its group. */
   void removeUnlisted(List<Endpoint> endpoints) {
-    List<HostId> listed = endpoints.stream().map(Endpoint::id).toList();
+    Set<HostId> listed = new HashSet<>();
+    endpoints.forEach(endpoint -> listed.add(endpoint.id()));
     for (HostState host : hosts.values()) {
       if (!listed.contains(host.id)) {
         host.leaveGroup();
