Bound what incomplete responses of hosts hold in direct memory

Callers saw: a quarter of 3,200 endpoints answer reads with 600 KB of a 1 MiB row and nothing more; the router then answered nobody for over 2 s.

Cause: each part was bounded, their sum was neither bounded nor counted; used-up direct memory blocks the event loop.

ResponseMemory holds what is kept between reads, copied to the size that is needed. Above 8 MiB the response that has not grown for longest is abandoned (connection closed, attempt lost), so a long response that still arrives goes on. New counters response_memory_bytes and responses_abandoned.

--- a/router/src/main/java/rushwood/dispatch/Counter.java
+++ b/router/src/main/java/rushwood/dispatch/Counter.java
@@ -89,6 +89,8 @@
   BACKEND_PROTOCOL_ERRORS,
   /** Responses from hosts that were followed by excess data; each ended its connection. */
   BACKEND_EXCESS_DATA,
+  /** Connections to hosts that were closed in the middle of a response, for lack of memory. */
+  RESPONSES_ABANDONED,
 
   /** Complete endpoint lists that were applied. */
   ENDPOINT_LISTS_REPLACED,
--- a/router/src/main/java/rushwood/net/BackendChannel.java
+++ b/router/src/main/java/rushwood/net/BackendChannel.java
@@ -12,6 +12,7 @@
 import rushwood.dispatch.Counters;
 import rushwood.protocol.BackendProtocol;
 import rushwood.protocol.MessageWriter;
+import rushwood.protocol.ResponseMemory;
 
 /**
  * A connection to a host: the channel handler that passes input to a {@link BackendProtocol} and
@@ -31,10 +32,18 @@
 
   /** Creates the handler for a channel that is not connected yet. Call {@link #attach} next. */
   BackendChannel(
-      ByteBufAllocator allocator, Counters counters, BackendConnection.Listener listener) {
+      ByteBufAllocator allocator,
+      ResponseMemory memory,
+      Counters counters,
+      BackendConnection.Listener listener) {
     this.allocator = allocator;
     this.counters = counters;
-    protocol = new BackendProtocol(allocator, listener);
+    protocol = new BackendProtocol(allocator, memory, listener, this::endForLackOfMemory);
+  }
+
+  private void endForLackOfMemory() {
+    counters.increment(Counter.RESPONSES_ABANDONED);
+    connectionLost();
   }
 
   /** Sets the channel whose pipeline contains this handler. */
--- a/router/src/main/java/rushwood/net/BackendConnector.java
+++ b/router/src/main/java/rushwood/net/BackendConnector.java
@@ -12,6 +12,7 @@
 import rushwood.dispatch.BackendConnection;
 import rushwood.dispatch.Counters;
 import rushwood.protocol.MessageWriter;
+import rushwood.protocol.ResponseMemory;
 
 /**
  * Opens connections to hosts, each a {@link BackendChannel}. Used only on the event loop of its
@@ -24,6 +25,7 @@
   private final Function<InetSocketAddress, SocketAddress> toSocketAddress;
   private final ByteBufAllocator allocator;
   private final Counters counters;
+  private final ResponseMemory memory = new ResponseMemory();
 
   /**
    * Creates a connector for TCP. It sets no connect timeout because the connection pool closes
@@ -56,6 +58,12 @@
     this.toSocketAddress = toSocketAddress;
     this.allocator = allocator;
     this.counters = counters;
+    counters.register("response_memory_bytes", memory::usedBytes);
+  }
+
+  /** Returns the number of bytes of direct memory that hold parts of responses. */
+  public long responseMemoryBytes() {
+    return memory.usedBytes();
   }
 
   @Override
@@ -65,7 +73,7 @@
 
   @Override
   public BackendConnection connect(InetSocketAddress address, BackendConnection.Listener listener) {
-    BackendChannel connection = new BackendChannel(allocator, counters, listener);
+    BackendChannel connection = new BackendChannel(allocator, memory, counters, listener);
     connection.attach(
         bootstrap
             .clone()
--- a/router/src/main/java/rushwood/protocol/BackendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/BackendProtocol.java
@@ -16,7 +16,7 @@
  * Data that follows the response in the same read belongs to no statement and would be mistaken for
  * the response to the next one, so the connection is not reused.
  */
-public final class BackendProtocol {
+public final class BackendProtocol implements ResponseMemory.IncompleteResponse {
   private enum State {
     STARTUP,
     IDLE,
@@ -29,6 +29,8 @@
   private static final char TRANSACTION_STATUS_IDLE = 'I';
 
   private final BackendConnection.Listener listener;
+  private final ResponseMemory memory;
+  private final Runnable endConnection;
   private final MessageReader reader;
   private final ResponseAssembler response;
   private State state = State.STARTUP;
@@ -37,11 +39,20 @@
   /**
    * Creates the protocol of a newly opened connection.
    *
+   * @param memory holds responses that arrive in parts
    * @param listener notified of the startup, of responses and of the end of the connection
+   * @param endConnection closes the connection and calls {@link #connectionLost}, for lack of
+   *     memory
    */
-  public BackendProtocol(ByteBufAllocator allocator, BackendConnection.Listener listener) {
+  public BackendProtocol(
+      ByteBufAllocator allocator,
+      ResponseMemory memory,
+      BackendConnection.Listener listener,
+      Runnable endConnection) {
     this.listener = listener;
-    reader = new MessageReader(allocator, MessageLimits::maxHostMessageBytes);
+    this.memory = memory;
+    this.endConnection = endConnection;
+    reader = new MessageReader(memory.allocator(), MessageLimits::maxHostMessageBytes);
     response = new ResponseAssembler(allocator);
   }
 
@@ -87,19 +98,35 @@
 
   /**
    * Reports the response if it is complete. Called at the end of each read, after {@link #feed}.
+   * May end this connection or others for lack of memory.
    *
    * @return false if the connection must be closed because data followed the response
    */
   public boolean completeRead() {
     if (state != State.RESPONSE_COMPLETE) {
+      keepIncompleteResponse();
       return true;
     }
+    memory.responseEnded(this);
     boolean isReusable = reader.unreadBytes() == 0;
     state = isReusable ? State.IDLE : State.CLOSED;
     listener.responseReceived(response.take(), isReusable);
     return isReusable;
   }
 
+  private void keepIncompleteResponse() {
+    reader.keepUnread();
+    response.keepRow(memory.allocator());
+    if (reader.unreadBytes() > 0 || response.hasRow()) {
+      memory.responseGrew(this);
+    }
+  }
+
+  @Override
+  public void abandon() {
+    endConnection.run();
+  }
+
   private void handleMessage(ByteBuf message) throws ProtocolException {
     char type = reader.type();
     switch (type) {
@@ -183,6 +210,7 @@
   public void connectionLost(boolean accepted) {
     State previous = state;
     state = State.CLOSED;
+    memory.responseEnded(this);
     reader.close();
     boolean wasInUse = previous == State.AWAITING_RESPONSE || previous == State.RESPONSE_COMPLETE;
     if (wasInUse && response.hasOutcome()) {
@@ -199,6 +227,7 @@
   /** Releases all buffers when the router closes the connection; the listener is not notified. */
   public void close() {
     state = State.CLOSED;
+    memory.responseEnded(this);
     reader.close();
     response.release();
   }
--- a/router/src/main/java/rushwood/protocol/MessageReader.java
+++ b/router/src/main/java/rushwood/protocol/MessageReader.java
@@ -18,11 +18,13 @@
   private final ByteBufAllocator allocator;
   private final IntUnaryOperator maxLengthByType;
   private @Nullable ByteBuf buffer;
+  private boolean isBufferOwn; // allocated by the allocator
   private int type;
 
   /**
    * Creates a reader without input.
    *
+   * @param allocator allocates the buffers for messages that span several reads
    * @param maxLengthByType returns the maximum of the length field of a message in bytes for a type
    *     byte, or for 0 if the message has no type byte; returns 0 if the type is unknown
    */
@@ -33,8 +35,11 @@
 
   /** Appends input and takes ownership of the buffer. */
   public void feed(ByteBuf in) {
+    releaseIfEmpty();
+    keepUnread();
     if (buffer == null) {
       buffer = in;
+      isBufferOwn = false;
     } else {
       buffer = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(allocator, buffer, in);
     }
@@ -101,6 +106,20 @@
     return buffer == null ? 0 : buffer.readableBytes();
   }
 
+  /**
+   * Copies the unread bytes into a buffer of the allocator, so that they do not keep the larger
+   * buffer in which they arrived. Called before waiting for more input.
+   */
+  public void keepUnread() {
+    ByteBuf unread = buffer;
+    if (unread != null && unread.isReadable() && !isBufferOwn) {
+      int length = unread.readableBytes();
+      buffer = allocator.directBuffer(length).writeBytes(unread);
+      isBufferOwn = true;
+      unread.release();
+    }
+  }
+
   /** Releases the buffer if it has no unread bytes. Called before waiting for more input. */
   public void releaseIfEmpty() {
     if (buffer != null && !buffer.isReadable()) {
--- a/router/src/main/java/rushwood/protocol/ResponseAssembler.java
+++ b/router/src/main/java/rushwood/protocol/ResponseAssembler.java
@@ -26,6 +26,7 @@
   private final RowChecker rowChecker = new RowChecker();
   private boolean isHealthCheck;
   private @Nullable CompositeByteBuf row; // owned until it is taken; null before the first message
+  private int keptRowBytes; // of the row, those in buffers of the response's own
   private @Nullable String healthCheckValue; // the value in the row of a health check
   private @Nullable AttemptOutcome outcome; // null until the row or an error is complete
   private HostRole role = HostRole.UNKNOWN;
@@ -58,6 +59,11 @@
     return outcome != null;
   }
 
+  /** Returns whether a part of a row, or a row that was not taken, is held. */
+  boolean hasRow() {
+    return row != null;
+  }
+
   /**
    * Adds a message of the row.
    *
@@ -93,6 +99,23 @@
     messages.addComponent(true, message.retainedSlice());
   }
 
+  /**
+   * Copies what was added to the row since the last call, so that it does not keep the larger
+   * buffers in which it arrived. Called before waiting for more input.
+   *
+   * @param memory allocates the copy
+   */
+  void keepRow(ByteBufAllocator memory) {
+    CompositeByteBuf messages = row;
+    if (messages != null && messages.readableBytes() > keptRowBytes) {
+      int length = messages.readableBytes();
+      ByteBuf copy = memory.directBuffer(length).writeBytes(messages, 0, length);
+      messages.release();
+      row = allocator.compositeBuffer(MESSAGES_PER_ROW).addComponent(true, copy);
+      keptRowBytes = length;
+    }
+  }
+
   /** Sets the outcome for an error, and discards the row if a part of it was read. */
   void addError(String sqlState) {
     release();
@@ -134,6 +157,7 @@
     }
     ByteBuf completeRow = row;
     row = null;
+    keptRowBytes = 0;
     return new BackendResponse(
         Objects.requireNonNull(outcome, "the response has no outcome"),
         completeRow,
@@ -148,5 +172,6 @@
       row.release();
       row = null;
     }
+    keptRowBytes = 0;
   }
 }
--- a/router/src/main/java/rushwood/server/RouterAssembler.java
+++ b/router/src/main/java/rushwood/server/RouterAssembler.java
@@ -81,10 +81,14 @@
                 operatorSettings.overload().connectBackoff()));
   }
 
-  private StallReporter createStallReporter(FrontendServer frontend) {
+  private StallReporter createStallReporter(
+      FrontendServer frontend, BackendConnector backendConnector) {
     ByteBufAllocatorMetric channels = ((ByteBufAllocatorMetricProvider) ALLOCATOR).metric();
     LongSupplier directMemoryBytes =
-        () -> channels.usedDirectMemory() + frontend.clientMemoryBytes();
+        () ->
+            channels.usedDirectMemory()
+                + frontend.clientMemoryBytes()
+                + backendConnector.responseMemoryBytes();
     StallReporter reporter = new StallReporter(clock, directMemoryBytes, logger);
     counters.register("direct_memory_bytes", directMemoryBytes);
     counters.register("longest_turn_millis", reporter::longestTurnMillis);
@@ -98,13 +102,14 @@
    */
   RouterComponents assemble(Runnable onCompleteList) {
     counters.setExceptionListener(this::logException);
-    RequestDispatcher dispatcher = createDispatcher();
+    BackendConnector backendConnector = new BackendConnector(eventLoop, ALLOCATOR, counters);
+    RequestDispatcher dispatcher = createDispatcher(backendConnector);
     FrontendServer frontend = createFrontend(dispatcher);
     DiscoveryClient discoveryClient =
         createDiscoveryClient(
             new EndpointListHandler(dispatcher, counters, logger, onCompleteList));
     loadLastKnownEndpoints(dispatcher);
-    scheduleHeartbeat(createStallReporter(frontend));
+    scheduleHeartbeat(createStallReporter(frontend, backendConnector));
     return new RouterComponents(
         clock, timerQueue, counters, logger, dispatcher, frontend, discoveryClient);
   }
@@ -126,8 +131,7 @@
     logger.log(LogLevel.ERROR, "unexpected exception: " + thrown + " at " + frames);
   }
 
-  private RequestDispatcher createDispatcher() {
-    BackendConnector backendConnector = new BackendConnector(eventLoop, ALLOCATOR, counters);
+  private RequestDispatcher createDispatcher(BackendConnector backendConnector) {
     return requestPathFactory.createDispatcher(backendConnector, logger::log, this::createPolicy);
   }
 
--- a/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/BackendProtocolTest.java
@@ -26,7 +26,8 @@
 
   /** A connection to a host. Records the events that the protocol reports. */
   private static final class TestBackend implements BackendConnection.Listener {
-    final BackendProtocol protocol = new BackendProtocol(TestMessages.ALLOCATOR, this);
+    final BackendProtocol protocol =
+        new BackendProtocol(TestMessages.ALLOCATOR, new ResponseMemory(), this, () -> {});
     final List<String> events = new ArrayList<>();
     BackendResponse response;
     byte[] row;
--- a/testbed/src/main/java/rushwood/testbed/load/ClusterMember.java
+++ b/testbed/src/main/java/rushwood/testbed/load/ClusterMember.java
@@ -19,9 +19,13 @@
 
 /** One router of a {@link RouterCluster}, with its own discovery agent and its own clients. */
 public final class ClusterMember implements AutoCloseable {
-  private static final int MAX_SOCKETS = 512;
+  private static final int MAX_SOCKETS = 1024;
   private static final List<String> JVM_FLAGS =
-      List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m");
+      List.of(
+          "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-Xmx64m",
+          "-XX:MaxDirectMemorySize=40m"); // as where it is deployed
 
   private final int index;
   private final RouterProcess.LaunchOptions launchOptions;
@@ -63,6 +67,11 @@
     return discovery;
   }
 
+  /** Returns the address on which the router listens. */
+  public InetSocketAddress address() {
+    return listen;
+  }
+
   /** Returns the member's clients, which are used on the cluster's event loop. */
   public SteadyLoad load() {
     return load;
--- a/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
+++ b/testbed/src/main/java/rushwood/testbed/load/RouterCluster.java
@@ -183,6 +183,11 @@
     return Objects.requireNonNull(hosts.get(id), () -> "the cluster has no host " + id);
   }
 
+  /** Makes a host send only parts of its responses; called on the event loop. */
+  public void sendPartialResponses(String host, int bytes) {
+    host(host).sendPartialResponses(bytes);
+  }
+
   /** Returns the model of a host, which is used on the event loop. */
   public HostModel hostModel(String host) {
     return host(host).model();
--- a/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
+++ b/testbed/src/main/java/rushwood/testbed/load/SteadyLoad.java
@@ -36,6 +36,8 @@
   private final Deque<Channel> idleChannels = new ArrayDeque<>();
   private @Nullable ScheduledFuture<?> sendTask;
   private long requestsSent;
+  private long requestsServed;
+  private long requestsAnswered;
 
   /** Creates the load, which sends nothing yet; each request's id begins with {@code idPrefix}. */
   public SteadyLoad(
@@ -64,6 +66,16 @@
     return requestsSent;
   }
 
+  /** Returns the number of requests that were answered with a row so far. */
+  public long requestsServed() {
+    return requestsServed;
+  }
+
+  /** Returns the number of requests that were answered so far, with a row or with an error. */
+  public long requestsAnswered() {
+    return requestsAnswered;
+  }
+
   private void sendNext() {
     Channel idleChannel = idleChannels.poll();
     if (idleChannel == null) {
@@ -100,10 +112,14 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ProtocolMessage message) {
+      if (message.type() == ProtocolMessage.DATA_ROW) {
+        requestsServed++;
+      }
       if (message.type() != ProtocolMessage.READY_FOR_QUERY) {
         return;
       }
       if (ready) {
+        requestsAnswered++;
         idleChannels.push(context.channel());
       } else {
         ready = true;
--- a/testbed/src/main/java/rushwood/testbed/standin/MessageEncoder.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/MessageEncoder.java
@@ -6,6 +6,7 @@
 /** Encodes the messages of PostgreSQL's protocol 3 that clients and stand-in hosts send. */
 public final class MessageEncoder {
   private static final int LENGTH_BYTES = 4;
+  private static final int MAX_DATA_ROW_BYTES = 1 << 20; // the router accepts no longer row
   private static final char AUTHENTICATION = 'R';
   private static final char PARAMETER_STATUS = 'S';
   private static final char ROW_DESCRIPTION = 'T';
@@ -56,11 +57,21 @@
    * CommandComplete.
    */
   public static void writeRow(ByteBuf out, String value) {
-    write(out, ROW_DESCRIPTION, "\0\1val\0\0\0\0\0\0\0\0\0\0\21\377\377\377\377\377\377\0\0");
+    writeRowDescription(out);
     write(out, ProtocolMessage.DATA_ROW, "\0\1" + encodeInt(value.length()) + value);
     write(out, COMMAND_COMPLETE, "SELECT 1\0");
   }
 
+  /** Writes RowDescription and the first bytes of a DataRow of the longest length. */
+  static void writePartOfLongestRow(ByteBuf out, int bytes) {
+    writeRowDescription(out);
+    out.writeByte(ProtocolMessage.DATA_ROW).writeInt(MAX_DATA_ROW_BYTES).writeZero(bytes);
+  }
+
+  private static void writeRowDescription(ByteBuf out) {
+    write(out, ROW_DESCRIPTION, "\0\1val\0\0\0\0\0\0\0\0\0\0\21\377\377\377\377\377\377\0\0");
+  }
+
   /** Returns the four bytes of an integer in network order, each as a character. */
   private static String encodeInt(int value) {
     return ""
--- a/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
+++ b/testbed/src/main/java/rushwood/testbed/standin/StandinHost.java
@@ -29,6 +29,7 @@
   private final LoopbackListener listener;
   private final Consumer<Statement> executionListener;
   private Consumer<Statement> arrivalListener = statement -> {};
+  private int partialResponseBytes; // 0 for whole responses
   private long acceptedConnections;
   private long receivedRequests;
   private long overloadedReplies;
@@ -68,6 +69,15 @@
     this.arrivalListener = arrivalListener;
   }
 
+  /**
+   * From now on answers each statement with a part of the longest row, after which nothing follows.
+   *
+   * @param bytes the length of that part
+   */
+  public void sendPartialResponses(int bytes) {
+    partialResponseBytes = bytes;
+  }
+
   /** Returns the number of connections accepted so far. */
   public long acceptedConnections() {
     return acceptedConnections;
@@ -170,6 +180,11 @@
       }
       executionListener.accept(statement);
       ByteBuf out = context.alloc().buffer(INITIAL_BUFFER_BYTES);
+      if (partialResponseBytes > 0) {
+        MessageEncoder.writePartOfLongestRow(out, partialResponseBytes);
+        context.writeAndFlush(out);
+        return;
+      }
       MessageEncoder.writeRow(out, statement.key());
       writeRoleAndReady(out);
       context.writeAndFlush(out);
