Limit the wait for a drained host's first request in requests

EndpointDrainTest.announcedAmongHundredsOfHosts waited 10 s, about 1,500 requests, for a request to one of 404 endpoints.

The wait is limited in requests now, 16 for each endpoint, 1,500 at least: an even choice misses once in nine million waits. The bound on drains is unchanged, so the check is as strict.

--- a/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
+++ b/testbed/src/test/java/rushwood/testbed/DrainingCluster.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import rushwood.api.Endpoint;
 import rushwood.testbed.load.ClusterMember;
 import rushwood.testbed.load.RouterCluster;
@@ -24,12 +25,19 @@
   private static final long OBSERVATION_MILLIS = 300; // after the grace, to detect late requests
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** What a router sends in ten seconds, in which a host that is ready again has to be used. */
+  private static final int MIN_AWAITED_REQUESTS = 10 * REQUESTS_PER_SECOND_PER_ROUTER;
+
+  /** A router that chooses evenly misses a given endpoint in one of nine million such waits. */
+  private static final int AWAITED_REQUESTS_PER_ENDPOINT = 16;
+
   /** An action by which the agents announce the host. */
   interface Announcement {
     void run() throws Exception;
   }
 
   private final RouterCluster cluster;
+  private int endpoints = HOSTS;
 
   DrainingCluster() throws IOException, InterruptedException {
     cluster =
@@ -57,12 +65,14 @@
 
   /**
    * Waits until each router has sent a new request to the host; otherwise the absence of later
-   * requests would prove nothing.
+   * requests would prove nothing. The wait is limited in requests, not in time, because a router
+   * chooses among equal endpoints at random.
    */
   void awaitRequestsFromAllRouters() throws IOException, InterruptedException {
     long startNanos = cluster.now();
-    Await.untilTrue(
+    Await.untilTrueWithinRequests(
         cluster,
+        Math.max(MIN_AWAITED_REQUESTS, AWAITED_REQUESTS_PER_ENDPOINT * endpoints),
         () -> haveAllSentSince(startNanos),
         "some router sends no requests to " + DRAINED_HOST);
   }
@@ -78,6 +88,17 @@
         () -> cluster.members().forEach(member -> cluster.announce(member, DRAINED_HOST, state)));
   }
 
+  /** Publishes further endpoints through all agents; they have the address of another host. */
+  void publishEndpoints(int count) throws InterruptedException {
+    changeAgents(
+        agent ->
+            IntStream.range(0, count)
+                .forEach(
+                    i ->
+                        agent.publish(cluster.endpointEntry("x" + i, "h3", Endpoint.State.READY))));
+    endpoints = HOSTS + count;
+  }
+
   /** Announces the host as ready, and waits until all routers use it again. */
   void announceReady() throws IOException, InterruptedException {
     announce(Endpoint.State.READY);
--- a/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
+++ b/testbed/src/test/java/rushwood/testbed/EndpointDrainTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -134,12 +133,7 @@
   @Test
   void announcedAmongHundredsOfHosts() throws Exception {
     draining.changeAgents(agent -> agent.rewriteResponses(StandinDiscovery::indent));
-    draining.changeAgents(
-        agent ->
-            IntStream.range(0, 400)
-                .forEach(
-                    i ->
-                        agent.publish(cluster.endpointEntry("x" + i, "h3", Endpoint.State.READY))));
+    draining.publishEndpoints(400);
     draining.awaitRequestsFromAllRouters();
     draining.assertDrainedBy(() -> draining.announce(Endpoint.State.DRAINING));
     draining.announceReady();
