Go on with clients' input after a task that fails with an error

What callers would have seen: an error that Counters.runSafely does not catch (a stack overflow, say) in the processing of one client's input left TurnTaskQueue marked as running, and no client was served any more.

The queue now schedules its next run in any case, so the tasks behind the failed one run in the next turn.

TurnTaskQueueTest.tasksRunAfterOneThatFailsWithAnError: expected [a] but was [] before, passes now.

--- a/router/src/main/java/rushwood/net/TurnTaskQueue.java
+++ b/router/src/main/java/rushwood/net/TurnTaskQueue.java
@@ -10,7 +10,8 @@
 /**
  * Runs tasks in the order in which they were added, after the sockets were read in the current turn
  * of the event loop. Tasks for which a turn has no time run in the next turns; at least one runs in
- * each. Tasks must not throw exceptions. Used on one event loop only.
+ * each. What a task throws propagates to the event loop; the tasks behind it run in the next turn.
+ * Used on one event loop only.
  */
 final class TurnTaskQueue {
   private final TurnBudget budget;
@@ -31,14 +32,16 @@
   }
 
   private void run(EventLoop eventLoop) {
-    while (!tasks.isEmpty()) {
-      if (!budget.hasTime()) {
+    try {
+      while (!tasks.isEmpty() && budget.hasTime()) {
+        Objects.requireNonNull(tasks.poll()).run();
+      }
+    } finally {
+      isRunScheduled = !tasks.isEmpty();
+      if (isRunScheduled) {
         runInNextTurn(eventLoop, () -> run(eventLoop));
-        return;
       }
-      Objects.requireNonNull(tasks.poll()).run();
     }
-    isRunScheduled = false;
   }
 
   /** Runs the task in the next turn. Netty collects due scheduled tasks once in each turn. */
--- a/router/src/test/java/rushwood/net/TurnTaskQueueTest.java
+++ b/router/src/test/java/rushwood/net/TurnTaskQueueTest.java
@@ -1,6 +1,7 @@
 package rushwood.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
@@ -61,6 +62,23 @@
     loop.advanceBy(1);
   }
 
+  /** Guards against one failing task after which no client is served any more. */
+  @Test
+  void tasksRunAfterOneThatFailsWithAnError() {
+    queue.add(
+        channel.eventLoop(),
+        () -> {
+          throw new StackOverflowError("of a task");
+        });
+    add("a", 1);
+    assertThrows(StackOverflowError.class, this::runTurn); // Netty's event loop logs it
+    runTurn();
+    assertEquals(List.of("a"), ran);
+    add("b", 1);
+    runTurn();
+    assertEquals(List.of("a", "b"), ran);
+  }
+
   @Test
   void aTaskMayAddItselfAgain() {
     queue.add(channel.eventLoop(), () -> add("again", 0));
