--- a/review/standin-2/Standin.java
+++ b/review/standin-2/Standin.java
@@ -158,7 +158,7 @@
     volatile long startedMs;
     volatile boolean answersGauges = true;
     volatile Answerer answerer; // null: as a sound host does
-    volatile boolean refusesStaleReads;
+    volatile java.util.concurrent.Semaphore cores; // null: as many as needed
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile ServerSocket listener;
 
@@ -313,8 +313,7 @@
         refuse(arrival, "25006", out);
         return;
       }
-      sleep(workMs);
-      waitWhileHanging();
+      work();
       if (arrival.write && !primary) {
         refuse(arrival, "XX000", out);
         return;
@@ -323,6 +322,22 @@
       served(arrival).to(out);
     }
 
+    /** Takes the time of a request, on a core if their number is limited. */
+    void work() {
+      java.util.concurrent.Semaphore limit = cores;
+      if (limit != null) {
+        limit.acquireUninterruptibly();
+      }
+      try {
+        sleep(workMs);
+        waitWhileHanging();
+      } finally {
+        if (limit != null) {
+          limit.release();
+        }
+      }
+    }
+
     void run(Arrival arrival) {
       arrival.ran = true;
       arrival.outcome = "ran";
