--- a/review/6/src/PipelinedShutdown.java
+++ b/review/6/src/PipelinedShutdown.java
@@ -5,12 +5,13 @@
 import java.util.concurrent.Semaphore;
 
 /**
- * Clients send many commands at once, and then the router is told to end. Every command that was
+ * In a burst of traffic clients send many commands at once, and then the router is told to end. Every command that was
  * written before SIGTERM on a connection that the router had accepted needs a final answer.
  */
 public final class PipelinedShutdown {
-  private static final int CONNECTIONS = 100; // of 512 descriptors; at most a third hold requests
-  private static final int COMMANDS = 50; // on each connection
+  private static final int CONNECTIONS = 180; // of 1,024 descriptors; at most a third hold requests
+  private static final int COMMANDS = 40; // on each connection, sent at once
+  private static final double INTERVAL_MS = 50; // between two connections: 800 commands a second
   private static final double DEADLINE_MS = 1500;
   private static final double KILL_MS = DEADLINE_MS + 700; // after SIGTERM, at the earliest
   private static final double LIMIT_MS = 90_000;
@@ -22,6 +23,7 @@
       Standin.Settings settings =
           new Standin.Settings()
               .product("pass-check", "recent", 0.5, 0.4, DEADLINE_MS / 1000, "repeatable", 5, 0);
+      settings.sockets = 1024;
       Standin.Agent agent = new Standin.Agent("A");
       for (int i = 0; i < 6; i++) {
         Standin.Host host = new Standin.Host("s-" + i, 2, i == 0);
@@ -37,7 +39,9 @@
         router.awaitReady();
         CountDownLatch sent = new CountDownLatch(CONNECTIONS);
         List<Thread> clients = new ArrayList<>();
+        double first = Standin.ms();
         for (int i = 0; i < CONNECTIONS; i++) {
+          Standin.sleep(first + i * INTERVAL_MS - Standin.ms());
           String key = "key" + i;
           Thread client = new Thread(() -> ask(router, key, sent));
           client.start();
