--- a/review/11/src/SecondCopy.java
+++ b/review/6/src/SecondCopy.java
@@ -11,8 +11,7 @@
 
 /**
  * The rule on lost requests, while busy hosts send a second copy right behind some answers.
- * Arguments: the root of the repository, an empty folder, the record, and 1 for the disruption or 0
- * for none.
+ * Arguments: the root of the repository and the record.
  */
 final class SecondCopy {
   private static final int MEMBERS = 4;
@@ -23,30 +22,32 @@
   private static final int THINK_MILLIS = 100; // at most, between two requests of a client
   private static final long DURATION_MILLIS = 50_000;
 
-  private final Record record;
+  private final CaseRecord record;
   private final AtomicInteger copies = new AtomicInteger();
   private final AtomicInteger served = new AtomicInteger();
   private final AtomicInteger foreign = new AtomicInteger();
   private final AtomicInteger other = new AtomicInteger();
   private volatile boolean over;
 
-  private SecondCopy(Record record) {
+  private SecondCopy(CaseRecord record) {
     this.record = record;
   }
 
   public static void main(String[] args) throws Exception {
+    Path root = Path.of(args[0]);
+    Path file = Path.of(args[1]);
     int code;
-    try (Record record = new Record(Path.of(args[2]))) {
-      code = new SecondCopy(record).run(Path.of(args[0]), Path.of(args[1]), args[3].equals("1"));
+    try (CaseRecord record = new CaseRecord(file)) {
+      code = new SecondCopy(record).run(root, file.resolveSibling("settings.json"), !"0".equals(System.getenv("TROUBLE")));
     }
     System.exit(code);
   }
 
-  private final class CopyingHost extends Host {
+  private final class CopyingHost extends DbHost {
     private final boolean copying;
 
     CopyingHost(String id, boolean primary, boolean copying) throws IOException {
-      super(id, 1, primary, WORK_MILLIS, record, (host, request, statement) -> {});
+      super(id, 1, primary, WORK_MILLIS, true, true, record, (host, request, statement) -> {});
       this.copying = copying;
     }
 
@@ -68,11 +69,11 @@
     }
   }
 
-  private int run(Path root, Path folder, boolean trouble) throws Exception {
-    Agent agent = new Agent(record);
-    List<Host> hosts = new ArrayList<>();
+  private int run(Path root, Path settings, boolean trouble) throws Exception {
+    ListAgent agent = new ListAgent(record);
+    List<DbHost> hosts = new ArrayList<>();
     for (int i = 0; i < MEMBERS; i++) {
-      Host host = new CopyingHost("s-" + (10 + i), i == 0, trouble);
+      DbHost host = new CopyingHost("s-" + (10 + i), i == 0, trouble);
       hosts.add(host);
       agent.list(host);
     }
@@ -80,7 +81,7 @@
     try (ServerSocket free = new ServerSocket(0)) {
       port = free.getLocalPort();
     }
-    try (Router router = new Router(root, folder, Site.config(port, agent.port(), agent.known()))) {
+    try (RouterProcess router = new RouterProcess(root, settings, port, agent.port(), agent.known())) {
       if (!router.awaitReady(port)) {
         record.say("the router did not become ready");
         return 2;
@@ -89,7 +90,7 @@
           Math.min(MAX_CLIENTS, CLIENTS_PER_PROCESSOR * Runtime.getRuntime().availableProcessors());
       for (int i = 0; i < clients; i++) {
         int number = i;
-        Host.daemon(() -> ask(number, port));
+        DbHost.daemon(() -> ask(number, port));
       }
       Thread.sleep(DURATION_MILLIS);
       over = true;
@@ -110,7 +111,7 @@
 
   private void ask(int number, int port) {
     for (int i = 0; !over; i++) {
-      try (Client client = new Client(port)) {
+      try (AskingClient client = new AskingClient(port)) {
         for (; !over; i++) {
           ask(client, number, String.format("%08x%08x", number, i));
           Thread.sleep(ThreadLocalRandom.current().nextInt(THINK_MILLIS));
@@ -124,7 +125,7 @@
     }
   }
 
-  private void ask(Client client, int number, String id) throws IOException {
+  private void ask(AskingClient client, int number, String id) throws IOException {
     record.line("client " + number + " asks " + id);
     String answer =
         client.ask(
--- a/review/11/src/Client.java
+++ b/review/standin-2/AskingClient.java
@@ -5,12 +5,12 @@
 import java.nio.charset.StandardCharsets;
 
 /** A client with one connection at a time, which asks one thing after the other. */
-final class Client implements AutoCloseable {
+final class AskingClient implements AutoCloseable {
   private final int port;
   private Socket socket;
   private DataInputStream in;
 
-  Client(int port) {
+  AskingClient(int port) {
     this.port = port;
   }
 
@@ -19,7 +19,7 @@
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(20_000);
     in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
-    socket.getOutputStream().write(Wire.startup("client", "core"));
+    socket.getOutputStream().write(PgWire.startup("client", "core"));
     readUntilReady();
   }
 
@@ -29,7 +29,7 @@
       if (socket == null) {
         connect();
       }
-      socket.getOutputStream().write(Wire.query(sql));
+      socket.getOutputStream().write(PgWire.query(sql));
       return readUntilReady();
     } catch (IOException broken) {
       close();
@@ -40,7 +40,7 @@
   private String readUntilReady() throws IOException {
     String result = "nothing";
     while (true) {
-      Wire.Message message = Wire.read(in, true);
+      PgWire.Message message = PgWire.read(in, true);
       switch (message.type) {
         case 'Z' -> {
           return result;
--- a/review/11/src/Record.java
+++ b/review/standin-2/CaseRecord.java
@@ -4,10 +4,10 @@
 import java.nio.file.Path;
 
 /** Writes one line for each thing that was sent, answered or run. Times are Unix milliseconds. */
-final class Record implements AutoCloseable {
+final class CaseRecord implements AutoCloseable {
   private final PrintWriter out;
 
-  Record(Path file) throws IOException {
+  CaseRecord(Path file) throws IOException {
     out = new PrintWriter(Files.newBufferedWriter(file));
   }
 
--- a/review/11/src/Host.java
+++ b/review/standin-2/DbHost.java
@@ -14,11 +14,11 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** A database host of five cores, on which each statement is a piece of work for the processor. */
-class Host implements AutoCloseable {
+/** A database host of five cores, which is never behind its primary. */
+class DbHost implements AutoCloseable {
   /** Called with each statement of a client that has arrived. */
   interface Arrivals {
-    void arrived(Host host, String id, Wire.Message statement);
+    void arrived(DbHost host, String id, PgWire.Message statement);
   }
 
   private static final int CORES = 5;
@@ -30,18 +30,36 @@
   volatile boolean primary;
   volatile boolean draining;
   private final long serviceMillis;
-  private final Record record;
+  private final boolean usesProcessor;
+  private final boolean reportsInline;
+  private final CaseRecord record;
   private final Arrivals arrivals;
   private final ServerSocket listener;
   private final Semaphore cores = new Semaphore(CORES);
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-  Host(String id, int group, boolean primary, long serviceMillis, Record record, Arrivals arrivals)
+  /**
+   * Creates a host that listens.
+   *
+   * @param usesProcessor whether a statement takes time of the processor, or only time
+   * @param reportsInline whether answers carry load reports rather than positions
+   */
+  DbHost(
+      String id,
+      int group,
+      boolean primary,
+      long serviceMillis,
+      boolean usesProcessor,
+      boolean reportsInline,
+      CaseRecord record,
+      Arrivals arrivals)
       throws IOException {
     this.id = id;
     this.group = group;
     this.primary = primary;
     this.serviceMillis = serviceMillis;
+    this.usesProcessor = usesProcessor;
+    this.reportsInline = reportsInline;
     this.record = record;
     this.arrivals = arrivals;
     listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
@@ -75,10 +93,10 @@
     try (socket) {
       DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
       OutputStream out = socket.getOutputStream();
-      Wire.read(in, false);
-      out.write(Wire.startupAnswer());
+      PgWire.read(in, false);
+      out.write(PgWire.startupAnswer());
       while (true) {
-        Wire.Message message = Wire.read(in, true);
+        PgWire.Message message = PgWire.read(in, true);
         if (message.type != 'Q') {
           return;
         }
@@ -91,16 +109,16 @@
     }
   }
 
-  private void answer(Wire.Message message, Socket socket, DataInputStream in, OutputStream out)
+  private void answer(PgWire.Message message, Socket socket, DataInputStream in, OutputStream out)
       throws IOException, InterruptedException {
     String text = message.text();
     if (text.startsWith("SHOW")) {
-      out.write(Wire.join(Wire.row(Wire.utf8(report()), "SHOW"), Wire.ready()));
+      out.write(PgWire.join(PgWire.row(PgWire.utf8(report()), "SHOW"), PgWire.ready()));
       return;
     }
     Matcher matcher = ID.matcher(text);
     if (!matcher.find()) {
-      out.write(Wire.join(Wire.error("08P01", "no such statement"), Wire.ready()));
+      out.write(PgWire.join(PgWire.error("08P01", "no such statement"), PgWire.ready()));
       record.line("host " + id + " got what no client sends: " + text);
       return;
     }
@@ -108,11 +126,11 @@
     arrivals.arrived(this, request, message);
     boolean write = text.startsWith("INSERT");
     if (draining) {
-      out.write(Wire.join(Wire.error("53300", "draining"), state(0), Wire.ready()));
+      out.write(PgWire.join(PgWire.error("53300", "draining"), state(0), PgWire.ready()));
       return;
     }
     if (write && !primary) {
-      out.write(Wire.join(Wire.error("25006", "not the primary"), state(0), Wire.ready()));
+      out.write(PgWire.join(PgWire.error("25006", "not the primary"), state(0), PgWire.ready()));
       return;
     }
     cores.acquire();
@@ -124,14 +142,18 @@
     record.line("host " + id + " ran " + request);
     long commit = write ? System.currentTimeMillis() + 1 : 0;
     byte[] answer =
-        Wire.join(
-            Wire.row(Wire.utf8("value of " + request), write ? "INSERT 0 1" : "SELECT 1"),
+        PgWire.join(
+            PgWire.row(PgWire.utf8("value of " + request), write ? "INSERT 0 1" : "SELECT 1"),
             state(commit),
-            Wire.ready());
+            PgWire.ready());
     send(request, answer, socket, in, out);
   }
 
-  private void work() {
+  private void work() throws InterruptedException {
+    if (!usesProcessor) {
+      Thread.sleep(serviceMillis);
+      return;
+    }
     long end = THREADS.getCurrentThreadCpuTime() + serviceMillis * 1_000_000;
     while (THREADS.getCurrentThreadCpuTime() < end) {
       long sum = 0;
@@ -148,13 +170,14 @@
   }
 
   private byte[] state(long commit) {
-    byte[] state =
-        Wire.join(
-            Wire.parameter("part", primary ? "master" : "replica"),
-            Wire.parameter("gauges", report()));
-    return commit == 0
-        ? state
-        : Wire.join(state, Wire.parameter("caught_up_to", Long.toString(commit)));
+    byte[] role = PgWire.parameter("part", primary ? "master" : "replica");
+    long position = commit == 0 ? System.currentTimeMillis() - (primary ? 0 : 10) : commit;
+    byte[] caughtUpTo = PgWire.parameter("caught_up_to", Long.toString(position));
+    byte[] gauges = PgWire.parameter("gauges", report());
+    if (!reportsInline) {
+      return PgWire.join(role, caughtUpTo);
+    }
+    return commit == 0 ? PgWire.join(role, gauges) : PgWire.join(role, gauges, caughtUpTo);
   }
 
   private String report() {
--- a/review/11/src/Agent.java
+++ b/review/standin-2/ListAgent.java
@@ -18,10 +18,10 @@
  * with a pause before each; a change on an open watch has one entry. Without a pause it answers
  * straight away.
  */
-final class Agent implements AutoCloseable {
+final class ListAgent implements AutoCloseable {
   private record Change(int version, List<String> entries) {}
 
-  private final Record record;
+  private final CaseRecord record;
   private final ServerSocket listener;
   private final Map<String, String> entries = new LinkedHashMap<>();
   private final List<LinkedBlockingQueue<Change>> watches = new ArrayList<>();
@@ -31,17 +31,17 @@
   /** When an entry that says Terminating was written to the router whole, by host. */
   final Map<String, Long> toldDraining = new ConcurrentHashMap<>();
 
-  Agent(Record record) throws IOException {
+  ListAgent(CaseRecord record) throws IOException {
     this.record = record;
     listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
-    Host.daemon(this::accept);
+    DbHost.daemon(this::accept);
   }
 
   int port() {
     return listener.getLocalPort();
   }
 
-  static String entry(Host host, String state, long startedMillis) {
+  static String entry(DbHost host, String state, long startedMillis) {
     return String.format(
         "{\"id\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"ikeja-dc\",\"kind\":\"std-5core\","
             + "\"cell\":%d,\"state\":\"%s\",\"weight\":1.0,\"started_ms\":%d,\"part\":\"%s\"}",
@@ -49,7 +49,7 @@
   }
 
   /** Lists a host without a change, before the router starts. */
-  synchronized void list(Host host) {
+  synchronized void list(DbHost host) {
     entries.put(host.id, entry(host, "Ready", 0));
   }
 
@@ -57,7 +57,7 @@
     return list(version, true, new ArrayList<>(entries.values()));
   }
 
-  synchronized void change(Host host, String state, long startedMillis) {
+  synchronized void change(DbHost host, String state, long startedMillis) {
     String entry = entry(host, state, startedMillis);
     version++;
     if (state.equals("Gone")) {
@@ -79,7 +79,7 @@
       while (true) {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
-        Host.daemon(() -> serve(socket));
+        DbHost.daemon(() -> serve(socket));
       }
     } catch (IOException closed) {
       // the agent has ended
@@ -105,7 +105,7 @@
       }
       OutputStream out = socket.getOutputStream();
       if (follows) {
-        out.write(Wire.utf8("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        out.write(PgWire.utf8("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
         send(out, list, true, true);
         while (true) {
           Change change = watch.poll(2, TimeUnit.SECONDS);
@@ -117,7 +117,7 @@
         }
       }
       int length = list(list.version, true, list.entries).length();
-      out.write(Wire.utf8("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n"));
+      out.write(PgWire.utf8("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n"));
       send(out, list, true, false);
       record.line("discovery sent the whole list of version " + list.version);
       in.readLine();
@@ -156,12 +156,12 @@
     if (chunked) {
       chunk(out, text);
     } else {
-      out.write(Wire.utf8(text));
+      out.write(PgWire.utf8(text));
     }
   }
 
   private static void chunk(OutputStream out, String text) throws IOException {
-    out.write(Wire.utf8(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
+    out.write(PgWire.utf8(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
   }
 
   @Override
--- a/review/7/src/Wire.java
+++ b/review/standin-2/PgWire.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Messages of PostgreSQL's protocol 3. */
-final class Wire {
+final class PgWire {
   /** A message; the type is 0 for a startup message. */
   static final class Message {
     final int type;
@@ -25,7 +25,7 @@
     }
   }
 
-  private Wire() {}
+  private PgWire() {}
 
   static Message read(DataInputStream in, boolean hasType) throws IOException {
     int type = hasType ? in.readUnsignedByte() : 0;
--- a/review/11/src/Router.java
+++ b/review/standin-2/RouterProcess.java
@@ -2,14 +2,32 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A router, started with the line {@code run} of the deploy file. */
-final class Router implements AutoCloseable {
+final class RouterProcess implements AutoCloseable {
   private final Process process;
+  private final Path folder;
 
-  Router(Path root, Path folder, String config) throws IOException {
-    Path file = Files.writeString(folder.resolve("config.json"), config);
+  /**
+   * Starts a router.
+   *
+   * @param settings the file with its settings
+   * @param known the endpoint list that it held last
+   */
+  RouterProcess(Path root, Path settings, int listenPort, int discoveryPort, String known)
+      throws IOException {
+    folder = Files.createTempDirectory("case");
+    Path file =
+        Files.writeString(
+            folder.resolve("config.json"),
+            "{\"name\": \"n1\", \"listen\": \"127.0.0.1:" + listenPort
+                + "\", \"discovery\": \"127.0.0.1:" + discoveryPort
+                + "\", \"seed\": \"8c1f30d27a5be964\", \"limits\": {\"cores\": 1.0, \"memory_mb\": 192,"
+                + " \"sockets\": 1024}, \"known\": " + known
+                + ", \"settings\": " + Files.readString(settings) + "}");
     Path temporary = Files.createDirectories(folder.resolve("tmp"));
     String run = "";
     for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
@@ -34,7 +52,7 @@
   /** Waits until the router has answered an empty query. */
   boolean awaitReady(int port) throws InterruptedException {
     for (int i = 0; i < 300 && process.isAlive(); i++) {
-      try (Client client = new Client(port)) {
+      try (AskingClient client = new AskingClient(port)) {
         if (client.ask("").equals("empty")) {
           return true;
         }
@@ -50,10 +68,6 @@
     return process.isAlive();
   }
 
-  void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-  }
-
   @Override
   public void close() throws IOException {
     process.destroy();
@@ -64,5 +78,8 @@
     } catch (InterruptedException e) {
       process.destroyForcibly();
     }
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    }
   }
 }
