--- a/review/6/src/SecondCopy.java
+++ b/review/6/src/SecondCopy.java
@@ -1,6 +1,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
@@ -38,7 +39,8 @@
     Path file = Path.of(args[1]);
     int code;
     try (CaseRecord record = new CaseRecord(file)) {
-      code = new SecondCopy(record).run(root, file.resolveSibling("settings.json"), !"0".equals(System.getenv("TROUBLE")));
+      boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+      code = new SecondCopy(record).run(root, file.resolveSibling("settings.json"), trouble);
     }
     System.exit(code);
   }
@@ -63,7 +65,8 @@
           out.write(answer);
           copies.incrementAndGet();
           long micros = (System.nanoTime() - answered) / 1000;
-          record.line("host " + id + " sent " + request + " twice, " + micros + " us apart, while nothing waited");
+          record.line(
+              "host " + id + " sent " + request + " twice, " + micros + " us apart, while nothing waited");
         }
       }
     }
@@ -78,7 +81,7 @@
       agent.list(host);
     }
     int port;
-    try (ServerSocket free = new ServerSocket(0)) {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
     }
     try (RouterProcess router = new RouterProcess(root, settings, port, agent.port(), agent.known())) {
--- a/review/standin-2/PgWire.java
+++ b/review/standin-2/PgWire.java
@@ -2,6 +2,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /** Messages of PostgreSQL's protocol 3. */
@@ -81,13 +82,14 @@
 
   static byte[] row(byte[] value, String tag) {
     byte[] description =
-        join(new byte[] {0, 1}, utf8("val\0"), new byte[] {0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1});
+        join(
+            new byte[] {0, 1},
+            utf8("val\0"),
+            new byte[] {0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1});
     byte[] data =
         join(
             new byte[] {0, 1},
-            new byte[] {
-              (byte) (value.length >> 24), (byte) (value.length >> 16), (byte) (value.length >> 8), (byte) value.length
-            },
+            ByteBuffer.allocate(4).putInt(value.length).array(),
             value);
     return join(message('T', description), message('D', data), message('C', utf8(tag + "\0")));
   }
