--- a/review/7/src/DbHost.java
+++ b/review/7/src/DbHost.java
@@ -16,53 +16,25 @@
 
 /** A database host of five cores, which is never behind its primary. */
 class DbHost implements AutoCloseable {
-  /** Called with each statement of a client that has arrived. */
-  interface Arrivals {
-    void arrived(DbHost host, String id, PgWire.Message statement);
-  }
-
   private static final int CORES = 5;
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
   private static volatile long result;
   private static final Pattern ID = Pattern.compile("[ ,]id=([^,* ]+)");
   final String id;
-  final int group;
-  volatile boolean primary;
-  volatile boolean draining;
-  private final long serviceMillis;
-  private final boolean usesProcessor;
-  private final boolean reportsInline;
+  final boolean primary;
+  private final long workNanos;
   private final CaseRecord record;
-  private final Arrivals arrivals;
   private final ServerSocket listener;
   private final Semaphore cores = new Semaphore(CORES);
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-  /**
-   * Creates a host that listens.
-   *
-   * @param usesProcessor whether a statement takes time of the processor, or only time
-   * @param reportsInline whether answers carry load reports rather than positions
-   */
-  DbHost(
-      String id,
-      int group,
-      boolean primary,
-      long serviceMillis,
-      boolean usesProcessor,
-      boolean reportsInline,
-      CaseRecord record,
-      Arrivals arrivals)
-      throws IOException {
+  /** Creates a host that listens, on which each statement takes so much time of the processor. */
+  DbHost(String id, boolean primary, long workNanos, CaseRecord record) throws IOException {
     this.id = id;
-    this.group = group;
     this.primary = primary;
-    this.serviceMillis = serviceMillis;
-    this.usesProcessor = usesProcessor;
-    this.reportsInline = reportsInline;
+    this.workNanos = workNanos;
     this.record = record;
-    this.arrivals = arrivals;
-    listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+    listener = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     daemon(this::accept);
   }
 
@@ -123,12 +95,7 @@
       return;
     }
     String request = matcher.group(1);
-    arrivals.arrived(this, request, message);
     boolean write = text.startsWith("INSERT");
-    if (draining) {
-      out.write(PgWire.join(PgWire.error("53300", "draining"), state(0), PgWire.ready()));
-      return;
-    }
     if (write && !primary) {
       out.write(PgWire.join(PgWire.error("25006", "not the primary"), state(0), PgWire.ready()));
       return;
@@ -149,12 +116,8 @@
     send(request, answer, socket, in, out);
   }
 
-  private void work() throws InterruptedException {
-    if (!usesProcessor) {
-      Thread.sleep(serviceMillis);
-      return;
-    }
-    long end = THREADS.getCurrentThreadCpuTime() + serviceMillis * 1_000_000;
+  private void work() {
+    long end = THREADS.getCurrentThreadCpuTime() + workNanos;
     while (THREADS.getCurrentThreadCpuTime() < end) {
       long sum = 0;
       for (int i = 0; i < 20_000; i++) {
@@ -170,14 +133,13 @@
   }
 
   private byte[] state(long commit) {
-    byte[] role = PgWire.parameter("part", primary ? "master" : "replica");
-    long position = commit == 0 ? System.currentTimeMillis() - (primary ? 0 : 10) : commit;
-    byte[] caughtUpTo = PgWire.parameter("caught_up_to", Long.toString(position));
-    byte[] gauges = PgWire.parameter("gauges", report());
-    if (!reportsInline) {
-      return PgWire.join(role, caughtUpTo);
-    }
-    return commit == 0 ? PgWire.join(role, gauges) : PgWire.join(role, gauges, caughtUpTo);
+    byte[] state =
+        PgWire.join(
+            PgWire.parameter("part", primary ? "master" : "replica"),
+            PgWire.parameter("gauges", report()));
+    return commit == 0
+        ? state
+        : PgWire.join(state, PgWire.parameter("caught_up_to", Long.toString(commit)));
   }
 
   private String report() {
