Reject queued requests in time when a router ends

The routing policy and ShutdownSequence knew of one request of each connection only; those behind it were parsed, submitted and rejected one of each connection in a turn in the last 100 ms, and then closed.

FrontendMessageQueue counts the queries that it holds, and RejectionTimeEstimate how long one takes. ShutdownSequence rejects them that much earlier before the last answer, in one pass over a queue and without parsing them; they have not run. Pending requests are served until only the time for those behind them is left. An overdue drain waits while an answer is missing, up to 0.1 s before SIGKILL.

--- a/router/src/main/java/rushwood/api/RoutingPolicy.java
+++ b/router/src/main/java/rushwood/api/RoutingPolicy.java
@@ -49,7 +49,8 @@
   void clientDisconnected(long now, RequestId request);
 
   /**
-   * The router has begun to shut down.
+   * The router has begun to shut down. May be called again with another time, which replaces the
+   * former one.
    *
    * @param lastAnswerTime the clock time in nanoseconds before which the policy has to give every
    *     pending request its final answer
--- a/router/src/main/java/rushwood/dispatch/Counter.java
+++ b/router/src/main/java/rushwood/dispatch/Counter.java
@@ -23,6 +23,8 @@
   CLIENTS_NOT_READING,
   /** Statements and messages from clients that were not accepted and reached no host. */
   STATEMENTS_REJECTED,
+  /** Requests that were rejected at shutdown while they waited behind others of their client. */
+  QUEUED_REQUESTS_REJECTED,
 
   /** Requests received from clients. */
   REQUESTS_RECEIVED,
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -161,7 +161,7 @@
   }
 
   /**
-   * Starts the shutdown of the router.
+   * Starts the shutdown of the router. May be called again with another time.
    *
    * @param lastAnswerTime the time, Unix time in nanoseconds, before which every request, new or in
    *     flight, has to be answered
--- a/router/src/main/java/rushwood/net/FrontendConnection.java
+++ b/router/src/main/java/rushwood/net/FrontendConnection.java
@@ -38,6 +38,7 @@
   private final long acceptTurnNumber;
   private final long earliestArrivalAtAccept;
   private boolean resumeScheduled;
+  private int queuedRequestsRejected; // while input is being processed
 
   /** The earliest time at which input that waits to be processed may have been sent. */
   private long earliestArrival;
@@ -79,7 +80,8 @@
 
   /** Returns whether the client is slowed down or has to read its answers first. */
   private boolean isProcessingPaused() {
-    return submitter.isPaused() || !channel.isWritable();
+    boolean isSlowedDown = submitter.isPaused() && !protocol.isRejectingRequests();
+    return isSlowedDown || !channel.isWritable();
   }
 
   /**
@@ -120,7 +122,12 @@
       protocol.closeWithError(ClientErrors.TOO_MANY_REJECTIONS);
       return;
     }
+    long startedAt = clock.turnNanos();
+    queuedRequestsRejected = 0;
     protocol.resume();
+    if (queuedRequestsRejected > 0) {
+      context.rejectionTime().record(queuedRequestsRejected, clock.turnNanos() - startedAt);
+    }
     reportState();
   }
 
@@ -171,9 +178,11 @@
     if (outputMemory.isExhausted()) {
       throw ProtocolException.memoryShort();
     }
+    long startedAt = clock.turnNanos();
     SqlStatement statement = submitter.parseAndValidate(text);
     admissionReporter.requestSubmitted();
     submitter.submit(statement, earliestArrival, protocol);
+    context.rejectionTime().record(1, clock.turnNanos() - startedAt);
   }
 
   /**
@@ -203,6 +212,12 @@
     submitter.statementRejected(rejection, this::resumeLater);
   }
 
+  @Override
+  public void requestRejected() {
+    counters.increment(Counter.QUEUED_REQUESTS_REJECTED);
+    queuedRequestsRejected++;
+  }
+
   @Override
   public long cancelKey() {
     return cancelKey;
@@ -255,6 +270,26 @@
     protocol.drain();
   }
 
+  /** Rejects each request that is not submitted yet, also those that arrive later. */
+  void rejectRequests() {
+    if (!protocol.isRejectingRequests()) {
+      protocol.rejectRequests();
+      resumeLater();
+    }
+  }
+
+  /**
+   * Returns the number of requests that arrived completely and were not submitted yet. A request
+   * that is pending does not count.
+   */
+  int queuedRequests() {
+    return protocol.queuedRequests();
+  }
+
+  boolean hasPendingRequest() {
+    return protocol.hasPendingRequest();
+  }
+
   /** Sends a fatal error and closes the connection. */
   void closeWithError(ErrorResponse error) {
     protocol.closeWithError(error);
--- a/router/src/main/java/rushwood/net/FrontendContext.java
+++ b/router/src/main/java/rushwood/net/FrontendContext.java
@@ -11,6 +11,7 @@
  * @param memory holds the input of all clients and the output to them
  * @param readBudget the time for reading clients in a turn of the event loop
  * @param processing the tasks that process what was read
+ * @param rejectionTime the time that it takes to reject a request that waits behind others
  */
 record FrontendContext(
     EventLoopClock clock,
@@ -19,7 +20,8 @@
     LingeringConnections lingeringConnections,
     ClientMemory memory,
     TurnBudget readBudget,
-    TurnTaskQueue processing) {
+    TurnTaskQueue processing,
+    RejectionTimeEstimate rejectionTime) {
 
   /** Each; a turn that reads and processes counts as no pause, and no timer is late. */
   private static final long MAX_NANOS_PER_TURN = 15_000_000L;
@@ -37,6 +39,7 @@
         lingeringConnections,
         memory,
         new TurnBudget(clock, MAX_NANOS_PER_TURN),
-        new TurnTaskQueue(new TurnBudget(clock, MAX_NANOS_PER_TURN)));
+        new TurnTaskQueue(new TurnBudget(clock, MAX_NANOS_PER_TURN)),
+        new RejectionTimeEstimate());
   }
 }
--- a/router/src/main/java/rushwood/net/FrontendServer.java
+++ b/router/src/main/java/rushwood/net/FrontendServer.java
@@ -191,6 +191,30 @@
     registry.snapshot().forEach(FrontendConnection::drain);
   }
 
+  /**
+   * Rejects the requests that wait behind others of their client and those that arrive from now on.
+   * Pending requests are left to the routing policy.
+   */
+  public void rejectQueuedRequests() {
+    registry.snapshot().forEach(FrontendConnection::rejectRequests);
+  }
+
+  /** Returns the number of requests that wait behind others of their client. */
+  public int queuedRequests() {
+    return registry.snapshot().stream().mapToInt(FrontendConnection::queuedRequests).sum();
+  }
+
+  /** Returns whether any request that arrived completely has no response yet. */
+  public boolean hasUnansweredRequests() {
+    return registry.snapshot().stream()
+        .anyMatch(client -> client.hasPendingRequest() || client.queuedRequests() > 0);
+  }
+
+  /** Returns an estimate of the time in nanoseconds that {@link #rejectQueuedRequests} takes. */
+  public long queueRejectionNanos() {
+    return context.rejectionTime().nanosToReject(queuedRequests());
+  }
+
   /** Closes all connections immediately. */
   public void close() {
     registry.snapshot().forEach(connection -> connection.channel.close());
--- a/router/src/main/java/rushwood/protocol/FrontendCallbacks.java
+++ b/router/src/main/java/rushwood/protocol/FrontendCallbacks.java
@@ -26,6 +26,9 @@
   /** Called when input of the client is not accepted, before the error is written. */
   void statementRejected(ProtocolException cause);
 
+  /** Called when a request is rejected that was not submitted, before the error is written. */
+  void requestRejected();
+
   /** Sends the bytes to the client and takes ownership of the buffer. */
   void write(ByteBuf out);
 
--- a/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
+++ b/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
@@ -43,6 +43,7 @@
   private @Nullable ByteBuf incomplete; // null if no body is arriving or it is skipped
   private boolean isTerminated;
   private boolean isClosed;
+  private int unreadQueries; // complete ones, refused ones included
   private @Nullable ProtocolException violation;
 
   FrontendMessageQueue(StatementMemory memory) {
@@ -177,6 +178,9 @@
 
   /** Completes the current message, which is now the last one of the segment. */
   private void messageStored(ByteBuf segment) {
+    if (type() == FrontendMessageType.QUERY) {
+      unreadQueries++;
+    }
     if (isStartingUp) {
       int bodyBytes = header.getInt(TYPE_BYTES) - LENGTH_FIELD_BYTES;
       ByteBuf body = segment.slice(segment.writerIndex() - bodyBytes, bodyBytes);
@@ -191,10 +195,12 @@
     if (last != null && isLastMessageRefused(last)) {
       int lengthIndex = refusalIndex + TYPE_BYTES;
       last.setInt(lengthIndex, last.getInt(lengthIndex) - 1);
+      unreadQueries++;
       return;
     }
     ByteBuf segment = segmentForHeader(now);
     if (segment != null) {
+      unreadQueries++;
       refusalIndex = segment.writerIndex();
       segment.writeByte(FrontendMessageType.QUERY).writeInt(-1);
     }
@@ -288,6 +294,9 @@
     int start = segment.readerIndex();
     char type = (char) segment.getUnsignedByte(start);
     int length = segment.getInt(start + TYPE_BYTES);
+    if (type == FrontendMessageType.QUERY) {
+      unreadQueries--;
+    }
     if (length < 0) {
       return nextRefusal(segment, length + 1);
     }
@@ -323,6 +332,11 @@
         || (last != null && last.isReadable());
   }
 
+  /** Returns the number of complete queries that were not read, refused ones included. */
+  int unreadQueries() {
+    return unreadQueries;
+  }
+
   /** Returns whether a Terminate message has arrived, read or not. */
   boolean isTerminated() {
     return isTerminated;
@@ -332,6 +346,7 @@
   void close() {
     isClosed = true;
     violation = null;
+    unreadQueries = 0;
     memory.messageEnded(this);
     discard();
     segments.forEach(this::release);
--- a/router/src/main/java/rushwood/protocol/FrontendProtocol.java
+++ b/router/src/main/java/rushwood/protocol/FrontendProtocol.java
@@ -44,6 +44,7 @@
   private State state = State.STARTUP;
   private @Nullable ByteBuf statement; // set in state REQUEST_READ
   private boolean isDraining;
+  private boolean isRejectingRequests;
 
   /**
    * Creates the protocol of a newly accepted connection.
@@ -191,7 +192,14 @@
           SqlState.PROTOCOL_VIOLATION, "the query does not end with its zero");
     }
     ByteBuf text = body.slice(body.readerIndex(), end - body.readerIndex());
-    if (!localStatements.answerIfLocal(text, out)) {
+    if (localStatements.answerIfLocal(text, out)) {
+      return;
+    }
+    if (isRejectingRequests) {
+      callbacks.requestRejected();
+      MessageWriter.writeErrorResponse(out, ClientErrors.REQUEST_REJECTED);
+      MessageWriter.writeReadyForQuery(out);
+    } else {
       statement = text;
       state = State.REQUEST_READ;
     }
@@ -287,6 +295,24 @@
     }
   }
 
+  /**
+   * Rejects from the next {@link #resume} on each request that is not submitted yet, in its turn
+   * behind the one that is pending. Such a request is not parsed, and has not run.
+   */
+  public void rejectRequests() {
+    isRejectingRequests = true;
+  }
+
+  /** Returns whether {@link #rejectRequests} was called. */
+  public boolean isRejectingRequests() {
+    return isRejectingRequests;
+  }
+
+  /** Returns the number of requests that arrived completely and wait to be processed. */
+  public int queuedRequests() {
+    return input.unreadQueries();
+  }
+
   /** Sends an error in any state and closes the connection. */
   public void closeWithError(ErrorResponse error) {
     ByteBuf out = outputMemory.allocate(128);
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -171,7 +171,9 @@
       RouterComponents components, ClientListener listener, long signalledAt) {
     stopping = true;
     Logger.info(
-        "shutting down: {} requests in flight", components.dispatcher().unansweredRequests());
+        "shutting down: {} requests in flight, {} queued behind them",
+        components.dispatcher().unansweredRequests(),
+        components.frontend().queuedRequests());
     new ShutdownSequence(
             components,
             listener,
--- a/router/src/main/java/rushwood/server/ShutdownSequence.java
+++ b/router/src/main/java/rushwood/server/ShutdownSequence.java
@@ -18,9 +18,14 @@
  *       until 0.55 s: requests on open and on new connections are served as usual.
  *   <li>Then the drain: each connection is closed as soon as it has no request, and new ones are
  *       refused. Progress is checked every 50 ms.
+ *   <li>Requests that wait behind others of their client are not known to the routing policy. They
+ *       are rejected early enough before the last answer, which may be before the drain; the drain
+ *       then starts with it. Requests that are pending by then are still served as long as there is
+ *       time to reject those behind them.
  *   <li>Once no connection is open, at T + 0.4 s (3.4 s) at the latest: connections in the accept
  *       queue of the kernel are refused with an error too, and the listener is closed.
- *   <li>Once the listener is closed and no connection is open, at T + 0.6 s (3.6 s) at the latest:
+ *   <li>Once the listener is closed and no connection is open, else at T + 0.55 s (3.55 s) or, if
+ *       requests have no answer by then, once they have one, at T + 0.6 s (3.6 s) at the latest:
  *       all remaining connections are closed, the counters are logged, and the process exits.
  *   <li>T + 0.7 s (3.7 s): the earliest SIGKILL.
  * </ol>
@@ -68,6 +73,15 @@
   /** Interval of the checks whether to start the drain, and whether the drain is complete. */
   private static final long CHECK_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
 
+  /**
+   * Queued requests are rejected earlier by this multiple of the time that it is estimated to take:
+   * while the requests before them end, the first rejections improve the estimate.
+   */
+  private static final int REJECTION_RESERVE_FACTOR = 2;
+
+  /** Interval of the checks whether the last overdue answers are written. */
+  private static final long OVERDUE_CHECK_INTERVAL_NANOS = NANOS_PER_MILLI;
+
   /** Time from closing the listener to the last answer; connections accepted last are refused. */
   private static final long LISTENER_RESERVE_NANOS = 2 * CHECK_INTERVAL_NANOS;
 
@@ -79,6 +93,7 @@
   private final Runnable onDrained;
   private final long earliestDrainTime;
   private final long lastAnswerTime;
+  private final long endTime;
 
   /**
    * Computes the times of the shutdown, which begins with {@link #start}.
@@ -107,6 +122,7 @@
     long killTime = signalTime + killDelayNanos(maxRequestTimeoutNanos);
     earliestDrainTime = signalTime + MIN_SERVING_NANOS;
     lastAnswerTime = killTime - EXIT_RESERVE_NANOS;
+    endTime = killTime - RUNTIME_EXIT_NANOS;
   }
 
   private static long killDelayNanos(long maxRequestTimeoutNanos) {
@@ -131,9 +147,7 @@
    */
   private void serveUntilDrainTime() {
     long now = clock.now();
-    long pauseReserve = PAUSE_RESERVE_FACTOR * clock.recentLongestPauseNanos();
-    long drainTime =
-        Math.max(earliestDrainTime, lastAnswerTime - DRAIN_RESERVE_NANOS - pauseReserve);
+    long drainTime = drainTime();
     if (now >= drainTime) {
       drain();
     } else {
@@ -142,6 +156,21 @@
     }
   }
 
+  private long drainTime() {
+    long latest = lastAnswerTime - DRAIN_RESERVE_NANOS - pauseReserveNanos();
+    return Math.max(earliestDrainTime, Math.min(latest, rejectionTime()));
+  }
+
+  /** Returns when to begin to reject the requests that wait behind others of their client. */
+  private long rejectionTime() {
+    long reserveNanos = REJECTION_RESERVE_FACTOR * frontend.queueRejectionNanos();
+    return lastAnswerTime - reserveNanos - pauseReserveNanos();
+  }
+
+  private long pauseReserveNanos() {
+    return PAUSE_RESERVE_FACTOR * clock.recentLongestPauseNanos();
+  }
+
   /**
    * Closes connections without a request until none is open. All requests are answered by {@code
    * lastAnswerTime}; one more interval leaves time to write the answers and close the connections.
@@ -149,15 +178,45 @@
   private void drain() {
     frontend.drain();
     long now = clock.now();
-    boolean isOverdue = now >= lastAnswerTime + CHECK_INTERVAL_NANOS;
+    long rejectionTime = rejectionTime();
+    if (now >= rejectionTime) {
+      frontend.rejectQueuedRequests();
+    }
+    endPendingRequestsBeforeQueuedOnes(now);
     if (now >= lastAnswerTime - LISTENER_RESERVE_NANOS || frontend.openConnections() == 0) {
       listener.stop();
     }
     boolean isDone = listener.isStopped() && frontend.openConnections() == 0;
-    if (!isDone && !isOverdue) {
-      timerQueue.schedule(now + CHECK_INTERVAL_NANOS, this::drain);
-    } else {
+    if (isDone || isOverdue(now)) {
       onDrained.run();
+    } else {
+      timerQueue.schedule(nextCheckTime(now, rejectionTime), this::drain);
+    }
+  }
+
+  /**
+   * Brings the end of pending requests forward if the time after {@code lastAnswerTime} would be
+   * too short to reject the requests behind them.
+   */
+  private void endPendingRequestsBeforeQueuedOnes(long now) {
+    long endOfPendingRequests = lastAnswerTime - frontend.queueRejectionNanos();
+    boolean isDueBeforeNextCheck = endOfPendingRequests <= now + CHECK_INTERVAL_NANOS;
+    if (isDueBeforeNextCheck && endOfPendingRequests < lastAnswerTime) {
+      dispatcher.shuttingDown(endOfPendingRequests);
+    }
+  }
+
+  /** Returns whether remaining connections have to be closed, or can be without loss. */
+  private boolean isOverdue(long now) {
+    boolean hasAnsweredAll = !frontend.hasUnansweredRequests();
+    return now >= endTime || (hasAnsweredAll && now >= lastAnswerTime + CHECK_INTERVAL_NANOS);
+  }
+
+  private long nextCheckTime(long now, long rejectionTime) {
+    if (now >= lastAnswerTime + CHECK_INTERVAL_NANOS) {
+      return now + OVERDUE_CHECK_INTERVAL_NANOS;
     }
+    long next = now + CHECK_INTERVAL_NANOS;
+    return now < rejectionTime ? Math.min(next, rejectionTime) : next;
   }
 }
--- a/router/src/test/java/rushwood/protocol/FrontendMessageQueueTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendMessageQueueTest.java
@@ -63,8 +63,10 @@
     List<ByteBuf> others = StatementMemoryFixture.fillUp(memory, LONG_TEXT_BYTES / 2);
     byte[] refused = longQuery();
     feed(TestMessages.query("a"), refused, refused, TestMessages.query("b"), refused);
+    int unreadQueries = 5;
     for (String expected : new String[] {"a", "refused", "refused", "b", "refused"}) {
       assertTrue(queue.hasUnread());
+      assertEquals(unreadQueries--, queue.unreadQueries());
       assertEquals(expected, nextQuery());
     }
     assertNull(nextQuery());
--- a/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendProtocolTest.java
@@ -32,6 +32,7 @@
     long cancelledKey;
     boolean retryAfterAnnounced;
     boolean resumeRequested;
+    int rejectedRequests;
 
     @Override
     public boolean isReady() {
@@ -56,6 +57,11 @@
     @Override
     public void statementRejected(ProtocolException cause) {}
 
+    @Override
+    public void requestRejected() {
+      rejectedRequests++;
+    }
+
     @Override
     public void write(ByteBuf written) {
       out.writeBytes(written);
@@ -356,4 +362,39 @@
     assertEquals(served.repeat(queryCount).strip(), connection.takeWrittenTypes());
     connection.end();
   }
+
+  /**
+   * At shutdown, requests behind a pending one were lost because nothing counted or answered them.
+   */
+  @Test
+  void queuedRequestsAreRejectedInOneCallBehindThePendingOne() {
+    TestConnection connection = new TestConnection();
+    connection.respondsImmediately = false;
+    byte[] longQuery = TestMessages.query("x".repeat(MessageLimits.maxClientMessageBytes('Q') / 2));
+    connection.feed(
+        TestMessages.startup(),
+        TestMessages.query(READ),
+        TestMessages.query(READ),
+        TestMessages.query("unsound"),
+        longQuery,
+        TestMessages.query(""),
+        TestMessages.query(READ),
+        Arrays.copyOf(longQuery, 9));
+    connection.takeWrittenTypes();
+    assertEquals(5, connection.protocol.queuedRequests());
+    connection.protocol.rejectRequests();
+    connection.protocol.resume();
+    assertEquals("", connection.takeWrittenTypes(), "the pending request may still be served");
+    connection.protocol.sendResult(TestMessages.buffer(TestMessages.rowResponse("v")));
+    connection.protocol.resume();
+    String rejected = " E(53300) Z";
+    assertEquals("T D C Z" + rejected.repeat(3) + " I Z" + rejected, connection.takeWrittenTypes());
+    assertEquals(0, connection.protocol.queuedRequests());
+    assertEquals(1, connection.submitted.size());
+    connection.feed(Arrays.copyOfRange(longQuery, 9, longQuery.length));
+    assertEquals("E(53300) Z", connection.takeWrittenTypes(), "a request that arrived later");
+    assertEquals(5, connection.rejectedRequests);
+    connection.end();
+    assertEquals(0, connection.protocol.queuedRequests());
+  }
 }
