Read a host's socket before its connection is reused

A connection counted as reusable 2 ms after the turn of its last answer. In a long turn that is over at once, and the copy waits unread while the next statement is written; it is then taken for its answer.

BackendChannel.isReusable reads the socket, and anything found there ends the connection. EndpointPool asks it before each reuse, PooledConnection before a deferred write. The 2 ms count from the read of the answer.

--- a/router/src/main/java/rushwood/dispatch/BackendConnection.java
+++ b/router/src/main/java/rushwood/dispatch/BackendConnection.java
@@ -16,8 +16,13 @@
   /** Returns whether the most recent statement was written to the socket completely. */
   boolean isStatementWritten();
 
-  /** Returns whether the connection is established and can carry another exchange. */
-  boolean isOpen();
+  /**
+   * Reads what the socket holds, and returns whether the connection can carry another exchange: it
+   * is established, and nothing has arrived that belongs to no exchange. Such input ends the
+   * connection; the listener is then notified from within this call. Must not be called while the
+   * connection notifies its listener.
+   */
+  boolean isReusable();
 
   /** Closes the connection. The listener is not called any more. */
   void close();
@@ -36,7 +41,7 @@
 
   /**
    * Receives the events of a connection, on the event loop's thread and never from within a call to
-   * the connection.
+   * the connection other than {@link #isReusable}.
    */
   interface Listener {
     /** Called when the connection is established and can carry an exchange. */
--- a/router/src/main/java/rushwood/dispatch/EndpointPool.java
+++ b/router/src/main/java/rushwood/dispatch/EndpointPool.java
@@ -13,9 +13,10 @@
 /** Manages the idle connections to one host and those with an unwritten exchange. */
 final class EndpointPool {
   /**
-   * The minimum time that a connection is left idle before it is reused. Without this delay, a
-   * close or excess data that directly follows a response would be taken for the response to the
-   * next statement. On loopback and within a data centre both arrive within a millisecond.
+   * The minimum time that a connection is left idle before it is reused. A close or excess data
+   * that directly follows a response has arrived by then and is found when the socket is read
+   * before the reuse; else it would be taken for the response to the next statement. On loopback
+   * and within a data centre both arrive within a millisecond.
    */
   private static final long REUSE_DELAY_NANOS = 2_000_000L;
 
@@ -98,24 +99,34 @@
 
   /**
    * Removes and returns the most recently used connection that can be reused, or null if there is
-   * none. Closes the connections that it passes over because they are broken or were idle for too
-   * long.
+   * none. Closes the connections that it passes over because they are broken, have unexpected input
+   * or were idle for too long.
    */
   @Nullable PooledConnection takeReusable(long now, long maxIdleNanos) {
+    PooledConnection candidate = removeRested(now);
+    while (candidate != null && !canReuse(candidate, now, maxIdleNanos)) {
+      candidate.close();
+      candidate = removeRested(now);
+    }
+    return candidate;
+  }
+
+  /** Removes and returns the most recently used connection whose reuse delay is over, or null. */
+  private @Nullable PooledConnection removeRested(long now) {
     for (Iterator<PooledConnection> connections = idle.iterator(); connections.hasNext(); ) {
       PooledConnection connection = connections.next();
-      long idleNanos = now - connection.idleSince();
-      if (idleNanos >= REUSE_DELAY_NANOS) {
+      if (now - connection.idleSince() >= REUSE_DELAY_NANOS) {
         connections.remove();
-        if (idleNanos < maxIdleNanos && connection.isOpen()) {
-          return connection;
-        }
-        connection.close();
+        return connection;
       }
     }
     return null;
   }
 
+  private static boolean canReuse(PooledConnection connection, long now, long maxIdleNanos) {
+    return now - connection.idleSince() < maxIdleNanos && connection.isReusable();
+  }
+
   /** Returns the longest idle connection, or null if none is idle. */
   @Nullable PooledConnection longestIdle() {
     return idle.peekLast();
--- a/router/src/main/java/rushwood/dispatch/PooledConnection.java
+++ b/router/src/main/java/rushwood/dispatch/PooledConnection.java
@@ -60,9 +60,12 @@
     return state == State.AWAITING_RESPONSE;
   }
 
-  /** Returns whether the connection is still usable; must not be called before {@link #connect}. */
-  boolean isOpen() {
-    return backend().isOpen();
+  /**
+   * Reads the socket and returns whether the connection is still usable; must not be called before
+   * {@link #connect}, nor while the connection is among the idle ones of its endpoint.
+   */
+  boolean isReusable() {
+    return backend().isReusable();
   }
 
   /** Returns the time at which the connection became idle; meaningful only while it is idle. */
@@ -104,8 +107,11 @@
     }
     if (exchange == null) {
       becomeIdle();
-    } else {
+    } else if (backend().isReusable()) {
       applyWriteDecision(exchange, writeGate.decideAfterDeferral(exchange));
+    } else {
+      close();
+      complete(detachExchange(), BackendResponse.withoutRow(AttemptOutcome.NOT_SENT));
     }
   }
 
@@ -198,7 +204,7 @@
   private void becomeIdle() {
     if (endpoint.canReuse(address)) {
       state = State.IDLE;
-      idleSince = clock.now();
+      idleSince = clock.now() + clock.turnNanos();
       endpoint.addIdle(this);
     } else {
       close();
--- a/router/src/main/java/rushwood/net/BackendChannel.java
+++ b/router/src/main/java/rushwood/net/BackendChannel.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
 import rushwood.dispatch.BackendConnection;
@@ -118,7 +119,15 @@
   }
 
   @Override
-  public boolean isOpen() {
+  public boolean isReusable() {
+    // In a long turn, input that followed a response may not have been read since.
+    if (isOpen() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+      socket.read();
+    }
+    return isOpen();
+  }
+
+  private boolean isOpen() {
     return !closed && channel.isActive() && protocol.isUsable();
   }
 
--- a/router/src/test/java/rushwood/dispatch/ConnectionPoolTest.java
+++ b/router/src/test/java/rushwood/dispatch/ConnectionPoolTest.java
@@ -85,4 +85,45 @@
     busy.respond(AttemptOutcome.SUCCESS);
     assertFalse(busy.open);
   }
+
+  /**
+   * A second copy of a response that waited unread in the socket was taken for the response to the
+   * next statement, so clients got the values of others.
+   */
+  @Test
+  void connectionWithUnreadInputIsNotReused() {
+    DispatcherFixture.FakeConnection copied = fixture.serveRequest();
+    copied.hasUnreadInput = true;
+    fixture.loop.advanceTo(5);
+    DispatcherFixture.FakeConnection next = fixture.serveRequest();
+    assertEquals(2, fixture.connections.size());
+    assertEquals(1, copied.sent.size());
+    assertEquals(1, next.sent.size());
+    assertFalse(copied.open);
+  }
+
+  /** The reuse delay counts from when the response was read, which may be late in a long turn. */
+  @Test
+  void reuseDelayCountsFromTheReadOfTheResponse() {
+    DispatcherFixture.FakeConnection connection = fixture.receiveRequestAndConnect();
+    fixture.loop.stall(10);
+    connection.respond(AttemptOutcome.SUCCESS);
+    fixture.loop.endTurn();
+    fixture.serveRequest();
+    assertEquals(2, fixture.connections.size(), "the next turn begins right after the read");
+  }
+
+  /** A deferred statement is not written behind input that arrived in the meantime. */
+  @Test
+  void deferredStatementIsNotWrittenIfInputHasArrived() {
+    DispatcherFixture.FakeConnection connection = fixture.serveRequest();
+    fixture.loop.advanceTo(5);
+    fixture.loop.stall(60);
+    fixture.recorded.clear();
+    fixture.receiveRequest();
+    connection.hasUnreadInput = true;
+    fixture.loop.advanceBy(1);
+    assertEquals(1, connection.sent.size());
+    fixture.expectRecorded("0 NOT_SENT after 0");
+  }
 }
--- a/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
+++ b/router/src/test/java/rushwood/dispatch/DispatcherFixture.java
@@ -73,6 +73,9 @@
     boolean open = true;
     boolean written = true;
 
+    /** Whether input has arrived on the socket that belongs to no exchange and was not read. */
+    boolean hasUnreadInput;
+
     private FakeConnection(Listener listener) {
       this.listener = listener;
     }
@@ -89,7 +92,11 @@
     }
 
     @Override
-    public boolean isOpen() {
+    public boolean isReusable() {
+      if (open && hasUnreadInput) {
+        open = false;
+        listener.connectionLost(true);
+      }
       return open;
     }
 
