Use a former process's endpoint list for one drain grace only

It waited a second for a list and then used the one of its former process without a limit.

CachedListLease ends that use a drain grace after the start, less 0.15 s for a hold-up and the runtime's start. Then no host is used until a list comes.

--- a/router/src/main/java/rushwood/Main.java
+++ b/router/src/main/java/rushwood/Main.java
@@ -37,13 +37,14 @@
 
   /** Starts a router and returns once it listens. The event loop keeps running until SIGTERM. */
   private static void serve() {
+    long startedAt = System.nanoTime();
     try {
       HangUpSignal hangUpSignal = HangUpSignal.install();
       OperatorSettings operatorSettings = OperatorSettings.read(System.getenv());
       operatorSettings.jsonLogFile().ifPresent(Main::logAsJson);
       RouterConfig config = RouterConfig.read(System.getenv());
       RouterServer server =
-          new RouterServer(config, operatorSettings, System.getenv(), hangUpSignal);
+          new RouterServer(config, operatorSettings, System.getenv(), hangUpSignal, startedAt);
       Runtime.getRuntime().addShutdownHook(new Thread(server::stop, "stop"));
       server.start();
     } catch (InvalidConfigException e) {
--- a/router/src/main/java/rushwood/dispatch/EndpointRegistry.java
+++ b/router/src/main/java/rushwood/dispatch/EndpointRegistry.java
@@ -68,6 +68,13 @@
     releaseDrainingAndRemoved(merged);
   }
 
+  /** Treats all endpoints as draining until they are listed as ready. */
+  void suspendAll() {
+    List<EndpointAddress> suspended =
+        endpoints.values().stream().map(entry -> entry.withState(Endpoint.State.DRAINING)).toList();
+    update(suspended, List.of());
+  }
+
   private static List<Endpoint> endpointsOf(List<EndpointAddress> entries) {
     return entries.stream().map(EndpointAddress::endpoint).toList();
   }
--- a/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
+++ b/router/src/main/java/rushwood/dispatch/RequestDispatcher.java
@@ -84,6 +84,14 @@
     endpoints.update(updates, partials);
   }
 
+  /**
+   * Starts nothing on any host until it is listed as ready, as if all of them drained. For a list
+   * that is too old to be used.
+   */
+  public void suspendEndpoints() {
+    endpoints.suspendAll();
+  }
+
   /** Counts a failed call to discovery. */
   public void endpointRefreshFailed() {
     counters.increment(Counter.ENDPOINT_LISTS_FAILED);
--- a/router/src/main/java/rushwood/server/RouterServer.java
+++ b/router/src/main/java/rushwood/server/RouterServer.java
@@ -12,8 +12,10 @@
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
+import rushwood.api.LogLevel;
 import rushwood.config.OperatorSettings;
 import rushwood.config.RouterConfig;
+import rushwood.discovery.CachedListLease;
 import rushwood.net.ClientListener;
 
 /**
@@ -24,13 +26,11 @@
  * listener or a bound one.
  */
 public final class RouterServer {
-  /** The discovery agent runs on the same machine and usually answers at once. */
-  private static final long FIRST_LIST_TIMEOUT_MILLIS = 1000;
-
   private final RouterConfig config;
   private final OperatorSettings operatorSettings;
   private final Map<String, String> environment;
   private final HangUpSignal hangUpSignal;
+  private final CachedListLease cachedListLease; // in terms of System.nanoTime
   private final MultiThreadIoEventLoopGroup eventLoopGroup =
       new MultiThreadIoEventLoopGroup(1, MillisecondWaitStrategy.wrap(NioIoHandler.newFactory()));
   private final SingleThreadEventLoop eventLoop = (SingleThreadEventLoop) eventLoopGroup.next();
@@ -41,21 +41,25 @@
   private boolean stopping; // used on the event loop only
 
   /**
-   * Creates a router that does nothing until {@link #start}.
+   * Creates a router that does nothing until {@link #start}. Has to be called as soon as the
+   * configuration is read.
    *
    * @param environment the environment variables, which name the configuration file; it is read
    *     again on SIGHUP
    * @param hangUpSignal the handler of SIGHUP, which keeps a signal that arrives during the start
+   * @param startedAt the {@link System#nanoTime} at which the program started
    */
   public RouterServer(
       RouterConfig config,
       OperatorSettings operatorSettings,
       Map<String, String> environment,
-      HangUpSignal hangUpSignal) {
+      HangUpSignal hangUpSignal,
+      long startedAt) {
     this.config = config;
     this.operatorSettings = operatorSettings;
     this.environment = environment;
     this.hangUpSignal = hangUpSignal;
+    cachedListLease = new CachedListLease(startedAt, System.nanoTime(), config.drainGraceNanos());
   }
 
   /**
@@ -88,6 +92,7 @@
         new RouterAssembler(config, operatorSettings, eventLoop)
             .assemble(firstListReceived::countDown);
     components.discoveryClient().start();
+    scheduleLeaseEnd(components);
     ConfigApplier applier =
         new ConfigApplier(config, components.discoveryClient(), components.logger());
     new ConfigReloader(
@@ -108,14 +113,46 @@
     }
   }
 
+  /** Stops using the hosts of the last known list once its lease has ended. */
+  private void scheduleLeaseEnd(RouterComponents components) {
+    long remainingNanos = cachedListLease.endsAt() - System.nanoTime();
+    if (remainingNanos <= 0) {
+      components.dispatcher().suspendEndpoints();
+    } else {
+      components
+          .timerQueue()
+          .schedule(
+              components.clock().now() + remainingNanos, () -> endCachedListLease(components));
+    }
+  }
+
+  private void endCachedListLease(RouterComponents components) {
+    if (!isFirstListReceived()) {
+      components.dispatcher().suspendEndpoints();
+      components
+          .logger()
+          .log(LogLevel.WARN, "no endpoint list received: using no host until one comes");
+    }
+  }
+
+  private boolean isFirstListReceived() {
+    return firstListReceived.getCount() == 0;
+  }
+
   /**
    * Waits for an endpoint list from discovery before clients are accepted, because endpoints that
-   * are ready in the last known list may have been removed. If none arrives in time, the router
-   * starts with the last known list.
+   * are ready in the last known list may have been removed. {@link CachedListLease} says how long.
    */
   private void awaitEndpointList() throws InterruptedException {
-    if (!firstListReceived.await(FIRST_LIST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+    long now = System.nanoTime();
+    long waitNanos = cachedListLease.waitsUntil(now) - now;
+    if (firstListReceived.await(waitNanos, TimeUnit.NANOSECONDS)) {
+      return;
+    }
+    if (System.nanoTime() < cachedListLease.endsAt()) {
       Logger.warn("no endpoint list received: starting with the last known one");
+    } else {
+      Logger.warn("no endpoint list received: starting without one");
     }
   }
 
--- a/router/src/test/java/rushwood/dispatch/EndpointUpdateTest.java
+++ b/router/src/test/java/rushwood/dispatch/EndpointUpdateTest.java
@@ -109,4 +109,22 @@
     fixture.updateEndpoints(endpoint("z", 1, Endpoint.State.REMOVED));
     fixture.expectRecorded("updated 0");
   }
+
+  /** A list from the time before a restart must not be used for longer than the drain grace. */
+  @Test
+  void suspendedHostsGetNothingUntilTheyAreListedAsReady() {
+    fixture.onAttemptFinished = () -> fixture.actions.reject(REQUEST, 0);
+    DispatcherFixture.FakeConnection idle = fixture.serveRequest();
+    fixture.receiveRequest();
+    DispatcherFixture.FakeConnection connecting = fixture.latestConnection();
+    fixture.recorded.clear();
+    fixture.dispatcher.suspendEndpoints();
+    fixture.expectRecorded("updated 1", "0 NOT_SENT after 0", "released", "rejection 0");
+    assertEquals(List.of(false, false), List.of(idle.open, connecting.open));
+    fixture.receiveRequest();
+    fixture.expectRecorded("0 NOT_SENT after 0", "released", "rejection 0");
+    assertEquals(List.of(), connecting.sent);
+    fixture.replaceEndpoints(host(Endpoint.State.READY));
+    assertEquals(1, fixture.serveRequest().sent.size());
+  }
 }
--- a/router/src/test/java/rushwood/server/RouterProcessFixture.java
+++ b/router/src/test/java/rushwood/server/RouterProcessFixture.java
@@ -77,7 +77,12 @@
 
   /** Returns a fixture whose tests launch the router; the stand-ins run, and the port is known. */
   static RouterProcessFixture unstarted() {
-    return new RouterProcessFixture(false, settings -> settings, DEFAULT_SOCKETS);
+    return unstartedWith(settings -> settings);
+  }
+
+  /** Like {@link #unstarted}, with changed settings. */
+  static RouterProcessFixture unstartedWith(UnaryOperator<String> settingsChange) {
+    return new RouterProcessFixture(false, settingsChange, DEFAULT_SOCKETS);
   }
 
   @Override
