Limit one client's share of the memory for refusals

Messages without a body are kept like refusals where the client's share is used up, and that memory had no share: one client got all 17 MiB.

A client's first buffer for refusals needs only room; further ones may grow to half of what is free.

--- a/router/src/main/java/rushwood/dispatch/EndpointPool.java
+++ b/router/src/main/java/rushwood/dispatch/EndpointPool.java
@@ -104,7 +104,7 @@
    */
   @Nullable PooledConnection takeReusable(long now, long maxIdleNanos) {
     PooledConnection candidate = removeRested(now);
-    while (candidate != null && !canReuse(candidate, now, maxIdleNanos)) {
+    while (candidate != null && !isStillUsable(candidate, now, maxIdleNanos)) {
       candidate.close();
       candidate = removeRested(now);
     }
@@ -123,7 +123,7 @@
     return null;
   }
 
-  private static boolean canReuse(PooledConnection connection, long now, long maxIdleNanos) {
+  private static boolean isStillUsable(PooledConnection connection, long now, long maxIdleNanos) {
     return now - connection.idleSince() < maxIdleNanos && connection.isReusable();
   }
 
--- a/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
+++ b/router/src/main/java/rushwood/protocol/FrontendMessageQueue.java
@@ -36,6 +36,7 @@
   private final Deque<ByteBuf> segments = new ArrayDeque<>(); // complete messages only
   private final ByteBuf header = Unpooled.wrappedBuffer(new byte[HEADER_BYTES]);
   private long heldBytes; // capacity of the segments and of the incomplete message
+  private long heldForRefusals; // the part of heldBytes that was allocated for refusals
   private int refusalIndex = NO_REFUSAL; // of the last refusal in the last segment
   private boolean isStartingUp = true;
   private boolean isInBody;
@@ -218,17 +219,18 @@
   }
 
   /**
-   * Returns a segment with room for a header. If there is no memory for one, the client's input
-   * ends here with an error, and null is returned.
+   * Returns a segment with room for a header. If the client may have none, its input ends here with
+   * an error, and null is returned.
    */
   private @Nullable ByteBuf segmentForHeader(long now) {
     ByteBuf segment = segmentWithRoom(HEADER_BYTES, now);
     if (segment == null) {
-      segment = memory.allocateForRefusals(MIN_SEGMENT_BYTES);
+      segment = memory.allocateForRefusals(MIN_SEGMENT_BYTES, heldForRefusals);
       if (segment == null) {
         violation = memoryShort();
       } else {
         heldBytes += segment.capacity();
+        heldForRefusals += segment.capacity();
         addSegment(segment);
       }
     }
@@ -263,6 +265,9 @@
 
   private void release(ByteBuf buffer) {
     heldBytes -= buffer.capacity();
+    if (memory.isForRefusals(buffer)) {
+      heldForRefusals -= buffer.capacity();
+    }
     buffer.release();
   }
 
--- a/router/src/main/java/rushwood/protocol/StatementMemory.java
+++ b/router/src/main/java/rushwood/protocol/StatementMemory.java
@@ -43,13 +43,14 @@
 
   // Unpooled, because a pool rounds sizes up and keeps chunks that are only partly in use.
   private final UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(true);
+  private final UnpooledByteBufAllocator refusalAllocator = new UnpooledByteBufAllocator(true);
 
   /** Maps each incomplete message to the time at which it last grew, the earliest time first. */
   private final Map<IncompleteMessage, Long> incompleteMessages = new LinkedHashMap<>();
 
   /** Returns the number of bytes in use. */
   public long usedBytes() {
-    return allocator.metric().usedDirectMemory();
+    return allocator.metric().usedDirectMemory() + refusalAllocator.metric().usedDirectMemory();
   }
 
   /**
@@ -68,16 +69,26 @@
   }
 
   /**
-   * Allocates a buffer to record that messages of a client were refused.
+   * Allocates a buffer to record that messages of a client were refused. The first one of a client
+   * needs only room; further ones may grow to half of what is free for all.
    *
+   * @param heldBytes the capacity of all such buffers that the client holds already
    * @return the buffer, owned by the caller, or null if not even such a buffer has room
    */
-  @Nullable ByteBuf allocateForRefusals(int capacity) {
-    return usedBytes() + capacity <= MAX_MESSAGE_BYTES + MAX_REFUSAL_BYTES
-        ? allocator.directBuffer(capacity, capacity)
+  @Nullable ByteBuf allocateForRefusals(int capacity, long heldBytes) {
+    long freeBytes = MAX_MESSAGE_BYTES + MAX_REFUSAL_BYTES - usedBytes();
+    boolean isWithinShare =
+        heldBytes == 0 || heldBytes + capacity <= freeBytes / FREE_SHARE_DIVISOR;
+    return capacity <= freeBytes && isWithinShare
+        ? refusalAllocator.directBuffer(capacity, capacity)
         : null;
   }
 
+  /** Returns whether the buffer was returned by {@link #allocateForRefusals}. */
+  boolean isForRefusals(ByteBuf buffer) {
+    return buffer.alloc() == refusalAllocator;
+  }
+
   private boolean hasRoomFor(long clientBytes) {
     return clientBytes <= (MAX_MESSAGE_BYTES - usedBytes()) / FREE_SHARE_DIVISOR;
   }
--- a/router/src/test/java/rushwood/protocol/FrontendMessageQueueTest.java
+++ b/router/src/test/java/rushwood/protocol/FrontendMessageQueueTest.java
@@ -18,6 +18,7 @@
 class FrontendMessageQueueTest {
   private static final int LONG_TEXT_BYTES = 128 << 10;
   private static final long NOW = 0;
+  private static final int SYNCS_PER_READ = 10_000;
   private static final int STEPS = 20_000; // of all random clients together
   private static final long STALL_NANOS = 200_000_000L;
 
@@ -97,9 +98,9 @@
     startSession();
     feed(TestMessages.query("a"));
     List<ByteBuf> others = StatementMemoryFixture.fillUp(memory, 1);
-    for (ByteBuf buffer = memory.allocateForRefusals(1024);
+    for (ByteBuf buffer = memory.allocateForRefusals(1024, 0);
         buffer != null;
-        buffer = memory.allocateForRefusals(1024)) {
+        buffer = memory.allocateForRefusals(1024, 0)) {
       others.add(buffer);
     }
     for (int i = 0; i < 1000; i++) {
@@ -112,6 +113,26 @@
     StatementMemoryFixture.release(others);
   }
 
+  /** A flood of Sync messages of one client took the memory of all, so others were refused. */
+  @Test
+  void emptyMessagesOfOneClientLeaveRoomForOthers() throws ProtocolException {
+    startSession();
+    byte[][] syncs = new byte[SYNCS_PER_READ][];
+    Arrays.fill(syncs, TestMessages.message('S', new byte[0]));
+    byte[] flood = TestMessages.concat(syncs);
+    for (long sent = 0;
+        sent < 2L * StatementMemoryFixture.MAX_MESSAGE_BYTES;
+        sent += flood.length) {
+      feed(flood);
+    }
+    FrontendMessageQueue other = new FrontendMessageQueue(memory);
+    byte[] query = longQuery();
+    other.feed(TestMessages.buffer(TestMessages.concat(TestMessages.startup(), query)), NOW);
+    assertEquals(MessageLimits.STARTUP_TYPE, other.next().type());
+    assertFalse(other.next().isRefused());
+    other.close();
+  }
+
   private void skipStoredMessages() throws ProtocolException {
     FrontendMessage message = queue.next();
     while (message != null) {
--- a/router/src/test/java/rushwood/protocol/StatementMemoryTest.java
+++ b/router/src/test/java/rushwood/protocol/StatementMemoryTest.java
@@ -92,9 +92,9 @@
     assertEquals(MAX_MESSAGE_BYTES - 1, memory.usedBytes(), "messages never have the last byte");
     assertEquals(false, allocate(1, 0, NOW));
     for (int used = 0; used < MAX_REFUSAL_BYTES; used += 512) {
-      buffers.add(memory.allocateForRefusals(512));
+      buffers.add(memory.allocateForRefusals(512, 0));
     }
-    assertNull(memory.allocateForRefusals(512));
+    assertNull(memory.allocateForRefusals(512, 0));
   }
 
   /** Clients that stopped in the middle of a message must not keep others from sending theirs. */
@@ -125,4 +125,21 @@
     assertEquals(false, allocate(LONG_MESSAGE_BYTES, 0, NOW + STALL_NANOS));
     assertEquals(false, message.isDiscarded());
   }
+
+  /**
+   * One client that sends messages of a few bytes ahead took all memory in buffers for refusals.
+   */
+  @Test
+  void clientMayHoldHalfOfWhatIsFreeForRefusals() {
+    int heldBytes = 0;
+    ByteBuf buffer = memory.allocateForRefusals(512, heldBytes);
+    while (buffer != null) {
+      buffers.add(buffer);
+      heldBytes += 512;
+      buffer = memory.allocateForRefusals(512, heldBytes);
+    }
+    long freeBytes = MAX_MESSAGE_BYTES + MAX_REFUSAL_BYTES - memory.usedBytes();
+    assertEquals(freeBytes, 2L * heldBytes, 3 * 512);
+    assertEquals(true, allocate(LONG_MESSAGE_BYTES, 0, NOW), "another client");
+  }
 }
