--- a/router/src/main/java/rushwood/protocol/StatementComment.java
+++ b/router/src/main/java/rushwood/protocol/StatementComment.java
@@ -1,9 +1,11 @@
 package rushwood.protocol;
 
 import io.netty.util.ByteProcessor;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import rushwood.api.GroupId;
 import rushwood.api.RequestClass;
 import rushwood.api.RequestId;
@@ -22,6 +24,9 @@
   /** For the name and for the value of a field. */
   private static final int MAX_FIELD_BYTES = 256;
 
+  /** Far above the fields in use; limits the time that a statement takes to parse. */
+  private static final int MAX_FIELDS = 256;
+
   /** Above the length of any request id in use. */
   private static final int MAX_ID_BYTES = 128;
 
@@ -39,8 +44,15 @@
   private static final String TIMEOUT_FIELD = "d"; // milliseconds
   private static final String LAST_WRITE_FIELD = "after"; // Unix time in milliseconds
 
+  private static final Set<String> KNOWN_FIELDS =
+      Set.of(ID_FIELD, CLASS_FIELD, GROUP_FIELD, TIMEOUT_FIELD, LAST_WRITE_FIELD);
+
+  /** Stands for the value of a field that the router does not know. */
+  private static final String IGNORED_VALUE = "";
+
+  private static final boolean[] IS_FIELD_CHARACTER = fieldCharacters(); // by ASCII code
   private static final ByteProcessor FIELD_CHARACTERS =
-      character -> character > ' ' && character < 127 && "'\"*/=,;\\".indexOf(character) < 0;
+      character -> character >= 0 && IS_FIELD_CHARACTER[character];
 
   private final Map<String, String> fields = new HashMap<>();
   private int timeoutStart;
@@ -53,11 +65,21 @@
     } while (scanner.tryConsume(COMMA));
   }
 
+  private static boolean[] fieldCharacters() {
+    boolean[] isAllowed = new boolean[128];
+    Arrays.fill(isAllowed, '!', '~' + 1, true); // printable ASCII without the space
+    "'\"*/=,;\\".chars().forEach(character -> isAllowed[character] = false);
+    return isAllowed;
+  }
+
   private void readField(StatementScanner scanner) throws ProtocolException {
+    if (fields.size() == MAX_FIELDS) {
+      throw StatementScanner.syntaxError("more than " + MAX_FIELDS + " fields");
+    }
     String name = scanner.readToken(FIELD_CHARACTERS, MAX_FIELD_BYTES, "a field's name", "");
     scanner.expect(EQUALS);
     int valueStart = scanner.position();
-    String value = scanner.readToken(FIELD_CHARACTERS, MAX_FIELD_BYTES, "the field ", name);
+    String value = readValue(scanner, name);
     if (fields.put(name, value) != null) {
       throw StatementScanner.syntaxError("the field " + name + " stands twice");
     }
@@ -67,6 +89,14 @@
     }
   }
 
+  private static String readValue(StatementScanner scanner, String name) throws ProtocolException {
+    if (KNOWN_FIELDS.contains(name)) {
+      return scanner.readToken(FIELD_CHARACTERS, MAX_FIELD_BYTES, "the field ", name);
+    }
+    scanner.skipToken(FIELD_CHARACTERS, MAX_FIELD_BYTES, "the field ", name);
+    return IGNORED_VALUE;
+  }
+
   /** Returns the request class that the comment names, which must match the kind of statement. */
   RequestClass requestClass(List<RequestClass> requestClasses, boolean isWrite)
       throws ProtocolException {
--- a/router/src/main/java/rushwood/protocol/StatementScanner.java
+++ b/router/src/main/java/rushwood/protocol/StatementScanner.java
@@ -76,10 +76,16 @@
   String readToken(ByteProcessor allowed, int maxBytes, String kind, String name)
       throws ProtocolException {
     int start = position;
+    skipToken(allowed, maxBytes, kind, name);
+    return text.toString(start, position - start, StandardCharsets.US_ASCII);
+  }
+
+  /** Like {@link #readToken}, for a token that is not needed. */
+  void skipToken(ByteProcessor allowed, int maxBytes, String kind, String name)
+      throws ProtocolException {
     int length = skipWhile(allowed);
     if (length == 0 || length > maxBytes) {
       throw syntaxError(kind + name + " has " + length + " bytes");
     }
-    return text.toString(start, length, StandardCharsets.US_ASCII);
   }
 }
--- a/router/src/test/java/rushwood/protocol/SqlStatementParserTest.java
+++ b/router/src/test/java/rushwood/protocol/SqlStatementParserTest.java
@@ -4,12 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class SqlStatementParserTest {
   private static final String READ = TestMessages.readStatement("a", ",d=1");
+  private static final int MAX_FIELDS = 256;
+  private static final int FIELDS_OF_READ = 5; // id, c, t, cluster and d
   private static final String WRITE = TestMessages.writeStatement("a", ",d=1");
 
   @AfterEach
@@ -17,12 +22,30 @@
     TestMessages.assertAllReleased();
   }
 
+  /** Returns unknown fields with names of their own. */
+  private static String manyFields(int count) {
+    return IntStream.range(0, count).mapToObj(i -> ",x" + i + "=1").collect(Collectors.joining());
+  }
+
+  /** A comment with thousands of short fields took the event loop's time from other clients. */
+  @Test
+  void unknownFieldsAreIgnoredUpToALimit() throws ProtocolException {
+    String fields = manyFields(MAX_FIELDS - FIELDS_OF_READ);
+    SqlStatement statement = TestMessages.parse(TestMessages.readStatement("a", ",d=480" + fields));
+    assertEquals(480_000_000L, statement.timeout().nanos());
+    statement.release();
+  }
+
   static List<String> unsupportedForms() {
     return List.of(
         TestMessages.readStatement("a", ""),
         TestMessages.readStatement("a", ",d=1,d=2"),
         TestMessages.readStatement("", ",d=1"),
         TestMessages.readStatement("a", ",d=1,x"),
+        TestMessages.readStatement("a", ",d=1,x=1,x=2"),
+        TestMessages.readStatement("a", ",d=1,x="),
+        TestMessages.readStatement("a", ",d=1,x=" + "1".repeat(257)),
+        TestMessages.readStatement("a", manyFields(MAX_FIELDS - FIELDS_OF_READ + 1) + ",d=1"),
         "SELECT val FROM state /* id=a,c=pass,d=1,cluster=2 */",
         "/* id=a,c=pass,d=1 */",
         "*/",
