Schedule the timers of a wait strategy's test in the event loop

Traced (25 runs beside 14 loops, polls counted): besides some 102 polls for the timers there is one for each time that the test's thread schedules a timer and wakes the loop, 0 to 31 there, up to 100 if that thread is paused between any two of them. That is no spinning. The timers are now scheduled in one task; the bounds are as before, so the check is stricter.

--- a/router/src/test/java/rushwood/server/MillisecondWaitStrategyTest.java
+++ b/router/src/test/java/rushwood/server/MillisecondWaitStrategyTest.java
@@ -33,16 +33,20 @@
     try {
       CountDownLatch done = new CountDownLatch(TIMER_COUNT);
       long[] maxDelayNanos = new long[1];
-      for (int i = 1; i <= TIMER_COUNT; i++) {
-        long dueTime = System.nanoTime() + i * 10_300_000L;
-        group.schedule(
-            () -> {
-              maxDelayNanos[0] = Math.max(maxDelayNanos[0], System.nanoTime() - dueTime);
-              done.countDown();
-            },
-            dueTime - System.nanoTime(),
-            TimeUnit.NANOSECONDS);
-      }
+      // In one task: a timer that another thread schedules wakes the event loop for a poll.
+      group.execute(
+          () -> {
+            for (int i = 1; i <= TIMER_COUNT; i++) {
+              long dueTime = System.nanoTime() + i * 10_300_000L;
+              group.schedule(
+                  () -> {
+                    maxDelayNanos[0] = Math.max(maxDelayNanos[0], System.nanoTime() - dueTime);
+                    done.countDown();
+                  },
+                  dueTime - System.nanoTime(),
+                  TimeUnit.NANOSECONDS);
+            }
+          });
       assertTrue(done.await(20, TimeUnit.SECONDS));
       assertTrue(
           polls.get() < TIMER_COUNT * 3 / 2, polls + " polls for " + TIMER_COUNT + " timers");
